--- /dev/null
+++ b/libs/keys/src/freshness.cpp
@@ -0,0 +1,224 @@
+#include "keys/freshness.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace radishpulley::keys {
+namespace {
+
+// Numbers for which evidence is kept, so that a newer ticket that is still being copied does not
+// hide the evidence for the one in force.
+constexpr std::size_t max_numbers_kept = 8;
+
+}  // namespace
+
+freshness::freshness(vm_incarnation self, freshness_settings settings, time_point started)
+    : self_(std::move(self)), settings_(settings), started_(started) {}
+
+void freshness::set_roster(std::vector<vm_id> vms) {
+    std::sort(vms.begin(), vms.end());
+    const auto is_absent = [&](const vm_id& vm) {
+        return !std::binary_search(vms.begin(), vms.end(), vm);
+    };
+    for (auto it = holds_.begin(); it != holds_.end();) {
+        const bool forgotten = it->first != self_.vm && is_absent(it->first);
+        it = forgotten ? holds_.erase(it) : std::next(it);
+    }
+    for (auto it = knows_us_.begin(); it != knows_us_.end();) {
+        it = is_absent(*it) ? knows_us_.erase(it) : std::next(it);
+    }
+    vms.erase(std::remove(vms.begin(), vms.end(), self_.vm), vms.end());
+    roster_ = std::move(vms);
+}
+
+void freshness::known_by(const vm_id& vm) {
+    knows_us_.insert(vm);
+}
+
+void freshness::take_evidence(model::ticket_number number, known_evidence it) {
+    known_evidence& held = evidence_[number];
+    if (it.heard > held.heard) {
+        held.heard = it.heard;
+    }
+    held.revision = std::max(held.revision, it.revision);
+    while (evidence_.size() > max_numbers_kept) {
+        evidence_.erase(evidence_.begin());
+    }
+}
+
+void freshness::api_answered(model::ticket_number number, platform::store_revision revision,
+                             time_point sent, time_point now) {
+    (void)now;
+    api_failing_ = false;
+    take_evidence(number, {revision, sent});
+}
+
+void freshness::api_failed(time_point now) {
+    last_probe_ = now;
+    api_failing_ = true;
+}
+
+void freshness::peer_evidence(const evidence_report& it, time_point proven) {
+    take_evidence(it.number, {it.revision, proven - it.age});
+}
+
+void freshness::take_hold(const hold_report& it, time_point given) {
+    known_hold& held = holds_[it.vm.vm];
+    if (held.changed == 0 || given > held.given) {
+        const model::ticket_number number = std::max(held.report.number, it.number);
+        const bool is_news = held.changed == 0 || held.report.number != number ||
+                             held.report.reason != it.reason ||
+                             given - held.given >= settings_.hold_refresh / 2;
+        held.report = it;
+        held.report.number = number;
+        if (is_news) {
+            held.given = given;
+            held.changed = ++last_;
+        }
+    }
+}
+
+void freshness::peer_holds(gsl::span<const hold_report> reports, time_point proven) {
+    for (const hold_report& it : reports) {
+        if (it.vm.vm != self_.vm) {
+            take_hold(it, proven - it.age);
+        }
+    }
+}
+
+void freshness::process_gone(const vm_incarnation& vm, time_point at) {
+    take_hold({vm, hold_reason::process_gone, 0, duration(0)}, at);
+}
+
+std::optional<time_point> freshness::last_heard() const {
+    std::optional<time_point> last;
+    for (const auto& it : evidence_) {
+        if (!last || it.second.heard > *last) {
+            last = it.second.heard;
+        }
+    }
+    return last;
+}
+
+duration freshness::own_spread() const {
+    constexpr std::uint64_t steps = 1000;
+    return settings_.probe_spread * (stable_hash(self_.vm.str()) % steps) / steps;
+}
+
+bool freshness::renew_hold(model::ticket_number in_force, time_point now) {
+    const std::optional<time_point> heard = last_heard();
+    const bool is_recent = heard && now - *heard < settings_.probe_after;
+    if (committing_ || !api_failing_ || is_recent) {
+        return false;
+    }
+    if (own_hold_ && now - *own_hold_ < settings_.hold_refresh) {
+        return false;
+    }
+    own_hold_ = now;
+    take_hold({self_, hold_reason::promised, in_force, duration(0)}, now);
+    return true;
+}
+
+duration freshness::until_probe(time_point now) const {
+    time_point due = now;
+    if (const std::optional<time_point> heard = last_heard()) {
+        due = *heard + settings_.probe_after + own_spread();
+    }
+    if (last_probe_) {
+        const duration pause =
+            api_failing_ ? settings_.outage_pause + own_spread() : settings_.probe_deadline;
+        due = std::max(due, *last_probe_ + pause);
+    }
+    return std::max(duration(0), due - now);
+}
+
+void freshness::probe_started(time_point now) {
+    last_probe_ = now;
+}
+
+bool freshness::is_fresh(model::ticket_number in_force, time_point now) const {
+    for (const auto& [number, it] : evidence_) {
+        if (number <= in_force && now - it.heard <= settings_.evidence_limit) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool freshness::holds(const vm_id& vm, model::ticket_number in_force, time_point now) const {
+    const auto it = holds_.find(vm);
+    return it != holds_.end() && now - it->second.given < settings_.hold_time &&
+           it->second.report.number <= in_force;
+}
+
+serving_decision freshness::serving(model::ticket_number in_force, time_point now) const {
+    if (is_fresh(in_force, now)) {
+        return serve_fresh{};
+    }
+    refuse_keyed refused;
+    const bool is_behind = !evidence_.empty() && evidence_.rbegin()->first > in_force;
+    if (!roster_ || is_behind) {
+        return refused;
+    }
+    for (const vm_id& vm : *roster_) {
+        if (!holds(vm, in_force, now)) {
+            refused.missing.push_back(vm);
+        }
+    }
+    if (!refused.missing.empty()) {
+        return refused;
+    }
+    return serve_on_holds{};
+}
+
+std::vector<vm_id> freshness::unaware() const {
+    std::vector<vm_id> vms;
+    if (!roster_) {
+        return vms;
+    }
+    std::set_difference(roster_->begin(), roster_->end(), knows_us_.begin(), knows_us_.end(),
+                        std::back_inserter(vms));
+    return vms;
+}
+
+commit_decision freshness::committing(model::ticket_number in_force, time_point now) const {
+    const duration bound = settings_.hold_time + settings_.hold_margin;
+    time_point free = started_ + bound;
+    if (own_hold_) {
+        free = std::max(free, *own_hold_ + bound);
+    }
+    if (now < free) {
+        return must_not_commit{free - now, {}};
+    }
+    std::vector<vm_id> unknown = unaware();
+    if (!roster_ || !is_fresh(in_force, now) || !unknown.empty()) {
+        return must_not_commit{duration(0), std::move(unknown)};
+    }
+    return may_commit{};
+}
+
+std::optional<evidence_report> freshness::evidence(time_point now) const {
+    if (evidence_.empty()) {
+        return std::nullopt;
+    }
+    const auto& [number, it] = *evidence_.rbegin();
+    return evidence_report{number, it.revision, now - it.heard};
+}
+
+std::vector<hold_report> freshness::hold_news(position& told, time_point now) const {
+    std::vector<hold_report> reports;
+    for (const auto& entry : holds_) {
+        const known_hold& held = entry.second;
+        const bool is_valid = now - held.given < settings_.hold_time;
+        if (held.changed > told && is_valid) {
+            reports.push_back(held.report);
+            reports.back().age = now - held.given;
+        }
+    }
+    told = last_;
+    return reports;
+}
+
+}  // namespace radishpulley::keys
--- /dev/null
+++ b/libs/keys/src/running_requests.cpp
@@ -0,0 +1,19 @@
+#include "keys/running_requests.h"
+
+namespace radishpulley::keys {
+
+std::vector<request_id> requests_to_end(gsl::span<const running_request> running,
+                                        const model::configuration& now) {
+    std::vector<request_id> ended;
+    for (const running_request& it : running) {
+        const model::key* held = now.find_key(it.key);
+        const bool valid =
+            held != nullptr && held->digest == it.digest && held->account == it.account;
+        if (!valid) {
+            ended.push_back(it.request);
+        }
+    }
+    return ended;
+}
+
+}  // namespace radishpulley::keys
--- /dev/null
+++ b/libs/membership/src/incarnation_store.cpp
@@ -0,0 +1,37 @@
+#include "membership/incarnation_store.h"
+
+#include <charconv>
+#include <string>
+
+namespace radishpulley::membership {
+namespace {
+
+constexpr int max_attempts = 8;
+
+incarnation_number parse_number(const std::string& text) {
+    incarnation_number number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+}  // namespace
+
+incarnation_result incarnation_store::raise(const vm_id& vm) {
+    const std::string name = "vms/" + vm.str();
+    for (int n = 0; n < max_attempts; ++n) {
+        const platform::get_result read = api_.get(name);
+        if (std::holds_alternative<platform::unreachable>(read)) {
+            continue;
+        }
+        const auto* held = std::get_if<platform::object>(&read);
+        const incarnation_number next = held == nullptr ? 1 : parse_number(held->value) + 1;
+        const platform::object_version version = held == nullptr ? 0 : held->version;
+        const platform::put_result result = api_.put(name, std::to_string(next), version);
+        if (std::holds_alternative<platform::stored>(result)) {
+            return vm_incarnation{vm, next};
+        }
+    }
+    return incarnation_unknown{};
+}
+
+}  // namespace radishpulley::membership
