--- a/libs/keys/include/keys/freshness.h
+++ b/libs/keys/include/keys/freshness.h
@@ -113,19 +113,23 @@
     /// while no list is known at all.
     void set_roster(std::vector<vm_id> vms);
 
+    /// Sets the incarnation when it could not be had at the start.
+    void set_incarnation(incarnation_number it) { self_.incarnation = it; }
+
     /// `vm` showed that it knows this daemon, by a heartbeat of its own.
     void known_by(const vm_id& vm);
 
     /// A call of the object API was answered. `number` is the head's and `sent` when it was called.
     void api_answered(model::ticket_number number, platform::store_revision revision,
-                      time_point sent, time_point now);
+                      time_point sent);
 
     /// A call of the object API was given up.
     void api_failed(time_point now);
 
     /// A peer's report. `proven` is when the token was sent that the peer's message echoes.
     void peer_evidence(const evidence_report& it, time_point proven);
-    void peer_holds(gsl::span<const hold_report> reports, time_point proven);
+    /// Returns true when a hold is news for the neighbours.
+    bool peer_holds(gsl::span<const hold_report> reports, time_point proven);
 
     /// A connection to the peer port of `vm` was refused at `at`.
     void process_gone(const vm_incarnation& vm, time_point at);
@@ -160,6 +164,8 @@
     struct known_hold {
         hold_report report;
         time_point given;
+        /// Value of `given` when neighbours were last to be told.
+        time_point announced;
         position changed = 0;
     };
 
@@ -170,7 +176,7 @@
     std::optional<time_point> last_heard() const;
     duration own_spread() const;
 
-    const vm_incarnation self_;
+    vm_incarnation self_;
     const freshness_settings settings_;
     const time_point started_;
     std::optional<std::vector<vm_id>> roster_;
--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -49,8 +49,7 @@
 }
 
 void freshness::api_answered(model::ticket_number number, platform::store_revision revision,
-                             time_point sent, time_point now) {
-    (void)now;
+                             time_point sent) {
     api_failing_ = false;
     take_evidence(number, {revision, sent});
 }
@@ -66,26 +65,31 @@
 
 void freshness::take_hold(const hold_report& it, time_point given) {
     known_hold& held = holds_[it.vm.vm];
-    if (held.changed == 0 || given > held.given) {
-        const model::ticket_number number = std::max(held.report.number, it.number);
-        const bool is_news = held.changed == 0 || held.report.number != number ||
-                             held.report.reason != it.reason ||
-                             given - held.given >= settings_.hold_refresh / 2;
-        held.report = it;
-        held.report.number = number;
-        if (is_news) {
-            held.given = given;
-            held.changed = ++last_;
-        }
+    const bool is_new = held.changed == 0;
+    if (!is_new && given <= held.given) {
+        return;
+    }
+    const model::ticket_number number = std::max(held.report.number, it.number);
+    const bool is_news = is_new || held.report.number != number ||
+                         held.report.reason != it.reason ||
+                         given - held.announced >= settings_.hold_refresh / 2;
+    held.report = it;
+    held.report.number = number;
+    held.given = given;
+    if (is_news) {
+        held.announced = given;
+        held.changed = ++last_;
     }
 }
 
-void freshness::peer_holds(gsl::span<const hold_report> reports, time_point proven) {
+bool freshness::peer_holds(gsl::span<const hold_report> reports, time_point proven) {
+    const position before = last_;
     for (const hold_report& it : reports) {
         if (it.vm.vm != self_.vm) {
             take_hold(it, proven - it.age);
         }
     }
+    return last_ != before;
 }
 
 void freshness::process_gone(const vm_incarnation& vm, time_point at) {
--- a/libs/membership/include/membership/member_table.h
+++ b/libs/membership/include/membership/member_table.h
@@ -95,6 +95,12 @@
     duration reconnect_pause = std::chrono::milliseconds(500);
     /// Extra pause, at most, by which VMs differ.
     duration reconnect_spread = std::chrono::milliseconds(500);
+    /// Shortest time between two heartbeats on one connection when there is urgent news.
+    duration urgent_gap = std::chrono::milliseconds(100);
+    /// Age from which a connection that neither side wants is dropped.
+    duration introduction_time = std::chrono::seconds(2);
+    /// A VM that was heard of but is on no list after this long has ended. Above the list's lag.
+    duration unlisted_limit = std::chrono::minutes(10);
 };
 
 /// The table of one daemon. One thread at a time.
@@ -105,10 +111,10 @@
 
     /// The platform's list was read. A VM that was on it before and no longer is has ended.
     /// Returns those VMs.
-    std::vector<vm_id> vm_list_read(gsl::span<const platform::vm_entry> vms);
+    std::vector<vm_id> vm_list_read(gsl::span<const platform::vm_entry> vms, time_point now);
 
-    /// A peer told of VMs that it knows. Never removes one.
-    void members_heard(gsl::span<const member_report> reports);
+    /// A peer told of VMs that it knows. Never removes one, nor brings back one that has ended.
+    void members_heard(gsl::span<const member_report> reports, time_point now);
 
     /// A connection opened, by either side, or ended. `refused` when the peer's port refused it.
     void connected(const vm_id& vm, time_point now);
@@ -120,6 +126,9 @@
     /// Opens short connections to these VMs, until they answered, so that they know this one.
     void introduce(const std::vector<vm_id>& vms);
 
+    /// Makes the next heartbeats due at once, for urgent news that travels with them.
+    void hurry(time_point now);
+
     /// This daemon leaves: says so in its heartbeats.
     void leave() { leaving_ = true; }
 
@@ -132,13 +141,21 @@
     /// Queries.
     vm_incarnation self() const { return {self_.vm, incarnation_}; }
     std::vector<member> members() const;
-    std::vector<member_report> reports() const;
+    /// Members that changed after `told`, which moves to now; 0 gives all.
+    std::vector<member_report> news(std::uint64_t& told) const;
     /// VMs other than this one that may be running: what the freshness rule accounts for.
     std::vector<vm_id> roster() const;
     /// True once a VM list was read or a peer told of its members.
     bool roster_known() const { return roster_known_; }
     /// Connected and heard within the deadline.
     std::vector<vm_id> connected_peers(time_point now) const;
+    /// What this daemon tells of itself.
+    member_report self_report() const { return {self_, incarnation_}; }
+    /// Changes whenever roster() may have changed.
+    std::uint64_t version() const { return last_change_; }
+    /// True when one of the two sides has the other among its neighbours; false on a connection
+    /// that only introduces a VM.
+    bool is_neighbour(const vm_id& vm) const;
     /// VMs to which this one opens connections.
     std::vector<vm_id> chosen() const;
 
@@ -146,11 +163,15 @@
     struct peer {
         member known;
         bool on_list = false;
+        time_point first_seen;
+        time_point last_sent;
+        std::uint64_t changed = 0;
         bool is_connected = false;
         /// Chosen by neighbours().
         bool chosen = false;
         bool to_introduce = false;
-        bool wanted_by_peer = true;
+        bool wanted_by_peer = false;
+        time_point connected_at;
         time_point last_heard;
         time_point retry_at;
         time_point next_heartbeat;
@@ -159,7 +180,7 @@
         std::map<std::uint64_t, time_point> tokens;
     };
 
-    peer& add(const platform::vm_entry& entry, incarnation_number incarnation);
+    peer& add(const platform::vm_entry& entry, incarnation_number incarnation, time_point now);
     void choose();
     bool is_wanted(const peer& it) const { return it.chosen || it.to_introduce; }
     void drop(peer& it, time_point now, std::vector<membership_action>& out);
@@ -172,7 +193,10 @@
     incarnation_number incarnation_;
     const membership_settings settings_;
     std::map<vm_id, peer> peers_;
+    /// Incarnations of VMs that have ended, so that late news does not bring them back.
+    std::map<vm_id, incarnation_number> ended_;
     std::uint64_t last_token_ = 0;
+    std::uint64_t last_change_ = 1;
     bool leaving_ = false;
     bool roster_known_ = false;
 };
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -25,54 +25,63 @@
 }
 
 member_table::peer& member_table::add(const platform::vm_entry& entry,
-                                      incarnation_number incarnation) {
+                                      incarnation_number incarnation, time_point now) {
     peer& it = peers_[entry.vm];
-    const bool is_new = it.known.entry.vm.empty();
-    // A known entry is replaced by what the platform or a newer start tells.
-    if (is_new || incarnation >= it.known.incarnation) {
-        const platform::vm_state state = it.known.entry.state;
-        it.known.entry = entry;
-        if (!is_new && state == platform::vm_state::leaving) {
-            it.known.entry.state = state;
-        }
+    member& known = it.known;
+    const bool is_new = it.changed == 0;
+    if (is_new) {
+        it.first_seen = now;
     }
-    if (incarnation > it.known.incarnation) {
-        it.known.incarnation = incarnation;
+    const bool is_news = is_new || incarnation > known.incarnation ||
+                         entry.state != known.entry.state ||
+                         entry.peer_address != known.entry.peer_address;
+    if (is_news && incarnation >= known.incarnation) {
+        known.entry = entry;
+        known.incarnation = incarnation;
+        it.changed = ++last_change_;
     }
     return it;
 }
 
-std::vector<vm_id> member_table::vm_list_read(gsl::span<const platform::vm_entry> vms) {
+std::vector<vm_id> member_table::vm_list_read(gsl::span<const platform::vm_entry> vms,
+                                              time_point now) {
     roster_known_ = true;
     std::set<vm_id> present;
     for (const platform::vm_entry& entry : vms) {
         present.insert(entry.vm);
+        ended_.erase(entry.vm);
         if (entry.vm == self_.vm) {
             continue;
         }
         const auto known = peers_.find(entry.vm);
-        peer& it = add(entry, known == peers_.end() ? 0 : known->second.known.incarnation);
-        it.known.entry.state = entry.state;
-        it.on_list = true;
+        add(entry, known == peers_.end() ? 0 : known->second.known.incarnation, now).on_list = true;
     }
     std::vector<vm_id> ended;
-    for (auto it = peers_.begin(); it != peers_.end();) {
-        if (it->second.on_list && present.count(it->first) == 0) {
-            ended.push_back(it->first);
-            it = peers_.erase(it);
-        } else {
-            ++it;
+    for (const auto& [vm, it] : peers_) {
+        const bool too_old = !it.is_connected && now - it.first_seen >= settings_.unlisted_limit;
+        if (present.count(vm) == 0 && (it.on_list || too_old)) {
+            ended.push_back(vm);
+            ended_[vm] = it.known.incarnation;
         }
     }
+    for (const vm_id& vm : ended) {
+        peers_.erase(vm);
+        ++last_change_;
+    }
     choose();
     return ended;
 }
 
-void member_table::members_heard(gsl::span<const member_report> reports) {
+void member_table::members_heard(gsl::span<const member_report> reports, time_point now) {
+    if (reports.empty()) {
+        return;
+    }
     roster_known_ = true;
     for (const member_report& it : reports) {
-        if (it.entry.vm != self_.vm) {
-            add(it.entry, it.incarnation);
+        const auto ended = ended_.find(it.entry.vm);
+        const bool has_ended = ended != ended_.end() && it.incarnation <= ended->second;
+        if (it.entry.vm != self_.vm && !has_ended) {
+            add(it.entry, it.incarnation, now);
         }
     }
     choose();
@@ -101,14 +110,18 @@
 
 void member_table::connected(const vm_id& vm, time_point now) {
     peer& it = peers_[vm];
-    if (it.known.entry.vm.empty()) {
+    if (it.changed == 0) {
+        it.first_seen = now;
         // Heard of by its connection only; its entry comes with the members it reports.
         it.known.entry.vm = vm;
+        it.changed = ++last_change_;
     }
     it.is_connected = true;
-    it.wanted_by_peer = true;
+    it.wanted_by_peer = false;
+    it.connected_at = now;
     it.last_heard = now;
     it.next_heartbeat = now;
+    it.last_sent = time_point();
     it.echo = 0;
     it.tokens.clear();
 }
@@ -126,14 +139,24 @@
 
 heartbeat_proof member_table::received(const heartbeat& message, time_point now) {
     heartbeat_proof proof;
-    peer& it = peers_[message.from.vm];
-    it.known.entry.vm = message.from.vm;
-    if (message.from.incarnation < it.known.incarnation) {
+    const auto found = peers_.find(message.from.vm);
+    if (found == peers_.end()) {
+        // The VM ended by the list while its connection was open.
+        proof.stale = true;
+        return proof;
+    }
+    peer& it = found->second;
+    // A daemon that started in an outage has no incarnation yet and sends 0.
+    const bool is_numbered = message.from.incarnation != 0;
+    if (is_numbered && message.from.incarnation < it.known.incarnation) {
         proof.stale = true;
         return proof;
     }
-    proof.new_incarnation = message.from.incarnation > it.known.incarnation;
-    it.known.incarnation = message.from.incarnation;
+    if (message.from.incarnation > it.known.incarnation) {
+        proof.new_incarnation = true;
+        it.known.incarnation = message.from.incarnation;
+        it.changed = ++last_change_;
+    }
     it.known.state = message.leaving ? member_state::leaving : member_state::heard;
     it.wanted_by_peer = message.wanted;
     it.last_heard = now;
@@ -166,7 +189,8 @@
         it.retry_at = now + settings_.reconnect_pause + spread(it.known.entry.vm);
         out.emplace_back(connect_to{it.known.entry.vm, it.known.entry.peer_address});
     }
-    if (it.is_connected && !is_wanted(it) && !it.wanted_by_peer) {
+    const bool is_settled = now - it.connected_at >= settings_.introduction_time;
+    if (it.is_connected && is_settled && !is_wanted(it) && !it.wanted_by_peer) {
         drop(it, now, out);
     }
 }
@@ -176,14 +200,23 @@
         return;
     }
     it.next_heartbeat = now + settings_.heartbeat_interval;
+    it.last_sent = now;
     it.tokens.emplace(++last_token_, now);
     if (it.tokens.size() > max_tokens) {
         it.tokens.erase(it.tokens.begin());
     }
-    const heartbeat message{self(), last_token_, it.echo, leaving_, is_wanted(it)};
+    const heartbeat message{self(), last_token_, it.echo, leaving_, it.chosen};
     out.emplace_back(send_heartbeat{it.known.entry.vm, message});
 }
 
+void member_table::hurry(time_point now) {
+    for (auto& entry : peers_) {
+        peer& it = entry.second;
+        const time_point soonest = std::max(now, it.last_sent + settings_.urgent_gap);
+        it.next_heartbeat = std::min(it.next_heartbeat, soonest);
+    }
+}
+
 std::vector<membership_action> member_table::due(time_point now) {
     std::vector<membership_action> out;
     for (auto& entry : peers_) {
@@ -205,13 +238,18 @@
     return all;
 }
 
-std::vector<member_report> member_table::reports() const {
-    std::vector<member_report> all = {{self_, incarnation_}};
-    for (const auto& it : peers_) {
-        if (!it.second.known.entry.peer_address.empty()) {
-            all.push_back({it.second.known.entry, it.second.known.incarnation});
+std::vector<member_report> member_table::news(std::uint64_t& told) const {
+    std::vector<member_report> all;
+    if (told == 0) {
+        all.push_back(self_report());
+    }
+    for (const auto& entry : peers_) {
+        const peer& it = entry.second;
+        if (it.changed > told && !it.known.entry.peer_address.empty()) {
+            all.push_back({it.known.entry, it.known.incarnation});
         }
     }
+    told = last_change_;
     return all;
 }
 
@@ -235,6 +273,11 @@
     return vms;
 }
 
+bool member_table::is_neighbour(const vm_id& vm) const {
+    const auto it = peers_.find(vm);
+    return it != peers_.end() && (it->second.chosen || it->second.wanted_by_peer);
+}
+
 std::vector<vm_id> member_table::chosen() const {
     std::vector<vm_id> vms;
     for (const auto& [vm, it] : peers_) {
