--- /dev/null
+++ b/libs/membership/src/member_table.cpp
@@ -0,0 +1,291 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/digest.h"
+#include "membership/neighbours.h"
+
+namespace radishpulley::membership {
+namespace {
+
+// Tokens that can be waiting for their echo on one connection.
+constexpr std::size_t max_tokens = 16;
+
+}  // namespace
+
+member_table::member_table(platform::vm_entry self, incarnation_number incarnation,
+                           membership_settings settings)
+    : self_(std::move(self)), incarnation_(incarnation), settings_(settings) {}
+
+duration member_table::spread(const vm_id& other) const {
+    constexpr std::uint64_t steps = 1000;
+    return settings_.reconnect_spread * (stable_hash(self_.vm.str() + other.str()) % steps) / steps;
+}
+
+member_table::peer& member_table::add(const platform::vm_entry& entry,
+                                      incarnation_number incarnation, time_point now) {
+    peer& it = peers_[entry.vm];
+    member& known = it.known;
+    const bool is_new = it.changed == 0;
+    if (is_new) {
+        it.first_seen = now;
+    }
+    const bool is_news = is_new || incarnation > known.incarnation ||
+                         entry.state != known.entry.state ||
+                         entry.peer_address != known.entry.peer_address;
+    if (is_news && incarnation >= known.incarnation) {
+        known.entry = entry;
+        known.incarnation = incarnation;
+        it.changed = ++last_change_;
+    }
+    return it;
+}
+
+std::vector<vm_id> member_table::vm_list_read(gsl::span<const platform::vm_entry> vms,
+                                              time_point now) {
+    roster_known_ = true;
+    std::set<vm_id> present;
+    for (const platform::vm_entry& entry : vms) {
+        present.insert(entry.vm);
+        ended_.erase(entry.vm);
+        if (entry.vm == self_.vm) {
+            continue;
+        }
+        const auto known = peers_.find(entry.vm);
+        add(entry, known == peers_.end() ? 0 : known->second.known.incarnation, now).on_list = true;
+    }
+    std::vector<vm_id> ended;
+    for (const auto& [vm, it] : peers_) {
+        const bool too_old = !it.is_connected && now - it.first_seen >= settings_.unlisted_limit;
+        if (present.count(vm) == 0 && (it.on_list || too_old)) {
+            ended.push_back(vm);
+            ended_[vm] = it.known.incarnation;
+        }
+    }
+    for (const vm_id& vm : ended) {
+        peers_.erase(vm);
+        ++last_change_;
+    }
+    choose();
+    return ended;
+}
+
+void member_table::members_heard(gsl::span<const member_report> reports, time_point now) {
+    if (reports.empty()) {
+        return;
+    }
+    roster_known_ = true;
+    for (const member_report& it : reports) {
+        const auto ended = ended_.find(it.entry.vm);
+        const bool has_ended = ended != ended_.end() && it.incarnation <= ended->second;
+        if (it.entry.vm != self_.vm && !has_ended) {
+            add(it.entry, it.incarnation, now);
+        }
+    }
+    choose();
+}
+
+void member_table::choose() {
+    std::vector<platform::vm_entry> vms = {self_};
+    for (const auto& it : peers_) {
+        vms.push_back(it.second.known.entry);
+    }
+    const std::vector<vm_id> chosen = neighbours(self_.vm, vms);
+    const std::set<vm_id> wanted(chosen.begin(), chosen.end());
+    for (auto& [vm, it] : peers_) {
+        it.chosen = wanted.count(vm) != 0;
+    }
+}
+
+void member_table::introduce(const std::vector<vm_id>& vms) {
+    for (const vm_id& vm : vms) {
+        const auto it = peers_.find(vm);
+        if (it != peers_.end()) {
+            it->second.to_introduce = true;
+        }
+    }
+}
+
+void member_table::connected(const vm_id& vm, time_point now) {
+    peer& it = peers_[vm];
+    if (it.changed == 0) {
+        it.first_seen = now;
+        // Heard of by its connection only; its entry comes with the members it reports.
+        it.known.entry.vm = vm;
+        it.changed = ++last_change_;
+    }
+    it.is_connected = true;
+    it.wanted_by_peer = false;
+    it.connected_at = now;
+    it.last_heard = now;
+    it.next_heartbeat = now;
+    it.last_sent = time_point();
+    it.echo = 0;
+    it.tokens.clear();
+}
+
+void member_table::disconnected(const vm_id& vm, bool refused, time_point now) {
+    const auto found = peers_.find(vm);
+    if (found == peers_.end()) {
+        return;
+    }
+    peer& it = found->second;
+    it.is_connected = false;
+    it.retry_at = now + settings_.reconnect_pause + spread(vm);
+    it.known.state = refused ? member_state::gone : member_state::silent;
+}
+
+heartbeat_proof member_table::received(const heartbeat& message, time_point now) {
+    heartbeat_proof proof;
+    const auto found = peers_.find(message.from.vm);
+    if (found == peers_.end()) {
+        // The VM ended by the list while its connection was open.
+        proof.stale = true;
+        return proof;
+    }
+    peer& it = found->second;
+    // A daemon that started in an outage has no incarnation yet and sends 0.
+    const bool is_numbered = message.from.incarnation != 0;
+    if (is_numbered && message.from.incarnation < it.known.incarnation) {
+        proof.stale = true;
+        return proof;
+    }
+    if (message.from.incarnation > it.known.incarnation) {
+        proof.new_incarnation = true;
+        it.known.incarnation = message.from.incarnation;
+        it.changed = ++last_change_;
+    }
+    it.known.state = message.leaving ? member_state::leaving : member_state::heard;
+    it.wanted_by_peer = message.wanted;
+    it.last_heard = now;
+    it.echo = message.token;
+    const auto token = it.tokens.find(message.echoed);
+    if (token != it.tokens.end()) {
+        proof.sent_after = token->second;
+        it.to_introduce = false;
+        it.tokens.erase(it.tokens.begin(), token);
+    }
+    return proof;
+}
+
+void member_table::drop(peer& it, time_point now, std::vector<membership_action>& out) {
+    it.is_connected = false;
+    it.retry_at = now + spread(it.known.entry.vm);
+    out.emplace_back(disconnect_from{it.known.entry.vm});
+}
+
+void member_table::check_silence(peer& it, time_point now, std::vector<membership_action>& out) {
+    if (it.is_connected && now - it.last_heard >= settings_.silence_limit) {
+        it.known.state = member_state::silent;
+        drop(it, now, out);
+    }
+}
+
+void member_table::check_connection(peer& it, time_point now, std::vector<membership_action>& out) {
+    const bool has_address = !it.known.entry.peer_address.empty();
+    if (!it.is_connected && is_wanted(it) && has_address && now >= it.retry_at) {
+        it.retry_at = now + settings_.reconnect_pause + spread(it.known.entry.vm);
+        out.emplace_back(connect_to{it.known.entry.vm, it.known.entry.peer_address});
+    }
+    const bool is_settled = now - it.connected_at >= settings_.introduction_time;
+    if (it.is_connected && is_settled && !is_wanted(it) && !it.wanted_by_peer) {
+        drop(it, now, out);
+    }
+}
+
+void member_table::send_due(peer& it, time_point now, std::vector<membership_action>& out) {
+    if (!it.is_connected || now < it.next_heartbeat) {
+        return;
+    }
+    it.next_heartbeat = now + settings_.heartbeat_interval;
+    it.last_sent = now;
+    it.tokens.emplace(++last_token_, now);
+    if (it.tokens.size() > max_tokens) {
+        it.tokens.erase(it.tokens.begin());
+    }
+    const heartbeat message{self(), last_token_, it.echo, leaving_, it.chosen};
+    out.emplace_back(send_heartbeat{it.known.entry.vm, message});
+}
+
+void member_table::hurry(time_point now) {
+    for (auto& entry : peers_) {
+        peer& it = entry.second;
+        const time_point soonest = std::max(now, it.last_sent + settings_.urgent_gap);
+        it.next_heartbeat = std::min(it.next_heartbeat, soonest);
+    }
+}
+
+std::vector<membership_action> member_table::due(time_point now) {
+    std::vector<membership_action> out;
+    for (auto& entry : peers_) {
+        check_silence(entry.second, now, out);
+        check_connection(entry.second, now, out);
+        send_due(entry.second, now, out);
+    }
+    return out;
+}
+
+std::vector<member> member_table::members() const {
+    std::vector<member> all;
+    for (const auto& it : peers_) {
+        all.push_back(it.second.known);
+        if (it.second.known.entry.state == platform::vm_state::leaving) {
+            all.back().state = member_state::leaving;
+        }
+    }
+    return all;
+}
+
+std::vector<member_report> member_table::news(std::uint64_t& told) const {
+    std::vector<member_report> all;
+    if (told == 0) {
+        all.push_back(self_report());
+    }
+    for (const auto& entry : peers_) {
+        const peer& it = entry.second;
+        if (it.changed > told && !it.known.entry.peer_address.empty()) {
+            all.push_back({it.known.entry, it.known.incarnation});
+        }
+    }
+    told = last_change_;
+    return all;
+}
+
+std::vector<vm_id> member_table::roster() const {
+    std::vector<vm_id> vms;
+    for (const auto& it : peers_) {
+        vms.push_back(it.first);
+    }
+    return vms;
+}
+
+std::vector<vm_id> member_table::connected_peers(time_point now) const {
+    std::vector<vm_id> vms;
+    for (const auto& [vm, it] : peers_) {
+        const bool is_heard =
+            it.known.state == member_state::heard || it.known.state == member_state::leaving;
+        if (it.is_connected && is_heard && now - it.last_heard < settings_.silence_limit) {
+            vms.push_back(vm);
+        }
+    }
+    return vms;
+}
+
+bool member_table::is_neighbour(const vm_id& vm) const {
+    const auto it = peers_.find(vm);
+    return it != peers_.end() && (it->second.chosen || it->second.wanted_by_peer);
+}
+
+std::vector<vm_id> member_table::chosen() const {
+    std::vector<vm_id> vms;
+    for (const auto& [vm, it] : peers_) {
+        if (it.chosen) {
+            vms.push_back(vm);
+        }
+    }
+    return vms;
+}
+
+}  // namespace radishpulley::membership
