Ownership table and adapter placement: public interfaces and first decisions

Cause: several daemons must not order loads and evictions on one engine, and no adapter in use may be evicted. The ownership package keeps who holds what in sharded objects under conditional updates; the placement package decides pins, loads and evictions on the holder's side and the choice of engine on the daemon's side.

Ruled out: a lease with a time limit, which an outage of the object API would take from every living holder at once.

No tests of the two packages yet; they follow.

--- /dev/null
+++ b/libs/ownership/include/ownership/ownership_store.h
@@ -0,0 +1,48 @@
+/// Reads and commits the ownership table through the object API.
+#pragma once
+
+#include <variant>
+
+#include "ownership/ownership_policy.h"
+#include "platform/object_store.h"
+
+namespace radishpulley::ownership {
+
+/// The update is in the table; `copy` is the shard after it.
+struct committed {
+    shard copy;
+};
+
+/// Another update came first; nothing of this one was applied.
+struct superseded {
+    shard copy;
+};
+
+/// The store did not say; read the shard again before anything follows from the update.
+struct undecided {};
+
+using commit_result = std::variant<committed, superseded, undecided>;
+using read_result = std::variant<shard, platform::unreachable>;
+
+/// The table's objects, named `<prefix><index>`. Safe to call from several threads at once.
+class ownership_store {
+public:
+    /// `store` must outlive this object.
+    explicit ownership_store(platform::object_store& store, std::string prefix = "ownership/");
+
+    /// Reads one shard; an object that does not exist is an empty shard of version 0.
+    /// Throws invalid_input where the stored text cannot be read.
+    read_result read(shard_index index);
+
+    /// Applies all assignments of `update` by one conditional update, or none: each needs that its
+    /// entry still has the expected fencing number. Retries conflicts with other entries' updates.
+    commit_result commit(const shard_update& update);
+
+private:
+    std::string name_of(shard_index index) const;
+
+    platform::object_store& store_;
+    std::string prefix_;
+};
+
+}  // namespace radishpulley::ownership
--- /dev/null
+++ b/libs/ownership/src/ownership_policy.cpp
@@ -0,0 +1,215 @@
+#include "ownership/ownership_policy.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace radishpulley::ownership {
+namespace {
+
+bool contains(const std::vector<vm_incarnation>& list, const vm_incarnation& it) {
+    return std::find(list.begin(), list.end(), it) != list.end();
+}
+
+}  // namespace
+
+std::vector<vm_incarnation> rendezvous_order(std::string_view subject,
+                                             std::vector<vm_incarnation> candidates) {
+    const std::string prefix = std::string(subject) + '|';
+    std::vector<std::pair<std::uint64_t, vm_incarnation>> ranked;
+    ranked.reserve(candidates.size());
+    for (vm_incarnation& it : candidates) {
+        const std::uint64_t weight = stable_hash(prefix + it.vm.str());
+        ranked.emplace_back(weight, std::move(it));
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : a.second < b.second;
+    });
+    candidates.clear();
+    for (auto& [weight, it] : ranked) {
+        candidates.push_back(std::move(it));
+    }
+    return candidates;
+}
+
+ownership_policy::ownership_policy(vm_incarnation self, ownership_settings settings)
+    : self_(std::move(self)), settings_(settings) {}
+
+void ownership_policy::configure(std::vector<holding_spec> specs) {
+    specs_.clear();
+    for (holding_spec& it : specs) {
+        const holding_id id = it.id;
+        specs_.emplace(id, std::move(it));
+    }
+}
+
+void ownership_policy::on_shard(const shard& it, time_point now) {
+    const auto known = copies_.find(it.index);
+    if (known != copies_.end() && it.version < known->second.version) {
+        return;
+    }
+    shard_copy copy;
+    copy.version = it.version;
+    for (const holding& entry : it.holdings) {
+        copy.holdings.emplace(entry.id, entry);
+        if (entry.holder == self_) {
+            needed_since_.erase(entry.id);
+        }
+    }
+    if (known == copies_.end()) {
+        last_balance_ = now;
+    }
+    copies_[it.index] = std::move(copy);
+}
+
+void ownership_policy::leave() {
+    leaving_ = true;
+}
+
+const holding* ownership_policy::lookup(const holding_id& id) const {
+    const auto copy = copies_.find(shard_of(id, settings_.shards));
+    if (copy == copies_.end()) {
+        return nullptr;
+    }
+    const auto it = copy->second.holdings.find(id);
+    return it == copy->second.holdings.end() ? nullptr : &it->second;
+}
+
+std::optional<holding> ownership_policy::find(const holding_id& id) const {
+    const holding* it = lookup(id);
+    return it == nullptr ? std::nullopt : std::optional<holding>(*it);
+}
+
+std::vector<holding> ownership_policy::mine() const {
+    std::vector<holding> result;
+    for (const auto& [index, copy] : copies_) {
+        for (const auto& [id, it] : copy.holdings) {
+            if (it.holder == self_) {
+                result.push_back(it);
+            }
+        }
+    }
+    return result;
+}
+
+bool ownership_policy::replaceable(const holding_spec& spec, const holding& it,
+                                   const vm_knowledge& vms, time_point now) const {
+    if (it.holder == self_) {
+        return false;
+    }
+    if (vms.certainly_ended(it.holder, now)) {
+        const bool orders_refused = spec.rule == replacement::on_suspicion;
+        return orders_refused || now >= vms.ended_at(it.holder, now) + settings_.order_silence;
+    }
+    if (spec.rule != replacement::on_suspicion || !vms.suspected(it.holder, now)) {
+        return false;
+    }
+    // One replacement on suspicion at a time: two halves of a split would replace each other's
+    // holders for ever.
+    const bool split =
+        std::any_of(it.suspects.begin(), it.suspects.end(),
+                    [&](const vm_incarnation& who) { return !vms.certainly_ended(who, now); });
+    return !split && !vms.alone(now);
+}
+
+bool ownership_policy::needs_holder(const holding_spec& spec, const vm_knowledge& vms,
+                                    time_point now) const {
+    const holding* it = lookup(spec.id);
+    return it == nullptr || it->vacant() || replaceable(spec, *it, vms, now);
+}
+
+std::vector<vm_incarnation> ownership_policy::willing(const vm_knowledge& vms,
+                                                      time_point now) const {
+    std::vector<vm_incarnation> result = vms.candidates(now);
+    if (leaving_) {
+        result.erase(std::remove(result.begin(), result.end(), self_), result.end());
+    }
+    return result;
+}
+
+assignment ownership_policy::assign(const holding_spec& spec,
+                                    const std::vector<vm_incarnation>& candidates,
+                                    const vm_knowledge& vms, time_point now) const {
+    assignment result;
+    result.id = spec.id;
+    result.holder = rendezvous_order(spec.id.str(), candidates).front();
+    const holding* entry = lookup(spec.id);
+    if (entry == nullptr) {
+        return result;
+    }
+    result.expected_fence = entry->fence;
+    std::vector<vm_incarnation> suspects = entry->suspects;
+    if (!entry->vacant()) {
+        suspects.push_back(entry->holder);
+    }
+    for (const vm_incarnation& it : suspects) {
+        const bool known = contains(result.suspects, it);
+        if (!known && it != result.holder && !vms.certainly_ended(it, now)) {
+            result.suspects.push_back(it);
+        }
+    }
+    return result;
+}
+
+std::vector<shard_update> ownership_policy::plan(const vm_knowledge& vms, time_point now) {
+    const std::vector<vm_incarnation> candidates = willing(vms, now);
+    const auto self = std::find(candidates.begin(), candidates.end(), self_);
+    if (self == candidates.end()) {
+        return {};
+    }
+    std::map<shard_index, shard_update> updates;
+    for (const auto& [id, spec] : specs_) {
+        const shard_index index = shard_of(id, settings_.shards);
+        if (copies_.count(index) == 0 || !needs_holder(spec, vms, now)) {
+            needed_since_.erase(id);
+            continue;
+        }
+        const time_point since = needed_since_.try_emplace(id, now).first->second;
+        const auto order = rendezvous_order("shard/" + std::to_string(index), candidates);
+        const auto rank = std::find(order.begin(), order.end(), self_) - order.begin();
+        if (now >= since + rank * settings_.rank_delay) {
+            shard_update& update = updates[index];
+            update.index = index;
+            update.assignments.push_back(assign(spec, candidates, vms, now));
+        }
+    }
+    std::vector<shard_update> result;
+    for (auto& [index, update] : updates) {
+        result.push_back(std::move(update));
+    }
+    return result;
+}
+
+std::vector<holding_id> ownership_policy::to_hand_over(const vm_knowledge& vms, time_point now) {
+    std::vector<holding_id> result;
+    const std::vector<holding> held = mine();
+    const bool all = leaving_ || !vms.may_hold();
+    const std::vector<vm_incarnation> candidates = willing(vms, now);
+    if (!all && (candidates.size() < 2 || now < last_balance_ + settings_.balance_interval)) {
+        return result;
+    }
+    const std::size_t mean = all ? 0 : (specs_.size() + candidates.size() - 1) / candidates.size();
+    const bool too_many = held.size() > mean + settings_.balance_slack;
+    for (const holding& it : held) {
+        if (all || specs_.count(it.id) == 0) {
+            result.push_back(it.id);
+        } else if (too_many && rendezvous_order(it.id.str(), candidates).front() != self_) {
+            last_balance_ = now;
+            return {it.id};
+        }
+    }
+    return result;
+}
+
+shard_update ownership_policy::vacate(const holding_id& id) const {
+    shard_update result;
+    result.index = shard_of(id, settings_.shards);
+    const holding* it = lookup(id);
+    if (it != nullptr && it->holder == self_) {
+        result.assignments.push_back({id, it->fence, {}, it->suspects});
+    }
+    return result;
+}
+
+}  // namespace radishpulley::ownership
--- /dev/null
+++ b/libs/ownership/src/ownership_store.cpp
@@ -0,0 +1,112 @@
+#include "ownership/ownership_store.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace radishpulley::ownership {
+namespace {
+
+constexpr int max_attempts = 8;
+
+enum class progress { not_begun, done, overtaken };
+
+holding* find(std::vector<holding>& list, const holding_id& id) {
+    const auto it = std::find_if(list.begin(), list.end(),
+                                 [&id](const holding& entry) { return entry.id == id; });
+    return it == list.end() ? nullptr : &*it;
+}
+
+progress progress_of(std::vector<holding>& list, const assignment& it) {
+    const holding* entry = find(list, it.id);
+    const fencing_number fence = entry == nullptr ? 0 : entry->fence;
+    if (fence == it.expected_fence) {
+        return progress::not_begun;
+    }
+    const bool ours = fence == it.expected_fence + 1 && entry->holder == it.holder;
+    return ours ? progress::done : progress::overtaken;
+}
+
+progress progress_of(shard& copy, const shard_update& update) {
+    std::size_t done = 0;
+    for (const assignment& it : update.assignments) {
+        const progress one = progress_of(copy.holdings, it);
+        if (one == progress::overtaken) {
+            return progress::overtaken;
+        }
+        done += one == progress::done ? 1 : 0;
+    }
+    if (done == 0) {
+        return update.assignments.empty() ? progress::done : progress::not_begun;
+    }
+    return done == update.assignments.size() ? progress::done : progress::overtaken;
+}
+
+void apply(std::vector<holding>& list, const assignment& it) {
+    holding* entry = find(list, it.id);
+    if (entry == nullptr) {
+        list.push_back({it.id, {}, 0, {}});
+        entry = &list.back();
+    }
+    entry->holder = it.holder;
+    entry->fence = it.expected_fence + 1;
+    entry->suspects = it.suspects;
+}
+
+shard with(shard copy, const shard_update& update) {
+    for (const assignment& it : update.assignments) {
+        apply(copy.holdings, it);
+    }
+    return copy;
+}
+
+}  // namespace
+
+ownership_store::ownership_store(platform::object_store& store, std::string prefix)
+    : store_(store), prefix_(std::move(prefix)) {}
+
+std::string ownership_store::name_of(shard_index index) const {
+    return prefix_ + std::to_string(index);
+}
+
+read_result ownership_store::read(shard_index index) {
+    const platform::get_result result = store_.get(name_of(index));
+    if (std::holds_alternative<platform::unreachable>(result)) {
+        return platform::unreachable{};
+    }
+    shard copy;
+    copy.index = index;
+    if (const auto* it = std::get_if<platform::object>(&result)) {
+        copy.version = it->version;
+        copy.holdings = decode(it->value);
+    }
+    return copy;
+}
+
+commit_result ownership_store::commit(const shard_update& update) {
+    for (int attempt = 0; attempt < max_attempts; ++attempt) {
+        read_result answer = read(update.index);
+        if (std::holds_alternative<platform::unreachable>(answer)) {
+            return undecided{};
+        }
+        shard copy = std::get<shard>(std::move(answer));
+        switch (progress_of(copy, update)) {
+            case progress::done:
+                return committed{std::move(copy)};
+            case progress::overtaken:
+                return superseded{std::move(copy)};
+            case progress::not_begun:
+                break;
+        }
+        shard next = with(copy, update);
+        const platform::put_result result =
+            store_.put(name_of(update.index), encode(next.holdings), copy.version);
+        if (const auto* it = std::get_if<platform::stored>(&result)) {
+            next.version = it->version;
+            return committed{std::move(next)};
+        }
+    }
+    return undecided{};
+}
+
+}  // namespace radishpulley::ownership
--- /dev/null
+++ b/libs/ownership/src/vm_knowledge.cpp
@@ -0,0 +1,135 @@
+#include "ownership/vm_knowledge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishpulley::ownership {
+
+vm_knowledge::vm_knowledge(vm_incarnation self, vm_knowledge_settings settings)
+    : self_(std::move(self)), settings_(settings) {
+    vm_record& own = records_[self_.vm];
+    own.incarnation = self_.incarnation;
+    own.was_heard = true;
+}
+
+vm_knowledge::vm_record& vm_knowledge::record_of(const vm_incarnation& who, time_point now) {
+    const auto [it, added] = records_.try_emplace(who.vm);
+    vm_record& record = it->second;
+    if (added) {
+        record.heard = now;
+    }
+    if (who.incarnation > record.incarnation) {
+        record.incarnation = who.incarnation;
+        record.incarnation_since = now;
+        record.heard = now;
+        record.was_heard = false;
+        record.leaving = false;
+    }
+    return record;
+}
+
+void vm_knowledge::on_list(gsl::span<const platform::vm_entry> entries, time_point now) {
+    has_list_ = true;
+    last_list_ = now;
+    for (auto& [vm, record] : records_) {
+        record.listed = false;
+    }
+    for (const platform::vm_entry& entry : entries) {
+        vm_record& record = record_of({entry.vm, 0}, now);
+        record.listed = true;
+        record.live = entry.state == platform::vm_state::live;
+        record.missing_since = time_point::max();
+    }
+    for (auto& [vm, record] : records_) {
+        if (!record.listed && record.missing_since == time_point::max()) {
+            record.missing_since = now;
+        }
+    }
+}
+
+void vm_knowledge::on_heard(const vm_incarnation& who, time_point now) {
+    vm_record& record = record_of(who, now);
+    if (who.incarnation != record.incarnation) {
+        return;
+    }
+    record.heard = now;
+    record.was_heard = true;
+    if (!record.listed) {
+        record.missing_since = time_point::max();
+    }
+}
+
+void vm_knowledge::on_mentioned(const vm_incarnation& who, time_point now) {
+    record_of(who, now);
+}
+
+void vm_knowledge::on_leaving(const vm_incarnation& who, time_point now) {
+    vm_record& record = record_of(who, now);
+    if (who.incarnation == record.incarnation) {
+        record.leaving = true;
+    }
+}
+
+time_point vm_knowledge::ended_at(const vm_incarnation& who, time_point now) const {
+    const auto it = records_.find(who.vm);
+    if (it == records_.end()) {
+        return time_point::max();
+    }
+    const vm_record& record = it->second;
+    if (who.incarnation < record.incarnation) {
+        return record.incarnation_since;
+    }
+    if (who.vm == self_.vm || record.missing_since == time_point::max()) {
+        return time_point::max();
+    }
+    const time_point end = record.missing_since + settings_.list_lag;
+    return has_list_ && last_list_ >= end && now >= end ? end : time_point::max();
+}
+
+bool vm_knowledge::certainly_ended(const vm_incarnation& who, time_point now) const {
+    return ended_at(who, now) != time_point::max();
+}
+
+bool vm_knowledge::suspected(const vm_incarnation& who, time_point now) const {
+    if (who == self_) {
+        return false;
+    }
+    const auto it = records_.find(who.vm);
+    if (it == records_.end()) {
+        return false;
+    }
+    return who.incarnation < it->second.incarnation || now - it->second.heard > settings_.suspicion;
+}
+
+bool vm_knowledge::alone(time_point now) const {
+    bool others = false;
+    for (const auto& [vm, record] : records_) {
+        if (vm == self_.vm || !record.listed) {
+            continue;
+        }
+        others = true;
+        if (record.was_heard && !suspected({vm, record.incarnation}, now)) {
+            return false;
+        }
+    }
+    return others;
+}
+
+bool vm_knowledge::may_hold() const {
+    const vm_record& own = records_.at(self_.vm);
+    return own.listed && own.live && !own.leaving && own.incarnation == self_.incarnation;
+}
+
+std::vector<vm_incarnation> vm_knowledge::candidates(time_point now) const {
+    std::vector<vm_incarnation> result;
+    for (const auto& [vm, record] : records_) {
+        const vm_incarnation who{vm, record.incarnation};
+        const bool usable = record.listed && record.live && !record.leaving && record.was_heard;
+        if (usable && !suspected(who, now)) {
+            result.push_back(who);
+        }
+    }
+    return result;
+}
+
+}  // namespace radishpulley::ownership
--- /dev/null
+++ b/libs/placement/src/router.cpp
@@ -0,0 +1,552 @@
+#include "placement/router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace radishpulley::placement {
+namespace {
+
+constexpr std::size_t fairness_scan = 64;
+constexpr std::size_t most_prefixes = 4096;
+constexpr double least_popularity = 0.05;
+constexpr duration least_retry_after = std::chrono::seconds(1);
+
+std::string hash_subject(const adapter_ref& it) {
+    return it.adapter.str() + '|';
+}
+
+}  // namespace
+
+router::router(vm_incarnation self, zone_id zone, region_id region, router_settings settings)
+    : self_(std::move(self)),
+      zone_(std::move(zone)),
+      region_(std::move(region)),
+      settings_(settings),
+      popularity_(settings.popularity_half_life) {}
+
+// Choice of engine.
+
+std::vector<endpoint_id> router::candidates_for(const adapter_ref& adapter,
+                                                const region_id& usual_region) const {
+    struct candidate {
+        bool near = false;
+        std::uint64_t weight = 0;
+        endpoint_id endpoint;
+    };
+    std::vector<candidate> ranked;
+    const std::string subject = hash_subject(adapter);
+    for (const auto& [endpoint, engine] : engines_) {
+        if (!engine.info.draining && !engine.holder.vm.empty()) {
+            ranked.push_back({engine.info.region == usual_region,
+                              stable_hash(subject + endpoint.str()), endpoint});
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const candidate& a, const candidate& b) {
+        return a.near != b.near ? a.near : a.weight > b.weight;
+    });
+    ranked.resize(std::min(ranked.size(), settings_.candidates));
+    std::vector<endpoint_id> result;
+    for (candidate& it : ranked) {
+        result.push_back(std::move(it.endpoint));
+    }
+    return result;
+}
+
+duration router::queue_wait(const engine_view& engine) const {
+    const std::uint32_t reported = engine.state.running + engine.state.queued;
+    const std::uint32_t load = std::max(reported, engine.running) + engine.waiting + 1;
+    const std::uint32_t places = std::max<std::uint32_t>(1, engine.info.concurrency);
+    if (load <= places) {
+        return duration::zero();
+    }
+    return settings_.expected_run * (load - places) / places;
+}
+
+duration router::cost_of(const engine_view& engine, std::size_t rank, const placement_request& it,
+                         time_point now) const {
+    duration cost = queue_wait(engine);
+    const auto pin = pins_.find({engine.info.endpoint, it.adapter});
+    const bool present = pin != pins_.end() && now < pin->second.valid_until;
+    const bool under_way = pin != pins_.end() && !pin->second.waiting.empty();
+    if (!present && under_way) {
+        cost += pin->second.expected_wait;
+    }
+    if (!present && !under_way && rank > 0) {
+        const double uses = popularity_.score(it.adapter, now);
+        const double scarcity = std::max(1.0, settings_.copy_after / (1 + uses));
+        cost += std::chrono::duration_cast<duration>(settings_.load_cost * scarcity);
+    }
+    if (engine.info.region != region_) {
+        cost += settings_.region_cost;
+    } else if (engine.info.zone != zone_) {
+        cost += settings_.zone_cost;
+    }
+    const auto prefix = engine.prefixes.find(it.prefix);
+    const bool cached = it.prefix != 0 && prefix != engine.prefixes.end() &&
+                        now - prefix->second < settings_.prefix_life;
+    return cached ? cost - settings_.prefix_gain : cost;
+}
+
+std::optional<router::choice> router::choose(const placement_request& it, time_point now,
+                                             const endpoint_id& avoid) const {
+    std::optional<choice> best;
+    duration best_cost{};
+    std::size_t rank = 0;
+    for (const endpoint_id& endpoint : candidates_for(it.adapter, it.usual_region)) {
+        const engine_view& engine = engines_.at(endpoint);
+        const duration cost = cost_of(engine, rank, it, now);
+        ++rank;
+        if (endpoint != avoid && (!best || cost < best_cost)) {
+            best = choice{endpoint, queue_wait(engine)};
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+// Requests.
+
+bool router::crowded_out(const client_account_id& account) const {
+    if (waiting_at_.size() >= settings_.most_waiting) {
+        return true;
+    }
+    const auto it = waiting_by_account_.find(account);
+    const std::size_t own = it == waiting_by_account_.end() ? 0 : it->second;
+    const bool others_wait = own < waiting_at_.size();
+    const double most = settings_.account_share * static_cast<double>(settings_.most_waiting);
+    return others_wait && static_cast<double>(own) >= most;
+}
+
+void router::refuse(const placement_request& it, duration wait, router_decisions& out) const {
+    out.push_back(refuse_request{it.id, std::max(wait, least_retry_after)});
+}
+
+void router::place(const placement_request& it, time_point since, time_point now,
+                   const endpoint_id& avoid, router_decisions& out) {
+    std::optional<choice> chosen = choose(it, now, avoid);
+    if (!chosen) {
+        chosen = choose(it, now, endpoint_id());
+    }
+    if (!chosen) {
+        refuse(it, settings_.expected_run, out);
+        return;
+    }
+    if (crowded_out(it.account) ||
+        (it.deadline != time_point::max() && now + chosen->wait > it.deadline)) {
+        refuse(it, chosen->wait, out);
+        return;
+    }
+    const pin_key key{chosen->endpoint, it.adapter};
+    pin& entry = pins_[key];
+    ++entry.arrived;
+    entry.last_use = now;
+    entry.waiting.push_back({it, since});
+    waiting_at_.emplace(it.id, key);
+    ++engines_.at(key.endpoint).waiting;
+    std::size_t& own = waiting_by_account_[it.account];
+    if (own == 0) {
+        double& served = served_[it.account];
+        served = std::max(served, virtual_time_);
+    }
+    ++own;
+    flush(key.endpoint, now, out);
+    if (!entry.waiting.empty() && now >= entry.valid_until) {
+        const bool early = now - entry.asked_at < settings_.ask_spacing;
+        if (entry.asked_at == time_point::min() || !early) {
+            ask(key, entry, now, out);
+        }
+    }
+}
+
+router_decisions router::on_request(const placement_request& it, time_point now) {
+    router_decisions out;
+    popularity_.add(it.adapter, 1, now);
+    place(it, now, now, endpoint_id(), out);
+    return out;
+}
+
+std::vector<router::waiting_request> router::take_waiting(const pin_key& key, pin& it) {
+    std::vector<waiting_request> taken = std::move(it.waiting);
+    it.waiting.clear();
+    for (const waiting_request& entry : taken) {
+        waiting_at_.erase(entry.request.id);
+        --waiting_by_account_[entry.request.account];
+        --engines_.at(key.endpoint).waiting;
+    }
+    return taken;
+}
+
+void router::place_again(const pin_key& key, time_point now, router_decisions& out) {
+    const auto it = pins_.find(key);
+    if (it == pins_.end()) {
+        return;
+    }
+    for (const waiting_request& entry : take_waiting(key, it->second)) {
+        place(entry.request, entry.since, now, key.endpoint, out);
+    }
+}
+
+router_decisions router::on_request_ended(const request_id& id, time_point now) {
+    router_decisions out;
+    const auto it = running_.find(id);
+    if (it == running_.end()) {
+        return out;
+    }
+    const pin_key key = it->second.key;
+    running_.erase(it);
+    const auto engine = engines_.find(key.endpoint);
+    if (engine != engines_.end()) {
+        --engine->second.running;
+    }
+    const auto entry = pins_.find(key);
+    if (entry != pins_.end()) {
+        --entry->second.running;
+        entry->second.last_use = now;
+    }
+    if (engine != engines_.end()) {
+        flush(key.endpoint, now, out);
+    }
+    return out;
+}
+
+router_decisions router::on_not_sent(const request_id& id, time_point now) {
+    const auto it = running_.find(id);
+    if (it == running_.end()) {
+        return {};
+    }
+    const placement_request request = it->second.request;
+    router_decisions out = on_request_ended(id, now);
+    place(request, now, now, endpoint_id(), out);
+    return out;
+}
+
+void router::on_cancelled(const request_id& id) {
+    const auto where = waiting_at_.find(id);
+    if (where == waiting_at_.end()) {
+        return;
+    }
+    const pin_key key = where->second;
+    std::vector<waiting_request>& list = pins_.at(key).waiting;
+    const auto it = std::find_if(list.begin(), list.end(), [&id](const waiting_request& entry) {
+        return entry.request.id == id;
+    });
+    --waiting_by_account_[it->request.account];
+    --engines_.at(key.endpoint).waiting;
+    list.erase(it);
+    waiting_at_.erase(where);
+}
+
+router_decisions router::on_adapter_missing(const endpoint_id& endpoint, const adapter_ref& adapter,
+                                            time_point now) {
+    router_decisions out;
+    pin* entry = find_pin(endpoint, adapter);
+    if (entry == nullptr) {
+        return out;
+    }
+    entry->valid_until = time_point::min();
+    entry->sent.clear();
+    ask({endpoint, adapter}, *entry, now, out);
+    return out;
+}
+
+// Sending.
+
+void router::flush(const endpoint_id& endpoint, time_point now, router_decisions& out) {
+    engine_view& engine = engines_.at(endpoint);
+    while (engine.running < engine.window && !engine.info.draining) {
+        auto best = pins_.end();
+        std::size_t best_position = 0;
+        double best_served = 0;
+        bool best_batched = false;
+        const pin_key first{endpoint, adapter_ref{}};
+        for (auto it = pins_.lower_bound(first);
+             it != pins_.end() && it->first.endpoint == endpoint; ++it) {
+            if (now >= it->second.valid_until) {
+                continue;
+            }
+            const std::size_t n = std::min(it->second.waiting.size(), fairness_scan);
+            for (std::size_t i = 0; i < n; ++i) {
+                const double served = served_[it->second.waiting[i].request.account];
+                const bool batched = it->second.running > 0;
+                const bool better = best == pins_.end() || served < best_served ||
+                                    (served == best_served && batched && !best_batched);
+                if (better) {
+                    best = it;
+                    best_position = i;
+                    best_served = served;
+                    best_batched = batched;
+                }
+            }
+        }
+        if (best == pins_.end()) {
+            return;
+        }
+        send(best->first, best->second, best_position, now, out);
+    }
+}
+
+void router::send(const pin_key& key, pin& from, std::size_t position, time_point now,
+                  router_decisions& out) {
+    const auto it = from.waiting.begin() + static_cast<std::ptrdiff_t>(position);
+    const placement_request request = std::move(it->request);
+    from.waiting.erase(it);
+    waiting_at_.erase(request.id);
+    --waiting_by_account_[request.account];
+    double& served = served_[request.account];
+    virtual_time_ = std::max(virtual_time_, served);
+    served += 1 / std::max(request.weight, 1e-6);
+    engine_view& engine = engines_.at(key.endpoint);
+    --engine.waiting;
+    ++engine.running;
+    if (request.prefix != 0) {
+        engine.prefixes[request.prefix] = now;
+    }
+    ++from.running;
+    from.last_use = now;
+    send_request decision;
+    decision.request = request.id;
+    decision.endpoint = key.endpoint;
+    decision.adapter = key.adapter;
+    decision.fence = from.fence;
+    decision.send_by = from.valid_until;
+    decision.end_by = now + settings_.longest_request;
+    out.push_back(std::move(decision));
+    running_[request.id] = {request, key};
+}
+
+// Pins.
+
+router::pin* router::find_pin(const endpoint_id& endpoint, const adapter_ref& adapter) {
+    const auto it = pins_.find({endpoint, adapter});
+    return it == pins_.end() ? nullptr : &it->second;
+}
+
+void router::ask(const pin_key& key, pin& it, time_point now, router_decisions& out) {
+    const engine_view& engine = engines_.at(key.endpoint);
+    if (engine.holder.vm.empty()) {
+        return;
+    }
+    pin_request body;
+    body.daemon = self_;
+    body.endpoint = key.endpoint;
+    body.adapter = key.adapter;
+    body.number = ++last_number_;
+    body.waiting = static_cast<std::uint32_t>(it.waiting.size());
+    body.running = it.running;
+    body.arrived = std::exchange(it.arrived, 0);
+    for (const waiting_request& entry : it.waiting) {
+        body.oldest_wait = std::max(body.oldest_wait, now - entry.since);
+        body.weight += entry.request.weight;
+    }
+    it.sent[body.number] = now;
+    it.asked_at = now;
+    out.push_back(send_to_holder{key.endpoint, engine.holder, body});
+}
+
+void router::release(const pin_key& key, pin& it, router_decisions& out) {
+    const engine_view& engine = engines_.at(key.endpoint);
+    pin_release body;
+    body.daemon = self_;
+    body.endpoint = key.endpoint;
+    body.adapter = key.adapter;
+    body.number = ++last_number_;
+    body.arrived = it.arrived;
+    if (!engine.holder.vm.empty()) {
+        out.push_back(send_to_holder{key.endpoint, engine.holder, body});
+    }
+}
+
+router_decisions router::on_message(const message& it, time_point now) {
+    router_decisions out;
+    if (const auto* grant = std::get_if<pin_grant>(&it)) {
+        on_grant(*grant, now, out);
+    } else if (const auto* refusal = std::get_if<pin_refusal>(&it)) {
+        on_refusal(*refusal, now, out);
+    } else if (const auto* recall = std::get_if<pin_recall>(&it)) {
+        on_recall(*recall, out);
+    }
+    return out;
+}
+
+void router::note_state(const endpoint_id& endpoint, const engine_digest& state) {
+    engines_.at(endpoint).state = state;
+}
+
+void router::on_grant(const pin_grant& it, time_point now, router_decisions& out) {
+    pin* entry = find_pin(it.endpoint, it.adapter);
+    if (entry == nullptr || it.daemon != self_ || it.fence < engines_.at(it.endpoint).fence) {
+        return;
+    }
+    const auto asked = entry->sent.find(it.number);
+    if (asked == entry->sent.end()) {
+        return;
+    }
+    const time_point end = asked->second + it.validity - settings_.clock_margin;
+    entry->valid_until = std::max(entry->valid_until, end);
+    entry->fence = it.fence;
+    entry->answered = it.number;
+    entry->expected_wait = duration::zero();
+    entry->sent.erase(entry->sent.begin(), std::next(asked));
+    engines_.at(it.endpoint).window = it.window;
+    note_state(it.endpoint, it.state);
+    flush(it.endpoint, now, out);
+}
+
+void router::on_refusal(const pin_refusal& it, time_point now, router_decisions& out) {
+    pin* entry = find_pin(it.endpoint, it.adapter);
+    if (entry == nullptr || it.daemon != self_ || it.fence < engines_.at(it.endpoint).fence) {
+        return;
+    }
+    if (entry->sent.count(it.number) == 0) {
+        return;
+    }
+    note_state(it.endpoint, it.state);
+    entry->expected_wait = it.expected_wait;
+    if (it.reason == pin_refusal_reason::loading) {
+        // The number stays open: the grant that follows the load carries it again.
+        return;
+    }
+    entry->sent.erase(it.number);
+    place_again({it.endpoint, it.adapter}, now, out);
+}
+
+void router::on_recall(const pin_recall& it, router_decisions& out) {
+    const auto entry = pins_.find({it.endpoint, it.adapter});
+    if (entry == pins_.end() || it.daemon != self_) {
+        return;
+    }
+    pin& known = entry->second;
+    if (known.running > 0 || !known.waiting.empty()) {
+        return;
+    }
+    release(entry->first, known, out);
+    pins_.erase(entry);
+}
+
+void router::expire_waiting(const pin_key& key, pin& it, time_point now, router_decisions& out) {
+    std::vector<placement_request> expired;
+    for (const waiting_request& entry : it.waiting) {
+        if (now >= entry.request.deadline) {
+            expired.push_back(entry.request);
+        }
+    }
+    const duration wait = queue_wait(engines_.at(key.endpoint)) + it.expected_wait;
+    for (const placement_request& request : expired) {
+        on_cancelled(request.id);
+        refuse(request, wait, out);
+    }
+}
+
+void router::maintain(const pin_key& key, pin& it, time_point now, router_decisions& out) {
+    const bool busy = it.running > 0 || !it.waiting.empty();
+    const bool ends_soon = it.valid_until < now + settings_.renew_before;
+    const bool due =
+        it.asked_at == time_point::min() || now - it.asked_at >= settings_.answer_timeout;
+    if (busy && ends_soon && due) {
+        ask(key, it, now, out);
+    }
+}
+
+router_decisions router::tick(time_point now) {
+    router_decisions out;
+    std::vector<pin_key> silent;
+    for (auto it = pins_.begin(); it != pins_.end();) {
+        const pin_key& key = it->first;
+        pin& entry = it->second;
+        expire_waiting(key, entry, now, out);
+        maintain(key, entry, now, out);
+        const bool busy = entry.running > 0 || !entry.waiting.empty();
+        const bool idle = !busy && now - entry.last_use >= settings_.idle_pin;
+        if (entry.sent.size() > settings_.most_unanswered) {
+            entry.sent.erase(entry.sent.begin());
+            if (now >= entry.valid_until && !entry.waiting.empty() &&
+                entry.expected_wait == duration::zero()) {
+                silent.push_back(key);
+            }
+        }
+        if (idle) {
+            release(key, entry, out);
+        }
+        it = idle ? pins_.erase(it) : std::next(it);
+    }
+    for (const pin_key& key : silent) {
+        place_again(key, now, out);
+    }
+    for (auto& [endpoint, engine] : engines_) {
+        flush(endpoint, now, out);
+        if (engine.prefixes.size() > most_prefixes) {
+            engine.prefixes.clear();
+        }
+    }
+    if (now - pruned_at_ > settings_.popularity_half_life) {
+        popularity_.prune(least_popularity, now);
+        pruned_at_ = now;
+    }
+    return out;
+}
+
+// Topology.
+
+router_decisions router::configure(std::vector<engine_info> engines, time_point now) {
+    router_decisions out;
+    std::set<endpoint_id> kept;
+    for (engine_info& it : engines) {
+        const endpoint_id endpoint = it.endpoint;
+        kept.insert(endpoint);
+        engines_[endpoint].info = std::move(it);
+    }
+    std::vector<waiting_request> homeless;
+    for (auto& [key, entry] : pins_) {
+        engine_view& engine = engines_.at(key.endpoint);
+        const bool removed = kept.count(key.endpoint) == 0;
+        engine.info.draining = engine.info.draining || removed;
+        if (engine.info.draining) {
+            std::vector<waiting_request> taken = take_waiting(key, entry);
+            std::move(taken.begin(), taken.end(), std::back_inserter(homeless));
+        }
+    }
+    for (auto it = engines_.begin(); it != engines_.end();) {
+        const bool unused = kept.count(it->first) == 0 && it->second.running == 0;
+        if (unused) {
+            const pin_key first{it->first, adapter_ref{}};
+            auto entry = pins_.lower_bound(first);
+            while (entry != pins_.end() && entry->first.endpoint == it->first) {
+                release(entry->first, entry->second, out);
+                entry = pins_.erase(entry);
+            }
+        }
+        it = unused ? engines_.erase(it) : std::next(it);
+    }
+    for (const waiting_request& it : homeless) {
+        place(it.request, it.since, now, endpoint_id(), out);
+    }
+    return out;
+}
+
+router_decisions router::on_holder(const endpoint_id& endpoint, const vm_incarnation& holder,
+                                   fencing_number fence, time_point now) {
+    router_decisions out;
+    const auto engine = engines_.find(endpoint);
+    if (engine == engines_.end() || fence < engine->second.fence) {
+        return out;
+    }
+    const bool changed = holder != engine->second.holder || fence != engine->second.fence;
+    engine->second.holder = holder;
+    engine->second.fence = fence;
+    if (!changed || holder.vm.empty()) {
+        return out;
+    }
+    const pin_key first{endpoint, adapter_ref{}};
+    for (auto it = pins_.lower_bound(first); it != pins_.end() && it->first.endpoint == endpoint;
+         ++it) {
+        it->second.sent.clear();
+        if (it->second.running > 0 || !it->second.waiting.empty()) {
+            ask(it->first, it->second, now, out);
+        }
+    }
+    return out;
+}
+
+}  // namespace radishpulley::placement
