--- a/libs/ownership/src/ownership_policy.cpp
+++ b/libs/ownership/src/ownership_policy.cpp
@@ -152,6 +152,12 @@
     return result;
 }
 
+std::ptrdiff_t ownership_policy::rank_for(shard_index index,
+                                          const std::vector<vm_incarnation>& candidates) const {
+    const auto order = rendezvous_order("shard/" + std::to_string(index), candidates);
+    return std::find(order.begin(), order.end(), self_) - order.begin();
+}
+
 std::vector<shard_update> ownership_policy::plan(const vm_knowledge& vms, time_point now) {
     const std::vector<vm_incarnation> candidates = willing(vms, now);
     const auto self = std::find(candidates.begin(), candidates.end(), self_);
@@ -159,6 +165,7 @@
         return {};
     }
     std::map<shard_index, shard_update> updates;
+    std::map<shard_index, std::ptrdiff_t> ranks;
     for (const auto& [id, spec] : specs_) {
         const shard_index index = shard_of(id, settings_.shards);
         if (copies_.count(index) == 0 || !needs_holder(spec, vms, now)) {
@@ -166,9 +173,11 @@
             continue;
         }
         const time_point since = needed_since_.try_emplace(id, now).first->second;
-        const auto order = rendezvous_order("shard/" + std::to_string(index), candidates);
-        const auto rank = std::find(order.begin(), order.end(), self_) - order.begin();
-        if (now >= since + rank * settings_.rank_delay) {
+        const auto [rank, added] = ranks.try_emplace(index, 0);
+        if (added) {
+            rank->second = rank_for(index, candidates);
+        }
+        if (now >= since + rank->second * settings_.rank_delay) {
             shard_update& update = updates[index];
             update.index = index;
             update.assignments.push_back(assign(spec, candidates, vms, now));
