--- /dev/null
+++ b/libs/requests/include/requests/admission_queue.h
@@ -0,0 +1,86 @@
+/// Bounded queues of waiting requests, one for each client account, with refusal of what cannot
+/// be served by its deadline. The order among accounts comes from outside.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/identifier.h"
+#include "requests/error_answer.h"
+
+namespace radishpulley::requests {
+
+/// Bounds of the queues of one daemon.
+struct admission_limits {
+    /// Requests of one client account that may wait.
+    std::size_t max_waiting_per_account = 64;
+    /// Requests that may wait in all.
+    std::size_t max_waiting = 1024;
+    /// Span over which the rate of starts is taken.
+    duration rate_window = std::chrono::seconds(10);
+};
+
+/// The request waits; `expected_wait` is absent while no rate is known.
+struct waits {
+    std::optional<duration> expected_wait;
+};
+
+/// The request is refused and did not run.
+struct turned_away {
+    error_code code = error_code::queue_full;
+    /// Absent while no rate is known.
+    std::optional<duration> retry_after;
+};
+using admission = std::variant<waits, turned_away>;
+
+/// Decides who may wait. Not safe for concurrent calls. Example:
+///
+///     queue.offer(id, account, deadline, 0.2, now);  // waits or is turned away
+///     queue.start(id, now);                          // chosen by the fair order
+class admission_queue {
+public:
+    explicit admission_queue(admission_limits limits);
+
+    /// Offers a request. `share` is the part of all starts that the account can count on, from 0
+    /// (exclusive) to 1. Throws std::invalid_argument for another share or an id that waits.
+    admission offer(const request_id& request, const client_account_id& account,
+                    time_point deadline, double share, time_point now);
+
+    /// Takes a waiting request out because it starts. Returns false if it does not wait.
+    bool start(const request_id& request, time_point now);
+
+    /// Takes a waiting request out because its caller left or it was refused otherwise.
+    bool withdraw(const request_id& request);
+
+    /// Takes out the requests whose deadline has passed, and returns them.
+    std::vector<request_id> expire(time_point now);
+
+    /// Waiting requests of an account in order of arrival.
+    std::vector<request_id> waiting(const client_account_id& account) const;
+    std::size_t size() const { return accounts_.size(); }
+
+    /// Starts a second over the last window, or nothing before two starts were seen.
+    std::optional<double> start_rate(time_point now) const;
+
+private:
+    struct place {
+        request_id request;
+        time_point deadline;
+    };
+
+    std::optional<duration> wait_for(std::size_t starts, double share, time_point now) const;
+    bool take_out(const request_id& request);
+
+    const admission_limits limits_;
+    std::map<client_account_id, std::deque<place>> queues_;
+    std::map<request_id, client_account_id> accounts_;
+    std::deque<time_point> starts_;
+};
+
+}  // namespace radishpulley::requests
--- /dev/null
+++ b/libs/requests/tests/parts_tests.cpp
@@ -0,0 +1,226 @@
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/findings.h"
+#include "requests/admission_queue.h"
+#include "requests/connection_monitor.h"
+#include "requests/endpoint_gate.h"
+#include "requests/retry_budget.h"
+#include "requests/shutdown_sequence.h"
+#include "requests/stream_assembler.h"
+
+using namespace radishpulley;
+using namespace radishpulley::requests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const client_account_id account("care-home");
+
+template <typename Action, typename List>
+std::size_t count(const List& list) {
+    std::size_t n = 0;
+    for (const auto& it : list) {
+        n += std::holds_alternative<Action>(it) ? 1 : 0;
+    }
+    return n;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_parts_suite)
+
+BOOST_AUTO_TEST_CASE(an_error_has_one_shape_and_rounds_its_wait_up) {
+    error_answer it;
+    it.code = error_code::queue_full;
+    it.request = request_id("r1");
+    it.retry_after = 1200ms;
+    const auto value = nlohmann::json::parse(to_json_text(it)).at("error");
+    BOOST_TEST(value.at("code") == "queue_full");
+    BOOST_TEST(value.at("run_state") == "not_run");
+    BOOST_TEST(value.at("retry_after_ms") == 1200);
+    BOOST_TEST(retry_after_seconds(it).value() == 2);
+    BOOST_TEST(http_status(it.code) == 503);
+}
+
+// The same stream cut at every byte is whole only with its terminator.
+BOOST_AUTO_TEST_CASE(a_stream_cut_anywhere_is_not_whole) {
+    for (const std::string text : {"data: a\n\n: ping\n\ndata: b\n\ndata: [DONE]\n\n",
+                                   "data: a\r\n\r\ndata: [DONE]\r\n\r\n"}) {
+        for (std::size_t n = 0; n <= text.size(); ++n) {
+            stream_assembler body;
+            body.begin_attempt(1, body_framing::server_sent_events, std::nullopt);
+            std::string out;
+            for (std::size_t i = 0; i < n; ++i) {
+                out += body.take(1, i, text.substr(i, 1)).ready;
+            }
+            BOOST_TEST(body.is_whole(true) == (n == text.size()));
+            BOOST_TEST(text.compare(0, out.size(), out) == 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(chunks_out_of_place_are_told_apart) {
+    stream_assembler body;
+    body.begin_attempt(2, body_framing::content_length, 4);
+    BOOST_TEST((body.take(1, 0, "x").verdict == chunk_verdict::stale));
+    BOOST_TEST((body.take(2, 1, "x").verdict == chunk_verdict::gap));
+    BOOST_TEST((body.take(2, 0, "ab").verdict == chunk_verdict::accepted));
+    BOOST_TEST((body.take(2, 0, "ab").verdict == chunk_verdict::duplicate));
+    BOOST_TEST(!body.is_whole(true));
+    BOOST_TEST((body.take(2, 1, "cde").verdict == chunk_verdict::overrun));
+}
+
+BOOST_AUTO_TEST_CASE(data_after_the_terminator_is_refused) {
+    stream_assembler body;
+    body.begin_attempt(1, body_framing::server_sent_events, std::nullopt);
+    body.take(1, 0, "data: [DONE]\n\n");
+    BOOST_TEST((body.take(1, 1, "data: b\n\n").verdict == chunk_verdict::overrun));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_and_are_spread) {
+    retry_budget budget(retry_limits(), 7);
+    std::size_t spent = 0;
+    duration shortest = 1h;
+    duration longest{0};
+    for (int i = 0; i < 1000; ++i) {
+        budget.count_request();
+        const request_id id(std::to_string(i));
+        if (const auto delay = budget.try_spend(id, 1)) {
+            ++spent;
+            shortest = std::min(shortest, *delay);
+            longest = std::max(longest, *delay);
+        }
+    }
+    BOOST_TEST(spent <= 110U);
+    BOOST_TEST(spent >= 100U);
+    BOOST_TEST((longest <= 25ms && longest - shortest > 20ms));
+}
+
+BOOST_AUTO_TEST_CASE(one_account_cannot_fill_the_queue_of_another) {
+    admission_queue queue({2, 10, 10s});
+    virtual_clock clock;
+    const auto deadline = clock.now() + 60s;
+    queue.offer(request_id("a"), account, deadline, 1, clock.now());
+    queue.offer(request_id("b"), account, deadline, 1, clock.now());
+    const auto third = queue.offer(request_id("c"), account, deadline, 1, clock.now());
+    BOOST_TEST((std::get<turned_away>(third).code == error_code::queue_full));
+    BOOST_TEST(!std::get<turned_away>(third).retry_after.has_value());
+    const client_account_id other("other");
+    BOOST_TEST(count<waits>(std::vector<admission>{
+                   queue.offer(request_id("d"), other, deadline, 1, clock.now())}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_deadline_out_of_reach_is_refused_early_with_a_true_wait) {
+    admission_queue queue({64, 1024, 10s});
+    virtual_clock clock;
+    for (int i = 0; i < 11; ++i) {
+        const request_id id("s" + std::to_string(i));
+        queue.offer(id, account, clock.now() + 60s, 1, clock.now());
+        queue.start(id, clock.now());
+        clock.advance(i < 10 ? 500ms : 0ms);
+    }
+    BOOST_TEST(queue.start_rate(clock.now()).value() == 2.0, boost::test_tools::tolerance(0.01));
+    queue.offer(request_id("w"), account, clock.now() + 60s, 0.5, clock.now());
+    const auto late =
+        queue.offer(request_id("late"), account, clock.now() + 1500ms, 0.5, clock.now());
+    BOOST_REQUIRE(std::holds_alternative<turned_away>(late));
+    BOOST_TEST((std::get<turned_away>(late).code == error_code::deadline_unreachable));
+    BOOST_TEST((std::get<turned_away>(late).retry_after.value() == 500ms));
+    BOOST_TEST(count<waits>(std::vector<admission>{queue.offer(
+                   request_id("ok"), account, clock.now() + 2s, 0.5, clock.now())}) == 1U);
+    clock.advance(2s);
+    BOOST_TEST(queue.expire(clock.now()).size() == 1U);
+    BOOST_TEST(queue.waiting(account).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_replaced_and_never_used_again) {
+    connection_monitor monitor{connection_limits()};
+    virtual_clock clock;
+    monitor.opened(1, "peer", clock.now());
+    std::size_t heartbeats = 0;
+    while (clock.now() < virtual_clock().now() + 6s) {
+        heartbeats += count<send_heartbeat>(monitor.poll(clock.now()));
+        clock.advance(1s);
+    }
+    BOOST_TEST(heartbeats == 2U);
+    const auto actions = monitor.poll(clock.now());
+    BOOST_TEST(std::get<discard_connection>(actions.at(0)).connection == 1U);
+    BOOST_TEST(count<open_replacement>(actions) == 1U);
+    monitor.heard(1, clock.now());
+    BOOST_TEST(monitor.poll(clock.now()).empty());
+    monitor.opened(2, "peer", clock.now());
+    clock.advance(2s);
+    BOOST_TEST(std::get<send_heartbeat>(monitor.poll(clock.now()).at(0)).connection == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_flapping_remote_is_reopened_ever_more_rarely) {
+    connection_monitor monitor{connection_limits()};
+    virtual_clock clock;
+    monitor.opened(1, "peer", clock.now());
+    connection_number next = 1;
+    std::size_t opened = 0;
+    for (int i = 0; i < 600; ++i) {
+        monitor.lost(next, "peer", clock.now());
+        if (count<open_replacement>(monitor.poll(clock.now())) != 0) {
+            monitor.opened(++next, "peer", clock.now());
+            ++opened;
+        }
+        clock.advance(100ms);
+    }
+    BOOST_TEST(opened <= 10U);
+    BOOST_TEST(opened >= 6U);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_opens_only_when_every_reason_is_gone) {
+    endpoint_gate gate;
+    const endpoint_id it("engine-1");
+    BOOST_TEST(gate.close(it, leaving_reason::configured));
+    BOOST_TEST(!gate.close(it, leaving_reason::announced));
+    gate.reopen(it, leaving_reason::configured);
+    BOOST_TEST(!gate.may_start(it));
+    gate.reopen(it, leaving_reason::announced);
+    BOOST_TEST(gate.may_start(it));
+}
+
+BOOST_AUTO_TEST_CASE(a_shutdown_goes_through_its_steps_in_order) {
+    shutdown_sequence shutdown{shutdown_settings()};
+    virtual_clock clock;
+    BOOST_TEST(count<report_not_ready>(shutdown.begin(clock.now())) == 1U);
+    BOOST_TEST(shutdown.begin(clock.now()).empty());
+    BOOST_TEST(!shutdown.is_ready());
+    BOOST_TEST(shutdown.poll(0, 1, clock.now()).empty());
+    BOOST_TEST(shutdown.accepts_new());
+    clock.advance(10s);
+    BOOST_TEST(count<refuse_new>(shutdown.poll(2, 1, clock.now())) == 1U);
+    BOOST_TEST(!shutdown.accepts_new());
+    clock.advance(319s);
+    BOOST_TEST(shutdown.poll(1, 1, clock.now()).empty());
+    BOOST_TEST(count<return_holdings>(shutdown.poll(0, 1, clock.now())) == 1U);
+    BOOST_TEST(shutdown.poll(0, 1, clock.now()).empty());
+    BOOST_TEST(std::get<exit_process>(shutdown.poll(0, 0, clock.now()).at(0)).status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_shutdown_ends_the_grace_once_and_admits_what_it_could_not_return) {
+    shutdown_sequence shutdown{shutdown_settings()};
+    virtual_clock clock;
+    shutdown.begin(clock.now());
+    clock.advance(10s);
+    shutdown.poll(1, 1, clock.now());
+    clock.advance(320s);
+    BOOST_TEST(count<end_grace>(shutdown.poll(1, 1, clock.now())) == 1U);
+    BOOST_TEST(shutdown.poll(1, 1, clock.now()).empty());
+    shutdown.poll(0, 1, clock.now());
+    clock.advance(10s);
+    BOOST_TEST(std::get<exit_process>(shutdown.poll(0, 1, clock.now()).at(0)).status == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_grace_shorter_than_the_longest_request_must_be_asked_for) {
+    auto builder = shutdown_settings_builder().grace(10s).longest_request(60s);
+    BOOST_CHECK_THROW(builder.build(), invalid_input);
+    BOOST_TEST((builder.may_cut(true).build().grace == duration(10s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
