--- /dev/null
+++ b/libs/idempotency/include/idempotency/record_sweeper.h
@@ -0,0 +1,54 @@
+/// Deletes expired records, shard by shard.
+#pragma once
+
+#include <cstddef>
+#include <gsl/span>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/identifier.h"
+#include "idempotency/record.h"
+#include "platform/object_store.h"
+
+namespace radishpulley::idempotency {
+
+/// Returns whether `self` sweeps a shard among `vms`. VMs whose lists differ may both sweep it,
+/// which is harmless.
+bool sweeps(std::size_t shard, const vm_id& self, gsl::span<const vm_id> vms);
+
+/// What one sweep did.
+struct sweep_report {
+    std::size_t listed = 0;
+    std::size_t read = 0;
+    std::size_t deleted = 0;
+    /// True when the bound on calls ended it before the shard's end.
+    bool unfinished = false;
+};
+
+/// Sweeps shards. It remembers the epoch of each record, so that a record is read once and deleted
+/// once. Not safe for concurrent calls.
+class record_sweeper {
+public:
+    explicit record_sweeper(platform::object_store& store) : store_(store) {}
+
+    /// Deletes what is expired at `current` with at most `max_calls` reads and deletions.
+    sweep_report sweep(std::size_t shard, epoch_number current, std::size_t max_calls);
+
+private:
+    struct known_record {
+        epoch_number epoch = 0;
+        platform::object_version version = 0;
+    };
+    using known_shard = std::map<std::string, known_record>;
+
+    static void forget_missing(const std::vector<std::string>& names, known_shard& known);
+    bool read(const std::string& name, known_shard& known);
+    void sweep_one(const std::string& name, epoch_number current, known_shard& known,
+                   sweep_report& report);
+
+    platform::object_store& store_;
+    std::map<std::size_t, known_shard> known_;
+};
+
+}  // namespace radishpulley::idempotency
