Quota: token loans from slots that are agreed in the object API

Each client account's rate and burst are divided into slots with one owner each. Daemons admit from loans of those slots. Ruled out: a fixed split (all traffic at one VM gets one share), one holder an account (its death stops the account), conserving transfers of a base split (what a dead VM held is frozen for as long as the VM list lags, at every VM rather than at the slots' owners).

--- /dev/null
+++ b/libs/quota/include/quota/quota_node.h
@@ -0,0 +1,48 @@
+/// Both sides of the token loans on one daemon.
+#pragma once
+
+#include "quota/borrower.h"
+#include "quota/slot_owner.h"
+
+namespace radishpulley::quota {
+
+/// Joins a slot_owner and a borrower, and delivers messages between the two at once. Pure; not
+/// thread-safe: the daemon guards it by one lock.
+///
+///     quota_node node(self, quota_policy());
+///     node.set_limits(limits, now);
+///     node.set_table(registry.table(), now);
+///     quota_output out = node.admit(number, account, size, now);
+///     for (const outgoing_message& it : out.messages) peers.send(it.to, encode(it.message));
+class quota_node {
+public:
+    quota_node(vm_incarnation self, quota_policy policy);
+
+    quota_output set_limits(const limits_by_account& limits, time_point now);
+    /// Takes over a table that was just read from the object API.
+    quota_output set_table(const slot_table& table, time_point now);
+    quota_output admit(admission_number number, const client_account_id& account, token_amount size,
+                       time_point now);
+    quota_output cancel(admission_number number, time_point now);
+    quota_output settle(admission_number number, token_amount used, time_point now);
+    quota_output receive(const vm_incarnation& from, const quota_message& message, time_point now);
+    quota_output advance(time_point now);
+    /// Gives up loans after a suspension that the clock did not count.
+    void drop_loans();
+    /// Stops lending and returns loans; then release the slots through slot_registry.
+    quota_output stop(time_point now);
+
+    /// Moment of the next call of advance().
+    time_point next_event() const;
+    const slot_owner& owner() const { return owner_; }
+    const borrower& admissions() const { return borrower_; }
+
+private:
+    quota_output deliver(quota_output out, time_point now);
+
+    vm_incarnation self_;
+    slot_owner owner_;
+    borrower borrower_;
+};
+
+}  // namespace radishpulley::quota
