Wire: JSON bodies of the messages between daemons

Cause: decision packages define messages as plain values; the transport carries JSON as CBOR. Each message is encoded, sent through CBOR, decoded and encoded again in the tests.

--- /dev/null
+++ b/libs/wire/tests/wire_tests.cpp
@@ -0,0 +1,70 @@
+#include <boost/test/unit_test.hpp>
+
+#include "wire/messages.h"
+
+using namespace radishpulley;
+
+namespace {
+
+// Encoding what was decoded must give the same JSON, so no field was lost on the way.
+template <typename Message, typename Decode>
+void check_round_trip(const Message& it, Decode decode) {
+    const nlohmann::json once = wire::encode(it);
+    const auto bytes = nlohmann::json::to_cbor(once);
+    BOOST_TEST(wire::encode(decode(nlohmann::json::from_cbor(bytes))) == once);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(wire_suite)
+
+BOOST_AUTO_TEST_CASE(quota_messages_survive_the_way) {
+    const quota::loan_key key{3, 4, client_account_id("sastro"), 9};
+    check_round_trip(
+        quota::quota_message(quota::loan_request{key, 5, duration(6), duration(7), 8, true}),
+        wire::decode_quota);
+    check_round_trip(quota::quota_message(quota::loan_grant{key, 5, {1, 2, duration(3)}}),
+                     wire::decode_quota);
+    check_round_trip(quota::quota_message(quota::loan_return{key, 1, 2, 3, true}),
+                     wire::decode_quota);
+    check_round_trip(quota::quota_message(quota::loan_rejected{key}), wire::decode_quota);
+}
+
+BOOST_AUTO_TEST_CASE(placement_messages_survive_the_way) {
+    placement::pin_refusal it;
+    it.endpoint = endpoint_id("e1");
+    it.daemon = {vm_id("vm1"), 7};
+    it.reason = placement::pin_refusal_reason::no_slot;
+    it.expected_wait = std::chrono::seconds(2);
+    check_round_trip(placement::message(it), wire::decode_placement);
+    const auto again = std::get<placement::pin_refusal>(wire::decode_placement(wire::encode(it)));
+    BOOST_TEST((again.reason == placement::pin_refusal_reason::no_slot));
+    BOOST_TEST((again.daemon == vm_incarnation{vm_id("vm1"), 7}));
+}
+
+BOOST_AUTO_TEST_CASE(fleet_messages_survive_the_way) {
+    fleet::status it;
+    it.beat.from = {vm_id("vm1"), 2};
+    it.evidence = keys::evidence_report{4, 5, std::chrono::milliseconds(6)};
+    it.holds.push_back({{vm_id("vm2"), 1}, keys::hold_reason::process_gone, 3, duration(4)});
+    it.members.push_back({{vm_id("vm3"), zone_id("a"), region_id("r"), "ws://x", {}}, 5});
+    check_round_trip(fleet::message(it), wire::decode_fleet);
+    tickets::ticket_push push;
+    push.change = model::parse_ticket(R"({"number": 7, "set": {"client_accounts": [
+        {"id": "a", "rate": 1, "burst": 2}]}})");
+    check_round_trip(fleet::message(tickets::ticket_message(push)), wire::decode_fleet);
+    tickets::head_reply reply;
+    reply.at.number = 9;
+    check_round_trip(fleet::message(tickets::ticket_message(reply)), wire::decode_fleet);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_fields_are_skipped_and_unknown_kinds_refused) {
+    nlohmann::json body = wire::encode(quota::quota_message(quota::loan_rejected{}));
+    body["v"]["later"] = 1;
+    BOOST_CHECK_NO_THROW(wire::decode_quota(body));
+    body["k"] = "later";
+    BOOST_CHECK_THROW(wire::decode_quota(body), std::exception);
+    BOOST_CHECK_THROW(wire::decode_placement(nlohmann::json::array()), std::exception);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
