--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -152,7 +152,7 @@
 
 response refusal(int status, std::string_view code, std::string_view message) {
     return json_response(status, R"({"error":{"code":")" + std::string(code) + R"(","message":")" +
-                                     std::string(message) + R"(","run":"not_run"}})");
+                                     std::string(message) + R"(","run_state":"not_run"}})");
 }
 
 }  // namespace
--- a/libs/requests/include/requests/error_answer.h
+++ b/libs/requests/include/requests/error_answer.h
@@ -32,9 +32,10 @@
     outcome_unknown,
     outcome_not_kept,
     caller_too_slow,
-    caller_left
+    caller_left,
+    configuration_stale
 };
-constexpr std::size_t error_code_count = 21;
+constexpr std::size_t error_code_count = 22;
 
 /// What is known about the run of a request that failed.
 enum class run_state {
--- a/libs/requests/src/error_answer.cpp
+++ b/libs/requests/src/error_answer.cpp
@@ -34,6 +34,7 @@
     {error_code::outcome_not_kept, "outcome_not_kept", 409},
     {error_code::caller_too_slow, "caller_too_slow", 408},
     {error_code::caller_left, "caller_left", 499},
+    {error_code::configuration_stale, "configuration_stale", 503},
 }};
 
 constexpr bool is_in_order() {
