Fleet: refused ports count only when nothing the VM accepted can be unknown

A VM that ends between the last answer of the object API and its own hold may have accepted a ticket that nobody else has. Counting every refused port as a hold served on by the old keys in that case (test ticket_known_only_to_a_vm_that_ended_stops_keyed_requests failed so). A refused port now needs a hold before it, or an answer of the object API after it.

--- a/libs/fleet/include/fleet/fleet_agent.h
+++ b/libs/fleet/include/fleet/fleet_agent.h
@@ -134,8 +134,9 @@
 
     std::vector<action> handle(const event& it, time_point now);
 
-    /// This daemon leaves: peers are told.
-    void leave() { members_.leave(); }
+    /// This daemon leaves: peers are told, and it commits no more tickets. Not called while a
+    /// ticket is being accepted.
+    void leave(time_point now);
 
     /// Whether keyed requests are served.
     keys::serving_decision serving(time_point now) const;
--- a/libs/fleet/src/fleet_agent.cpp
+++ b/libs/fleet/src/fleet_agent.cpp
@@ -20,6 +20,12 @@
     return out;
 }
 
+void fleet_agent::leave(time_point now) {
+    members_.leave();
+    freshness_.give_hold(replica_.number(), now);
+    members_.hurry(now);
+}
+
 void fleet_agent::on(const vm_list_read& it, time_point now, actions& out) {
     (void)out;
     members_.vm_list_read(it.vms, now);
--- a/libs/fleet/tests/outage_tests.cpp
+++ b/libs/fleet/tests/outage_tests.cpp
@@ -167,6 +167,33 @@
     BOOST_TEST(on_holds() == 8);
 }
 
+BOOST_AUTO_TEST_CASE(ticket_known_only_to_a_vm_that_ended_stops_keyed_requests) {
+    // Three at once: the VM is cut off from its peers, the API goes down and the process ends.
+    net.nodes().at(vm(3)).is_cut_from_peers = true;
+    BOOST_TEST(change(2, 3));
+    net.run_for(10ms);
+    net.set_api_down(true);
+    net.stop(vm(3));
+    net.nodes().at(vm(3)).is_cut_from_peers = false;
+    net.run_for(3s);
+    BOOST_TEST(refusing() == 8);
+    net.run_for(1min);
+    BOOST_TEST(refusing() == 8);
+    net.set_api_down(false);
+    net.run_for(3s);
+    BOOST_TEST(fresh() == 8);
+    BOOST_TEST(net.converged(2));
+}
+
+BOOST_AUTO_TEST_CASE(vm_that_leaves_as_an_outage_begins_stops_nothing) {
+    net.set_api_down(true);
+    agent(3).leave(net.now());
+    net.run_for(500ms);
+    net.stop(vm(3));
+    net.run_for(1min);
+    BOOST_TEST(on_holds() == 8);
+}
+
 BOOST_AUTO_TEST_CASE(part_of_the_fleet_without_api_and_without_the_rest_refuses) {
     // Two at once: three VMs see neither the API nor the others, who go on changing things.
     for (const int i : {0, 1, 2}) {
@@ -183,6 +210,27 @@
     BOOST_TEST(refusing() == 3);
 }
 
+BOOST_AUTO_TEST_CASE(new_vm_that_the_others_do_not_know_commits_nothing) {
+    // The others serve on their holds, and the lagging list has not told them of the new VM.
+    for (int i = 0; i < 9; ++i) {
+        net.nodes().at(vm(i)).is_cut_from_api = true;
+    }
+    platform::vm_entry entry = net.nodes().at(vm(0)).entry;
+    entry.vm = vm_id("vm-new");
+    net.add_vms({entry});
+    net.nodes().at(entry.vm).is_cut_from_peers = true;
+    net.run_for(30s);
+    BOOST_TEST(on_holds() == 9);
+    BOOST_TEST(fresh() == 1);
+    BOOST_TEST(!net.offer(entry.vm, rate_ticket(2)));
+    net.nodes().at(entry.vm).is_cut_from_peers = false;
+    net.run_for(5s);
+    BOOST_TEST(fresh() == 10);
+    BOOST_TEST(net.offer(entry.vm, rate_ticket(2)));
+    net.run_for(1s);
+    BOOST_TEST(net.converged(2));
+}
+
 BOOST_AUTO_TEST_CASE(silent_connections_are_replaced_and_lose_no_change) {
     for (int i = 1; i < 9; ++i) {
         net.silence(vm(0), vm(i));
--- a/libs/fleet_standins/include/fleet_standins/agent_network.h
+++ b/libs/fleet_standins/include/fleet_standins/agent_network.h
@@ -41,6 +41,8 @@
     bool is_cut_from_api = false;
     bool is_cut_from_peers = false;
     bool is_paused = false;
+    /// Another VM took its place; it never starts again.
+    bool is_replaced = false;
     /// Events that wait for the end of a pause.
     std::vector<fleet::event> waiting;
 };
--- a/libs/keys/include/keys/freshness.h
+++ b/libs/keys/include/keys/freshness.h
@@ -40,11 +40,11 @@
     process_gone
 };
 
-/// Message: a VM accepts no ticket until the hold time has passed since `age` ago.
+/// Message: a VM accepted no ticket above `number`, and accepts none until the hold time has passed
+/// since `age` ago.
 struct hold_report {
     vm_incarnation vm;
     hold_reason reason = hold_reason::promised;
-    /// Number that the VM had in force, so that what it accepted before is not missed.
     model::ticket_number number = 0;
     duration age{0};
 };
@@ -131,7 +131,9 @@
     /// Returns true when a hold is news for the neighbours.
     bool peer_holds(gsl::span<const hold_report> reports, time_point proven);
 
-    /// A connection to the peer port of `vm` was refused at `at`.
+    /// A connection to the peer port of `vm` was refused at `at`. It counts as a hold when nothing
+    /// that the VM accepted before it ended can be unknown: it had given a hold, or the object API
+    /// was heard after the VM's end.
     void process_gone(const vm_incarnation& vm, time_point at);
 
     /// True from before a ticket's commit is tried until its outcome is known or given up.
@@ -141,7 +143,10 @@
     /// told at once.
     bool renew_hold(model::ticket_number in_force, time_point now);
 
-    /// Returns whether to call the object API now, and when not, how long to wait.
+    /// Gives this VM's hold now, because it leaves.
+    void give_hold(model::ticket_number in_force, time_point now);
+
+    /// Returns how long to wait before the object API is called; zero when it is due.
     duration until_probe(time_point now) const;
     /// Tells that a call is made now.
     void probe_started(time_point now);
@@ -169,6 +174,12 @@
         position changed = 0;
     };
 
+    // Refused connections to one VM, each within the hold time of the one before.
+    struct refusals {
+        time_point first;
+        time_point last;
+    };
+
     bool is_fresh(model::ticket_number in_force, time_point now) const;
     bool holds(const vm_id& vm, model::ticket_number in_force, time_point now) const;
     void take_evidence(model::ticket_number number, known_evidence it);
@@ -184,6 +195,7 @@
     /// The latest evidence for each number, for the last few numbers.
     std::map<model::ticket_number, known_evidence> evidence_;
     std::map<vm_id, known_hold> holds_;
+    std::map<vm_id, refusals> refusals_;
     std::optional<time_point> own_hold_;
     std::optional<time_point> last_probe_;
     position last_ = 0;
--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -93,7 +93,20 @@
 }
 
 void freshness::process_gone(const vm_incarnation& vm, time_point at) {
-    take_hold({vm, hold_reason::process_gone, 0, duration(0)}, at);
+    const auto [entry, is_first] = refusals_.try_emplace(vm.vm, refusals{at, at});
+    refusals& seen = entry->second;
+    if (!is_first && at - seen.last >= settings_.hold_time) {
+        seen.first = at;
+    }
+    seen.last = at;
+    const auto held = holds_.find(vm.vm);
+    if (held != holds_.end() && at - held->second.given < settings_.hold_time) {
+        take_hold({vm, hold_reason::process_gone, held->second.report.number, duration(0)}, at);
+        return;
+    }
+    if (!evidence_.empty() && evidence_.rbegin()->second.heard >= seen.first) {
+        take_hold({vm, hold_reason::process_gone, evidence_.rbegin()->first, duration(0)}, at);
+    }
 }
 
 std::optional<time_point> freshness::last_heard() const {
@@ -120,9 +133,13 @@
     if (own_hold_ && now - *own_hold_ < settings_.hold_refresh) {
         return false;
     }
+    give_hold(in_force, now);
+    return true;
+}
+
+void freshness::give_hold(model::ticket_number in_force, time_point now) {
     own_hold_ = now;
     take_hold({self_, hold_reason::promised, in_force, duration(0)}, now);
-    return true;
 }
 
 duration freshness::until_probe(time_point now) const {
