--- a/libs/ownership/include/ownership/ownership_policy.h
+++ b/libs/ownership/include/ownership/ownership_policy.h
@@ -95,8 +95,7 @@
     const holding* lookup(const holding_id& id) const;
     bool replaceable(const holding_spec& spec, const holding& it, const vm_knowledge& vms,
                      time_point now) const;
-    std::ptrdiff_t rank_for(shard_index index,
-                            const std::vector<vm_incarnation>& candidates) const;
+    std::ptrdiff_t rank_for(shard_index index, const std::vector<vm_incarnation>& candidates) const;
     bool needs_holder(const holding_spec& spec, const vm_knowledge& vms, time_point now) const;
     assignment assign(const holding_spec& spec, const std::vector<vm_incarnation>& candidates,
                       const vm_knowledge& vms, time_point now) const;
--- a/libs/ownership/tests/ownership_tests.cpp
+++ b/libs/ownership/tests/ownership_tests.cpp
@@ -1,9 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/findings.h"
 #include "ownership/holder_guard.h"
 #include "ownership/ownership_policy.h"
 #include "ownership/ownership_store.h"
-#include "base/findings.h"
 #include "standins/memory_object_store.h"
 
 using namespace radishpulley;
@@ -118,8 +118,9 @@
 BOOST_AUTO_TEST_CASE(conflict_with_another_entry_is_retried) {
     memory_object_store memory;
     ownership_store store(memory);
-    memory.before_next_update(
-        [&] { ownership_store(memory).commit({0, {{holding_id("x"), 0, vm_b, {}}}}); });
+    memory.before_next_update([&] {
+        ownership_store(memory).commit({0, {{holding_id("x"), 0, vm_b, {}}}});
+    });
     const auto result = store.commit({0, {{engine, 0, vm_a, {}}}});
     BOOST_TEST(std::get<committed>(result).copy.holdings.size() == 2U);
 }
@@ -127,8 +128,9 @@
 BOOST_AUTO_TEST_CASE(of_two_racing_claims_one_wins) {
     memory_object_store memory;
     ownership_store store(memory);
-    memory.before_next_update(
-        [&] { ownership_store(memory).commit({0, {{engine, 0, vm_b, {}}}}); });
+    memory.before_next_update([&] {
+        ownership_store(memory).commit({0, {{engine, 0, vm_b, {}}}});
+    });
     const auto result = store.commit({0, {{engine, 0, vm_a, {}}}});
     BOOST_REQUIRE(std::holds_alternative<superseded>(result));
     BOOST_TEST(std::get<superseded>(result).copy.holdings.front().holder.vm == vm_b.vm);
@@ -301,8 +303,7 @@
     }
     daemons.front()->read_all(start + 1s);
     for (int i = 0; i < 600; ++i) {
-        const auto entry =
-            daemons.front()->policy.find(holding_id("engine/" + std::to_string(i)));
+        const auto entry = daemons.front()->policy.find(holding_id("engine/" + std::to_string(i)));
         most_held = std::max(most_held, ++held[entry->holder.vm]);
     }
     BOOST_TEST(writes == 16U);
--- a/libs/placement/include/placement/messages.h
+++ b/libs/placement/include/placement/messages.h
@@ -103,12 +103,15 @@
     engine_digest state;
 };
 
-/// Holder to daemon: send no new requests under this pin; it ends when the running ones did.
+/// Holder to daemon: release this pin where no request uses it.
 struct pin_recall {
     endpoint_id endpoint;
     adapter_ref adapter;
     vm_incarnation daemon;
     fencing_number fence = 0;
+    /// True when the daemon must send no new requests under it and release it after the running
+    /// ones.
+    bool drain = false;
 };
 
 /// Daemon to holder: no request runs or will be sent under this pin.
--- a/libs/placement/include/placement/router.h
+++ b/libs/placement/include/placement/router.h
@@ -172,6 +172,8 @@
         std::uint32_t running = 0;
         std::uint32_t arrived = 0;
         duration expected_wait{};
+        /// Granted and not released since.
+        bool held = false;
         std::vector<waiting_request> waiting;
     };
     struct running_request {
@@ -198,11 +200,12 @@
               router_decisions& out);
     void refuse(const placement_request& it, duration wait, router_decisions& out) const;
     void expire_waiting(const pin_key& key, pin& it, time_point now, router_decisions& out);
+    void release_expired(const pin_key& key, pin& it, time_point now, router_decisions& out);
     void maintain(const pin_key& key, pin& it, time_point now, router_decisions& out);
     void note_state(const endpoint_id& endpoint, const engine_digest& state);
     void on_grant(const pin_grant& it, time_point now, router_decisions& out);
     void on_refusal(const pin_refusal& it, time_point now, router_decisions& out);
-    void on_recall(const pin_recall& it, router_decisions& out);
+    void on_recall(const pin_recall& it, time_point now, router_decisions& out);
     pin* find_pin(const endpoint_id& endpoint, const adapter_ref& adapter);
 
     vm_incarnation self_;
--- a/libs/placement/include/placement/slot_keeper.h
+++ b/libs/placement/include/placement/slot_keeper.h
@@ -36,7 +36,7 @@
     duration order_retry = std::chrono::seconds(1);
     /// A wish that its daemon does not repeat is dropped after this time.
     duration wish_life = std::chrono::seconds(5);
-    /// Permits are asked for again after this time.
+    /// Permits are asked for again, and idle pins recalled again, after this time.
     duration permit_retry = std::chrono::seconds(1);
     /// Shortest wait before a failed load is tried again; doubles up to 16 times itself.
     duration failed_load_delay = std::chrono::seconds(1);
@@ -44,6 +44,11 @@
     duration expected_load = std::chrono::milliseconds(500);
     /// Half-life of an adapter's popularity.
     duration popularity_half_life = std::chrono::minutes(10);
+    /// Wait after which an adapter in constant use gives up its slot: it is closed to new requests
+    /// and evicted when those under way have ended.
+    duration patience = std::chrono::seconds(8);
+    /// An adapter is not closed before it stayed for this time.
+    duration shortest_stay = std::chrono::seconds(20);
     /// Popularity above which an adapter is loaded into a free slot before anybody asks.
     double prefetch_score = 2;
     /// Loads of this engine a second that need no permit: its part of the fixed split.
@@ -133,7 +138,9 @@
         time_point ordered_at{};
         bool answered = true;
         bool answer_lost = false;
-        bool recalled = false;
+        time_point recalled_at = time_point::min();
+        /// No new pins: it leaves as soon as nobody uses it.
+        bool closing = false;
         std::uint32_t reported_active = 0;
         std::optional<load_permit> permit;
     };
@@ -155,6 +162,7 @@
     std::vector<adapter_ref> ready_loads(time_point now) const;
     std::optional<adapter_ref> choose_victim(time_point now) const;
     std::optional<adapter_ref> choose_recall(time_point now) const;
+    std::optional<adapter_ref> choose_closing(time_point now) const;
     std::uint32_t window_for(const vm_incarnation& daemon) const;
     duration expected_wait() const;
     engine_digest digest() const;
@@ -166,7 +174,9 @@
     void refuse_wishes(const adapter_ref& adapter, pin_refusal_reason reason, duration wait,
                        keeper_decisions& out);
     void serve_wishes(const adapter_ref& adapter, time_point now, keeper_decisions& out);
-    void recall(const adapter_ref& adapter, keeper_decisions& out) const;
+    void recall(const adapter_ref& adapter, bool drain, keeper_decisions& out) const;
+    void free_a_slot(const adapter_ref& wanted, time_point now, keeper_decisions& out);
+    void reopen_slots(time_point now, keeper_decisions& out);
     void work(time_point now, keeper_decisions& out);
     void start_loads(time_point now, keeper_decisions& out);
     void make_room(time_point now, keeper_decisions& out);
@@ -179,7 +189,7 @@
     void return_permit(const load_permit& it, keeper_decisions& out) const;
     void on_load_result(const order_result& it, slot& where, time_point now, keeper_decisions& out);
     void on_evict_result(const order_result& it, slot& where, time_point now);
-    void note_engine(const std::string& incarnation, keeper_decisions& out);
+    void note_engine(const std::string& incarnation, time_point now, keeper_decisions& out);
     void adopt(const engine_report& it, time_point now);
     void compare(const engine_report& it, time_point now, keeper_decisions& out);
     void release_pins_of_ended(const engine_report& it, time_point now);
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -204,6 +204,7 @@
     if (entry != pins_.end()) {
         --entry->second.running;
         entry->second.last_use = now;
+        release_expired(key, entry->second, now, out);
     }
     if (engine != engines_.end()) {
         flush(key.endpoint, now, out);
@@ -352,7 +353,10 @@
     body.endpoint = key.endpoint;
     body.adapter = key.adapter;
     body.number = ++last_number_;
-    body.arrived = it.arrived;
+    body.arrived = std::exchange(it.arrived, 0);
+    it.held = false;
+    it.sent.clear();
+    it.valid_until = time_point::min();
     if (!engine.holder.vm.empty()) {
         out.push_back(send_to_holder{key.endpoint, engine.holder, body});
     }
@@ -365,7 +369,7 @@
     } else if (const auto* refusal = std::get_if<pin_refusal>(&it)) {
         on_refusal(*refusal, now, out);
     } else if (const auto* recall = std::get_if<pin_recall>(&it)) {
-        on_recall(*recall, out);
+        on_recall(*recall, now, out);
     }
     return out;
 }
@@ -385,6 +389,7 @@
     }
     const time_point end = asked->second + it.validity - settings_.clock_margin;
     entry->valid_until = std::max(entry->valid_until, end);
+    entry->held = true;
     entry->fence = it.fence;
     entry->answered = it.number;
     entry->expected_wait = duration::zero();
@@ -412,17 +417,25 @@
     place_again({it.endpoint, it.adapter}, now, out);
 }
 
-void router::on_recall(const pin_recall& it, router_decisions& out) {
+void router::on_recall(const pin_recall& it, time_point now, router_decisions& out) {
     const auto entry = pins_.find({it.endpoint, it.adapter});
     if (entry == pins_.end() || it.daemon != self_) {
         return;
     }
     pin& known = entry->second;
-    if (known.running > 0 || !known.waiting.empty()) {
+    if (it.drain) {
+        known.valid_until = time_point::min();
+        known.sent.clear();
+    }
+    if (known.running > 0 || (!known.waiting.empty() && !it.drain)) {
         return;
     }
     release(entry->first, known, out);
-    pins_.erase(entry);
+    if (known.waiting.empty()) {
+        pins_.erase(entry);
+    } else {
+        ask(entry->first, known, now, out);
+    }
 }
 
 void router::expire_waiting(const pin_key& key, pin& it, time_point now, router_decisions& out) {
@@ -439,7 +452,20 @@
     }
 }
 
+// A pin that may send nothing more is released as soon as its requests ended, also while others
+// wait for the next one: its holder may have closed the adapter.
+void router::release_expired(const pin_key& key, pin& it, time_point now, router_decisions& out) {
+    if (!it.held || it.running > 0 || now < it.valid_until) {
+        return;
+    }
+    release(key, it, out);
+    if (!it.waiting.empty()) {
+        ask(key, it, now, out);
+    }
+}
+
 void router::maintain(const pin_key& key, pin& it, time_point now, router_decisions& out) {
+    release_expired(key, it, now, out);
     const bool busy = it.running > 0 || !it.waiting.empty();
     const bool ends_soon = it.valid_until < now + settings_.renew_before;
     const bool due =
--- a/libs/placement/src/slot_keeper.cpp
+++ b/libs/placement/src/slot_keeper.cpp
@@ -137,7 +137,7 @@
     }
     for (const auto& [adapter, it] : slots_) {
         const bool settled = it.state == slot_state::loaded && it.answered;
-        const bool wanted = wishes_.count(adapter) != 0;
+        const bool wanted = wishes_.count(adapter) != 0 && !it.closing;
         if (!settled || wanted || in_use(adapter, it, now) || !quiet_for(adapter, now)) {
             continue;
         }
@@ -155,7 +155,9 @@
     double least = 0;
     for (const auto& [adapter, it] : slots_) {
         const auto pins = pins_.find(adapter);
-        if (it.state != slot_state::loaded || it.recalled || pins == pins_.end()) {
+        const bool recalled =
+            it.recalled_at != time_point::min() && now - it.recalled_at < settings_.permit_retry;
+        if (it.state != slot_state::loaded || recalled || it.closing || pins == pins_.end()) {
             continue;
         }
         const bool idle = std::all_of(pins->second.begin(), pins->second.end(), [](const auto& p) {
@@ -170,6 +172,33 @@
     return choice;
 }
 
+std::optional<adapter_ref> slot_keeper::choose_closing(time_point now) const {
+    std::optional<adapter_ref> choice;
+    double least = 0;
+    for (const auto& [adapter, it] : slots_) {
+        if (it.closing) {
+            return std::nullopt;
+        }
+        const bool settled = it.state == slot_state::loaded && it.answered;
+        const bool stayed = now - it.since > settings_.shortest_stay;
+        const double score = popularity_.score(adapter, now);
+        if (settled && stayed && (!choice || score < least)) {
+            choice = adapter;
+            least = score;
+        }
+    }
+    return choice;
+}
+
+void slot_keeper::reopen_slots(time_point now, keeper_decisions& out) {
+    for (auto& [adapter, it] : slots_) {
+        if (it.closing && it.state == slot_state::loaded && ready_loads(now).empty()) {
+            it.closing = false;
+            serve_wishes(adapter, now, out);
+        }
+    }
+}
+
 std::uint32_t slot_keeper::window_for(const vm_incarnation& daemon) const {
     std::uint32_t own = 0;
     std::uint32_t all = 0;
@@ -217,7 +246,7 @@
             return out;
         }
     }
-    if (adopted_ && is_loaded(it.adapter)) {
+    if (adopted_ && is_loaded(it.adapter) && !slots_.at(it.adapter).closing) {
         grant(it, now, out);
         work(now, out);
         return out;
@@ -240,7 +269,7 @@
 void slot_keeper::grant(const pin_request& it, time_point now, keeper_decisions& out) {
     slot& where = slots_.at(it.adapter);
     where.last_use = now;
-    where.recalled = false;
+    where.recalled_at = time_point::min();
     pin& entry = pins_[it.adapter][it.daemon];
     entry.number = it.number;
     entry.hold_until =
@@ -353,7 +382,7 @@
     return out;
 }
 
-void slot_keeper::recall(const adapter_ref& adapter, keeper_decisions& out) const {
+void slot_keeper::recall(const adapter_ref& adapter, bool drain, keeper_decisions& out) const {
     const auto pins = pins_.find(adapter);
     if (pins == pins_.end()) {
         return;
@@ -361,7 +390,7 @@
     for (const auto& [daemon, it] : pins->second) {
         if (it.daemon_ended == time_point::max()) {
             out.push_back(
-                send_to_daemon{daemon, pin_recall{endpoint_, adapter, daemon, term_.fence}});
+                send_to_daemon{daemon, pin_recall{endpoint_, adapter, daemon, term_.fence, drain}});
         }
     }
 }
@@ -419,7 +448,8 @@
 
 // Reports.
 
-void slot_keeper::note_engine(const std::string& incarnation, keeper_decisions& out) {
+void slot_keeper::note_engine(const std::string& incarnation, time_point now,
+                              keeper_decisions& out) {
     if (incarnation.empty() || incarnation == engine_incarnation_) {
         return;
     }
@@ -434,7 +464,11 @@
     }
     for (auto& [adapter, it] : slots_) {
         finish_permit(it, out);
-        recall(adapter, out);
+        recall(adapter, /*drain=*/true, out);
+        if (!it.answered) {
+            // It may have been sent to the new process.
+            stray_orders_[adapter] = now + settings_.order_silence;
+        }
     }
     slots_.clear();
     left_at_.clear();
@@ -448,7 +482,7 @@
     if (ended_ || it.endpoint != endpoint_ || past_incarnations_.count(it.engine_incarnation)) {
         return out;
     }
-    note_engine(it.engine_incarnation, out);
+    note_engine(it.engine_incarnation, now, out);
     if (it.sequence <= report_sequence_) {
         return out;
     }
@@ -501,7 +535,7 @@
         const bool lost = known.state == slot_state::loaded && known.answered &&
                           seen == reported.end() && old_enough;
         if (lost) {
-            recall(where->first, out);
+            recall(where->first, /*drain=*/true, out);
         }
         where = lost ? slots_.erase(where) : std::next(where);
     }
@@ -517,7 +551,7 @@
         }
     }
     for (const auto& [adapter, where] : slots_) {
-        if (where.state == slot_state::loaded) {
+        if (where.state == slot_state::loaded && !where.closing) {
             serve_wishes(adapter, now, out);
         }
     }
@@ -575,7 +609,7 @@
     if (ended_ || past_incarnations_.count(it.engine_incarnation)) {
         return out;
     }
-    note_engine(it.engine_incarnation, out);
+    note_engine(it.engine_incarnation, now, out);
     const auto where = slots_.find(it.order.adapter);
     if (where == slots_.end() || where->second.order != it.order.fence) {
         return out;
@@ -590,7 +624,8 @@
         return out;
     }
     if (!fence_raised_) {
-        fence_raised_ = true;
+        // A failure may come from before the engine looked at the number.
+        fence_raised_ = it.outcome == order_outcome::done;
         adopt_from_ = std::max(adopt_from_, now + settings_.report_lag);
         slots_.clear();
         return out;
@@ -630,6 +665,7 @@
 void slot_keeper::on_evict_result(const order_result& it, slot& where, time_point now) {
     if (it.outcome == order_outcome::failed) {
         where.state = slot_state::loaded;
+        where.closing = false;
         return;
     }
     left_at_[it.order.adapter] = now;
@@ -717,6 +753,25 @@
     }
 }
 
+void slot_keeper::free_a_slot(const adapter_ref& wanted, time_point now, keeper_decisions& out) {
+    if (const auto idle = choose_recall(now)) {
+        slots_.at(*idle).recalled_at = now;
+        recall(*idle, /*drain=*/false, out);
+        return;
+    }
+    const auto wishes = wishes_.find(wanted);
+    if (wishes == wishes_.end()) {
+        return;
+    }
+    const bool impatient = std::any_of(
+        wishes->second.begin(), wishes->second.end(),
+        [this, now](const auto& it) { return now - it.second.since > settings_.patience; });
+    if (const auto it = impatient ? choose_closing(now) : std::nullopt) {
+        slots_.at(*it).closing = true;
+        recall(*it, /*drain=*/true, out);
+    }
+}
+
 void slot_keeper::request_permits(time_point now, keeper_decisions& out) {
     const std::vector<adapter_ref> loads = ready_loads(now);
     std::size_t room = settings_.slots - std::min<std::size_t>(settings_.slots, slots_.size());
@@ -724,9 +779,8 @@
     if (room == 0 && !loads.empty()) {
         if (choose_victim(now)) {
             room = 1;
-        } else if (const auto it = choose_recall(now); it && may_evict(now)) {
-            slots_.at(*it).recalled = true;
-            recall(*it, out);
+        } else if (may_evict(now)) {
+            free_a_slot(loads.front(), now, out);
         }
     }
     const std::size_t wanted = std::min(loads.size(), room);
@@ -754,6 +808,7 @@
     }
     drop_permits(now, out);
     refill_own_loads(now);
+    reopen_slots(now, out);
     start_loads(now, out);
     request_permits(now, out);
 }
