--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -153,8 +153,8 @@
     ++own;
     flush(key.endpoint, now, out);
     if (!entry.waiting.empty() && now >= entry.valid_until) {
-        const bool early = now - entry.asked_at < settings_.ask_spacing;
-        if (entry.asked_at == time_point::min() || !early) {
+        const bool first = entry.asked_at == time_point::min();
+        if (first || now - entry.asked_at >= settings_.ask_spacing) {
             ask(key, entry, now, out);
         }
     }
--- /dev/null
+++ b/libs/placement/tests/router_tests.cpp
@@ -0,0 +1,272 @@
+#include <boost/test/unit_test.hpp>
+
+#include "placement/router.h"
+
+using namespace radishpulley;
+using namespace radishpulley::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start(1h);
+const vm_incarnation self{vm_id("d"), 1};
+const vm_incarnation holder{vm_id("h"), 1};
+const adapter_ref red{adapter_id("red"), version_id("1")};
+
+template <typename T>
+std::vector<T> all(const router_decisions& list) {
+    std::vector<T> result;
+    for (const router_decision& it : list) {
+        if (const auto* found = std::get_if<T>(&it)) {
+            result.push_back(*found);
+        }
+    }
+    return result;
+}
+
+template <typename T>
+std::vector<T> messages(const router_decisions& list) {
+    std::vector<T> result;
+    for (const send_to_holder& it : all<send_to_holder>(list)) {
+        if (const auto* body = std::get_if<T>(&it.body)) {
+            result.push_back(*body);
+        }
+    }
+    return result;
+}
+
+/// A router before `n` engines, two in each region, all of one holder.
+struct bench {
+    explicit bench(int n = 1, router_settings settings = {})
+        : routes(self, zone_id("z0"), region_id("r0"), settings) {
+        for (int i = 0; i < n; ++i) {
+            const std::string region = std::to_string(i / 2);
+            infos.push_back({endpoint_id("e" + std::to_string(i)), zone_id("z" + region),
+                             region_id("r" + region), 4, false});
+        }
+        routes.configure(infos, now);
+        for (const engine_info& it : infos) {
+            routes.on_holder(it.endpoint, holder, 1, now);
+        }
+    }
+
+    router_decisions request(const std::string& id, const std::string& account = "c",
+                             const adapter_ref& adapter = red) {
+        placement_request it;
+        it.id = request_id(id);
+        it.account = client_account_id(account);
+        it.adapter = adapter;
+        it.deadline = now + 60s;
+        return routes.on_request(it, now);
+    }
+
+    router_decisions grant(const pin_request& asked, std::uint32_t window = 10,
+                           fencing_number fence = 1) {
+        pin_grant it{asked.endpoint, asked.adapter, self, asked.number, fence, 10s, window, {}};
+        return routes.on_message(it, now);
+    }
+
+    std::vector<engine_info> infos;
+    router routes;
+    time_point now = start;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(router_suite)
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_before_the_grant_and_then_all_that_waited) {
+    bench it;
+    const auto first = it.request("1");
+    BOOST_TEST(all<send_request>(first).empty());
+    it.request("2");
+    const auto out = all<send_request>(it.grant(messages<pin_request>(first).front()));
+    BOOST_REQUIRE(out.size() == 2U);
+    BOOST_TEST((out.front().adapter == red));
+    BOOST_TEST((out.front().send_by == start + 9s));
+    BOOST_TEST(all<send_request>(it.request("3")).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(validity_counts_from_when_the_request_was_sent) {
+    bench it;
+    const auto asked = messages<pin_request>(it.request("1")).front();
+    it.now += 9s;
+    BOOST_TEST(all<send_request>(it.grant(asked)).empty());
+    const auto again = messages<pin_request>(it.routes.tick(it.now)).front();
+    BOOST_TEST(all<send_request>(it.grant(again)).size() == 1U);
+    it.now += 9s;
+    BOOST_TEST(all<send_request>(it.request("2")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(doubled_grant_and_grant_of_an_old_holder_give_nothing) {
+    bench it;
+    const auto asked = messages<pin_request>(it.request("1")).front();
+    it.grant(asked);
+    it.routes.on_request_ended(request_id("1"), it.now);
+    const auto out = it.routes.on_holder(endpoint_id("e0"), {vm_id("h2"), 1}, 3, it.now);
+    BOOST_TEST(out.empty());
+    it.now += 9s;
+    const auto next = messages<pin_request>(it.request("2")).front();
+    BOOST_TEST(all<send_request>(it.grant(asked, 10, 3)).empty());
+    BOOST_TEST(all<send_request>(it.grant(next, 10, 1)).empty());
+    BOOST_TEST(all<send_request>(it.grant(next, 10, 3)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(new_holder_is_asked_for_pins_in_use) {
+    bench it;
+    it.grant(messages<pin_request>(it.request("1")).front());
+    const auto out =
+        it.routes.on_holder(endpoint_id("e0"), {vm_id("h2"), 1}, 3, it.now);
+    BOOST_REQUIRE(messages<pin_request>(out).size() == 1U);
+    BOOST_TEST(messages<pin_request>(out).front().running == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(new_version_needs_its_own_pin) {
+    bench it;
+    it.grant(messages<pin_request>(it.request("1")).front());
+    const adapter_ref next{red.adapter, version_id("2")};
+    const auto out = it.request("2", "c", next);
+    BOOST_TEST(all<send_request>(out).empty());
+    BOOST_TEST(messages<pin_request>(out).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(window_bounds_and_accounts_take_turns) {
+    bench it;
+    const auto asked = messages<pin_request>(it.request("big-0", "big")).front();
+    for (int i = 1; i < 20; ++i) {
+        it.request("big-" + std::to_string(i), "big");
+    }
+    it.request("small-0", "small");
+    it.request("small-1", "small");
+    const auto out = all<send_request>(it.grant(asked, 4));
+    BOOST_REQUIRE(out.size() == 4U);
+    int small = 0;
+    for (const send_request& sent : out) {
+        small += sent.request.str().front() == 's' ? 1 : 0;
+    }
+    BOOST_TEST(small == 2);
+    BOOST_TEST(all<send_request>(it.routes.on_request_ended(out[0].request, it.now)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(pin_is_renewed_while_requests_run_and_released_after) {
+    bench it;
+    it.grant(messages<pin_request>(it.request("1")).front());
+    it.now += 6s;
+    BOOST_TEST(messages<pin_request>(it.routes.tick(it.now)).size() == 1U);
+    it.now += 10s;
+    BOOST_TEST(messages<pin_release>(it.routes.tick(it.now)).empty());
+    const auto out = it.routes.on_request_ended(request_id("1"), it.now);
+    BOOST_TEST(messages<pin_release>(out).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(drained_pin_sends_nothing_new_and_is_released_after_the_running_ones) {
+    bench it;
+    it.grant(messages<pin_request>(it.request("1")).front());
+    it.routes.on_message(pin_recall{endpoint_id("e0"), red, self, 1, true}, it.now);
+    BOOST_TEST(all<send_request>(it.request("2")).empty());
+    const auto out = it.routes.on_request_ended(request_id("1"), it.now);
+    BOOST_REQUIRE(messages<pin_release>(out).size() == 1U);
+    // The waiting request asks again, by a later message than the release.
+    BOOST_REQUIRE(messages<pin_request>(out).size() == 1U);
+    BOOST_TEST(messages<pin_request>(out).front().number >
+               messages<pin_release>(out).front().number);
+}
+
+BOOST_AUTO_TEST_CASE(failed_load_goes_to_another_engine) {
+    bench it(2);
+    const auto asked = messages<pin_request>(it.request("1")).front();
+    pin_refusal body;
+    body.endpoint = asked.endpoint;
+    body.adapter = red;
+    body.daemon = self;
+    body.number = asked.number;
+    body.fence = 1;
+    body.reason = pin_refusal_reason::load_failed;
+    const auto out = messages<pin_request>(it.routes.on_message(body, it.now));
+    BOOST_REQUIRE(out.size() == 1U);
+    BOOST_TEST(out.front().endpoint != asked.endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(draining_engine_gets_nothing_new_and_its_waiting_requests_move) {
+    bench it(2);
+    const auto asked = messages<pin_request>(it.request("1")).front();
+    for (engine_info& info : it.infos) {
+        info.draining = info.endpoint == asked.endpoint;
+    }
+    const auto out = messages<pin_request>(it.routes.configure(it.infos, it.now));
+    BOOST_REQUIRE(out.size() == 1U);
+    BOOST_TEST(out.front().endpoint != asked.endpoint);
+    BOOST_TEST(all<send_request>(it.grant(asked)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(missing_adapter_ends_the_pin_at_once) {
+    bench it;
+    it.grant(messages<pin_request>(it.request("1")).front());
+    it.routes.on_adapter_missing(endpoint_id("e0"), red, it.now);
+    const auto out = it.routes.on_not_sent(request_id("1"), it.now);
+    BOOST_TEST(all<send_request>(out).empty());
+    BOOST_TEST(it.routes.waiting() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(deadline_refuses_a_waiting_request_and_never_a_sent_one) {
+    bench it;
+    it.request("1");
+    it.now += 61s;
+    const auto out = all<refuse_request>(it.routes.tick(it.now));
+    BOOST_REQUIRE(out.size() == 1U);
+    BOOST_TEST((out.front().retry_after >= 1s));
+    BOOST_TEST(it.routes.waiting() == 0U);
+    it.grant(messages<pin_request>(it.request("2")).front());
+    it.now += 61s;
+    BOOST_TEST(all<refuse_request>(it.routes.tick(it.now)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(one_account_cannot_fill_the_waiting_places) {
+    router_settings settings;
+    settings.most_waiting = 10;
+    bench it(1, settings);
+    it.request("s0", "small");
+    std::size_t refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        refused += all<refuse_request>(it.request("b" + std::to_string(i), "big")).size();
+    }
+    BOOST_TEST(refused == 15U);
+    BOOST_TEST(all<refuse_request>(it.request("s1", "small")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(candidates_prefer_the_usual_region_and_move_little) {
+    bench it(6);
+    const auto near = it.routes.candidates_for(red, region_id("r2"));
+    BOOST_TEST((near[0] == endpoint_id("e4") || near[0] == endpoint_id("e5")));
+    const auto before = it.routes.candidates_for(red, region_id());
+    it.infos.erase(std::find_if(it.infos.begin(), it.infos.end(), [&](const engine_info& info) {
+        return info.endpoint == before[1];
+    }));
+    it.routes.configure(it.infos, it.now);
+    BOOST_TEST(it.routes.candidates_for(red, region_id()).front() == before.front());
+}
+
+BOOST_AUTO_TEST_CASE(rare_adapter_stays_at_its_busy_engine_and_a_hot_one_gets_a_copy) {
+    bench it(2);
+    const auto busy = [&](const adapter_ref& adapter) {
+        const auto asked = messages<pin_request>(it.request("first-" + adapter.adapter.str(), "c",
+                                                            adapter)).front();
+        pin_grant body{asked.endpoint, adapter, self, asked.number, 1, 10s, 4, {4, 4, 4, 0}};
+        it.routes.on_message(body, it.now);
+        return asked.endpoint;
+    };
+    const endpoint_id home = busy(red);
+    const adapter_ref rare{adapter_id("rare"), version_id("1")};
+    if (it.routes.candidates_for(rare, region_id()).front() == home) {
+        BOOST_TEST(messages<pin_request>(it.request("r", "c", rare)).front().endpoint == home);
+    }
+    std::set<endpoint_id> used;
+    for (int i = 0; i < 40; ++i) {
+        for (const pin_request& asked : messages<pin_request>(it.request(std::to_string(i)))) {
+            used.insert(asked.endpoint);
+        }
+    }
+    BOOST_TEST((used.size() == 1 && *used.begin() != home));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
