--- a/libs/idempotency/tests/idempotency_tests.cpp
+++ b/libs/idempotency/tests/idempotency_tests.cpp
@@ -7,6 +7,7 @@
 #include "idempotency/once_guard.h"
 #include "idempotency/record_epochs.h"
 #include "idempotency/record_sweeper.h"
+#include "standins/late_object_store.h"
 #include "standins/memory_object_store.h"
 
 using namespace radishpulley;
@@ -134,6 +135,31 @@
     BOOST_TEST(!runs(it.begin(it.there)));
 }
 
+BOOST_AUTO_TEST_CASE(a_create_that_takes_effect_late_is_released) {
+    fleet it;
+    standins::late_object_store late(it.store);
+    once_guard guard(late, {vm_id("vm-3"), 1}, guard_limits());
+    late.hold_updates(3);
+    BOOST_TEST(is_refused(it.begin(guard), refusal::unavailable));
+    it.retry(guard);
+    late.deliver();
+    BOOST_TEST(is_refused(it.begin(it.there), refusal::outcome_unknown));
+    it.retry(guard);
+    BOOST_TEST(runs(it.begin(it.there)));
+}
+
+BOOST_AUTO_TEST_CASE(a_create_that_takes_effect_late_is_the_same_attempt) {
+    fleet it;
+    standins::late_object_store late(it.store);
+    once_guard guard(late, {vm_id("vm-3"), 1}, guard_limits());
+    late.hold_updates(1);
+    const auto permit = it.begin(guard);
+    BOOST_TEST(runs(permit));
+    late.deliver();
+    it.finish(guard, permit);
+    BOOST_TEST(is_stored(it.begin(it.there)));
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_did_not_run_may_be_repeated) {
     for (const auto fault : {store_fault::none, store_fault::lost_call, store_fault::lost_answer}) {
         fleet it;
--- a/libs/requests/tests/parts_tests.cpp
+++ b/libs/requests/tests/parts_tests.cpp
@@ -174,6 +174,19 @@
     BOOST_TEST(opened >= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(a_steady_connection_clears_the_backoff) {
+    connection_monitor monitor{connection_limits()};
+    virtual_clock clock;
+    monitor.opened(1, "peer", clock.now());
+    monitor.lost(1, "peer", clock.now());
+    monitor.poll(clock.now());
+    monitor.opened(2, "peer", clock.now());
+    clock.advance(30s);
+    monitor.heard(2, clock.now());
+    monitor.lost(2, "peer", clock.now());
+    BOOST_TEST(count<open_replacement>(monitor.poll(clock.now())) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_opens_only_when_every_reason_is_gone) {
     endpoint_gate gate;
     const endpoint_id it("engine-1");
--- a/libs/requests/tests/request_machine_tests.cpp
+++ b/libs/requests/tests/request_machine_tests.cpp
@@ -192,6 +192,27 @@
     BOOST_TEST(run.count<decisions::send_request>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_unable_endpoint_is_left_and_at_the_last_attempt_its_answer_is_passed_on) {
+    driver run(repeat_rule::idempotent);
+    run.until_sent();
+    for (attempt_number n = 1; n <= 3; ++n) {
+        auto head = driver::plain_head(n, 4);
+        head.status = 503;
+        run(head)(events::chunk{n, 0, "busy"})(events::response_end{n, true});
+        run(events::retry_granted{0s})(events::tick{})
+            .choose(second, false)(events::connected{n + 1});
+    }
+    BOOST_TEST(run.count<decisions::send_request>() == 3U);
+    BOOST_TEST(run.all<decisions::forward_head>().at(0).status == 503);
+    BOOST_TEST(run.bytes() == "busy");
+}
+
+BOOST_AUTO_TEST_CASE(a_retry_that_would_come_after_the_deadline_is_answered_now) {
+    driver run(repeat_rule::idempotent);
+    run.until_sent()(events::attempt_failed{1, false})(events::retry_granted{60s});
+    BOOST_TEST(run.count<decisions::answer_error>() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_denied_retry_answers_at_once) {
     driver run(repeat_rule::idempotent);
     run.until_sent()(events::attempt_failed{1, true})(events::retry_denied{});
@@ -324,12 +345,16 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_long_plain_answer_that_is_cut_breaks_the_connection) {
-    driver run(repeat_rule::once_with_key);
-    run.until_sent()(driver::plain_head(1, 100'000))(events::chunk{1, 0, std::string(70'000, 'x')});
-    BOOST_TEST(run.bytes().size() == 70'000U);
-    run(events::response_end{1, false});
-    BOOST_TEST(run.count<decisions::break_answer>() == 1U);
-    BOOST_TEST(run.count<decisions::store_outcome>() == 0U);
+    for (const repeat_rule repeat : {repeat_rule::idempotent, repeat_rule::once_with_key}) {
+        driver run(repeat);
+        run.until_sent()(driver::plain_head(1, 100'000));
+        run(events::chunk{1, 0, std::string(70'000, 'x')});
+        BOOST_TEST(run.bytes().size() == 70'000U);
+        run(events::response_end{1, false});
+        BOOST_TEST(run.count<decisions::break_answer>() == 1U);
+        BOOST_TEST(run.count<decisions::ask_retry>() == 0U);
+        BOOST_TEST(run.count<decisions::store_outcome>() == 0U);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/standins/include/standins/late_object_store.h
@@ -0,0 +1,61 @@
+/// An object store whose updates can take effect long after their caller gave up, for tests.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/object_store.h"
+
+namespace radishpulley::standins {
+
+/// Passes calls on to another store, which must outlive it. Not safe for concurrent calls.
+class late_object_store final : public platform::object_store {
+public:
+    explicit late_object_store(platform::object_store& inner) : inner_(inner) {}
+
+    /// The next `n` updates get no answer and wait for deliver().
+    void hold_updates(std::size_t n) { to_hold_ = n; }
+
+    /// Lets the held updates take effect, in their order, under their own conditions.
+    void deliver() {
+        for (const std::function<void()>& it : std::exchange(held_, {})) {
+            it();
+        }
+    }
+
+    platform::get_result get(std::string_view name) override { return inner_.get(name); }
+    platform::put_result put(std::string_view name, std::string_view value,
+                             platform::object_version expected) override {
+        return update([this, name = std::string(name), value = std::string(value), expected] {
+            return inner_.put(name, value, expected);
+        });
+    }
+    platform::put_result remove(std::string_view name, platform::object_version expected) override {
+        return update(
+            [this, name = std::string(name), expected] { return inner_.remove(name, expected); });
+    }
+    platform::list_result list(std::string_view prefix) override { return inner_.list(prefix); }
+    platform::watch_result watch(std::string_view prefix, platform::store_revision since,
+                                 duration wait) override {
+        return inner_.watch(prefix, since, wait);
+    }
+
+private:
+    template <typename Update>
+    platform::put_result update(Update apply) {
+        if (to_hold_ == 0) {
+            return apply();
+        }
+        --to_hold_;
+        held_.push_back([apply] { apply(); });
+        return platform::outcome_unknown{};
+    }
+
+    platform::object_store& inner_;
+    std::size_t to_hold_ = 0;
+    std::vector<std::function<void()>> held_;
+};
+
+}  // namespace radishpulley::standins
