--- a/libs/requests/include/requests/connection_monitor.h
+++ b/libs/requests/include/requests/connection_monitor.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,7 +57,8 @@
     /// The remote is no longer wanted.
     void forget(const std::string& remote);
 
-    /// Returns what is to be done now; call it at least once per heartbeat interval.
+    /// Returns what is to be done now; call it at least once per heartbeat interval. After a pause
+    /// of this daemon nothing counts as silent until another heartbeat could be answered.
     std::vector<connection_action> poll(time_point now);
 
 private:
@@ -71,9 +73,11 @@
     };
 
     void schedule(peer& it, time_point now);
+    void allow_for_pause(time_point now);
 
     const connection_limits limits_;
     std::map<std::string, peer> peers_;
+    std::optional<time_point> polled_at_;
 };
 
 }  // namespace radishpulley::requests
--- a/libs/requests/include/requests/decisions.h
+++ b/libs/requests/include/requests/decisions.h
@@ -37,8 +37,9 @@
     attempt_number attempt = 0;
     endpoint_id endpoint;
 };
-/// Write the request. From here on the request may have run. The HTTP client must not repeat it
-/// on its own.
+/// Write the request. From here on the request may have run. Right before the first byte the writer
+/// looks again at the gate and the state's age, and answers not_sent where they forbid it. The HTTP
+/// client must not repeat the request on its own.
 struct send_request {
     attempt_number attempt = 0;
     /// Events to skip, because the caller has them.
@@ -48,6 +49,11 @@
 struct cancel_attempt {
     attempt_number attempt = 0;
 };
+/// Close an attempt's connection, but keep its stream at the endpoint to be resumed and its use of
+/// the adapter counted, until release_attempt or cancel_attempt follows.
+struct suspend_attempt {
+    attempt_number attempt = 0;
+};
 /// Give back an attempt's use of the adapter and its connection, whose answer has ended.
 struct release_attempt {
     attempt_number attempt = 0;
@@ -115,11 +121,11 @@
     std::variant<decisions::ask_authentication, decisions::ask_admission, decisions::ask_record,
                  decisions::ask_routing, decisions::return_choice, decisions::return_admission,
                  decisions::open_connection, decisions::send_request, decisions::cancel_attempt,
-                 decisions::release_attempt, decisions::ask_retry, decisions::wake_at,
-                 decisions::forward_head, decisions::forward_bytes, decisions::pause_reading,
-                 decisions::resume_reading, decisions::release_record, decisions::store_outcome,
-                 decisions::answer_error, decisions::end_with_error_event, decisions::break_answer,
-                 decisions::end_answer, decisions::finished>;
+                 decisions::suspend_attempt, decisions::release_attempt, decisions::ask_retry,
+                 decisions::wake_at, decisions::forward_head, decisions::forward_bytes,
+                 decisions::pause_reading, decisions::resume_reading, decisions::release_record,
+                 decisions::store_outcome, decisions::answer_error, decisions::end_with_error_event,
+                 decisions::break_answer, decisions::end_answer, decisions::finished>;
 
 /// Decisions in the order in which they are to be carried out.
 using decision_list = std::vector<decision>;
--- a/libs/requests/include/requests/events.h
+++ b/libs/requests/include/requests/events.h
@@ -52,6 +52,11 @@
 struct connected {
     attempt_number attempt = 0;
 };
+/// The writer gave the attempt back before it wrote a byte, because the endpoint or the state was
+/// no longer to be trusted.
+struct not_sent {
+    attempt_number attempt = 0;
+};
 /// The endpoint's status line and headers.
 struct response_head {
     attempt_number attempt = 0;
@@ -114,9 +119,9 @@
     std::variant<events::validated, events::authenticated, events::queued, events::admitted,
                  events::refused, events::endpoint_chosen, events::record_created,
                  events::record_answered, events::record_refused, events::connected,
-                 events::response_head, events::chunk, events::response_end, events::attempt_failed,
-                 events::retry_granted, events::retry_denied, events::endpoint_leaving,
-                 events::caller_backlog, events::caller_left, events::key_withdrawn,
-                 events::grace_ended, events::tick>;
+                 events::not_sent, events::response_head, events::chunk, events::response_end,
+                 events::attempt_failed, events::retry_granted, events::retry_denied,
+                 events::endpoint_leaving, events::caller_backlog, events::caller_left,
+                 events::key_withdrawn, events::grace_ended, events::tick>;
 
 }  // namespace radishpulley::requests
--- a/libs/requests/include/requests/request_machine.h
+++ b/libs/requests/include/requests/request_machine.h
@@ -119,6 +119,7 @@
     void on(const events::record_answered& it, time_point now);
     void on(const events::record_refused& it, time_point now);
     void on(const events::connected& it, time_point now);
+    void on(const events::not_sent& it, time_point now);
     void on(const events::response_head& it, time_point now);
     void on(const events::chunk& it, time_point now);
     void on(const events::response_end& it, time_point now);
@@ -146,6 +147,8 @@
     void decide(decision it) { out_.push_back(std::move(it)); }
     void ask_routing();
     void drop_attempt();
+    void suspend_attempt();
+    void reroute();
     void lose_attempt(error_code code, std::string message);
     void deliver(std::string data);
     void collect(std::string data);
@@ -165,8 +168,11 @@
     decision_list out_;
     attempt_number attempt_ = 0;
     std::vector<endpoint_id> avoid_;
+    // Attempts whose stream is kept at the endpoint.
+    std::vector<attempt_number> suspended_;
     // Some attempt was sent, though perhaps not the present one.
     bool sent_ = false;
+    bool sent_before_attempt_ = false;
     bool answer_began_ = false;
     bool can_resume_ = false;
     endpoint_id last_endpoint_;
--- a/libs/requests/include/requests/shutdown_sequence.h
+++ b/libs/requests/include/requests/shutdown_sequence.h
@@ -69,8 +69,9 @@
     /// Begins, for example at SIGTERM. A second call changes nothing.
     std::vector<shutdown_action> begin(time_point now);
 
-    /// Call it at least once a second and after each ended request. `running` counts accepted
-    /// requests that have not finished; `held` counts what is still to be given back.
+    /// Call it at least once a second and after each ended request. `running` counts
+    /// requests that have not finished, those being refused included; `held` counts what is still
+    /// to be given back.
     std::vector<shutdown_action> poll(std::size_t running, std::size_t held, time_point now);
 
     shutdown_phase phase() const { return phase_; }
--- a/libs/requests/src/connection_monitor.cpp
+++ b/libs/requests/src/connection_monitor.cpp
@@ -64,8 +64,22 @@
     it.reopen_at = now + wait;
 }
 
+void connection_monitor::allow_for_pause(time_point now) {
+    const bool was_paused = polled_at_ && now - *polled_at_ > 2 * limits_.heartbeat_interval;
+    polled_at_ = now;
+    if (!was_paused) {
+        return;
+    }
+    const time_point earliest = now - limits_.silence_deadline + 2 * limits_.heartbeat_interval;
+    for (auto& [remote, it] : peers_) {
+        it.heard_at = std::max(it.heard_at, earliest);
+        it.heartbeat_at = std::min(it.heartbeat_at, now);
+    }
+}
+
 std::vector<connection_action> connection_monitor::poll(time_point now) {
     std::vector<connection_action> actions;
+    allow_for_pause(now);
     for (auto& [remote, it] : peers_) {
         if (it.connection != 0 && now - it.heard_at >= limits_.silence_deadline) {
             actions.push_back(discard_connection{it.connection, remote});
--- a/libs/requests/src/request_machine.cpp
+++ b/libs/requests/src/request_machine.cpp
@@ -196,11 +196,21 @@
         fail(error_code::deadline_exceeded, "the deadline passed before the request was sent");
         return;
     }
+    sent_before_attempt_ = sent_;
     sent_ = true;
     state_ = states::sent{last_endpoint_};
     decide(decisions::send_request{attempt_, body_.events_delivered()});
 }
 
+void request_machine::on(const events::not_sent& it, time_point) {
+    if (!is_current(it.attempt) || !is_in<states::sent>()) {
+        ++dropped_;
+        return;
+    }
+    sent_ = sent_before_attempt_;
+    reroute();
+}
+
 bool request_machine::is_wrong_answer(const events::response_head& it) const {
     if (it.echoed && *it.echoed != terms_.id) {
         return true;
@@ -234,6 +244,9 @@
         lose_attempt(error_code::endpoint_failed, "the endpoint is not able to answer now");
         return;
     }
+    for (const attempt_number attempt : std::exchange(suspended_, {})) {
+        decide(decisions::release_attempt{attempt});
+    }
     answer_began_ = true;
     head_ = it;
     body_.begin_attempt(it.attempt, it.framing, it.content_length);
@@ -310,12 +323,7 @@
     if (!is_in<states::connecting>() || endpoint() != it.endpoint || resumes) {
         return;
     }
-    drop_attempt();
-    if (attempt_ >= limits_.max_attempts) {
-        fail(error_code::no_endpoint, "the chosen endpoints are leaving");
-        return;
-    }
-    ask_routing();
+    reroute();
 }
 
 void request_machine::on(const events::caller_backlog& it, time_point now) {
@@ -388,8 +396,25 @@
     state_ = states::asking_retry{};
 }
 
-void request_machine::lose_attempt(error_code code, std::string message) {
+void request_machine::reroute() {
     drop_attempt();
+    if (attempt_ >= limits_.max_attempts) {
+        fail(error_code::no_endpoint, "the chosen endpoints take no new work");
+        return;
+    }
+    ask_routing();
+}
+
+void request_machine::suspend_attempt() {
+    decide(decisions::suspend_attempt{attempt_});
+    suspended_.push_back(attempt_);
+    paused_since_.reset();
+    state_ = states::asking_retry{};
+}
+
+void request_machine::lose_attempt(error_code code, std::string message) {
+    const bool resumes = head_forwarded_ && may_retry();
+    resumes ? suspend_attempt() : drop_attempt();
     last_code_ = code;
     last_message_ = std::move(message);
     if (!may_retry()) {
@@ -488,6 +513,9 @@
     if (has_attempt()) {
         drop_attempt();
     }
+    for (const attempt_number attempt : std::exchange(suspended_, {})) {
+        decide(decisions::cancel_attempt{attempt});
+    }
     if (record_held_ && !sent_) {
         decide(decisions::release_record{});
     }
--- a/libs/requests/src/shutdown_sequence.cpp
+++ b/libs/requests/src/shutdown_sequence.cpp
@@ -77,7 +77,8 @@
         grace_over_ = true;
         actions.emplace_back(end_grace{});
     }
-    if (phase_ == shutdown_phase::returning &&
+    // Late requests are still being refused; they end before the daemon does.
+    if (phase_ == shutdown_phase::returning && running == 0 &&
         (held == 0 || now - phase_since_ >= settings_.return_wait)) {
         phase_ = shutdown_phase::done;
         actions.emplace_back(exit_process{held == 0 ? 0 : 1});
--- a/libs/requests/tests/parts_tests.cpp
+++ b/libs/requests/tests/parts_tests.cpp
@@ -9,6 +9,7 @@
 #include "requests/endpoint_gate.h"
 #include "requests/retry_budget.h"
 #include "requests/shutdown_sequence.h"
+#include "requests/state_freshness.h"
 #include "requests/stream_assembler.h"
 
 using namespace radishpulley;
@@ -156,6 +157,35 @@
     BOOST_TEST(std::get<send_heartbeat>(monitor.poll(clock.now()).at(0)).connection == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_pause_of_the_daemon_is_not_taken_for_silence) {
+    connection_monitor monitor{connection_limits()};
+    virtual_clock clock;
+    monitor.opened(1, "peer", clock.now());
+    monitor.poll(clock.now());
+    clock.advance(60s);
+    const auto woken = monitor.poll(clock.now());
+    BOOST_TEST(count<discard_connection>(woken) == 0U);
+    BOOST_TEST(count<send_heartbeat>(woken) == 1U);
+    clock.advance(2s);
+    BOOST_TEST(count<discard_connection>(monitor.poll(clock.now())) == 0U);
+    clock.advance(2s);
+    BOOST_TEST(count<discard_connection>(monitor.poll(clock.now())) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_state_is_as_old_as_the_question_that_confirmed_it) {
+    state_freshness state(1s);
+    virtual_clock clock;
+    BOOST_TEST(!state.is_fresh(clock.now()));
+    const time_point asked_at = clock.now();
+    clock.advance(10s);
+    state.confirm(asked_at);
+    BOOST_TEST(!state.is_fresh(clock.now()));
+    state.confirm(clock.now());
+    state.confirm(asked_at);
+    BOOST_TEST(state.is_fresh(clock.now() + 1s));
+    BOOST_TEST(!state.is_fresh(clock.now() + 1001ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_flapping_remote_is_reopened_ever_more_rarely) {
     connection_monitor monitor{connection_limits()};
     virtual_clock clock;
@@ -213,6 +243,7 @@
     BOOST_TEST(shutdown.poll(1, 1, clock.now()).empty());
     BOOST_TEST(count<return_holdings>(shutdown.poll(0, 1, clock.now())) == 1U);
     BOOST_TEST(shutdown.poll(0, 1, clock.now()).empty());
+    BOOST_TEST(shutdown.poll(1, 0, clock.now()).empty());
     BOOST_TEST(std::get<exit_process>(shutdown.poll(0, 0, clock.now()).at(0)).status == 0);
 }
 
--- a/libs/requests/tests/request_machine_tests.cpp
+++ b/libs/requests/tests/request_machine_tests.cpp
@@ -243,6 +243,9 @@
     run(head)(events::chunk{2, 0, "data: b\n\ndata: [DONE]\n\n"})(events::response_end{2, true});
     BOOST_TEST(run.bytes() == "data: a\n\ndata: b\n\ndata: [DONE]\n\n");
     BOOST_TEST(run.count<decisions::forward_head>() == 1U);
+    BOOST_TEST(run.count<decisions::suspend_attempt>() == 1U);
+    BOOST_TEST(run.count<decisions::cancel_attempt>() == 0U);
+    BOOST_TEST(run.count<decisions::release_attempt>() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_that_does_not_resume_ends_with_an_error_event) {
@@ -295,6 +298,22 @@
     BOOST_TEST(!run.machine.is_finished());
 }
 
+BOOST_AUTO_TEST_CASE(what_the_writer_gave_back_has_not_run) {
+    driver run(repeat_rule::once_with_key);
+    run.until_sent()(events::not_sent{1});
+    BOOST_TEST((run.machine.run() == run_state::not_run));
+    run.choose(second, false)(events::connected{2})(events::not_sent{1});
+    BOOST_TEST((run.machine.run() == run_state::unknown));
+    run(events::not_sent{2})(events::grace_ended{});
+    BOOST_TEST((run.all<decisions::answer_error>().at(0).error.run == run_state::not_run));
+    BOOST_TEST(run.count<decisions::release_record>() == 1U);
+
+    driver retried(repeat_rule::idempotent);
+    retried.until_sent()(events::attempt_failed{1, false})(events::retry_granted{0s});
+    retried(events::tick{}).choose(second, false)(events::connected{2})(events::not_sent{2});
+    BOOST_TEST((retried.machine.run() == run_state::unknown));
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_left_cancels_its_run_but_not_a_keyed_one) {
     driver stream(repeat_rule::idempotent);
     stream.until_streaming()(events::caller_left{});
