--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -13,6 +13,7 @@
 constexpr duration silence = std::chrono::seconds(1);
 // A daemon that had to give tokens back keeps no spare ones for this long.
 constexpr duration spare_pause = std::chrono::milliseconds(300);
+constexpr duration least_spare_interval = std::chrono::milliseconds(20);
 // Spare tokens of one daemon are at most this part of what the slots are expected to hold.
 constexpr token_amount spare_part = 16;
 // Part of a slot's expected balance that one daemon asks for while other slots have some.
@@ -475,23 +476,25 @@
     if (target <= 0 || held >= target / 2 || context_.table.slots.empty()) {
         return;
     }
-    if (spare_loan_) {
-        const auto pending = loans_.find(*spare_loan_);
-        const bool is_pending = pending != loans_.end() && !pending->second.answered;
-        if (is_pending && now - pending->second.requested_at < context_.policy.round_wait) {
+    if (spare_loan_ && now < spare_asked_at_ + least_spare_interval) {
+        return;
+    }
+    const auto pending = loans_.find(spare_loan_.value_or(0));
+    if (pending != loans_.end() && !pending->second.answered) {
+        if (now < spare_asked_at_ + context_.policy.round_wait) {
             return;
         }
-        if (is_pending) {
-            views_[pending->second.slot].silent_until = now + silence;
-        }
+        views_[pending->second.slot].silent_until = now + silence;
     }
     const std::vector<slot_number> slots = slots_by_balance(now);
-    if (slots.empty() || expected_balance(slots.front(), now) <= 0) {
+    if (slots.empty() || views_[slots.front()].silent_until > now ||
+        expected_balance(slots.front(), now) <= 0) {
         return;
     }
     ask({slots.front(), std::min(target - held, expected_balance(slots.front(), now))}, false, now,
         out);
     spare_loan_ = context_.last_loan;
+    spare_asked_at_ = now;
     collection_.clear();
 }
 
--- a/libs/quota/src/details/account_pool.h
+++ b/libs/quota/src/details/account_pool.h
@@ -154,6 +154,7 @@
     std::uint64_t priority_ = 0;
     std::map<slot_number, loan_number> collection_;
     std::optional<loan_number> spare_loan_;
+    time_point spare_asked_at_{};
     time_point no_spare_until_{};
     // Amount that could be had at most when a collection from all slots last failed.
     std::optional<token_amount> shortage_;
--- a/libs/quota/src/details/slot_bucket.cpp
+++ b/libs/quota/src/details/slot_bucket.cpp
@@ -188,8 +188,8 @@
 
 std::vector<loan_reference> slot_bucket::request(const loan_reference& from,
                                                  const loan_request& message, time_point now) {
-    end_loans(now);
     accrue(now);
+    end_loans(now);
     if (ended_.count(from) != 0) {
         return {};
     }
@@ -214,8 +214,8 @@
 
 std::vector<loan_reference> slot_bucket::take_back(const loan_reference& from,
                                                    const loan_return& message, time_point now) {
-    end_loans(now);
     accrue(now);
+    end_loans(now);
     loan_record* const found = find_loan(from);
     if (found == nullptr) {
         return {};
@@ -254,11 +254,8 @@
 }
 
 std::vector<loan_reference> slot_bucket::advance(time_point now) {
-    end_loans(now);
-    if (line_.empty()) {
-        return {};
-    }
     accrue(now);
+    end_loans(now);
     return serve(now, share_.burst / least_parts_in_line);
 }
 
