Daemon: resume suspended streams in place; stopping daemon exits 0

Cause: the stopping daemon counted its released quota slots as still held, because the table was not read back after the release; it ran into its return limit and exited with 1. Before: exit status 1 after 13 s.

--- a/build.sh
+++ b/build.sh
@@ -11,6 +11,9 @@
   deps      install the Debian packages that the build needs
   build     build everything into out/release
   test      build, then run every test
+  demo      build, then run three daemons and all stand-ins on loopback, step by step
+  measure   build, then print the measurements of the decisions; arguments go to each
+  faults    build, then run the fault matrix; arguments go to it
   format    rewrite all sources with clang-format
   check     check format and lint without changing anything
   clean     remove out/
@@ -44,6 +47,24 @@
     cmake --build "$build_dir" --parallel "${JOBS:-10}"
 }
 
+demo() {
+    build
+    "$build_dir/tools/demo/rp_demo" "$build_dir/radishpulley/daemon/radishpulleyd"
+}
+
+measure() {
+    build
+    local status=0
+    local program
+    for program in "$build_dir"/tools/measure_*/measure_*; do
+        if [[ -f "$program" && -x "$program" ]]; then
+            echo "== $(basename "$program") $*"
+            "$program" "$@" || status=1
+        fi
+    done
+    return "$status"
+}
+
 check() {
     sources | xargs clang-format --dry-run --Werror
     configure
@@ -58,6 +79,13 @@
         build
         ctest --test-dir "$build_dir" --output-on-failure --parallel 4
         ;;
+    demo) demo ;;
+    measure) shift && measure "$@" ;;
+    faults)
+        shift
+        build
+        "$build_dir/tools/faults/faults" "$@"
+        ;;
     format) sources | xargs clang-format -i ;;
     check) check ;;
     clean) rm -rf out ;;
--- a/libs/placement/tests/router_tests.cpp
+++ b/libs/placement/tests/router_tests.cpp
@@ -115,8 +115,7 @@
 BOOST_AUTO_TEST_CASE(new_holder_is_asked_for_pins_in_use) {
     bench it;
     it.grant(messages<pin_request>(it.request("1")).front());
-    const auto out =
-        it.routes.on_holder(endpoint_id("e0"), {vm_id("h2"), 1}, 3, it.now);
+    const auto out = it.routes.on_holder(endpoint_id("e0"), {vm_id("h2"), 1}, 3, it.now);
     BOOST_REQUIRE(messages<pin_request>(out).size() == 1U);
     BOOST_TEST(messages<pin_request>(out).front().running == 1U);
 }
@@ -249,8 +248,9 @@
 BOOST_AUTO_TEST_CASE(rare_adapter_stays_at_its_busy_engine_and_a_hot_one_gets_a_copy) {
     bench it(2);
     const auto busy = [&](const adapter_ref& adapter) {
-        const auto asked = messages<pin_request>(it.request("first-" + adapter.adapter.str(), "c",
-                                                            adapter)).front();
+        const auto asked =
+            messages<pin_request>(it.request("first-" + adapter.adapter.str(), "c", adapter))
+                .front();
         pin_grant body{asked.endpoint, adapter, self, asked.number, 1, 10s, 4, {4, 4, 4, 0}};
         it.routes.on_message(body, it.now);
         return asked.endpoint;
--- a/radishpulley/daemon/include/daemon/request_session.h
+++ b/radishpulley/daemon/include/daemon/request_session.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -51,6 +52,7 @@
     void carry_out(const requests::decisions::open_connection& it);
     void carry_out(const requests::decisions::send_request& it);
     void carry_out(const requests::decisions::cancel_attempt& it);
+    void carry_out(const requests::decisions::suspend_attempt& it);
     void carry_out(const requests::decisions::release_attempt& it);
     void carry_out(const requests::decisions::ask_retry& it);
     void carry_out(const requests::decisions::wake_at& it);
@@ -73,6 +75,8 @@
     void route_application(const requests::decisions::ask_routing& it);
     void begin_record();
     void release_place();
+    void close_call();
+    void end_attempt(requests::attempt_number attempt);
     void lose_adapter(requests::attempt_number attempt);
     void watch_backlog();
     void note_token();
@@ -99,22 +103,21 @@
     bool draining_ = false;
     keys::running_request running_;
     std::optional<quota::admission_number> admission_;
-    bool admitted_ = false;
     std::optional<placement::send_request> place_;
     endpoint_id endpoint_;
     std::string endpoint_address_;
     bool holds_place_ = false;
+    // Attempts whose use of the endpoint counts, suspended ones included.
+    std::set<requests::attempt_number> open_attempts_;
+    requests::attempt_number sent_attempt_ = 0;
     std::optional<idempotency::run_permit> permit_;
     std::shared_ptr<http::running_call> running_call_;
     std::shared_ptr<endpoint_observer> observer_;
     bool paused_ = false;
     std::function<void()> proceed_;
-    bool stream_started_ = false;
     bool watching_backlog_ = false;
     std::optional<time_point> last_token_;
     time_point routed_at_{};
-    std::string content_type_;
-    int head_status_ = 0;
     std::string error_code_;
 };
 
--- a/radishpulley/daemon/src/fleet_runtime.cpp
+++ b/radishpulley/daemon/src/fleet_runtime.cpp
@@ -158,8 +158,9 @@
 }
 
 void fleet_runtime::leave() {
+    const std::lock_guard<std::mutex> one_at_a_time(accept_mutex_);
     const std::lock_guard<std::mutex> lock(mutex_);
-    agent_.leave();
+    agent_.leave(clock_.now());
 }
 
 }  // namespace radishpulley::daemon
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -275,10 +275,6 @@
 
 void request_session::on_admission(const quota::admission_decision& it) {
     if (std::holds_alternative<quota::admitted>(it)) {
-        {
-            const std::lock_guard<std::mutex> lock(mutex_);
-            admitted_ = true;
-        }
         handle(events::admitted{});
         return;
     }
@@ -361,6 +357,11 @@
 }
 
 void request_session::carry_out(const decisions::ask_routing& it) {
+    if (it.resume_at && holds_place_) {
+        // The suspended attempt still counts as a use of the adapter there.
+        queue(events::endpoint_chosen{*it.resume_at, true});
+        return;
+    }
     routed_at_ = services_.time.now();
     services_.retries.count_request(is_model() ? as_model().service : as_application().service);
     if (is_model()) {
@@ -461,13 +462,15 @@
 }
 
 void request_session::carry_out(const decisions::open_connection& it) {
+    open_attempts_.insert(it.attempt);
     // The client opens the connection when it sends, so the machine counts the request as sent a
     // little early, which never makes "not run" false.
     queue(events::connected{it.attempt});
 }
 
 void request_session::carry_out(const decisions::send_request& it) {
-    if (place_ && services_.time.now() > place_->send_by) {
+    const bool is_resumed = it.resume_from > 0;
+    if (place_ && !is_resumed && services_.time.now() > place_->send_by) {
         queue(events::attempt_failed{it.attempt, false});
         return;
     }
@@ -479,13 +482,14 @@
     const bool repeatable = machine_.run() != run_state::not_run && is_model();
     const auto reuse =
         repeatable ? http::connection_reuse::keep : http::connection_reuse::one_per_call;
+    sent_attempt_ = it.attempt;
     observer_ = std::make_shared<endpoint_observer>(weak_from_this(), it.attempt);
     paused_ = false;
     running_call_ =
         services_.applications.client_for(endpoint_address_, reuse)->start(out, observer_);
 }
 
-void request_session::carry_out(const decisions::cancel_attempt&) {
+void request_session::close_call() {
     if (running_call_) {
         running_call_->cancel();
         running_call_.reset();
@@ -495,13 +499,32 @@
         services_.workers.post(std::exchange(proceed_, nullptr));
     }
     observer_.reset();
-    release_place();
 }
 
-void request_session::carry_out(const decisions::release_attempt&) {
-    running_call_.reset();
-    observer_.reset();
-    release_place();
+void request_session::end_attempt(requests::attempt_number attempt) {
+    open_attempts_.erase(attempt);
+    if (open_attempts_.empty()) {
+        release_place();
+    }
+}
+
+void request_session::carry_out(const decisions::cancel_attempt& it) {
+    if (it.attempt == sent_attempt_) {
+        close_call();
+    }
+    end_attempt(it.attempt);
+}
+
+void request_session::carry_out(const decisions::suspend_attempt&) {
+    close_call();
+}
+
+void request_session::carry_out(const decisions::release_attempt& it) {
+    if (it.attempt == sent_attempt_) {
+        running_call_.reset();
+        observer_.reset();
+    }
+    end_attempt(it.attempt);
 }
 
 void request_session::carry_out(const decisions::ask_retry& it) {
@@ -533,8 +556,6 @@
     head.status = it.status;
     head.headers["Content-Type"] = it.content_type;
     head.headers[std::string(request_id_header)] = id_.str();
-    stream_started_ = true;
-    head_status_ = it.status;
     answer_->start(head);
 }
 
--- a/tools/measure_placement/report.cpp
+++ b/tools/measure_placement/report.cpp
@@ -14,7 +14,9 @@
 constexpr double loads_target = 1.5;
 constexpr const char* own_policy = "radishpulley";
 
-double seconds(duration it) { return std::chrono::duration<double>(it).count(); }
+double seconds(duration it) {
+    return std::chrono::duration<double>(it).count();
+}
 
 double quantile(std::vector<double> values, double part) {
     if (values.empty()) {
@@ -79,8 +81,8 @@
         busy += engine->busy();
         tokens += engine->tokens();
     }
-    result.batch_efficiency = static_cast<double>(tokens) * seconds(best_token_time()) /
-                              std::max(seconds(busy), 1e-9);
+    result.batch_efficiency =
+        static_cast<double>(tokens) * seconds(best_token_time()) / std::max(seconds(busy), 1e-9);
     result.loads_per_1000 =
         1000.0 * static_cast<double>(loads) / static_cast<double>(result.requests);
     result.cross_region_megabytes = static_cast<double>(bytes) / 1e6;
@@ -133,7 +135,9 @@
     return result;
 }
 
-const figures& own(const row_figures& it) { return it.policies.back(); }
+const figures& own(const row_figures& it) {
+    return it.policies.back();
+}
 
 bool require(bool met, const row_figures& it, const char* target, double seen, double limit) {
     if (!met) {
@@ -168,10 +172,9 @@
     plain("random", plain_kind::random);
     plain("least-loaded", plain_kind::least_loaded);
     plain("lru", plain_kind::lru);
-    result.policies.push_back(
-        run_policy("radishpulley+region", arrivals, settings, [&](world& where) {
-            return make_fleet_policy(where, seed, /*regions_known=*/true);
-        }));
+    result.policies.push_back(run_policy(
+        "radishpulley+region", arrivals, settings,
+        [&](world& where) { return make_fleet_policy(where, seed, /*regions_known=*/true); }));
     result.policies.push_back(run_policy(own_policy, arrivals, settings, [&](world& where) {
         return make_fleet_policy(where, seed, /*regions_known=*/false);
     }));
@@ -192,9 +195,9 @@
     for (const figures& one : it.policies) {
         std::printf(
             "%-20s %8zu %7zu %7zu %7.2f %7.2f %7.2f %6.3f %7.2f %7.2f %7.3f %8.2f %8.1f %8.1f\n",
-            one.policy.c_str(), one.requests, one.refused, one.stalls, one.stall_p50,
-            one.stall_p95, one.stall_p99, one.batch_efficiency, one.first_token_p50,
-            one.first_token_p95, one.worst_served, one.worst_first_token_p95, one.loads_per_1000,
+            one.policy.c_str(), one.requests, one.refused, one.stalls, one.stall_p50, one.stall_p95,
+            one.stall_p99, one.batch_efficiency, one.first_token_p50, one.first_token_p95,
+            one.worst_served, one.worst_first_token_p95, one.loads_per_1000,
             one.cross_region_megabytes);
     }
     std::printf("%-20s %94s %8.1f\n", "offline bound", "", it.fewest_loads_per_1000);
