Benchmark of one daemon against its stand-in asked directly

Also: a request that waited for a place is refused when the keys became stale meanwhile; a daemon that learns of a later start of its VM ends.

--- a/build.sh
+++ b/build.sh
@@ -12,6 +12,7 @@
   build     build everything into out/release
   test      build, then run every test
   demo      build, then run three daemons and all stand-ins on loopback, step by step
+  bench     build, then time one daemon on loopback against its stand-in asked directly
   measure   build, then print the measurements of the decisions; arguments go to each
   faults    build, then run the fault matrix; arguments go to it
   format    rewrite all sources with clang-format
@@ -52,6 +53,11 @@
     "$build_dir/tools/demo/rp_demo" "$build_dir/radishpulley/daemon/radishpulleyd"
 }
 
+bench() {
+    build
+    "$build_dir/tools/bench/rp_bench" "$build_dir/radishpulley/daemon/radishpulleyd"
+}
+
 measure() {
     build
     local status=0
@@ -80,6 +86,7 @@
         ctest --test-dir "$build_dir" --output-on-failure --parallel 4
         ;;
     demo) demo ;;
+    bench) bench ;;
     measure) shift && measure "$@" ;;
     faults)
         shift
--- a/libs/fleet_of_processes/include/fleet_of_processes/local_fleet.h
+++ b/libs/fleet_of_processes/include/fleet_of_processes/local_fleet.h
@@ -34,6 +34,7 @@
     std::size_t vms = 3;
     std::size_t engines = 2;
     std::uint32_t slots = 2;
+    std::uint32_t concurrency = 16;
     std::chrono::milliseconds token_time{5};
 };
 
--- a/libs/fleet_of_processes/src/local_fleet.cpp
+++ b/libs/fleet_of_processes/src/local_fleet.cpp
@@ -172,7 +172,7 @@
                              {"zone", "zone-" + std::to_string(i % 3)},
                              {"region", "solo"},
                              {"slots", settings_.slots},
-                             {"concurrency", 16},
+                             {"concurrency", settings_.concurrency},
                              {"checks_fencing", i % 2 == 0}});
     }
     endpoints.push_back({{"id", "press"},
@@ -193,7 +193,7 @@
          {{{"id", "drafts"}, {"kind", "model"}, {"base_model", "base"}},
           {{"id", "print"}, {"kind", "application"}, {"route", "print"}}}},
         {"client_accounts",
-         {{{"id", "sastro"}, {"rate", 100000}, {"burst", 200000}},
+         {{{"id", "sastro"}, {"rate", 10000000}, {"burst", 20000000}},
           {{"id", "rhwymo"}, {"rate", 100}, {"burst", 1000}}}},
         {"keys",
          {{{"id", "k-sastro"}, {"account", "sastro"}, {"digest", digest_of("sastro-key")}},
--- a/libs/standins/include/standins/child_process.h
+++ b/libs/standins/include/standins/child_process.h
@@ -22,6 +22,7 @@
     /// Waits for the end and returns the exit status, or 128 + the number of the ending signal.
     int wait();
     bool has_ended();
+    pid_t id() const { return pid_; }
 
 private:
     pid_t pid_ = -1;
--- a/radishpulley/daemon/include/daemon/message_bus.h
+++ b/radishpulley/daemon/include/daemon/message_bus.h
@@ -25,6 +25,8 @@
     std::function<void(const vm_incarnation&)> on_connected;
     /// `refused` only when the operating system told that nothing listens there.
     std::function<void(const vm_id&, bool refused)> on_disconnected;
+    /// A later start of this VM's daemon exists: this process must end.
+    std::function<void()> on_superseded;
 };
 
 /// Safe to call from several threads. Lock order: the bus's lock is taken last.
--- a/radishpulley/daemon/src/daemon.cpp
+++ b/radishpulley/daemon/src/daemon.cpp
@@ -264,6 +264,10 @@
     handlers.on_disconnected = [this](const vm_id& vm, bool refused) {
         fleet.handle(fleet::peer_disconnected{vm, refused});
     };
+    handlers.on_superseded = [this] {
+        log_event(severity::error, "superseded", {{"incarnation", self.incarnation}});
+        workers.post([this] { begin_shutdown(); });
+    };
     bus.start(std::move(handlers));
 }
 
--- a/radishpulley/daemon/src/message_bus.cpp
+++ b/radishpulley/daemon/src/message_bus.cpp
@@ -42,9 +42,15 @@
         log_event(severity::warning, "peer_lost",
                   {{"peer", it.peer.vm}, {"cause", peer::to_string(it.fault)}});
         handlers.on_disconnected(it.peer.vm, false);
+        if (it.fault == peer::peer_fault::superseded) {
+            handlers.on_superseded();
+        }
     };
     out.on_dial_failed = [handlers](const peer::dial_failure& it) {
         handlers.on_disconnected(it.vm, it.fault == peer::peer_fault::connection_refused);
+        if (it.fault == peer::peer_fault::superseded) {
+            handlers.on_superseded();
+        }
     };
     transport_->start(std::move(out));
 }
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -63,6 +63,11 @@
     return it;
 }
 
+events::refused stale_refusal() {
+    return {error_code::configuration_stale,
+            "this VM cannot tell whether its copy of the keys is current", stale_retry};
+}
+
 events::record_refused refusal_event(idempotency::refusal it) {
     switch (it) {
         case idempotency::refusal::unavailable:
@@ -227,9 +232,7 @@
     }
     const keys::serving_decision serving = services_.fleet.serving();
     if (std::holds_alternative<keys::refuse_keyed>(serving)) {
-        queue(events::refused{error_code::configuration_stale,
-                              "this VM cannot tell whether its copy of the keys is current",
-                              stale_retry});
+        queue(stale_refusal());
         return;
     }
     const auto view = services_.fleet.view();
@@ -404,6 +407,16 @@
         return;
     }
     const auto& place = std::get<placement::send_request>(it);
+    // The request may have waited for long, and its key may have been withdrawn meanwhile.
+    if (!is_open() && std::holds_alternative<keys::refuse_keyed>(services_.fleet.serving())) {
+        services_.placement.ended(id_);
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            holds_place_ = false;
+        }
+        handle(stale_refusal());
+        return;
+    }
     const auto address = services_.applications.address_of(place.endpoint);
     if (!address || services_.time.now() > place.send_by) {
         services_.placement.not_sent(id_);
