--- a/libs/membership/include/membership/incarnation_store.h
+++ b/libs/membership/include/membership/incarnation_store.h
@@ -11,7 +11,7 @@
 /// The object API did not answer: the daemon has no incarnation yet.
 ///
 /// It must not use a number of its own making. Until it gets one it serves by what peers tell it,
-/// but grants nothing, holds nothing and commits nothing in its VM's name.
+/// but takes no lease and grants nothing in its VM's name.
 struct incarnation_unknown {};
 
 using incarnation_result = std::variant<vm_incarnation, incarnation_unknown>;
