--- a/libs/placement/include/placement/messages.h
+++ b/libs/placement/include/placement/messages.h
@@ -76,6 +76,8 @@
     /// Most requests that this daemon may have at the engine at once, over all adapters.
     std::uint32_t window = 1;
     engine_digest state;
+    /// The adapter's requests at this engine from all daemons.
+    double requests_per_second = 0;
 };
 
 /// Why there is no pin now.
--- a/libs/placement/include/placement/router.h
+++ b/libs/placement/include/placement/router.h
@@ -11,7 +11,6 @@
 
 #include "base/clock.h"
 #include "placement/messages.h"
-#include "placement/popularity.h"
 
 namespace radishpulley::placement {
 
@@ -40,9 +39,10 @@
     duration answer_timeout = std::chrono::seconds(1);
     /// Cost of one more copy as time; a copy is made only above this gain.
     duration load_cost = std::chrono::milliseconds(1500);
-    /// Requests over the popularity's half-life below which a copy costs in proportion more.
-    double copy_after = 10;
-    duration popularity_half_life = std::chrono::minutes(1);
+    /// Rate of an adapter below which a further copy costs in proportion more.
+    double copy_requests_per_second = 0.05;
+    /// How long another engine is taken to keep an adapter that it granted.
+    duration copy_memory = std::chrono::minutes(2);
     /// Shortest time between two messages about one pin.
     duration ask_spacing = std::chrono::milliseconds(100);
     /// Unanswered messages after which the holder counts as unreachable.
@@ -54,8 +54,12 @@
     duration prefix_gain = std::chrono::milliseconds(200);
     /// How long a prefix is expected to stay cached.
     duration prefix_life = std::chrono::minutes(2);
-    /// Expected time of one request on a full engine.
+    /// Expected time of one request on a full engine, until some have ended.
     duration expected_run = std::chrono::seconds(4);
+    /// Weight of the last request in the running mean of that time.
+    double run_smoothing = 0.05;
+    /// Time after which a window that keeps requests waiting is asked for anew.
+    duration window_refresh = std::chrono::milliseconds(500);
     /// Most requests that wait at this daemon.
     std::size_t most_waiting = 2000;
     /// Share of the waiting places that one account may fill while others wait too.
@@ -131,8 +135,8 @@
     std::size_t running() const { return running_.size(); }
     std::size_t pin_count() const { return pins_.size(); }
     /// Returns the candidate engines for an adapter, the preferred one first.
-    std::vector<endpoint_id> candidates_for(const adapter_ref& adapter,
-                                            const region_id& usual_region) const;
+    const std::vector<endpoint_id>& candidates_for(const adapter_ref& adapter,
+                                                   const region_id& usual_region) const;
 
 private:
     struct engine_view {
@@ -144,6 +148,10 @@
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         std::map<std::uint64_t, time_point> prefixes;
+        /// Adapters with waiting requests.
+        std::set<adapter_ref> waiting_adapters;
+        /// Adapters that its holder granted, and when.
+        std::map<adapter_ref, time_point> copies;
     };
     struct pin_key {
         endpoint_id endpoint;
@@ -179,10 +187,16 @@
     struct running_request {
         placement_request request;
         pin_key key;
+        time_point since{};
     };
 
     using pin_map = std::map<pin_key, pin>;
 
+    std::vector<endpoint_id> rank_engines(const adapter_ref& adapter,
+                                          const region_id& usual_region) const;
+    bool has_copy(const engine_view& engine, const adapter_ref& adapter, time_point now) const;
+    duration copy_cost(const adapter_ref& adapter) const;
+    void forget_old(time_point now);
     duration queue_wait(const engine_view& engine) const;
     duration cost_of(const engine_view& engine, std::size_t rank, const placement_request& it,
                      time_point now) const;
@@ -220,9 +234,13 @@
     /// Requests sent so far divided by the account's weight, as a virtual time.
     std::map<client_account_id, double> served_;
     double virtual_time_ = 0;
-    popularity popularity_;
+    /// Running mean of the requests' times.
+    duration mean_run_;
+    /// Highest rate that a holder stated for an adapter, of late.
+    std::map<adapter_ref, double> rates_;
+    mutable std::map<std::pair<adapter_ref, region_id>, std::vector<endpoint_id>> candidates_;
     message_number last_number_ = 0;
-    time_point pruned_at_{};
+    time_point forgot_at_{};
 };
 
 }  // namespace radishpulley::placement
--- a/libs/placement/include/placement/slot_keeper.h
+++ b/libs/placement/include/placement/slot_keeper.h
@@ -42,15 +42,14 @@
     duration failed_load_delay = std::chrono::seconds(1);
     /// Time within which an answer to a load is expected.
     duration expected_load = std::chrono::milliseconds(500);
-    /// Half-life of an adapter's popularity.
-    duration popularity_half_life = std::chrono::minutes(10);
+    popularity_settings popularity;
     /// Wait after which an adapter in constant use gives up its slot: it is closed to new requests
     /// and evicted when those under way have ended.
     duration patience = std::chrono::seconds(8);
     /// An adapter is not closed before it stayed for this time.
     duration shortest_stay = std::chrono::seconds(20);
-    /// Popularity above which an adapter is loaded into a free slot before anybody asks.
-    double prefetch_score = 2;
+    /// Requests a second above which an adapter is loaded into a free slot before anybody asks.
+    double prefetch_rate = 0.002;
     /// Loads of this engine a second that need no permit: its part of the fixed split.
     double own_loads_per_second = 0;
 };
@@ -167,6 +166,9 @@
     duration expected_wait() const;
     engine_digest digest() const;
     std::size_t evicting() const;
+    void set_demand(const vm_incarnation& daemon, pin& it, std::uint32_t running,
+                    std::uint32_t waiting);
+    pin_map::iterator erase_pin(pin_map& pins, pin_map::iterator it);
 
     void grant(const pin_request& it, time_point now, keeper_decisions& out);
     void refuse(const pin_request& it, pin_refusal_reason reason, duration wait,
@@ -214,6 +216,9 @@
     std::map<adapter_ref, slot> slots_;
     /// Pins outlive slots: daemons trust them also when the engine lost the adapter.
     std::map<adapter_ref, pin_map> pins_;
+    /// Running and waiting requests under all pins of a daemon, and of all daemons.
+    std::map<vm_incarnation, std::uint32_t> demand_;
+    std::uint32_t all_demand_ = 0;
     std::map<adapter_ref, wish_map> wishes_;
     std::map<adapter_ref, failure> failures_;
     /// Until when an order without an answer may still take effect.
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -10,7 +10,10 @@
 
 constexpr std::size_t fairness_scan = 64;
 constexpr std::size_t most_prefixes = 4096;
-constexpr double least_popularity = 0.05;
+constexpr std::size_t most_cached_candidates = 8192;
+constexpr duration forget_interval = std::chrono::seconds(30);
+/// Greatest factor of a rare adapter's copy.
+constexpr double most_scarcity = 20;
 constexpr duration least_retry_after = std::chrono::seconds(1);
 
 std::string hash_subject(const adapter_ref& it) {
@@ -24,12 +27,24 @@
       zone_(std::move(zone)),
       region_(std::move(region)),
       settings_(settings),
-      popularity_(settings.popularity_half_life) {}
+      mean_run_(settings.expected_run) {}
 
 // Choice of engine.
 
-std::vector<endpoint_id> router::candidates_for(const adapter_ref& adapter,
-                                                const region_id& usual_region) const {
+const std::vector<endpoint_id>& router::candidates_for(const adapter_ref& adapter,
+                                                       const region_id& usual_region) const {
+    if (candidates_.size() > most_cached_candidates) {
+        candidates_.clear();
+    }
+    const auto [it, added] = candidates_.try_emplace({adapter, usual_region});
+    if (added) {
+        it->second = rank_engines(adapter, usual_region);
+    }
+    return it->second;
+}
+
+std::vector<endpoint_id> router::rank_engines(const adapter_ref& adapter,
+                                              const region_id& usual_region) const {
     struct candidate {
         bool near = false;
         std::uint64_t weight = 0;
@@ -61,7 +76,22 @@
     if (load <= places) {
         return duration::zero();
     }
-    return settings_.expected_run * (load - places) / places;
+    return mean_run_ * (load - places) / places;
+}
+
+bool router::has_copy(const engine_view& engine, const adapter_ref& adapter,
+                      time_point now) const {
+    const auto it = engine.copies.find(adapter);
+    return it != engine.copies.end() && now - it->second < settings_.copy_memory;
+}
+
+// A load takes budget from every other adapter, so a copy of a rare one must gain more.
+duration router::copy_cost(const adapter_ref& adapter) const {
+    const auto it = rates_.find(adapter);
+    const double rate = it == rates_.end() ? 0 : it->second;
+    const double usual = settings_.copy_requests_per_second;
+    const double scarcity = std::max(1.0, usual / std::max(rate, usual / most_scarcity));
+    return std::chrono::duration_cast<duration>(settings_.load_cost * scarcity);
 }
 
 duration router::cost_of(const engine_view& engine, std::size_t rank, const placement_request& it,
@@ -73,10 +103,8 @@
     if (!present && under_way) {
         cost += pin->second.expected_wait;
     }
-    if (!present && !under_way && rank > 0) {
-        const double uses = popularity_.score(it.adapter, now);
-        const double scarcity = std::max(1.0, settings_.copy_after / (1 + uses));
-        cost += std::chrono::duration_cast<duration>(settings_.load_cost * scarcity);
+    if (!present && !under_way && rank > 0 && !has_copy(engine, it.adapter, now)) {
+        cost += copy_cost(it.adapter);
     }
     if (engine.info.region != region_) {
         cost += settings_.region_cost;
@@ -143,6 +171,7 @@
     ++entry.arrived;
     entry.last_use = now;
     entry.waiting.push_back({it, since});
+    engines_.at(key.endpoint).waiting_adapters.insert(key.adapter);
     waiting_at_.emplace(it.id, key);
     ++engines_.at(key.endpoint).waiting;
     std::size_t& own = waiting_by_account_[it.account];
@@ -152,17 +181,18 @@
     }
     ++own;
     flush(key.endpoint, now, out);
-    if (!entry.waiting.empty() && now >= entry.valid_until) {
-        const bool first = entry.asked_at == time_point::min();
-        if (first || now - entry.asked_at >= settings_.ask_spacing) {
-            ask(key, entry, now, out);
-        }
+    if (entry.waiting.empty()) {
+        return;
+    }
+    const bool pinned = now < entry.valid_until;
+    const duration spacing = pinned ? settings_.window_refresh : settings_.ask_spacing;
+    if (entry.asked_at == time_point::min() || now - entry.asked_at >= spacing) {
+        ask(key, entry, now, out);
     }
 }
 
 router_decisions router::on_request(const placement_request& it, time_point now) {
     router_decisions out;
-    popularity_.add(it.adapter, 1, now);
     place(it, now, now, endpoint_id(), out);
     return out;
 }
@@ -170,6 +200,7 @@
 std::vector<router::waiting_request> router::take_waiting(const pin_key& key, pin& it) {
     std::vector<waiting_request> taken = std::move(it.waiting);
     it.waiting.clear();
+    engines_.at(key.endpoint).waiting_adapters.erase(key.adapter);
     for (const waiting_request& entry : taken) {
         waiting_at_.erase(entry.request.id);
         --waiting_by_account_[entry.request.account];
@@ -195,6 +226,8 @@
         return out;
     }
     const pin_key key = it->second.key;
+    const auto ran = static_cast<double>((now - it->second.since - mean_run_).count());
+    mean_run_ += duration(static_cast<duration::rep>(settings_.run_smoothing * ran));
     running_.erase(it);
     const auto engine = engines_.find(key.endpoint);
     if (engine != engines_.end()) {
@@ -236,6 +269,9 @@
     --waiting_by_account_[it->request.account];
     --engines_.at(key.endpoint).waiting;
     list.erase(it);
+    if (list.empty()) {
+        engines_.at(key.endpoint).waiting_adapters.erase(key.adapter);
+    }
     waiting_at_.erase(where);
 }
 
@@ -293,6 +329,9 @@
     const auto it = from.waiting.begin() + static_cast<std::ptrdiff_t>(position);
     const placement_request request = std::move(it->request);
     from.waiting.erase(it);
+    if (from.waiting.empty()) {
+        engines_.at(key.endpoint).waiting_adapters.erase(key.adapter);
+    }
     waiting_at_.erase(request.id);
     --waiting_by_account_[request.account];
     double& served = served_[request.account];
@@ -314,7 +353,7 @@
     decision.send_by = from.valid_until;
     decision.end_by = now + settings_.longest_request;
     out.push_back(std::move(decision));
-    running_[request.id] = {request, key};
+    running_[request.id] = {request, key, now};
 }
 
 // Pins.
@@ -394,7 +433,10 @@
     entry->answered = it.number;
     entry->expected_wait = duration::zero();
     entry->sent.erase(entry->sent.begin(), std::next(asked));
-    engines_.at(it.endpoint).window = it.window;
+    engine_view& engine = engines_.at(it.endpoint);
+    engine.window = it.window;
+    engine.copies[it.adapter] = now;
+    rates_[it.adapter] = it.requests_per_second;
     note_state(it.endpoint, it.state);
     flush(it.endpoint, now, out);
 }
@@ -506,17 +548,34 @@
             engine.prefixes.clear();
         }
     }
-    if (now - pruned_at_ > settings_.popularity_half_life) {
-        popularity_.prune(least_popularity, now);
-        pruned_at_ = now;
+    if (now - forgot_at_ > forget_interval) {
+        forget_old(now);
     }
     return out;
 }
 
+void router::forget_old(time_point now) {
+    forgot_at_ = now;
+    std::set<adapter_ref> remembered;
+    for (auto& [endpoint, engine] : engines_) {
+        for (auto it = engine.copies.begin(); it != engine.copies.end();) {
+            const bool old = now - it->second >= settings_.copy_memory;
+            if (!old) {
+                remembered.insert(it->first);
+            }
+            it = old ? engine.copies.erase(it) : std::next(it);
+        }
+    }
+    for (auto it = rates_.begin(); it != rates_.end();) {
+        it = remembered.count(it->first) == 0 ? rates_.erase(it) : std::next(it);
+    }
+}
+
 // Topology.
 
 router_decisions router::configure(std::vector<engine_info> engines, time_point now) {
     router_decisions out;
+    candidates_.clear();
     std::set<endpoint_id> kept;
     for (engine_info& it : engines) {
         const endpoint_id endpoint = it.endpoint;
@@ -559,6 +618,9 @@
         return out;
     }
     const bool changed = holder != engine->second.holder || fence != engine->second.fence;
+    if (holder.vm.empty() != engine->second.holder.vm.empty()) {
+        candidates_.clear();
+    }
     engine->second.holder = holder;
     engine->second.fence = fence;
     if (!changed || holder.vm.empty()) {
--- a/libs/placement/src/slot_keeper.cpp
+++ b/libs/placement/src/slot_keeper.cpp
@@ -10,7 +10,8 @@
 constexpr int order_bits = 24;
 constexpr std::uint32_t most_doublings = 4;
 constexpr double prefetch_need = 0.001;
-constexpr double least_popularity = 0.05;
+/// Requests a second: one in four hours.
+constexpr double least_popularity = 1.0 / (4 * 3600);
 constexpr double most_own_loads = 1;
 constexpr std::size_t most_permit_requests = 64;
 
@@ -27,7 +28,7 @@
       term_(std::move(term)),
       evict_from_(now),
       adopt_from_(now),
-      popularity_(settings.popularity_half_life),
+      popularity_(settings.popularity),
       own_loads_at_(now) {
     if (term_.first) {
         return;
@@ -88,7 +89,7 @@
 double slot_keeper::need_of(const adapter_ref& adapter, time_point now) const {
     const auto it = wishes_.find(adapter);
     if (it == wishes_.end()) {
-        return prefetch_need * popularity_.score(adapter, now);
+        return prefetch_need * popularity_.rate(adapter, now);
     }
     double weight = 0;
     duration oldest{};
@@ -115,7 +116,7 @@
         const auto favourite = popularity_.most_popular(now, [this](const adapter_ref& it) {
             return slots_.count(it) == 0 && failures_.count(it) == 0;
         });
-        if (favourite && popularity_.score(*favourite, now) >= settings_.prefetch_score) {
+        if (favourite && popularity_.rate(*favourite, now) >= settings_.prefetch_rate) {
             consider(*favourite);
         }
     }
@@ -141,7 +142,7 @@
         if (!settled || wanted || in_use(adapter, it, now) || !quiet_for(adapter, now)) {
             continue;
         }
-        const double score = popularity_.score(adapter, now);
+        const double score = popularity_.rate(adapter, now);
         if (!victim || score < least) {
             victim = adapter;
             least = score;
@@ -163,7 +164,7 @@
         const bool idle = std::all_of(pins->second.begin(), pins->second.end(), [](const auto& p) {
             return p.second.running == 0 && p.second.waiting == 0;
         });
-        const double score = popularity_.score(adapter, now);
+        const double score = popularity_.rate(adapter, now);
         if (idle && (!choice || score < least)) {
             choice = adapter;
             least = score;
@@ -181,7 +182,7 @@
         }
         const bool settled = it.state == slot_state::loaded && it.answered;
         const bool stayed = now - it.since > settings_.shortest_stay;
-        const double score = popularity_.score(adapter, now);
+        const double score = popularity_.rate(adapter, now);
         if (settled && stayed && (!choice || score < least)) {
             choice = adapter;
             least = score;
@@ -200,20 +201,31 @@
 }
 
 std::uint32_t slot_keeper::window_for(const vm_incarnation& daemon) const {
-    std::uint32_t own = 0;
-    std::uint32_t all = 0;
-    for (const auto& [adapter, pins] : pins_) {
-        for (const auto& [who, it] : pins) {
-            all += it.running + it.waiting;
-            own += who == daemon ? it.running + it.waiting : 0;
-        }
-    }
+    const auto it = demand_.find(daemon);
+    const std::uint32_t own = it == demand_.end() ? 0 : it->second;
     // A quarter more than the engine runs at once keeps its batch full between two grants.
     const std::uint32_t places = settings_.concurrency + settings_.concurrency / 4;
-    if (all == 0) {
-        return places;
+    const std::uint32_t free = places - std::min(places, all_demand_);
+    const std::uint32_t share = all_demand_ == 0 ? places : places * own / all_demand_;
+    return std::max<std::uint32_t>({1, share, own + free});
+}
+
+void slot_keeper::set_demand(const vm_incarnation& daemon, pin& it, std::uint32_t running,
+                             std::uint32_t waiting) {
+    const std::uint32_t before = it.running + it.waiting;
+    it.running = running;
+    it.waiting = waiting;
+    all_demand_ += running + waiting - before;
+    std::uint32_t& own = demand_[daemon];
+    own += running + waiting - before;
+    if (own == 0) {
+        demand_.erase(daemon);
     }
-    return std::max<std::uint32_t>(1, places * own / all);
+}
+
+slot_keeper::pin_map::iterator slot_keeper::erase_pin(pin_map& pins, pin_map::iterator it) {
+    set_demand(it->first, it->second, 0, 0);
+    return pins.erase(it);
 }
 
 duration slot_keeper::expected_wait() const {
@@ -275,8 +287,7 @@
     entry.hold_until =
         std::max(entry.hold_until,
                  now + settings_.pin_validity + settings_.longest_request + settings_.clock_margin);
-    entry.running = it.running;
-    entry.waiting = it.waiting;
+    set_demand(it.daemon, entry, it.running, it.waiting);
     pin_grant body;
     body.endpoint = endpoint_;
     body.adapter = it.adapter;
@@ -285,6 +296,7 @@
     body.fence = term_.fence;
     body.validity = settings_.pin_validity;
     body.window = window_for(it.daemon);
+    body.requests_per_second = popularity_.rate(it.adapter, now);
     body.state = digest();
     out.push_back(send_to_daemon{it.daemon, body});
 }
@@ -347,7 +359,7 @@
     if (pins != pins_.end()) {
         const auto entry = pins->second.find(it.daemon);
         if (entry != pins->second.end() && entry->second.number <= it.number) {
-            pins->second.erase(entry);
+            erase_pin(pins->second, entry);
         }
         if (pins->second.empty()) {
             pins_.erase(pins);
@@ -371,8 +383,7 @@
         if (it != pins.end() && it->second.daemon_ended == time_point::max()) {
             it->second.hold_until = std::min(it->second.hold_until, last_end);
             it->second.daemon_ended = now;
-            it->second.running = 0;
-            it->second.waiting = 0;
+            set_demand(who, it->second, 0, 0);
         }
     }
     for (auto it = wishes_.begin(); it != wishes_.end();) {
@@ -569,7 +580,7 @@
         for (auto entry = pins.begin(); entry != pins.end();) {
             const time_point ended = entry->second.daemon_ended;
             const bool silent = ended != time_point::max() && now - ended > silence;
-            entry = silent && active.count(adapter) == 0 ? pins.erase(entry) : std::next(entry);
+            entry = silent && active.count(adapter) == 0 ? erase_pin(pins, entry) : std::next(entry);
         }
     }
 }
@@ -828,7 +839,7 @@
     for (auto it = pins_.begin(); it != pins_.end();) {
         for (auto entry = it->second.begin(); entry != it->second.end();) {
             const bool over = now >= entry->second.hold_until;
-            entry = over ? it->second.erase(entry) : std::next(entry);
+            entry = over ? erase_pin(it->second, entry) : std::next(entry);
         }
         it = it->second.empty() ? pins_.erase(it) : std::next(it);
     }
@@ -846,7 +857,7 @@
         const bool over = now - it->second > settings_.report_lag;
         it = over ? left_at_.erase(it) : std::next(it);
     }
-    if (now - pruned_at_ > settings_.popularity_half_life) {
+    if (now - pruned_at_ > settings_.popularity.half_life) {
         popularity_.prune(least_popularity, now);
         pruned_at_ = now;
     }
--- a/tools/measure_placement/report.cpp
+++ b/tools/measure_placement/report.cpp
@@ -149,7 +149,8 @@
     return {{"load-60", 0.6, false},
             {"load-90", 0.9, false},
             {"load-120", 1.2, false},
-            {"shift-90", 0.9, true}};
+            {"shift-90", 0.9, true},
+            {"spells-90", 0.9, false, 2, false}};
 }
 
 row_figures run_row(const row& what, std::uint64_t seed) {
@@ -157,6 +158,7 @@
     settings.seed = seed;
     settings.requests_per_second = what.load * engine_capacity();
     settings.shift = what.shift;
+    settings.requests_per_spell = what.requests_per_spell;
     const std::vector<arrival> arrivals = generate(settings);
     row_figures result;
     result.what = what;
@@ -201,6 +203,9 @@
 }
 
 bool check(const row_figures& it) {
+    if (!it.what.has_targets) {
+        return true;
+    }
     double best_stall = -1;
     double best_batch = 0;
     for (std::size_t i = 0; i + 2 < it.policies.size(); ++i) {
--- a/tools/measure_placement/report.h
+++ b/tools/measure_placement/report.h
@@ -14,6 +14,9 @@
     /// Arrivals as a part of what the engines can serve.
     double load = 1;
     bool shift = false;
+    double requests_per_spell = 1;
+    /// Whether the targets are stated for this row.
+    bool has_targets = true;
 };
 
 /// Figures of one policy in one row.
