Admission: a rate taken from backlogs only, and a measurement of requests

Measuring showed a fault by reading its own table: the rate of all starts tells how many requests came, so after a quiet time a burst would have been refused as out of reach.

Also: the fault matrix checks that nothing is given back while requests run.

--- a/libs/requests/include/requests/admission_queue.h
+++ b/libs/requests/include/requests/admission_queue.h
@@ -24,6 +24,8 @@
     std::size_t max_waiting = 1024;
     /// Span over which the rate of starts is taken.
     duration rate_window = std::chrono::seconds(10);
+    /// Starts out of a backlog that must be seen before a deadline can be called out of reach.
+    std::size_t min_starts = 8;
 };
 
 /// The request waits; `expected_wait` is absent while no rate is known.
@@ -47,8 +49,9 @@
 public:
     explicit admission_queue(admission_limits limits);
 
-    /// Offers a request. `share` is the part of all starts that the account can count on, from 0
-    /// (exclusive) to 1. Throws std::invalid_argument for another share or an id that waits.
+    /// Offers a request. `share` is the part of all starts that the account can count on now, from
+    /// 0 (exclusive) to 1: its weight among the accounts that have requests waiting. Throws
+    /// std::invalid_argument for another share or an id that waits.
     admission offer(const request_id& request, const client_account_id& account,
                     time_point deadline, double share, time_point now);
 
@@ -65,7 +68,9 @@
     std::vector<request_id> waiting(const client_account_id& account) const;
     std::size_t size() const { return accounts_.size(); }
 
-    /// Starts a second over the last window, or nothing before two starts were seen.
+    /// Starts a second while requests waited, over the last window; nothing while too few were
+    /// seen. Starts of requests that found an empty queue tell how few come, not how many could
+    /// be served, and are left out.
     std::optional<double> start_rate(time_point now) const;
 
 private:
@@ -74,13 +79,20 @@
         time_point deadline;
     };
 
+    struct gap {
+        time_point end;
+        duration length;
+    };
+
     std::optional<duration> wait_for(std::size_t starts, double share, time_point now) const;
     bool take_out(const request_id& request);
 
     const admission_limits limits_;
     std::map<client_account_id, std::deque<place>> queues_;
     std::map<request_id, client_account_id> accounts_;
-    std::deque<time_point> starts_;
+    // Times between starts while requests waited, and the start since which they wait.
+    std::deque<gap> gaps_;
+    std::optional<time_point> backlog_since_;
 };
 
 }  // namespace radishpulley::requests
--- a/libs/requests/src/admission_queue.cpp
+++ b/libs/requests/src/admission_queue.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Bounds the memory of the rate's window.
-constexpr std::size_t max_starts_kept = 256;
+constexpr std::size_t max_gaps_kept = 256;
 
 duration from_seconds(double seconds) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
@@ -51,12 +51,18 @@
 }
 
 bool admission_queue::start(const request_id& request, time_point now) {
+    const std::optional<time_point> before = backlog_since_;
     if (!take_out(request)) {
         return false;
     }
-    starts_.push_back(now);
-    if (starts_.size() > max_starts_kept) {
-        starts_.pop_front();
+    if (before) {
+        gaps_.push_back({now, now - *before});
+    }
+    if (gaps_.size() > max_gaps_kept) {
+        gaps_.pop_front();
+    }
+    if (!accounts_.empty()) {
+        backlog_since_ = now;
     }
     return true;
 }
@@ -78,6 +84,9 @@
         queues_.erase(held);
     }
     accounts_.erase(it);
+    if (accounts_.empty()) {
+        backlog_since_.reset();
+    }
     return true;
 }
 
@@ -109,12 +118,24 @@
 }
 
 std::optional<double> admission_queue::start_rate(time_point now) const {
-    const auto first = std::lower_bound(starts_.begin(), starts_.end(), now - limits_.rate_window);
-    const auto n = starts_.end() - first;
-    if (n < 2 || now <= *first) {
+    std::size_t n = 0;
+    duration length(0);
+    for (const gap& it : gaps_) {
+        if (it.end >= now - limits_.rate_window) {
+            ++n;
+            length += it.length;
+        }
+    }
+    // The gap that is still open counts where it is longer than usual: the service may have
+    // stalled.
+    const duration open = backlog_since_ ? now - *backlog_since_ : duration(0);
+    if (n < limits_.min_starts || length <= duration(0)) {
         return std::nullopt;
     }
-    return static_cast<double>(n - 1) / to_seconds(now - *first);
+    if (open > length / static_cast<duration::rep>(n)) {
+        length += open;
+    }
+    return static_cast<double>(n) / to_seconds(length);
 }
 
 std::optional<duration> admission_queue::wait_for(std::size_t starts, double share,
--- a/tools/faults/src/checkers.cpp
+++ b/tools/faults/src/checkers.cpp
@@ -106,6 +106,11 @@
 }
 
 void check_adapter_in_use(const history& seen, std::vector<violation>& found) {
+    for (const holdings_return& it : seen.returns) {
+        if (it.running != 0) {
+            found.push_back({"adapter_in_use", it.vm.str() + " gave its leases back too early"});
+        }
+    }
     for (const use_count& it : seen.uses) {
         const std::string place = it.vm.str() + " at " + it.endpoint.str();
         if (it.uses < it.running) {
--- a/tools/faults/src/entry_vm.cpp
+++ b/tools/faults/src/entry_vm.cpp
@@ -611,6 +611,7 @@
         }
         if (std::holds_alternative<return_holdings>(action)) {
             world_.note(self_.vm.str() + " returning");
+            world_.seen.returns.push_back({self_.vm, active_.size()});
             world_.on_step("returning", nullptr);
         }
         if (const auto* it = std::get_if<exit_process>(&action)) {
--- a/tools/faults/src/history.h
+++ b/tools/faults/src/history.h
@@ -62,6 +62,13 @@
     std::size_t running = 0;
 };
 
+/// The moment at which a stopping daemon gives its leases and shares back.
+struct holdings_return {
+    vm_id vm;
+    /// Requests that had not ended.
+    std::size_t running = 0;
+};
+
 /// A count of uses of an endpoint's adapter by one VM, after a change or at the end.
 struct use_count {
     vm_id vm;
@@ -79,6 +86,7 @@
     std::map<endpoint_id, time_point> left;
     std::optional<time_point> key_withdrawn;
     std::vector<graceful_exit> exits;
+    std::vector<holdings_return> returns;
     std::vector<use_count> uses;
 };
 
--- a/tools/faults/tests/faults_tests.cpp
+++ b/tools/faults/tests/faults_tests.cpp
@@ -83,6 +83,10 @@
              seen.exchanges[0].begun = start + 3001ms;
              seen.exchanges[0].last_byte.reset();
          }},
+        {"adapter_in_use",
+         [](history& seen) {
+             seen.returns.push_back({vm_id("vm-1"), 1});
+         }},
         {"adapter_in_use", [](history& seen) { seen.uses[0].uses = 0; }},
         {"adapter_in_use", [](history& seen) { seen.uses[1].uses = 1; }}};
     return all;
