--- a/libs/idempotency/include/idempotency/once_guard.h
+++ b/libs/idempotency/include/idempotency/once_guard.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -38,6 +39,8 @@
 enum class refusal {
     /// The API gave no clear answer: this call did not run and will not.
     unavailable,
+    /// This daemon's share of the API's writes is used up: this call did not run.
+    over_rate,
     /// The key was used with other content.
     key_reused,
     /// An earlier call with the key may have run.
@@ -56,6 +59,10 @@
     std::size_t max_create_tries = 3;
     /// Records whose end is still to be written. At this number new calls are refused.
     std::size_t max_pending = 512;
+    /// Calls a second that this daemon may ask for, and the most at once. Each costs up to three
+    /// writes, so the fleet's sum must stay well under the API's rate.
+    double calls_per_second = 10;
+    double call_burst = 20;
     /// Time in which an update without an answer may still take effect.
     duration late_update_bound = std::chrono::seconds(60);
 };
@@ -64,6 +71,7 @@
 struct guard_counts {
     std::uint64_t created = 0;
     std::uint64_t refused_unavailable = 0;
+    std::uint64_t refused_over_rate = 0;
     /// Ends that were given up: their records stay as they are until they expire.
     std::uint64_t ends_given_up = 0;
 };
@@ -105,6 +113,7 @@
     };
 
     run_permit new_permit(const keyed_call& call, epoch_number epoch);
+    bool take_call(time_point now);
     begin_result create(const run_permit& permit, time_point now);
     begin_result judge(const run_permit& permit, const platform::object& found) const;
     void end(pending_end it, time_point now);
@@ -121,6 +130,8 @@
     const guard_limits limits_;
     mutable std::mutex mutex_;
     std::uint64_t next_sequence_ = 1;
+    double calls_left_;
+    std::optional<time_point> calls_counted_at_;
     std::map<std::string, attempt_id> running_;
     std::deque<pending_end> pending_;
     guard_counts counts_;
--- a/libs/idempotency/src/once_guard.cpp
+++ b/libs/idempotency/src/once_guard.cpp
@@ -24,9 +24,12 @@
 }  // namespace
 
 once_guard::once_guard(object_store& store, vm_incarnation self, guard_limits limits)
-    : store_(store), self_(std::move(self)), limits_(limits) {}
+    : store_(store), self_(std::move(self)), limits_(limits), calls_left_(limits.call_burst) {}
 
 begin_result once_guard::begin(const keyed_call& call, epoch_number epoch, time_point now) {
+    if (!take_call(now)) {
+        return refusal::over_rate;
+    }
     const run_permit permit = new_permit(call, epoch);
     release_left_behind(permit.name, now);
     begin_result result = refusal::unavailable;
@@ -43,6 +46,20 @@
     return result;
 }
 
+bool once_guard::take_call(time_point now) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const duration passed = now - calls_counted_at_.value_or(now);
+    calls_counted_at_ = now;
+    const double earned = limits_.calls_per_second * std::chrono::duration<double>(passed).count();
+    calls_left_ = std::min(limits_.call_burst, calls_left_ + earned);
+    if (calls_left_ < 1) {
+        ++counts_.refused_over_rate;
+        return false;
+    }
+    calls_left_ -= 1;
+    return true;
+}
+
 run_permit once_guard::new_permit(const keyed_call& call, epoch_number epoch) {
     const std::lock_guard<std::mutex> lock(mutex_);
     run_permit permit;
--- a/libs/idempotency/tests/idempotency_tests.cpp
+++ b/libs/idempotency/tests/idempotency_tests.cpp
@@ -211,6 +211,22 @@
     BOOST_TEST(runs(it.here.begin(next, epoch, it.clock.now())));
 }
 
+BOOST_AUTO_TEST_CASE(calls_beyond_the_share_of_writes_are_refused_without_a_write) {
+    fleet it;
+    const auto begin = [&](int n) {
+        return it.here.begin({account, "k" + std::to_string(n), "x", request_id("r")}, epoch,
+                             it.clock.now());
+    };
+    for (int n = 0; n < 20; ++n) {
+        BOOST_TEST(runs(begin(n)));
+    }
+    BOOST_TEST(is_refused(begin(20), refusal::over_rate));
+    BOOST_TEST(it.store.counts().writes == 20U);
+    it.clock.advance(100ms);
+    BOOST_TEST(runs(begin(20)));
+    BOOST_TEST(is_refused(begin(21), refusal::over_rate));
+}
+
 BOOST_AUTO_TEST_CASE(a_long_outcome_is_marked_and_never_run_again) {
     fleet it;
     const auto permit = it.begin(it.here);
--- a/tools/faults/src/entry_vm.cpp
+++ b/tools/faults/src/entry_vm.cpp
@@ -35,6 +35,7 @@
 error_code code_of(idempotency::refusal why) {
     switch (why) {
         case idempotency::refusal::unavailable:
+        case idempotency::refusal::over_rate:
             return error_code::record_unavailable;
         case idempotency::refusal::key_reused:
             return error_code::key_reused;
@@ -50,6 +51,7 @@
 run_state run_of(idempotency::refusal why) {
     switch (why) {
         case idempotency::refusal::unavailable:
+        case idempotency::refusal::over_rate:
         case idempotency::refusal::key_reused:
             return run_state::not_run;
         case idempotency::refusal::outcome_not_kept:
--- a/tools/requests_measure/main.cpp
+++ b/tools/requests_measure/main.cpp
@@ -46,14 +46,24 @@
     constexpr int calls = 1000;
     standins::memory_object_store store;
     virtual_clock clock;
-    idempotency::once_guard guard(store, {vm_id("vm"), 1}, idempotency::guard_limits());
+    idempotency::guard_limits limits;
+    limits.call_burst = 2 * calls;
+    idempotency::once_guard guard(store, {vm_id("vm"), 1}, limits);
+    std::size_t started_bytes = 0;
+    std::size_t finished_bytes = 0;
     for (int i = 0; i < calls; ++i) {
         const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), "f",
                                            request_id(std::to_string(i))};
         const auto permit = std::get<idempotency::run_permit>(guard.begin(call, 1, clock.now()));
+        started_bytes += idempotency::to_text(permit.content).size();
         guard.finish(permit, {201, "application/json", std::string(200, 'x'), true}, clock.now());
     }
     const auto first = store.counts();
+    for (int i = 0; i < calls; ++i) {
+        const auto name = idempotency::record_name(client_account_id("a"), std::to_string(i));
+        finished_bytes += std::get<platform::object>(store.get(name)).value.size();
+    }
+    const auto before_repeats = store.counts();
     for (int i = 0; i < calls; ++i) {
         const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), "f",
                                            request_id("again" + std::to_string(i))};
@@ -62,8 +72,10 @@
     const auto second = store.counts();
     std::cout << "records: a keyed call makes " << double(first.writes) / calls << " writes and "
               << double(first.reads) / calls << " reads before its expiry, a repeat "
-              << double(second.writes - first.writes) / calls << " writes and "
-              << double(second.reads - first.reads) / calls << " reads\n";
+              << double(second.writes - before_repeats.writes) / calls << " writes and "
+              << double(second.reads - before_repeats.reads) / calls << " reads\n"
+              << "records: " << double(started_bytes) / calls << " bytes when started, "
+              << double(finished_bytes) / calls << " with an answer of 200 bytes\n";
     all.at_most("writes of a keyed call", double(first.writes) / calls, writes_per_keyed_call);
 }
 
