--- a/tools/requests_measure/main.cpp
+++ b/tools/requests_measure/main.cpp
@@ -49,10 +49,11 @@
     idempotency::guard_limits limits;
     limits.call_burst = 2 * calls;
     idempotency::once_guard guard(store, {vm_id("vm"), 1}, limits);
+    const std::string content = idempotency::fingerprint_of("POST", "/payments", "{}");
     std::size_t started_bytes = 0;
     std::size_t finished_bytes = 0;
     for (int i = 0; i < calls; ++i) {
-        const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), "f",
+        const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), content,
                                            request_id(std::to_string(i))};
         const auto permit = std::get<idempotency::run_permit>(guard.begin(call, 1, clock.now()));
         started_bytes += idempotency::to_text(permit.content).size();
@@ -65,7 +66,7 @@
     }
     const auto before_repeats = store.counts();
     for (int i = 0; i < calls; ++i) {
-        const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), "f",
+        const idempotency::keyed_call call{client_account_id("a"), std::to_string(i), content,
                                            request_id("again" + std::to_string(i))};
         guard.begin(call, 1, clock.now());
     }
