--- a/libs/idempotency/tests/idempotency_tests.cpp
+++ b/libs/idempotency/tests/idempotency_tests.cpp
@@ -1,6 +1,8 @@
 #include <array>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/findings.h"
@@ -125,6 +127,31 @@
     BOOST_TEST(is_refused(own, refusal::outcome_unknown));
 }
 
+BOOST_AUTO_TEST_CASE(of_many_threads_at_two_vms_one_runs_each_call) {
+    constexpr int calls = 50;
+    constexpr int threads = 8;
+    guard_limits limits;
+    limits.call_burst = calls * threads;
+    fleet it(limits);
+    std::array<std::atomic<int>, calls> permits{};
+    std::vector<std::thread> workers;
+    for (int n = 0; n < threads; ++n) {
+        workers.emplace_back([&, n] {
+            once_guard& guard = n % 2 == 0 ? it.here : it.there;
+            for (int i = 0; i < calls; ++i) {
+                const keyed_call call{account, std::to_string(i), "x", request_id("r")};
+                permits[i] += runs(guard.begin(call, epoch, it.clock.now())) ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread& worker : workers) {
+        worker.join();
+    }
+    for (const auto& n : permits) {
+        BOOST_TEST(n == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_release_that_waits_never_deletes_a_later_attempt_of_the_same_request) {
     fleet it;
     it.store.inject({store_fault::lost_call, store_fault::lost_call, store_fault::lost_call});
--- a/libs/requests/tests/parts_tests.cpp
+++ b/libs/requests/tests/parts_tests.cpp
@@ -246,6 +246,10 @@
     BOOST_TEST(!gate.may_start(it));
     gate.reopen(it, leaving_reason::announced);
     BOOST_TEST(gate.may_start(it));
+    gate.started(it);
+    gate.started(it);
+    gate.ended(it);
+    BOOST_TEST(gate.running(it) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_shutdown_goes_through_its_steps_in_order) {
--- a/tools/faults/src/entry_vm.h
+++ b/tools/faults/src/entry_vm.h
@@ -36,7 +36,7 @@
 };
 
 /// Called when a request or the daemon comes to a step.
-using step_listener = std::function<void(std::string_view step, const exchange* of)>;
+using step_listener = std::function<void(std::string_view step, exchange* of)>;
 
 /// What the daemons share.
 struct surroundings {
--- a/tools/faults/src/world.cpp
+++ b/tools/faults/src/world.cpp
@@ -68,7 +68,7 @@
                     store_,
                     random_,
                     trace_,
-                    [this](std::string_view step, const exchange* of) { on_step(step, of); },
+                    [this](std::string_view step, exchange* of) { on_step(step, of); },
                     [this](exchange& it) { on_end(it); },
                     published_state(),
                     false} {
@@ -107,7 +107,7 @@
     return from;
 }
 
-void world::on_step(std::string_view step, const exchange* of) {
+void world::on_step(std::string_view step, exchange* of) {
     const auto [first, last] = also_.equal_range(step);
     for (auto it = first; it != last; ++it) {
         events_.after(0s, it->second);
@@ -115,13 +115,11 @@
     while (!expected_.empty() && expected_.front().step == step) {
         const fault kind = fault_named(expected_.front().fault);
         expected_.erase(expected_.begin());
-        // Constness ends here: exchanges live in the history, which this object owns.
-        auto* target = const_cast<exchange*>(of);
         if (random_() % 2 == 0) {
-            bring_about(kind, target);
+            bring_about(kind, of);
         } else {
             const duration delay = std::chrono::microseconds(random_() % 3000);
-            events_.after(delay, [this, kind, target] { bring_about(kind, target); });
+            events_.after(delay, [this, kind, of] { bring_about(kind, of); });
         }
     }
 }
--- a/tools/faults/src/world.h
+++ b/tools/faults/src/world.h
@@ -44,7 +44,7 @@
     cell_result result();
 
 private:
-    void on_step(std::string_view step, const exchange* of);
+    void on_step(std::string_view step, exchange* of);
     void on_end(exchange& it);
     void repeat(const exchange& it);
     void publish(std::function<void()> change);
