--- /dev/null
+++ b/libs/requests/tests/random_events_tests.cpp
@@ -0,0 +1,202 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <string>
+
+#include "requests/request_machine.h"
+
+using namespace radishpulley;
+using namespace radishpulley::requests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int sequences = 20'000;
+constexpr int events_in_sequence = 60;
+
+// What a machine decided, as far as it must hold whatever events come.
+struct account_of {
+    int sends = 0;
+    int ends = 0;
+    int finishes = 0;
+    int open_attempts = 0;
+    attempt_number attempt = 0;
+    bool began = false;
+    bool lied = false;
+    bool wrote_after_end = false;
+
+    void operator()(const decisions::open_connection& it) {
+        ++open_attempts;
+        attempt = it.attempt;
+    }
+    void operator()(const decisions::cancel_attempt&) { --open_attempts; }
+    void operator()(const decisions::release_attempt&) { --open_attempts; }
+    void operator()(const decisions::send_request&) { ++sends; }
+    void operator()(const decisions::forward_bytes&) { wrote_after_end |= ends > 0; }
+    void operator()(const decisions::forward_head&) {
+        wrote_after_end |= ends > 0 || began;
+        began = true;
+    }
+    void operator()(const decisions::answer_error& it) {
+        wrote_after_end |= began;
+        end(it.error);
+    }
+    void operator()(const decisions::end_with_error_event& it) { end(it.error); }
+    void operator()(const decisions::break_answer& it) { end(it.error); }
+    void operator()(const decisions::end_answer&) { ++ends; }
+    void operator()(const decisions::finished&) { ++finishes; }
+    template <typename Other>
+    void operator()(const Other&) {}
+
+    void end(const error_answer& error) {
+        ++ends;
+        lied |= error.run == run_state::not_run && sends > 0;
+    }
+};
+
+events::response_head draw_head(std::mt19937_64& random, attempt_number attempt) {
+    events::response_head head;
+    head.attempt = attempt;
+    head.status = random() % 4 == 0 ? 503 : 200;
+    head.framing = random() % 2 == 0 ? body_framing::server_sent_events : body_framing::chunked;
+    head.resumed_from = random() % 2 == 0 ? 0 : random() % 4;
+    return head;
+}
+
+// Draws the event that the state waits for.
+event draw_fitting(std::mt19937_64& random, const request_machine& machine, attempt_number attempt,
+                   std::uint64_t sequence) {
+    const std::string_view state = name_of(machine.state());
+    if (state == "recording") {
+        return events::record_created{};
+    }
+    if (state == "routing") {
+        return events::endpoint_chosen{endpoint_id("e"), true};
+    }
+    if (state == "connecting") {
+        return events::connected{attempt};
+    }
+    if (state == "sent") {
+        return draw_head(random, attempt);
+    }
+    if (state == "asking_retry") {
+        return events::retry_granted{0s};
+    }
+    if (state == "answering" && random() % 4 == 0) {
+        return events::response_end{attempt, true};
+    }
+    if (state == "answering") {
+        return events::chunk{attempt, sequence,
+                             random() % 4 == 0 ? "data: [DONE]\n\n" : "data: x\n\n"};
+    }
+    return events::tick{};
+}
+
+// Draws any event. `not_sent` is left out, so that a sent request stays one.
+event draw(std::mt19937_64& random, attempt_number attempt, std::uint64_t sequence) {
+    const attempt_number which = random() % 8 == 0 ? attempt + 1 : attempt;
+    const events::response_head head = draw_head(random, which);
+    const std::string data = random() % 4 == 0 ? "data: [DONE]\n\n" : "data: x\n\n";
+    switch (random() % 20) {
+        case 0:
+            return events::validated{};
+        case 1:
+            return events::authenticated{};
+        case 2:
+            return events::admitted{};
+        case 3:
+            return events::record_created{};
+        case 4:
+        case 5:
+            return events::endpoint_chosen{endpoint_id("e"), true};
+        case 6:
+        case 7:
+            return events::connected{which};
+        case 8:
+        case 9:
+            return head;
+        case 10:
+        case 11:
+        case 12:
+            return events::chunk{which, sequence, data};
+        case 13:
+            return events::response_end{which, random() % 2 == 0};
+        case 14:
+            return events::attempt_failed{which, false};
+        case 15:
+        case 16:
+            return events::retry_granted{0s};
+        case 17:
+            return events::tick{};
+        case 18:
+            return events::endpoint_leaving{endpoint_id("e")};
+        default:
+            break;
+    }
+    switch (random() % 8) {
+        case 0:
+            return events::caller_left{};
+        case 1:
+            return events::key_withdrawn{};
+        case 2:
+            return events::grace_ended{};
+        case 3:
+            return events::refused{};
+        case 4:
+            return events::retry_denied{};
+        default:
+            return events::caller_backlog{random() % 2 == 0 ? std::size_t{0} : 300'000};
+    }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(random_events_suite)
+
+BOOST_AUTO_TEST_CASE(whatever_comes_the_rules_hold) {
+    std::map<int, int> sends_seen;
+    int answered = 0;
+    for (std::uint64_t seed = 1; seed <= sequences; ++seed) {
+        std::mt19937_64 random(seed);
+        const virtual_clock clock;
+        const auto repeat = static_cast<repeat_rule>(seed % 3);
+        request_machine machine({request_id("r"), repeat, clock.now() + 60s, ""}, request_limits());
+        account_of sum;
+        std::uint64_t sequence = 0;
+        const auto tell = [&](const event& it) {
+            for (const decision& entry : machine.handle(it, clock.now())) {
+                std::visit(sum, entry);
+                const bool is_new = std::holds_alternative<decisions::send_request>(entry);
+                sequence = is_new ? 0 : sequence;
+            }
+        };
+        tell(events::validated{});
+        tell(events::authenticated{});
+        tell(events::admitted{});
+        for (int n = 0; n < events_in_sequence; ++n) {
+            const event it = random() % 2 == 0
+                                 ? draw(random, sum.attempt, sequence)
+                                 : draw_fitting(random, machine, sum.attempt, sequence);
+            tell(it);
+            sequence += std::holds_alternative<events::chunk>(it) ? 1 : 0;
+        }
+        tell(events::grace_ended{});
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            BOOST_REQUIRE(machine.is_finished());
+            BOOST_REQUIRE(sum.finishes == 1);
+            BOOST_REQUIRE(sum.ends <= 1);
+            BOOST_REQUIRE(sum.open_attempts == 0);
+            BOOST_REQUIRE(!sum.lied);
+            BOOST_REQUIRE(!sum.wrote_after_end);
+            BOOST_REQUIRE((repeat == repeat_rule::idempotent || sum.sends <= 1));
+        }
+        ++sends_seen[sum.sends];
+        answered += sum.began ? 1 : 0;
+    }
+    // The draws must get far enough to mean something.
+    BOOST_TEST(sends_seen[1] > sequences / 10);
+    BOOST_TEST(sends_seen[2] > 100);
+    BOOST_TEST(answered > sequences / 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
