--- a/tools/faults/src/entry_vm.cpp
+++ b/tools/faults/src/entry_vm.cpp
@@ -35,6 +35,7 @@
 error_code code_of(idempotency::refusal why) {
     switch (why) {
         case idempotency::refusal::unavailable:
+        case idempotency::refusal::over_rate:
             return error_code::record_unavailable;
         case idempotency::refusal::key_reused:
             return error_code::key_reused;
@@ -50,6 +51,7 @@
 run_state run_of(idempotency::refusal why) {
     switch (why) {
         case idempotency::refusal::unavailable:
+        case idempotency::refusal::over_rate:
         case idempotency::refusal::key_reused:
             return run_state::not_run;
         case idempotency::refusal::outcome_not_kept:
@@ -611,6 +613,7 @@
         }
         if (std::holds_alternative<return_holdings>(action)) {
             world_.note(self_.vm.str() + " returning");
+            world_.seen.returns.push_back({self_.vm, active_.size()});
             world_.on_step("returning", nullptr);
         }
         if (const auto* it = std::get_if<exit_process>(&action)) {
