--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -613,19 +613,45 @@
         if (now - held.requested_at >= context_.policy.return_age) {
             give_back(it->first, held, held.unspent(), now, out);
         }
-        const bool is_forgotten = now >= held.ends_at + context_.policy.settle_limit;
-        const bool is_done = now >= held.ends_at && held.unsettled == 0 && !held.is_dirty();
-        it = is_forgotten || is_done ? loans_.erase(it) : std::next(it);
+        if (now < held.ends_at) {
+            ++it;
+            continue;
+        }
+        if (held.is_dirty()) {
+            report(it->first, held, now, out);
+        }
+        if (held.unsettled > 0) {
+            ended_.emplace(it->first, held);
+            forget_.emplace_back(now + context_.policy.settle_limit, it->first);
+        }
+        it = loans_.erase(it);
+    }
+    while (!forget_.empty() && forget_.front().first <= now) {
+        ended_.erase(forget_.front().second);
+        forget_.pop_front();
+    }
+}
+
+account_pool::loan* account_pool::find_loan(loan_number number) {
+    const auto live = loans_.find(number);
+    if (live != loans_.end()) {
+        return &live->second;
     }
+    const auto ended = ended_.find(number);
+    return ended == ended_.end() ? nullptr : &ended->second;
 }
 
 // Settlement.
 
-void account_pool::forget_charge(const charge& it) {
+void account_pool::release_charge(const charge& it) {
     for (const auto& [number, part] : it.parts) {
-        const auto held = loans_.find(number);
-        if (held != loans_.end()) {
-            held->second.unsettled -= part;
+        loan* const held = find_loan(number);
+        if (held == nullptr) {
+            continue;
+        }
+        held->unsettled -= part;
+        if (held->unsettled == 0) {
+            ended_.erase(number);
         }
     }
 }
@@ -634,20 +660,22 @@
                           quota_output& out) {
     token_amount missing = amount;
     for (const auto& [number, part] : from.parts) {
-        const auto found = loans_.find(number);
+        loan* const held = find_loan(number);
         const token_amount share = std::min(part, missing);
         missing -= share;
-        if (found == loans_.end() || share == 0) {
+        if (held == nullptr || share == 0) {
             continue;
         }
         // What the owner has not yet heard of need not be told.
-        loan& it = found->second;
+        const bool is_live = now < held->ends_at;
         const token_amount untold =
-            now < it.ends_at ? std::min(share, it.spent - it.reported_spent) : 0;
-        it.spent -= untold;
-        it.refunded += share - untold;
+            is_live ? std::min(share, held->spent - held->reported_spent) : 0;
+        held->spent -= untold;
+        held->refunded += share - untold;
+        if (!is_live) {
+            report(number, *held, now, out);
+        }
     }
-    pump(now, out);
 }
 
 void account_pool::settle(admission_number number, token_amount used, time_point now,
@@ -658,13 +686,15 @@
     }
     const charge made = std::move(it->second);
     charges_.erase(it);
-    forget_charge(made);
     if (used > made.amount) {
         debt_ += used - made.amount;
-        pump(now, out);
     } else if (used < made.amount) {
         refund(made, made.amount - std::max<token_amount>(0, used), now, out);
     }
+    release_charge(made);
+    if (used != made.amount) {
+        pump(now, out);
+    }
 }
 
 void account_pool::cancel(admission_number number, time_point now, quota_output& out) {
--- a/libs/quota/src/details/account_pool.h
+++ b/libs/quota/src/details/account_pool.h
@@ -136,14 +136,17 @@
     bool is_report_due(const loan& it, time_point now) const;
     void end_loans(time_point now, quota_output& out);
     void refund(const charge& from, token_amount amount, time_point now, quota_output& out);
-    void forget_charge(const charge& it);
-    void keep_time(time_point at);
+    void release_charge(const charge& it);
+    loan* find_loan(loan_number number);
 
     pool_context& context_;
     client_account_id account_;
     account_limits limits_;
     demand_meter demand_;
     std::map<loan_number, loan> loans_;
+    // Loans that ended while requests charged to them were not settled.
+    std::map<loan_number, loan> ended_;
+    std::deque<std::pair<time_point, loan_number>> forget_;
     std::vector<slot_view> views_;
     std::deque<waiting_request> queue_;
     std::map<admission_number, charge> charges_;
--- a/libs/quota/tests/window_bound_tests.cpp
+++ b/libs/quota/tests/window_bound_tests.cpp
@@ -17,7 +17,9 @@
 // Owners count time by clocks that run up to this much fast or slow.
 constexpr double clock_drift = 0.01;
 
-const account_limits usual{to_amount(100), to_amount(1000)};
+account_limits usual_limits(std::uint64_t seed) {
+    return {to_amount(seed % 3 == 0 ? 1000 : 100), to_amount(1000)};
+}
 
 // The bound by the true clock when every owner's clock runs fast.
 account_limits by_true_clock(const account_limits& it) {
@@ -29,16 +31,16 @@
 class schedule {
 public:
     schedule(std::uint64_t seed, const quota_policy& policy)
-        : random_(seed ^ 0x5eed), fleet_(settings(seed, policy)) {
-        checks_.emplace_back(by_true_clock(usual), duration::zero());
+        : usual_(usual_limits(seed)), random_(seed ^ 0x5eed), fleet_(settings(seed, policy)) {
+        checks_.emplace_back(by_true_clock(usual_), duration::zero());
         plan_requests();
         plan_faults();
     }
 
     void change_limits(duration when, const account_limits& next) {
         const duration settled = when + most_delay;
-        const account_limits most{std::max(usual.rate, next.rate),
-                                  std::max(usual.burst, next.burst)};
+        const account_limits most{std::max(usual_.rate, next.rate),
+                                  std::max(usual_.burst, next.burst)};
         const duration loans_end = settled + policy_.loan_lifetime * 2;
         checks_.clear();
         checks_.emplace_back(by_true_clock(most), duration::zero());
@@ -63,7 +65,7 @@
         it.slot_count = pick(1, 8);
         it.policy = policy;
         it.policy.pause_limit = seconds(3);
-        it.limits = {{account, usual}};
+        it.limits = {{account, usual_}};
         it.most_latency = milliseconds(pick(2, 80));
         it.loss = 0.01 * static_cast<double>(pick(0, 20));
         it.duplication = 0.01 * static_cast<double>(pick(0, 20));
@@ -160,6 +162,7 @@
         }
     }
 
+    account_limits usual_;
     std::mt19937_64 random_;
     quota_policy policy_;
     std::size_t vm_count_ = 0;
@@ -211,4 +214,34 @@
     BOOST_TEST(caught > 0);
 }
 
+// Two borrowers that hold what they were lent and spend it just before it ends.
+token_amount excess_of_late_spenders(duration margin) {
+    quota_policy policy;
+    policy.drift_margin = margin;
+    const vm_incarnation self{vm_id("owner"), 1};
+    const account_limits limits{to_amount(1000), to_amount(1000)};
+    slot_owner owner(self, policy);
+    window_check check(limits, duration::zero());
+    const time_point start{seconds(100)};
+    owner.set_limits({{account, limits}}, start);
+    owner.set_table({{slot_entry{self, 1}}}, start);
+    const duration later = milliseconds(1900);
+    for (const duration sent : {duration::zero(), later}) {
+        loan_request request;
+        request.key = {0, 1, account, 1};
+        request.wanted = limits.burst;
+        request.lifetime = policy.loan_lifetime;
+        const vm_incarnation from{vm_id(sent == later ? "b" : "a"), 1};
+        for (const outgoing_message& it : owner.receive(from, request, start + sent)) {
+            check.add(later, std::get<loan_grant>(it.message).granted);
+        }
+    }
+    return check.excess();
+}
+
+BOOST_AUTO_TEST_CASE(a_loan_spent_just_before_its_end_stays_within_the_bound) {
+    BOOST_TEST(excess_of_late_spenders(quota_policy().drift_margin) <= 0);
+    BOOST_TEST(excess_of_late_spenders(-milliseconds(1900)) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
