Quota: take tokens evenly from the slots

A slot that is full adds no tokens while others are short, so a request that drained two slots of 16 stopped most of the account's accrual. Ruled out: a leak of loans (nothing ended unspent) and late reports of spending.

--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -13,12 +13,13 @@
 constexpr duration silence = std::chrono::seconds(1);
 // A daemon that had to give tokens back keeps no spare ones for this long.
 constexpr duration spare_pause = std::chrono::milliseconds(300);
+constexpr token_amount least_spare_requests = 2;
+constexpr token_amount size_smoothing = 8;
 constexpr duration least_spare_interval = std::chrono::milliseconds(20);
 // Spare tokens of one daemon are at most this part of what the slots are expected to hold.
 constexpr token_amount spare_part = 16;
-// Part of a slot's expected balance that one daemon asks for while other slots have some.
-constexpr token_amount fair_numerator = 3;
-constexpr token_amount fair_denominator = 4;
+// Smallest part of a slot's burst that is worth a message.
+constexpr token_amount least_parts_of_slot = 12;
 // Longest line that can be served within the wait is the burst and what accrues; more requests
 // than this are refused whatever their size.
 constexpr std::size_t max_queue = 4096;
@@ -192,7 +193,7 @@
     if (!shortage_ || now - shortage_at_ > context_.policy.level_lifetime) {
         return false;
     }
-    return ahead > *shortage_ + product(limits_.rate, now - shortage_at_) + available(now);
+    return ahead > *shortage_ + product(limits_.rate, now - shortage_at_);
 }
 
 void account_pool::admit(admission_number number, token_amount size, time_point now,
@@ -200,6 +201,7 @@
     const waiting_request it{number, std::max<token_amount>(0, size),
                              now + context_.policy.admission_wait};
     demand_.add(std::min(it.size, limits_.burst), now);
+    usual_size_ += (it.size - usual_size_) / size_smoothing;
     if (it.size > limits_.burst) {
         out.decisions.emplace_back(
             refused{number, refusal_reason::larger_than_burst, duration::zero()});
@@ -238,7 +240,7 @@
         queue_.pop_front();
         const refused decision = refusal(it, now);
         if (decision.reason == refusal_reason::over_rate) {
-            token_amount known = 0;
+            token_amount known = available(now);
             for (std::size_t i = 0; i < views_.size(); ++i) {
                 known += expected_balance(static_cast<slot_number>(i), now);
             }
@@ -354,45 +356,61 @@
     }
     if (round_ == collecting::idle) {
         begin_collection(now);
+        if (shortage_ && now - shortage_at_ < context_.policy.admission_wait) {
+            round_ = collecting::all_slots;
+            round_until_ = now + context_.policy.round_wait * 2;
+            ask_all(missing, now, out);
+            return;
+        }
         round_ = collecting::likely_slots;
         round_until_ = now + context_.policy.round_wait;
-        ask_likely(missing + spare_target(now) / 2, now, out);
+        ask_fullest(missing + spare_target(now) / 2, now, out);
     } else if (round_ == collecting::likely_slots && round_is_over(now)) {
         round_ = collecting::known_slots;
         round_until_ = now + context_.policy.round_wait;
-        ask_known(missing, now, out);
+        ask_fullest(missing, now, out);
     } else if (round_ == collecting::known_slots && round_is_over(now)) {
         round_ = collecting::all_slots;
         round_until_ = now + context_.policy.round_wait;
         ask_all(missing, now, out);
     } else if (round_ == collecting::all_slots && now >= round_until_) {
         round_is_over(now);
-        round_until_ = now + context_.policy.round_wait;
+        round_until_ = now + context_.policy.round_wait * 2;
         ask_all(missing, now, out);
     }
 }
 
-void account_pool::ask_likely(token_amount need, time_point now, quota_output& out) {
-    token_amount missing = need;
-    for (const slot_number slot : slots_by_balance(now)) {
-        const token_amount fair = expected_balance(slot, now) / fair_denominator * fair_numerator;
-        const token_amount amount = std::min(missing, fair);
-        if (amount <= 0) {
-            break;
+// Takes from the fullest slots down to a common level: a slot that stays full while others are
+// short adds no tokens.
+void account_pool::ask_fullest(token_amount need, time_point now, quota_output& out) {
+    const std::vector<slot_number> slots = slots_by_balance(now);
+    const auto above = [&](token_amount level) {
+        token_amount sum = 0;
+        for (const slot_number slot : slots) {
+            sum += std::max<token_amount>(0, expected_balance(slot, now) - level);
+        }
+        return sum;
+    };
+    token_amount low = 0;
+    token_amount high = limits_.burst;
+    for (int i = 0; i < search_steps && low < high; ++i) {
+        const token_amount middle = low + (high - low) / 2;
+        if (above(middle) > need) {
+            low = middle + 1;
+        } else {
+            high = middle;
         }
-        ask({slot, amount}, false, now, out);
-        missing -= amount;
     }
-}
-
-void account_pool::ask_known(token_amount need, time_point now, quota_output& out) {
     token_amount missing = need;
-    for (const slot_number slot : slots_by_balance(now)) {
-        const token_amount amount = std::min(missing, expected_balance(slot, now));
+    for (const slot_number slot : slots) {
+        const token_amount balance = expected_balance(slot, now);
+        const token_amount least = share_burst(slot) / least_parts_of_slot + 1;
+        const token_amount wanted = std::min(balance, std::max(least, balance - high + 1));
+        const token_amount amount = std::min(missing, wanted);
         if (amount > 0) {
             ask({slot, amount}, false, now, out);
+            missing -= amount;
         }
-        missing -= std::max<token_amount>(0, amount);
     }
 }
 
@@ -467,7 +485,10 @@
     for (std::size_t i = 0; i < views_.size(); ++i) {
         expected += expected_balance(static_cast<slot_number>(i), now);
     }
-    return std::min(product(demand_.rate(now), context_.policy.prefetch), expected / spare_part);
+    const token_amount target =
+        std::min(product(demand_.rate(now), context_.policy.prefetch), expected / spare_part);
+    // Fewer tokens than a few requests need would only lie idle here.
+    return target < usual_size_ * least_spare_requests ? 0 : target;
 }
 
 void account_pool::top_up(time_point now, quota_output& out) {
@@ -491,8 +512,7 @@
         expected_balance(slots.front(), now) <= 0) {
         return;
     }
-    ask({slots.front(), std::min(target - held, expected_balance(slots.front(), now))}, false, now,
-        out);
+    ask_fullest(target - held, now, out);
     spare_loan_ = context_.last_loan;
     spare_asked_at_ = now;
     collection_.clear();
--- a/libs/quota/src/details/account_pool.h
+++ b/libs/quota/src/details/account_pool.h
@@ -118,8 +118,7 @@
 
     void collect(time_point now, quota_output& out);
     void begin_collection(time_point now);
-    void ask_likely(token_amount need, time_point now, quota_output& out);
-    void ask_known(token_amount need, time_point now, quota_output& out);
+    void ask_fullest(token_amount need, time_point now, quota_output& out);
     void ask_all(token_amount need, time_point now, quota_output& out);
     void end_collection(time_point now, quota_output& out);
     bool round_is_over(time_point now);
@@ -143,6 +142,8 @@
     client_account_id account_;
     account_limits limits_;
     demand_meter demand_;
+    // Average of the sizes asked for.
+    token_amount usual_size_ = 0;
     std::map<loan_number, loan> loans_;
     // Loans that ended while requests charged to them were not settled.
     std::map<loan_number, loan> ended_;
--- a/libs/quota/src/details/slot_bucket.cpp
+++ b/libs/quota/src/details/slot_bucket.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 constexpr std::size_t max_epochs = 64;
+constexpr duration recall_interval = std::chrono::milliseconds(50);
 constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
 
 // Part of a slot's burst below which tokens in line are not handed out one by one.
-constexpr token_amount least_parts_in_line = 16;
+constexpr token_amount least_parts_in_line = 64;
 
 }  // namespace
 
@@ -259,6 +260,16 @@
     return serve(now, share_.burst / least_parts_in_line);
 }
 
+bool slot_bucket::should_recall(std::uint64_t priority, time_point now) {
+    const bool is_recent = recalled_at_ && now - *recalled_at_ < recall_interval;
+    if (is_recent && recalled_for_ <= priority) {
+        return false;
+    }
+    recalled_at_ = now;
+    recalled_for_ = priority;
+    return true;
+}
+
 std::vector<vm_incarnation> slot_bucket::holders(const vm_incarnation& from) const {
     std::set<vm_incarnation> found;
     for (const auto& [loan, record] : loans_) {
--- a/libs/quota/src/details/slot_bucket.h
+++ b/libs/quota/src/details/slot_bucket.h
@@ -70,6 +70,8 @@
     // Ends what has run out. Returns the loans that were granted more.
     std::vector<loan_reference> advance(time_point now);
 
+    // True unless a request as urgent as this was passed on to the holders a moment ago.
+    bool should_recall(std::uint64_t priority, time_point now);
     // Borrowers other than `from` that hold tokens.
     std::vector<vm_incarnation> holders(const vm_incarnation& from) const;
     token_amount granted(const loan_reference& loan) const;
@@ -121,6 +123,8 @@
     std::int64_t remainder_ = 0;
     time_point accrued_at_{};
     headroom_history headroom_;
+    std::optional<time_point> recalled_at_;
+    std::uint64_t recalled_for_ = 0;
     std::map<loan_reference, loan_record> loans_;
     // Loans that ended, kept for refunds until settle_limit.
     std::map<loan_reference, loan_record> ended_;
--- a/libs/quota/src/slot_owner.cpp
+++ b/libs/quota/src/slot_owner.cpp
@@ -157,7 +157,7 @@
     }
     outgoing_messages out;
     answer(*slot, message.key.account, granted, now, out);
-    if (message.recall && bucket.is_short(loan)) {
+    if (message.recall && bucket.is_short(loan) && bucket.should_recall(message.priority, now)) {
         recall(*slot, message.key.account, from, message.priority, out);
     }
     return out;
--- a/libs/quota/tests/window_bound_tests.cpp
+++ b/libs/quota/tests/window_bound_tests.cpp
@@ -99,9 +99,8 @@
                       [this, vm = i % vm_count_] { request(vm, to_amount(10)); });
         }
         for (std::size_t i = 0; i < 6; ++i) {
-            fleet_.at(start + milliseconds(300 + 250 * i), [this, vm = i % vm_count_] {
-                request(vm, to_amount(900));
-            });
+            fleet_.at(start + milliseconds(300 + 250 * i),
+                      [this, vm = i % vm_count_] { request(vm, to_amount(900)); });
         }
     }
 
--- a/tools/measure_quota/quota_rows.cpp
+++ b/tools/measure_quota/quota_rows.cpp
@@ -63,8 +63,8 @@
             return {it.slot, it.fence, it.account.str(), it.loan};
         }
         nlohmann::json operator()(const loan_request& it) const {
-            return {key(it.key), it.wanted, it.lifetime.count(), it.wait.count(), it.priority,
-                    it.recall};
+            return {key(it.key),     it.wanted,   it.lifetime.count(),
+                    it.wait.count(), it.priority, it.recall};
         }
         nlohmann::json operator()(const loan_grant& it) const {
             return {key(it.key), it.granted, it.level.balance, it.level.outstanding,
@@ -85,8 +85,12 @@
 class trial {
 public:
     trial(const row& shape, scheme kind, std::uint64_t seed)
-        : shape_(shape), kind_(kind), random_(seed), settings_(make_settings(seed)),
-          fleet_(settings_), split_(fleet_, settings_.limits, vm_count),
+        : shape_(shape),
+          kind_(kind),
+          random_(seed),
+          settings_(make_settings(seed)),
+          fleet_(settings_),
+          split_(fleet_, settings_.limits, vm_count),
           holder_(fleet_, settings_, takeover) {
         for (std::size_t i = 0; i < account_count; ++i) {
             checks_.emplace_back(limits(), duration::zero());
@@ -111,8 +115,8 @@
         }
         figures_.messages /= span * vm_count;
         figures_.bytes = static_cast<double>(bytes_) / (span * vm_count);
-        figures_.calls = static_cast<double>(after.reads + after.writes - before.reads -
-                                             before.writes) / span;
+        figures_.calls =
+            static_cast<double>(after.reads + after.writes - before.reads - before.writes) / span;
         for (std::size_t i = 0; i < account_count; ++i) {
             const double part = requests_[i] == 0 ? 0
                                                   : static_cast<double>(wrongful_[i]) /
@@ -168,18 +172,18 @@
         } else if (kind_ == scheme::holder) {
             holder_.request(vm, account(i), size, done);
         } else {
-            fleet_.admit(vm, account(i), size, [this, done, vm, size](const admission_decision& it) {
-                done(std::holds_alternative<admitted>(it));
-                settle_later(vm, it, size);
-            });
+            fleet_.admit(vm, account(i), size,
+                         [this, done, vm, size](const admission_decision& it) {
+                             done(std::holds_alternative<admitted>(it));
+                             settle_later(vm, it, size);
+                         });
         }
     }
 
     void settle_later(std::size_t vm, const admission_decision& decision, token_amount size) {
         if (const auto* it = std::get_if<admitted>(&decision)) {
-            fleet_.at(fleet_.now() + service_time, [this, vm, number = it->number, size] {
-                fleet_.settle(vm, number, size);
-            });
+            fleet_.at(fleet_.now() + service_time,
+                      [this, vm, number = it->number, size] { fleet_.settle(vm, number, size); });
         }
     }
 
