--- /dev/null
+++ b/libs/fairness/src/demand.cpp
@@ -0,0 +1,45 @@
+#include "fairness/demand.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace radishpulley::fairness {
+
+void merge(demand_summary& sum, const demand_summary& more) {
+    for (const auto& [account, it] : more) {
+        account_demand& into = sum[account];
+        into.weight = it.weight;
+        into.requests += it.requests;
+    }
+}
+
+fair_ratios divide(const demand_summary& demand, double capacity) {
+    struct entry {
+        const client_account_id* account;
+        account_demand demand;
+    };
+    std::vector<entry> list;
+    double weights = 0;
+    for (const auto& [account, it] : demand) {
+        if (it.requests > 0 && it.weight > 0) {
+            list.push_back({&account, it});
+            weights += it.weight;
+        }
+    }
+    // Accounts that ask for the least by their weight are satisfied first.
+    std::sort(list.begin(), list.end(), [](const entry& a, const entry& b) {
+        return a.demand.requests * b.demand.weight < b.demand.requests * a.demand.weight;
+    });
+    fair_ratios ratios;
+    double left = std::max(0.0, capacity);
+    for (const entry& it : list) {
+        const double fair = left * it.demand.weight / weights;
+        const double given = std::min(it.demand.requests, fair);
+        left -= given;
+        weights -= it.demand.weight;
+        ratios[*it.account] = given / it.demand.requests;
+    }
+    return ratios;
+}
+
+}  // namespace radishpulley::fairness
