--- a/libs/fairness/include/fairness/demand.h
+++ b/libs/fairness/include/fairness/demand.h
@@ -27,10 +27,14 @@
 /// Adds `more` to `sum`; the weight of `more` counts where both have one.
 void merge(demand_summary& sum, const demand_summary& more);
 
+/// Returns how many requests the fleet should have in flight for endpoints that run `concurrency`
+/// at once: enough that they seldom idle between two exchanges of demand.
+double target_in_flight(double concurrency);
+
 /// Divides `capacity` among the accounts by weighted max-min: no account gets more than it asks
 /// for, and what one leaves goes to the others in proportion to their weights.
 ///
-///     fair_ratios shares = divide(fleet_demand, 64);
+///     fair_ratios shares = divide(fleet_demand, target_in_flight(64));
 fair_ratios divide(const demand_summary& demand, double capacity);
 
 }  // namespace radishpulley::fairness
--- a/libs/fairness/include/fairness/fair_queue.h
+++ b/libs/fairness/include/fairness/fair_queue.h
@@ -20,9 +20,9 @@
 struct queue_policy {
     /// Most requests of one account that wait.
     std::size_t max_waiting = 256;
-    /// Age after which shares from the fleet no longer count, and all daemons fall back to shares
-    /// of what they see themselves.
-    duration shares_lifetime = std::chrono::seconds(5);
+    /// Age after which shares from the fleet no longer count; then accounts only take turns by
+    /// weight.
+    duration shares_lifetime = std::chrono::seconds(60);
     /// Running time that an account may use ahead of its share, in request-seconds.
     double burst = 1;
 };
--- a/libs/fairness/src/demand.cpp
+++ b/libs/fairness/src/demand.cpp
@@ -4,6 +4,17 @@
 #include <vector>
 
 namespace radishpulley::fairness {
+namespace {
+
+// Requests that wait at the endpoints keep them busy while shares are out of date; with 1.2, one
+// endpoint in ten idled.
+constexpr double in_flight_factor = 2.0;
+
+}  // namespace
+
+double target_in_flight(double concurrency) {
+    return concurrency * in_flight_factor;
+}
 
 void merge(demand_summary& sum, const demand_summary& more) {
     for (const auto& [account, it] : more) {
--- a/tools/measure_quota/main.cpp
+++ b/tools/measure_quota/main.cpp
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <cstdio>
 #include <string>
+#include <vector>
 
+#include "fairness_rows.h"
 #include "quota_rows.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of all schedules");
@@ -17,6 +19,8 @@
     const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
     const std::string only = absl::GetFlag(FLAGS_row);
     std::vector<std::string> missed = radishpulley::measure::run_quota_rows(seed, only);
+    const std::vector<std::string> unfair = radishpulley::measure::run_fairness_rows(seed, only);
+    missed.insert(missed.end(), unfair.begin(), unfair.end());
     std::printf("repeat one row: measure_quota --seed=%llu --row=NAME\n",
                 static_cast<unsigned long long>(seed));
     for (const std::string& it : missed) {
