--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -13,12 +13,13 @@
 constexpr duration silence = std::chrono::seconds(1);
 // A daemon that had to give tokens back keeps no spare ones for this long.
 constexpr duration spare_pause = std::chrono::milliseconds(300);
+constexpr token_amount least_spare_requests = 2;
+constexpr token_amount size_smoothing = 8;
 constexpr duration least_spare_interval = std::chrono::milliseconds(20);
 // Spare tokens of one daemon are at most this part of what the slots are expected to hold.
 constexpr token_amount spare_part = 16;
-// Part of a slot's expected balance that one daemon asks for while other slots have some.
-constexpr token_amount fair_numerator = 3;
-constexpr token_amount fair_denominator = 4;
+// Smallest part of a slot's burst that is worth a message.
+constexpr token_amount least_parts_of_slot = 12;
 // Longest line that can be served within the wait is the burst and what accrues; more requests
 // than this are refused whatever their size.
 constexpr std::size_t max_queue = 4096;
@@ -192,7 +193,7 @@
     if (!shortage_ || now - shortage_at_ > context_.policy.level_lifetime) {
         return false;
     }
-    return ahead > *shortage_ + product(limits_.rate, now - shortage_at_) + available(now);
+    return ahead > *shortage_ + product(limits_.rate, now - shortage_at_);
 }
 
 void account_pool::admit(admission_number number, token_amount size, time_point now,
@@ -200,6 +201,7 @@
     const waiting_request it{number, std::max<token_amount>(0, size),
                              now + context_.policy.admission_wait};
     demand_.add(std::min(it.size, limits_.burst), now);
+    usual_size_ += (it.size - usual_size_) / size_smoothing;
     if (it.size > limits_.burst) {
         out.decisions.emplace_back(
             refused{number, refusal_reason::larger_than_burst, duration::zero()});
@@ -238,7 +240,7 @@
         queue_.pop_front();
         const refused decision = refusal(it, now);
         if (decision.reason == refusal_reason::over_rate) {
-            token_amount known = 0;
+            token_amount known = available(now);
             for (std::size_t i = 0; i < views_.size(); ++i) {
                 known += expected_balance(static_cast<slot_number>(i), now);
             }
@@ -354,45 +356,61 @@
     }
     if (round_ == collecting::idle) {
         begin_collection(now);
+        if (shortage_ && now - shortage_at_ < context_.policy.admission_wait) {
+            round_ = collecting::all_slots;
+            round_until_ = now + context_.policy.round_wait * 2;
+            ask_all(missing, now, out);
+            return;
+        }
         round_ = collecting::likely_slots;
         round_until_ = now + context_.policy.round_wait;
-        ask_likely(missing + spare_target(now) / 2, now, out);
+        ask_fullest(missing + spare_target(now) / 2, now, out);
     } else if (round_ == collecting::likely_slots && round_is_over(now)) {
         round_ = collecting::known_slots;
         round_until_ = now + context_.policy.round_wait;
-        ask_known(missing, now, out);
+        ask_fullest(missing, now, out);
     } else if (round_ == collecting::known_slots && round_is_over(now)) {
         round_ = collecting::all_slots;
         round_until_ = now + context_.policy.round_wait;
         ask_all(missing, now, out);
     } else if (round_ == collecting::all_slots && now >= round_until_) {
         round_is_over(now);
-        round_until_ = now + context_.policy.round_wait;
+        round_until_ = now + context_.policy.round_wait * 2;
         ask_all(missing, now, out);
     }
 }
 
-void account_pool::ask_likely(token_amount need, time_point now, quota_output& out) {
-    token_amount missing = need;
-    for (const slot_number slot : slots_by_balance(now)) {
-        const token_amount fair = expected_balance(slot, now) / fair_denominator * fair_numerator;
-        const token_amount amount = std::min(missing, fair);
-        if (amount <= 0) {
-            break;
+// Takes from the fullest slots down to a common level: a slot that stays full while others are
+// short adds no tokens.
+void account_pool::ask_fullest(token_amount need, time_point now, quota_output& out) {
+    const std::vector<slot_number> slots = slots_by_balance(now);
+    const auto above = [&](token_amount level) {
+        token_amount sum = 0;
+        for (const slot_number slot : slots) {
+            sum += std::max<token_amount>(0, expected_balance(slot, now) - level);
+        }
+        return sum;
+    };
+    token_amount low = 0;
+    token_amount high = limits_.burst;
+    for (int i = 0; i < search_steps && low < high; ++i) {
+        const token_amount middle = low + (high - low) / 2;
+        if (above(middle) > need) {
+            low = middle + 1;
+        } else {
+            high = middle;
         }
-        ask({slot, amount}, false, now, out);
-        missing -= amount;
     }
-}
-
-void account_pool::ask_known(token_amount need, time_point now, quota_output& out) {
     token_amount missing = need;
-    for (const slot_number slot : slots_by_balance(now)) {
-        const token_amount amount = std::min(missing, expected_balance(slot, now));
+    for (const slot_number slot : slots) {
+        const token_amount balance = expected_balance(slot, now);
+        const token_amount least = share_burst(slot) / least_parts_of_slot + 1;
+        const token_amount wanted = std::min(balance, std::max(least, balance - high + 1));
+        const token_amount amount = std::min(missing, wanted);
         if (amount > 0) {
             ask({slot, amount}, false, now, out);
+            missing -= amount;
         }
-        missing -= std::max<token_amount>(0, amount);
     }
 }
 
@@ -467,7 +485,10 @@
     for (std::size_t i = 0; i < views_.size(); ++i) {
         expected += expected_balance(static_cast<slot_number>(i), now);
     }
-    return std::min(product(demand_.rate(now), context_.policy.prefetch), expected / spare_part);
+    const token_amount target =
+        std::min(product(demand_.rate(now), context_.policy.prefetch), expected / spare_part);
+    // Fewer tokens than a few requests need would only lie idle here.
+    return target < usual_size_ * least_spare_requests ? 0 : target;
 }
 
 void account_pool::top_up(time_point now, quota_output& out) {
@@ -491,8 +512,7 @@
         expected_balance(slots.front(), now) <= 0) {
         return;
     }
-    ask({slots.front(), std::min(target - held, expected_balance(slots.front(), now))}, false, now,
-        out);
+    ask_fullest(target - held, now, out);
     spare_loan_ = context_.last_loan;
     spare_asked_at_ = now;
     collection_.clear();
@@ -613,19 +633,45 @@
         if (now - held.requested_at >= context_.policy.return_age) {
             give_back(it->first, held, held.unspent(), now, out);
         }
-        const bool is_forgotten = now >= held.ends_at + context_.policy.settle_limit;
-        const bool is_done = now >= held.ends_at && held.unsettled == 0 && !held.is_dirty();
-        it = is_forgotten || is_done ? loans_.erase(it) : std::next(it);
+        if (now < held.ends_at) {
+            ++it;
+            continue;
+        }
+        if (held.is_dirty()) {
+            report(it->first, held, now, out);
+        }
+        if (held.unsettled > 0) {
+            ended_.emplace(it->first, held);
+            forget_.emplace_back(now + context_.policy.settle_limit, it->first);
+        }
+        it = loans_.erase(it);
+    }
+    while (!forget_.empty() && forget_.front().first <= now) {
+        ended_.erase(forget_.front().second);
+        forget_.pop_front();
+    }
+}
+
+account_pool::loan* account_pool::find_loan(loan_number number) {
+    const auto live = loans_.find(number);
+    if (live != loans_.end()) {
+        return &live->second;
     }
+    const auto ended = ended_.find(number);
+    return ended == ended_.end() ? nullptr : &ended->second;
 }
 
 // Settlement.
 
-void account_pool::forget_charge(const charge& it) {
+void account_pool::release_charge(const charge& it) {
     for (const auto& [number, part] : it.parts) {
-        const auto held = loans_.find(number);
-        if (held != loans_.end()) {
-            held->second.unsettled -= part;
+        loan* const held = find_loan(number);
+        if (held == nullptr) {
+            continue;
+        }
+        held->unsettled -= part;
+        if (held->unsettled == 0) {
+            ended_.erase(number);
         }
     }
 }
@@ -634,20 +680,22 @@
                           quota_output& out) {
     token_amount missing = amount;
     for (const auto& [number, part] : from.parts) {
-        const auto found = loans_.find(number);
+        loan* const held = find_loan(number);
         const token_amount share = std::min(part, missing);
         missing -= share;
-        if (found == loans_.end() || share == 0) {
+        if (held == nullptr || share == 0) {
             continue;
         }
         // What the owner has not yet heard of need not be told.
-        loan& it = found->second;
+        const bool is_live = now < held->ends_at;
         const token_amount untold =
-            now < it.ends_at ? std::min(share, it.spent - it.reported_spent) : 0;
-        it.spent -= untold;
-        it.refunded += share - untold;
+            is_live ? std::min(share, held->spent - held->reported_spent) : 0;
+        held->spent -= untold;
+        held->refunded += share - untold;
+        if (!is_live) {
+            report(number, *held, now, out);
+        }
     }
-    pump(now, out);
 }
 
 void account_pool::settle(admission_number number, token_amount used, time_point now,
@@ -658,13 +706,15 @@
     }
     const charge made = std::move(it->second);
     charges_.erase(it);
-    forget_charge(made);
     if (used > made.amount) {
         debt_ += used - made.amount;
-        pump(now, out);
     } else if (used < made.amount) {
         refund(made, made.amount - std::max<token_amount>(0, used), now, out);
     }
+    release_charge(made);
+    if (used != made.amount) {
+        pump(now, out);
+    }
 }
 
 void account_pool::cancel(admission_number number, time_point now, quota_output& out) {
