--- a/libs/fleet_of_processes/src/local_fleet.cpp
+++ b/libs/fleet_of_processes/src/local_fleet.cpp
@@ -20,7 +20,7 @@
 constexpr const char* fleet_secret = "fleet-secret-of-the-local-fleet";
 constexpr const char* key_secret = "key-secret-of-the-local-fleet";
 constexpr auto call_timeout = 30s;
-constexpr auto accept_limit = 30s;
+constexpr auto accept_limit = 50s;
 constexpr auto poll_interval = 20ms;
 
 void write_file(const std::string& path, const std::string& text) {
--- a/libs/wire/src/fleet_messages.cpp
+++ b/libs/wire/src/fleet_messages.cpp
@@ -37,7 +37,8 @@
 
 namespace radishpulley::keys {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(evidence_report, number, revision, age)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hold_report, vm, reason, number, age)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(held_vm, vm, age)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hold_report, reason, number, vms)
 }  // namespace radishpulley::keys
 
 namespace radishpulley::tickets {
