--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -79,8 +79,7 @@
     return mean_run_ * (load - places) / places;
 }
 
-bool router::has_copy(const engine_view& engine, const adapter_ref& adapter,
-                      time_point now) const {
+bool router::has_copy(const engine_view& engine, const adapter_ref& adapter, time_point now) const {
     const auto it = engine.copies.find(adapter);
     return it != engine.copies.end() && now - it->second < settings_.copy_memory;
 }
