--- a/libs/peer/tests/details_tests.cpp
+++ b/libs/peer/tests/details_tests.cpp
@@ -18,7 +18,7 @@
     return {protocol_version, sender, 1, message.type, message.body};
 }
 
-struct pair_of_sides {
+struct handshake_pair {
     handshake dialer = handshake::for_dialer(dialer_id, secret, listener_id.vm);
     handshake listener = handshake::for_listener(listener_id, secret);
     outgoing_message challenge = *listener.receive(from(dialer_id, dialer.hello())).reply;
@@ -27,7 +27,7 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(both_sides_prove_themselves) {
-    pair_of_sides it;
+    handshake_pair it;
     const auto proof = it.dialer.receive(from(listener_id, it.challenge));
     BOOST_REQUIRE(proof.reply);
     const auto accepted = it.listener.receive(from(dialer_id, *proof.reply));
@@ -37,8 +37,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_proof_fits_one_handshake_only) {
-    pair_of_sides first;
-    pair_of_sides second;
+    handshake_pair first;
+    handshake_pair second;
     const auto proof = first.dialer.receive(from(listener_id, first.challenge));
     const auto replayed = second.listener.receive(from(dialer_id, *proof.reply));
     BOOST_TEST((replayed.fault == peer_fault::authentication_failed));
@@ -47,21 +47,31 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_proof_fits_one_incarnation_only) {
-    pair_of_sides it;
+    handshake_pair it;
     const vm_incarnation other{listener_id.vm, listener_id.incarnation + 1};
     const auto step = it.dialer.receive(from(other, it.challenge));
     BOOST_TEST((step.fault == peer_fault::authentication_failed));
 }
 
+BOOST_AUTO_TEST_CASE(another_vm_of_the_fleet_is_not_the_one_dialed) {
+    const vm_incarnation other{vm_id("vm-c"), 1};
+    const handshake_pair it;
+    handshake dialer = it.dialer;
+    handshake listener = handshake::for_listener(other, secret);
+    const auto challenge = listener.receive(from(dialer_id, dialer.hello()));
+    const auto step = dialer.receive(from(other, *challenge.reply));
+    BOOST_TEST((step.fault == peer_fault::authentication_failed));
+}
+
 BOOST_AUTO_TEST_CASE(a_listener_s_own_proof_is_no_dialer_s_proof) {
-    pair_of_sides it;
+    handshake_pair it;
     const outgoing_message reflected{"proof", {{"proof", it.challenge.body["proof"]}}};
     const auto step = it.listener.receive(from(dialer_id, reflected));
     BOOST_TEST((step.fault == peer_fault::authentication_failed));
 }
 
 BOOST_AUTO_TEST_CASE(only_a_proved_listener_can_supersede_a_dialer) {
-    pair_of_sides it;
+    handshake_pair it;
     const auto told = from(listener_id, handshake::rejection(peer_fault::superseded));
     handshake unproved = it.dialer;
     BOOST_TEST((unproved.receive(told).fault == peer_fault::authentication_failed));
