--- a/libs/peer_standins/tests/websocket_fault_tests.cpp
+++ b/libs/peer_standins/tests/websocket_fault_tests.cpp
@@ -119,6 +119,14 @@
     BOOST_TEST(both.counts(&counters::old_incarnations));
 }
 
+BOOST_AUTO_TEST_CASE(a_peer_that_saw_a_newer_incarnation_of_this_vm_says_so) {
+    daemon_and_raw_peer both;
+    BOOST_REQUIRE(both.authenticate());
+    const auto told = peer::detail::handshake::rejection(peer::peer_fault::superseded);
+    both.raw->send_frame(frame_of(raw_id, told));
+    BOOST_TEST(both.fleet.sees("vm-a", "lost vm-r/1 superseded"));
+}
+
 BOOST_AUTO_TEST_CASE(a_second_connection_of_one_incarnation_takes_over) {
     daemon_and_raw_peer both;
     BOOST_REQUIRE(both.authenticate());
