--- a/libs/peer/include/peer/transport.h
+++ b/libs/peer/include/peer/transport.h
@@ -98,6 +98,15 @@
     std::uint64_t messages_refused = 0;
 };
 
+/// One count with its name, such as `silent_connections`.
+struct counter_entry {
+    const char* name = "";
+    std::uint64_t value = 0;
+};
+
+/// Lists all counts, for metrics.
+std::vector<counter_entry> list_counters(const transport_counters& it);
+
 /// Sends messages to other daemons and reports what arrives. Safe to call from several threads.
 class peer_transport {
 public:
