--- a/libs/keys/include/keys/freshness.h
+++ b/libs/keys/include/keys/freshness.h
@@ -176,8 +176,8 @@
         hold_reason reason = hold_reason::promised;
         model::ticket_number number = 0;
         time_point given;
-        /// Neighbour that told of it.
-        vm_id source;
+        /// Neighbours that told of it, or of one hardly older, and need not be told.
+        std::vector<vm_id> sources;
         /// Value of `given` when neighbours were last to be told.
         time_point announced;
         position changed = 0;
@@ -192,7 +192,7 @@
     bool is_fresh(model::ticket_number in_force, time_point now) const;
     bool holds(const vm_id& vm, model::ticket_number in_force, time_point now) const;
     bool take_evidence(model::ticket_number number, known_evidence it);
-    bool take_hold(const vm_id& vm, const known_hold& it);
+    bool take_hold(const vm_id& vm, known_hold it);
     std::optional<time_point> last_heard() const;
     duration own_spread() const;
 
--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -65,9 +65,14 @@
     return take_evidence(it.number, {it.revision, proven - it.age});
 }
 
-bool freshness::take_hold(const vm_id& vm, const known_hold& it) {
+bool freshness::take_hold(const vm_id& vm, known_hold it) {
     known_hold& held = holds_[vm];
     const bool is_new = held.changed == 0;
+    const bool is_known = !is_new && held.reason == it.reason && held.number == it.number &&
+                          it.given - held.announced < settings_.hold_refresh / 2;
+    if (is_known && held.announced - it.given < settings_.hold_refresh / 2) {
+        held.sources.insert(held.sources.end(), it.sources.begin(), it.sources.end());
+    }
     if (!is_new && it.given <= held.given) {
         return false;
     }
@@ -78,8 +83,8 @@
     held.number = std::max(held.number, it.number);
     held.reason = it.reason;
     held.given = it.given;
-    held.source = it.source;
     if (is_news) {
+        held.sources = std::move(it.sources);
         held.announced = it.given;
         held.changed = ++last_;
     }
@@ -98,7 +103,7 @@
             hold.reason = report.reason;
             hold.number = report.number;
             hold.given = proven - it.age;
-            hold.source = peer;
+            hold.sources = {peer};
             is_urgent = take_hold(it.vm, hold) || is_urgent;
         }
     }
@@ -252,10 +257,15 @@
 
 std::vector<hold_report> freshness::hold_news(const vm_id& peer, position& told,
                                               time_point now) const {
+    if (told == last_) {
+        return {};
+    }
     std::map<std::pair<hold_reason, model::ticket_number>, hold_report> groups;
     for (const auto& [vm, held] : holds_) {
         const duration age = now - held.given;
-        if (held.changed <= told || held.source == peer || age >= settings_.hold_time) {
+        const bool is_known_there =
+            std::find(held.sources.begin(), held.sources.end(), peer) != held.sources.end();
+        if (held.changed <= told || is_known_there || age >= settings_.hold_time) {
             continue;
         }
         hold_report& group = groups[{held.reason, held.number}];
--- a/libs/membership/include/membership/member_table.h
+++ b/libs/membership/include/membership/member_table.h
@@ -193,6 +193,8 @@
     incarnation_number incarnation_;
     const membership_settings settings_;
     std::map<vm_id, peer> peers_;
+    /// Those of peers_ that are connected or wanted, so that a tick costs no pass over the fleet.
+    std::map<vm_id, peer*> active_;
     /// Incarnations of VMs that have ended, so that late news does not bring them back.
     std::map<vm_id, incarnation_number> ended_;
     std::uint64_t last_token_ = 0;
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -65,6 +65,7 @@
         }
     }
     for (const vm_id& vm : ended) {
+        active_.erase(vm);
         peers_.erase(vm);
         ++last_change_;
     }
@@ -99,6 +100,9 @@
     const std::set<vm_id> wanted(chosen.begin(), chosen.end());
     for (auto& [vm, it] : peers_) {
         it.chosen = wanted.count(vm) != 0;
+        if (it.chosen) {
+            active_[vm] = &it;
+        }
     }
 }
 
@@ -107,6 +111,7 @@
         const auto it = peers_.find(vm);
         if (it != peers_.end()) {
             it->second.to_introduce = true;
+            active_[vm] = &it->second;
         }
     }
 }
@@ -119,6 +124,7 @@
         it.known.entry.vm = vm;
         it.changed = ++last_change_;
     }
+    active_[vm] = &it;
     it.is_connected = true;
     it.wanted_by_peer = false;
     it.connected_at = now;
@@ -213,8 +219,8 @@
 }
 
 void member_table::hurry(time_point now) {
-    for (auto& entry : peers_) {
-        peer& it = entry.second;
+    for (auto& entry : active_) {
+        peer& it = *entry.second;
         const time_point soonest = std::max(now, it.last_sent + settings_.urgent_gap);
         it.next_heartbeat = std::min(it.next_heartbeat, soonest);
     }
@@ -222,10 +228,13 @@
 
 std::vector<membership_action> member_table::due(time_point now) {
     std::vector<membership_action> out;
-    for (auto& entry : peers_) {
-        check_silence(entry.second, now, out);
-        check_connection(entry.second, now, out);
-        send_due(entry.second, now, out);
+    for (auto entry = active_.begin(); entry != active_.end();) {
+        peer& it = *entry->second;
+        check_silence(it, now, out);
+        check_connection(it, now, out);
+        send_due(it, now, out);
+        const bool is_idle = !it.is_connected && !is_wanted(it);
+        entry = is_idle ? active_.erase(entry) : std::next(entry);
     }
     return out;
 }
@@ -243,6 +252,9 @@
 
 std::vector<member_report> member_table::news(std::uint64_t& told) const {
     std::vector<member_report> all;
+    if (told == last_change_) {
+        return all;
+    }
     if (told == 0) {
         all.push_back(self_report());
     }
@@ -266,7 +278,8 @@
 
 std::vector<vm_id> member_table::connected_peers(time_point now) const {
     std::vector<vm_id> vms;
-    for (const auto& [vm, it] : peers_) {
+    for (const auto& [vm, active] : active_) {
+        const peer& it = *active;
         const bool is_heard =
             it.known.state == member_state::heard || it.known.state == member_state::leaving;
         if (it.is_connected && is_heard && now - it.last_heard < settings_.silence_limit) {
--- a/libs/tickets/src/rollout.cpp
+++ b/libs/tickets/src/rollout.cpp
@@ -25,6 +25,9 @@
 
 std::vector<in_force_report> rollout::news(position& told) const {
     std::vector<in_force_report> reports;
+    if (told == last_) {
+        return reports;
+    }
     for (const auto& it : entries_) {
         if (it.second.changed > told) {
             reports.push_back(it.second.report);
