--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -1,6 +1,7 @@
 #include "keys/freshness.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "base/digest.h"
@@ -65,9 +66,14 @@
     return take_evidence(it.number, {it.revision, proven - it.age});
 }
 
-bool freshness::take_hold(const vm_id& vm, const known_hold& it) {
+bool freshness::take_hold(const vm_id& vm, known_hold it) {
     known_hold& held = holds_[vm];
     const bool is_new = held.changed == 0;
+    const bool is_known = !is_new && held.reason == it.reason && held.number == it.number &&
+                          it.given - held.announced < settings_.hold_refresh / 2;
+    if (is_known && held.announced - it.given < settings_.hold_refresh / 2) {
+        held.sources.insert(held.sources.end(), it.sources.begin(), it.sources.end());
+    }
     if (!is_new && it.given <= held.given) {
         return false;
     }
@@ -78,8 +84,8 @@
     held.number = std::max(held.number, it.number);
     held.reason = it.reason;
     held.given = it.given;
-    held.source = it.source;
     if (is_news) {
+        held.sources = std::move(it.sources);
         held.announced = it.given;
         held.changed = ++last_;
     }
@@ -90,16 +96,16 @@
                            time_point proven) {
     bool is_urgent = false;
     for (const hold_report& report : reports) {
-        for (const held_vm& it : report.vms) {
-            if (it.vm == self_.vm) {
+        for (const vm_id& vm : report.vms) {
+            if (vm == self_.vm) {
                 continue;
             }
             known_hold hold;
             hold.reason = report.reason;
             hold.number = report.number;
-            hold.given = proven - it.age;
-            hold.source = peer;
-            is_urgent = take_hold(it.vm, hold) || is_urgent;
+            hold.given = proven - report.age;
+            hold.sources = {peer};
+            is_urgent = take_hold(vm, hold) || is_urgent;
         }
     }
     return is_urgent;
@@ -252,16 +258,24 @@
 
 std::vector<hold_report> freshness::hold_news(const vm_id& peer, position& told,
                                               time_point now) const {
-    std::map<std::pair<hold_reason, model::ticket_number>, hold_report> groups;
+    if (told == last_) {
+        return {};
+    }
+    std::map<std::tuple<hold_reason, model::ticket_number, duration>, hold_report> groups;
+    const duration step = settings_.hold_age_step;
     for (const auto& [vm, held] : holds_) {
         const duration age = now - held.given;
-        if (held.changed <= told || held.source == peer || age >= settings_.hold_time) {
+        const bool is_known_there =
+            std::find(held.sources.begin(), held.sources.end(), peer) != held.sources.end();
+        if (held.changed <= told || is_known_there || age >= settings_.hold_time) {
             continue;
         }
-        hold_report& group = groups[{held.reason, held.number}];
+        const duration rounded = (age + step - duration(1)) / step * step;
+        hold_report& group = groups[{held.reason, held.number, rounded}];
         group.reason = held.reason;
         group.number = held.number;
-        group.vms.push_back({vm, age});
+        group.age = rounded;
+        group.vms.push_back(vm);
     }
     told = last_;
     std::vector<hold_report> reports;
--- a/libs/membership/include/membership/member_table.h
+++ b/libs/membership/include/membership/member_table.h
@@ -88,9 +88,9 @@
 
 /// Times of the membership. All VMs use the same.
 struct membership_settings {
-    duration heartbeat_interval = std::chrono::milliseconds(500);
+    duration heartbeat_interval = std::chrono::milliseconds(750);
     /// A connection without a heartbeat for this long is replaced by a new one.
-    duration silence_limit = std::chrono::milliseconds(1750);
+    duration silence_limit = std::chrono::milliseconds(2000);
     /// Pause before a connection is tried again.
     duration reconnect_pause = std::chrono::milliseconds(500);
     /// Extra pause, at most, by which VMs differ.
@@ -193,6 +193,8 @@
     incarnation_number incarnation_;
     const membership_settings settings_;
     std::map<vm_id, peer> peers_;
+    /// Those of peers_ that are connected or wanted, so that a tick costs no pass over the fleet.
+    std::map<vm_id, peer*> active_;
     /// Incarnations of VMs that have ended, so that late news does not bring them back.
     std::map<vm_id, incarnation_number> ended_;
     std::uint64_t last_token_ = 0;
