--- a/tools/measure_placement/report.cpp
+++ b/tools/measure_placement/report.cpp
@@ -1,6 +1,7 @@
 #include "report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <functional>
 #include <memory>
@@ -24,7 +25,7 @@
     }
     std::sort(values.begin(), values.end());
     const auto last = static_cast<double>(values.size() - 1);
-    return values[static_cast<std::size_t>(part * last + 0.5)];
+    return values[static_cast<std::size_t>(std::lround(part * last))];
 }
 
 struct account_figures {
@@ -70,7 +71,8 @@
             stalls.push_back(seconds(it.stall));
         }
         if (it.crossed_region) {
-            bytes += bytes_per_token * (it.what.prompt_tokens + it.what.output_tokens);
+            bytes +=
+                std::uint64_t{bytes_per_token} * (it.what.prompt_tokens + it.what.output_tokens);
         }
     }
     result.stalls = stalls.size();
@@ -169,7 +171,8 @@
         return make_fleet_policy(where, seed, /*regions_known=*/false);
     }));
     const time_point from = workload_start + settings.warm_up;
-    const std::size_t fewest = fewest_loads(arrivals, engine_count * slots_per_engine, from);
+    const std::size_t fewest =
+        fewest_loads(arrivals, std::size_t{engine_count} * slots_per_engine, from);
     result.fewest_loads_per_1000 =
         1000.0 * static_cast<double>(fewest) / static_cast<double>(own(result).requests);
     return result;
