--- a/tools/measure_placement/fleet_policy.cpp
+++ b/tools/measure_placement/fleet_policy.cpp
@@ -76,6 +76,7 @@
     }
 
     std::uint64_t control_bytes() const override { return control_bytes_; }
+    std::uint64_t control_messages() const override { return control_messages_; }
 
 private:
     time_point now() const { return world_.events.now(); }
@@ -109,6 +110,7 @@
 
     void post(std::uint32_t from, std::uint32_t to, std::function<void()> arrival) {
         const bool crosses = region_of_daemon(from) != region_of_daemon(to);
+        control_messages_ += from == to ? 0 : 1;
         control_bytes_ += crosses ? message_bytes : 0;
         const duration delay = from == to ? duration::zero() : crosses ? region_delay : zone_delay;
         world_.events.after(delay, std::move(arrival));
@@ -243,6 +245,7 @@
     std::map<const job*, request_id> numbers_;
     std::uint64_t sequence_ = 0;
     std::uint64_t control_bytes_ = 0;
+    std::uint64_t control_messages_ = 0;
 };
 
 }  // namespace
