Requests: a client that could not connect has not run the request

HTTP clients that connect and write in one call cannot report a connection of their own, so a refused connection ended as unknown and left its record behind. attempt_failed now says whether a connection was made.

--- a/libs/idempotency/tests/idempotency_tests.cpp
+++ b/libs/idempotency/tests/idempotency_tests.cpp
@@ -187,6 +187,26 @@
     BOOST_TEST(is_stored(it.begin(it.there)));
 }
 
+BOOST_AUTO_TEST_CASE(updates_that_are_sent_twice_change_nothing) {
+    for (const bool ran : {true, false}) {
+        fleet it;
+        standins::late_object_store doubling(it.store);
+        doubling.double_updates();
+        once_guard guard(doubling, {vm_id("vm-3"), 1}, guard_limits());
+        const auto permit = it.begin(guard);
+        BOOST_REQUIRE(runs(permit));
+        BOOST_TEST(!runs(it.begin(it.there)));
+        if (ran) {
+            it.finish(guard, permit);
+        } else {
+            guard.release(std::get<run_permit>(permit), it.clock.now());
+            it.retry(guard);
+        }
+        BOOST_TEST(guard.pending() == 0U);
+        BOOST_TEST(is_stored(it.begin(it.there)) == ran);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_did_not_run_may_be_repeated) {
     for (const auto fault : {store_fault::none, store_fault::lost_call, store_fault::lost_answer}) {
         fleet it;
--- a/libs/requests/include/requests/events.h
+++ b/libs/requests/include/requests/events.h
@@ -86,6 +86,9 @@
 struct attempt_failed {
     attempt_number attempt = 0;
     bool silent = false;
+    /// No connection was made, so no byte was written. For HTTP clients that connect and write in
+    /// one call: they get `connected` before it and report this after it.
+    bool not_connected = false;
 };
 /// The retry budget lets the request try again after `delay`.
 struct retry_granted {
--- a/libs/requests/src/request_machine.cpp
+++ b/libs/requests/src/request_machine.cpp
@@ -294,6 +294,9 @@
         ++dropped_;
         return;
     }
+    if (it.not_connected && is_in<states::sent>()) {
+        sent_ = sent_before_attempt_;
+    }
     lose_attempt(is_in<states::answering>() ? error_code::stream_cut : error_code::endpoint_failed,
                  it.silent ? "the connection to the endpoint went silent"
                            : "the connection to the endpoint failed");
--- a/libs/requests/tests/request_machine_tests.cpp
+++ b/libs/requests/tests/request_machine_tests.cpp
@@ -213,6 +213,21 @@
     BOOST_TEST(run.count<decisions::answer_error>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_client_that_could_not_connect_has_not_run_the_request) {
+    driver run(repeat_rule::once_with_key);
+    run.until_sent()(events::attempt_failed{1, false, true})(events::retry_granted{0s});
+    run(events::tick{}).choose(second, false)(events::connected{2});
+    BOOST_TEST(run.count<decisions::send_request>() == 2U);
+    run(events::attempt_failed{2, false, true})(events::retry_denied{});
+    BOOST_TEST((run.all<decisions::answer_error>().at(0).error.run == run_state::not_run));
+    BOOST_TEST(run.count<decisions::release_record>() == 1U);
+
+    driver answering(repeat_rule::once_with_key);
+    answering.until_sent()(driver::plain_head(1, 4))(events::attempt_failed{1, false, true});
+    BOOST_TEST((answering.all<decisions::answer_error>().at(0).error.run ==
+                run_state::failed_after_start));
+}
+
 BOOST_AUTO_TEST_CASE(a_denied_retry_answers_at_once) {
     driver run(repeat_rule::idempotent);
     run.until_sent()(events::attempt_failed{1, true})(events::retry_denied{});
--- a/libs/standins/include/standins/late_object_store.h
+++ b/libs/standins/include/standins/late_object_store.h
@@ -1,4 +1,5 @@
-/// An object store whose updates can take effect long after their caller gave up, for tests.
+/// An object store whose updates can take effect twice, or long after their caller gave up, for
+/// tests.
 #pragma once
 
 #include <functional>
@@ -18,6 +19,9 @@
     /// The next `n` updates get no answer and wait for deliver().
     void hold_updates(std::size_t n) { to_hold_ = n; }
 
+    /// Every update is sent twice, as some HTTP clients do, and the second answer counts.
+    void double_updates() { doubled_ = true; }
+
     /// Lets the held updates take effect, in their order, under their own conditions.
     void deliver() {
         for (const std::function<void()>& it : std::exchange(held_, {})) {
@@ -46,6 +50,9 @@
     template <typename Update>
     platform::put_result update(Update apply) {
         if (to_hold_ == 0) {
+            if (doubled_) {
+                apply();
+            }
             return apply();
         }
         --to_hold_;
@@ -55,6 +62,7 @@
 
     platform::object_store& inner_;
     std::size_t to_hold_ = 0;
+    bool doubled_ = false;
     std::vector<std::function<void()>> held_;
 };
 
