Quota: report spending sooner while a slot is full, later otherwise

next_event() kept the settle limit of ended loans and the short interval; it named moments in the past, so a caller that wakes there never slept.

--- a/libs/quota/include/quota/quota_policy.h
+++ b/libs/quota/include/quota/quota_policy.h
@@ -24,7 +24,9 @@
     /// Age at which the rest of a loan is given back.
     duration return_age = std::chrono::milliseconds(1200);
     /// Longest time between two reports of spending while the slot is nearly full.
-    duration report_interval = std::chrono::milliseconds(100);
+    duration report_interval = std::chrono::milliseconds(20);
+    /// The same while the slot is not full and adds tokens in any case.
+    duration lazy_report_interval = std::chrono::milliseconds(400);
     /// Time after which a charge can no longer be refunded.
     duration settle_limit = std::chrono::minutes(5);
     /// A daemon that did not run for longer reads the slot table again before it lends.
--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -23,6 +23,8 @@
 // Longest line that can be served within the wait is the burst and what accrues; more requests
 // than this are refused whatever their size.
 constexpr std::size_t max_queue = 4096;
+// A slot counts as full when less than this part of its burst is missing.
+constexpr token_amount full_margin_part = 8;
 constexpr int search_steps = 48;
 
 constexpr time_point never = time_point::max();
@@ -609,6 +611,17 @@
     out.messages.push_back({it.owner, message});
 }
 
+// A slot that is full adds nothing until it hears of spending.
+duration account_pool::report_interval(const loan& it) const {
+    if (it.slot >= views_.size() || !views_[it.slot].level) {
+        return context_.policy.report_interval;
+    }
+    const slot_level& level = *views_[it.slot].level;
+    const token_amount burst = share_burst(it.slot);
+    const bool is_full = level.balance + level.outstanding >= burst - burst / full_margin_part;
+    return is_full ? context_.policy.report_interval : context_.policy.lazy_report_interval;
+}
+
 bool account_pool::is_report_due(const loan& it, time_point now) const {
     if (!it.is_dirty()) {
         return false;
@@ -616,7 +629,7 @@
     if (it.unspent() == 0 || it.refunded != it.reported_refunded || now >= it.ends_at) {
         return true;
     }
-    return now - std::max(it.reported_at, it.requested_at) >= context_.policy.report_interval;
+    return now >= std::max(it.reported_at, it.requested_at) + report_interval(it);
 }
 
 void account_pool::report_due(time_point now, quota_output& out) {
@@ -759,11 +772,13 @@
             next = std::min(next, it.requested_at + context_.policy.return_age);
         }
         if (it.is_dirty()) {
-            next = std::min(
-                next, std::max(it.reported_at, it.requested_at) + context_.policy.report_interval);
+            next = std::min(next,
+                            std::max(it.reported_at, it.requested_at) + report_interval(it));
         }
-        next = std::min(next,
-                        it.unsettled == 0 ? it.ends_at : it.ends_at + context_.policy.settle_limit);
+        next = std::min(next, it.ends_at);
+    }
+    if (!forget_.empty()) {
+        next = std::min(next, forget_.front().first);
     }
     if (!queue_.empty()) {
         next = std::min({next, queue_.front().deadline, round_until_});
--- a/libs/quota/src/details/account_pool.h
+++ b/libs/quota/src/details/account_pool.h
@@ -132,6 +132,7 @@
     void give_back_surplus(time_point now, quota_output& out);
     void report(loan_number number, loan& it, time_point now, quota_output& out);
     void report_due(time_point now, quota_output& out);
+    duration report_interval(const loan& it) const;
     bool is_report_due(const loan& it, time_point now) const;
     void end_loans(time_point now, quota_output& out);
     void refund(const charge& from, token_amount amount, time_point now, quota_output& out);
