--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -772,8 +772,7 @@
             next = std::min(next, it.requested_at + context_.policy.return_age);
         }
         if (it.is_dirty()) {
-            next = std::min(next,
-                            std::max(it.reported_at, it.requested_at) + report_interval(it));
+            next = std::min(next, std::max(it.reported_at, it.requested_at) + report_interval(it));
         }
         next = std::min(next, it.ends_at);
     }
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -1,36 +1,128 @@
 #include <boost/test/unit_test.hpp>
 
-#include "quota/quota_node.h"
+#include "quota_trial/trial_fleet.h"
 
 using namespace radishpulley;
 using namespace radishpulley::quota;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
 const client_account_id account("sastro");
+constexpr duration warm_up = seconds(5);
+
+trial_settings settings(std::size_t vm_count) {
+    trial_settings it;
+    it.vm_count = vm_count;
+    it.limits = {{account, {to_amount(100), to_amount(1000)}}};
+    return it;
+}
+
+// Results of requests, in the order of their decisions.
+struct results {
+    std::vector<admission_decision> list;
+
+    trial_fleet::decision_handler handler() {
+        return [this](const admission_decision& it) { list.push_back(it); };
+    }
+    std::size_t admitted_count() const {
+        std::size_t n = 0;
+        for (const admission_decision& it : list) {
+            n += std::holds_alternative<admitted>(it) ? 1 : 0;
+        }
+        return n;
+    }
+};
 
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(quota_suite)
 
-BOOST_AUTO_TEST_CASE(one_daemon_admits_its_whole_burst_and_no_more) {
-    virtual_clock source;
-    const vm_incarnation self{vm_id("a"), 1};
-    quota_node node(self, quota_policy());
-    node.set_limits({{account, {to_amount(100), to_amount(1000)}}}, source.now());
-    slot_table table;
-    table.slots.assign(16, slot_entry{self, 1});
-    node.set_table(table, source.now());
-    const quota_output all = node.admit(1, account, to_amount(1000), source.now());
-    BOOST_TEST_REQUIRE(all.decisions.size() == 1);
-    BOOST_TEST(std::holds_alternative<admitted>(all.decisions[0]));
-    const quota_output more = node.admit(2, account, to_amount(100), source.now());
-    BOOST_TEST_REQUIRE(more.decisions.size() == 1);
-    BOOST_TEST(std::holds_alternative<waiting>(more.decisions[0]));
-    source.advance(std::chrono::milliseconds(300));
-    const quota_output late = node.advance(source.now());
-    BOOST_TEST_REQUIRE(late.decisions.size() == 1);
-    BOOST_TEST(std::holds_alternative<refused>(late.decisions[0]));
+BOOST_AUTO_TEST_CASE(the_whole_burst_is_admitted_anywhere_and_no_more) {
+    trial_fleet fleet(settings(9));
+    results seen;
+    fleet.run_until(warm_up);
+    fleet.admit(3, account, to_amount(1001), seen.handler());
+    BOOST_CHECK(std::get<refused>(seen.list.at(0)).reason == refusal_reason::larger_than_burst);
+    fleet.admit(3, account, to_amount(1000), seen.handler());
+    fleet.run_until(warm_up + seconds(1));
+    BOOST_TEST(seen.admitted_count() == 1);
+    fleet.admit(4, account, to_amount(500), seen.handler());
+    fleet.run_until(warm_up + seconds(2));
+    BOOST_CHECK(std::get<refused>(seen.list.at(2)).reason == refusal_reason::over_rate);
+}
+
+BOOST_AUTO_TEST_CASE(one_of_two_racing_collectors_runs) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        trial_settings it = settings(9);
+        it.seed = seed;
+        trial_fleet fleet(it);
+        results seen;
+        fleet.run_until(warm_up);
+        fleet.admit(0, account, to_amount(600), seen.handler());
+        fleet.admit(5, account, to_amount(600), seen.handler());
+        fleet.run_until(warm_up + seconds(1));
+        BOOST_TEST(seen.admitted_count() == 1, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_truly_when_to_come_back) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        trial_settings it = settings(9);
+        it.seed = seed;
+        trial_fleet fleet(it);
+        results seen;
+        fleet.run_until(warm_up);
+        fleet.admit(0, account, to_amount(900), seen.handler());
+        fleet.run_until(warm_up + seconds(1));
+        fleet.admit(seed % 9, account, to_amount(20.0 * static_cast<double>(seed)), seen.handler());
+        fleet.run_until(warm_up + seconds(2));
+        BOOST_TEST_REQUIRE(seen.list.size() == 2);
+        const auto* refusal = std::get_if<refused>(&seen.list.at(1));
+        if (refusal == nullptr) {
+            continue;
+        }
+        fleet.run_until(fleet.now() + refusal->retry_after);
+        fleet.admit(seed % 9, account, to_amount(20.0 * static_cast<double>(seed)), seen.handler());
+        fleet.run_until(fleet.now() + seconds(1));
+        BOOST_TEST(seen.admitted_count() == 2, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unused_tokens_come_back_and_overuse_is_charged) {
+    trial_fleet fleet(settings(3));
+    results seen;
+    fleet.run_until(warm_up);
+    const admission_number number = fleet.admit(0, account, to_amount(1000), seen.handler());
+    fleet.run_until(warm_up + milliseconds(200));
+    fleet.settle(0, number, to_amount(100));
+    fleet.run_until(warm_up + milliseconds(400));
+    const admission_number second = fleet.admit(1, account, to_amount(800), seen.handler());
+    fleet.run_until(warm_up + milliseconds(800));
+    BOOST_TEST(seen.admitted_count() == 2);
+    fleet.settle(1, second, to_amount(1500));
+    fleet.run_until(warm_up + seconds(5));
+    fleet.admit(1, account, to_amount(10), seen.handler());
+    fleet.run_until(warm_up + seconds(6));
+    BOOST_TEST(seen.admitted_count() == 2);
+    fleet.run_until(warm_up + seconds(9));
+    fleet.admit(1, account, to_amount(10), seen.handler());
+    fleet.run_until(warm_up + seconds(10));
+    BOOST_TEST(seen.admitted_count() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_agreed_goes_on_in_an_outage_of_the_store) {
+    trial_fleet fleet(settings(9));
+    results seen;
+    fleet.run_until(warm_up);
+    fleet.store().set_down(true);
+    for (int i = 0; i < 100; ++i) {
+        fleet.run_until(fleet.now() + seconds(1));
+        fleet.admit(static_cast<std::size_t>(i) % 9, account, to_amount(90), seen.handler());
+    }
+    fleet.run_until(fleet.now() + seconds(1));
+    BOOST_TEST(seen.admitted_count() == 100);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/quota/tests/slot_registry_tests.cpp
@@ -0,0 +1,129 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base/findings.h"
+#include "quota/slot_owner.h"
+#include "quota/slot_registry.h"
+#include "standins/memory_object_store.h"
+
+using namespace radishpulley;
+using namespace radishpulley::quota;
+using radishpulley::standins::memory_object_store;
+using radishpulley::standins::store_fault;
+
+namespace {
+
+constexpr std::size_t slot_count = 16;
+
+vm_incarnation vm(const char* name, incarnation_number incarnation = 1) {
+    return {vm_id(name), incarnation};
+}
+
+fleet_view fleet_of(const vm_incarnation& self, const std::set<vm_id>& listed) {
+    return {self, listed, listed, {vm_id("a"), vm_id("b"), vm_id("c")}, {}};
+}
+
+const std::set<vm_id> all = {vm_id("a"), vm_id("b"), vm_id("c")};
+
+std::size_t owned_by(const slot_table& table, const vm_incarnation& owner) {
+    std::size_t n = 0;
+    for (const slot_entry& it : table.slots) {
+        n += it.owner == owner ? 1 : 0;
+    }
+    return n;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(slot_registry_suite)
+
+BOOST_AUTO_TEST_CASE(every_slot_gets_one_owner_and_text_keeps_the_table) {
+    memory_object_store store;
+    std::size_t sum = 0;
+    for (const char* name : {"a", "b", "c"}) {
+        slot_registry registry(store, slot_count);
+        BOOST_CHECK(registry.claim(fleet_of(vm(name), all)) == registry_outcome::current);
+        sum += owned_by(registry.table(), vm(name));
+        BOOST_CHECK(parse_slot_table(to_text(registry.table())) == registry.table());
+    }
+    BOOST_TEST(sum == slot_count);
+    BOOST_CHECK_THROW(parse_slot_table(R"({"slots": [{"fence": -1}]})"), invalid_input);
+}
+
+BOOST_AUTO_TEST_CASE(a_racing_claim_and_lost_answers_leave_one_owner) {
+    memory_object_store store;
+    slot_registry first(store, slot_count);
+    slot_registry second(store, slot_count);
+    store.before_next_update([&] { second.claim(fleet_of(vm("b"), all)); });
+    BOOST_CHECK(first.claim(fleet_of(vm("a"), all)) == registry_outcome::current);
+    BOOST_TEST(owned_by(first.table(), vm("b")) > 0);
+    slot_registry third(store, slot_count);
+    store.inject({store_fault::none, store_fault::lost_answer});
+    BOOST_CHECK(third.claim(fleet_of(vm("c"), all)) == registry_outcome::current);
+    for (const slot_entry& it : third.table().slots) {
+        BOOST_TEST(it.fence == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_keeps_the_last_table) {
+    memory_object_store store;
+    slot_registry registry(store, slot_count);
+    registry.claim(fleet_of(vm("a"), {vm_id("a")}));
+    store.set_down(true);
+    BOOST_CHECK(registry.claim(fleet_of(vm("a"), all)) == registry_outcome::unreachable);
+    BOOST_CHECK(registry.release(vm("a")) == registry_outcome::unreachable);
+    BOOST_TEST(owned_by(registry.table(), vm("a")) == slot_count);
+}
+
+BOOST_AUTO_TEST_CASE(slots_change_hands_only_when_the_owner_is_certainly_gone) {
+    slot_table table;
+    table.slots.assign(slot_count, slot_entry{vm("a"), 1});
+    const std::set<vm_id> without_a = {vm_id("b"), vm_id("c")};
+    fleet_view fleet = fleet_of(vm("b"), without_a);
+    fleet.listed = all;
+    BOOST_CHECK(claim_slots(table, fleet) == table);
+    fleet.listed = without_a;
+    BOOST_TEST(owned_by(claim_slots(table, fleet), vm("b")) > 0);
+    fleet.seen = without_a;
+    BOOST_CHECK(claim_slots(table, fleet) == table);
+    fleet.incarnations[vm_id("a")] = 2;
+    BOOST_TEST(owned_by(claim_slots(table, fleet), vm("b")) > 0);
+    const slot_table released = release_slots(table, vm("a"));
+    BOOST_TEST(owned_by(claim_slots(released, fleet_of(vm("a", 2), {vm_id("a")})), vm("a", 2)) ==
+               slot_count);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_was_paused_or_replaced_lends_nothing) {
+    const client_account_id account("sastro");
+    const time_point start{std::chrono::hours(1)};
+    slot_owner owner(vm("a"), quota_policy());
+    owner.set_limits({{account, {to_amount(10), to_amount(100)}}}, start);
+    owner.set_table({{slot_entry{vm("a"), 1}}}, start);
+    loan_request request;
+    request.key = {0, 1, account, 1};
+    request.wanted = to_amount(10);
+    request.lifetime = quota_policy().loan_lifetime;
+    const auto is_lent = [&](time_point now) {
+        ++request.key.loan;
+        const outgoing_messages out = owner.receive(vm("b"), request, now);
+        const auto* it = std::get_if<loan_grant>(&out.front().message);
+        return it != nullptr && it->granted > 0;
+    };
+    BOOST_TEST(is_lent(start));
+    const time_point later = start + std::chrono::minutes(1);
+    BOOST_TEST(!is_lent(later));
+    BOOST_TEST(owner.needs_table());
+    owner.set_table({{slot_entry{vm("a"), 1}}}, later);
+    BOOST_TEST(is_lent(later));
+    // A table read earlier than the one in force changes nothing.
+    owner.set_table({{slot_entry{vm("c"), 0}}}, later);
+    BOOST_TEST(is_lent(later));
+    owner.set_table({{slot_entry{vm("c"), 2}}}, later);
+    BOOST_TEST(!is_lent(later));
+    // Won back, it starts empty and lends after the loans of its predecessor have ended.
+    owner.set_table({{slot_entry{vm("a"), 3}}}, later);
+    request.key.fence = 3;
+    BOOST_TEST(!is_lent(later + quota_policy().loan_lifetime));
+    BOOST_TEST(is_lent(later + quota_policy().loan_lifetime + std::chrono::seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
