--- a/libs/quota/src/slot_table.cpp
+++ b/libs/quota/src/slot_table.cpp
@@ -99,9 +99,10 @@
     slot_table next = now;
     for (std::size_t i = 0; i < next.slots.size(); ++i) {
         slot_entry& entry = next.slots[i];
-        const bool is_preferred =
-            preferred_owner(static_cast<slot_number>(i), fleet.live) == fleet.self.vm;
-        if (is_preferred && is_free(entry, fleet)) {
+        if (!is_free(entry, fleet)) {
+            continue;
+        }
+        if (preferred_owner(static_cast<slot_number>(i), fleet.live) == fleet.self.vm) {
             entry = {fleet.self, entry.fence + 1};
         }
     }
--- a/tools/measure_quota/main.cpp
+++ b/tools/measure_quota/main.cpp
@@ -9,6 +9,7 @@
 
 #include "fairness_rows.h"
 #include "quota_rows.h"
+#include "slope_rows.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of all schedules");
 ABSL_FLAG(std::string, row, "", "run only the row of this name");
@@ -21,6 +22,7 @@
     std::vector<std::string> missed = radishpulley::measure::run_quota_rows(seed, only);
     const std::vector<std::string> unfair = radishpulley::measure::run_fairness_rows(seed, only);
     missed.insert(missed.end(), unfair.begin(), unfair.end());
+    radishpulley::measure::run_slope_rows(seed, only);
     std::printf("repeat one row: measure_quota --seed=%llu --row=NAME\n",
                 static_cast<unsigned long long>(seed));
     for (const std::string& it : missed) {
--- a/tools/measure_quota/quota_rows.h
+++ b/tools/measure_quota/quota_rows.h
@@ -8,6 +8,5 @@
 
 // Runs the rows whose name is `only`, or all if it is empty. Returns the targets missed.
 std::vector<std::string> run_quota_rows(std::uint64_t seed, const std::string& only);
-void run_quota_slopes(std::uint64_t seed, const std::string& only);
 
 }  // namespace radishpulley::measure
