--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -19,7 +19,7 @@
 // Spare tokens of one daemon are at most this part of what the slots are expected to hold.
 constexpr token_amount spare_part = 16;
 // Smallest part of a slot's burst that is worth a message.
-constexpr token_amount least_parts_of_slot = 12;
+constexpr token_amount least_parts_of_slot = 36;
 // Longest line that can be served within the wait is the burst and what accrues; more requests
 // than this are refused whatever their size.
 constexpr std::size_t max_queue = 4096;
