Daemon: failed connects are not run, late sends go back, records are swept

Cause, found by reading the daemon against the state machine: a refused connect of a keyed call ended as unknown and left its record; a send after its place ran out was told as a failure; a record budget that was spent was told as an unknown outcome; a caller that left while its place was granted could leave a use behind; callers of open routes shared their idempotency keys. Each is mapped to the event that the machine has for it; open routes refuse Idempotency-Key (test).

--- a/libs/wire/src/fleet_messages.cpp
+++ b/libs/wire/src/fleet_messages.cpp
@@ -37,8 +37,7 @@
 
 namespace radishpulley::keys {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(evidence_report, number, revision, age)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(held_vm, vm, age)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hold_report, reason, number, vms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hold_report, reason, number, age, vms)
 }  // namespace radishpulley::keys
 
 namespace radishpulley::tickets {
--- a/radishpulley/daemon/include/daemon/application_pool.h
+++ b/radishpulley/daemon/include/daemon/application_pool.h
@@ -35,6 +35,8 @@
     void ended(const endpoint_id& id);
     void failed(const endpoint_id& id, time_point now);
 
+    /// Returns whether an endpoint may get new work: it is configured and not draining.
+    bool may_start(const endpoint_id& id) const;
     /// Returns the address of an endpoint that is configured.
     std::optional<std::string> address_of(const endpoint_id& id) const;
     /// Returns a client of an address; clients that keep connections are shared.
--- a/radishpulley/daemon/src/application_pool.cpp
+++ b/radishpulley/daemon/src/application_pool.cpp
@@ -67,6 +67,12 @@
     }
 }
 
+bool application_pool::may_start(const endpoint_id& id) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = endpoints_.find(id);
+    return it != endpoints_.end() && !it->second.configured.draining;
+}
+
 std::optional<std::string> application_pool::address_of(const endpoint_id& id) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = endpoints_.find(id);
--- a/radishpulley/daemon/src/caller_request.cpp
+++ b/radishpulley/daemon/src/caller_request.cpp
@@ -143,6 +143,10 @@
     if (!call.idempotency_key.empty() && !idempotency::is_valid_key(call.idempotency_key)) {
         return call_error{error_code::bad_request, "the Idempotency-Key is too long or not ASCII"};
     }
+    if (service->open && !call.idempotency_key.empty()) {
+        // Callers of an open route would share their keys, and so see each other's answers.
+        return call_error{error_code::bad_request, "open routes take no Idempotency-Key"};
+    }
     if (!is_idempotent_method(it.method)) {
         call.repeat = call.idempotency_key.empty() ? repeat_rule::once_without_key
                                                    : repeat_rule::once_with_key;
--- a/radishpulley/daemon/src/daemon.cpp
+++ b/radishpulley/daemon/src/daemon.cpp
@@ -14,6 +14,7 @@
 #include "daemon/admin_server.h"
 #include "daemon/caller_server.h"
 #include "daemon/request_session.h"
+#include "idempotency/record_sweeper.h"
 #include "membership/incarnation_store.h"
 #include "peer/websocket_transport.h"
 #include "platform/http_object_store.h"
@@ -32,6 +33,8 @@
 constexpr duration vm_list_interval = std::chrono::seconds(2);
 constexpr duration epoch_interval = std::chrono::seconds(2);
 constexpr duration record_retry_interval = std::chrono::seconds(1);
+constexpr duration sweep_interval = std::chrono::seconds(10);
+constexpr std::size_t calls_per_sweep = 50;
 constexpr duration readiness_interval = std::chrono::milliseconds(100);
 constexpr duration shutdown_interval = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds incarnation_pause{500};
@@ -156,6 +159,8 @@
     application_pool applications;
     idempotency::once_guard records;
     idempotency::record_epochs epochs;
+    idempotency::record_sweeper sweeper;
+    std::size_t next_sweep = 0;
     retry_budgets retries;
     session_table sessions;
     services all;
@@ -174,6 +179,7 @@
     void start_bus();
     void read_vm_list();
     void update_readiness();
+    void sweep_records();
     void on_configuration(const configuration_view& view);
     void end_withdrawn(const configuration_view& view);
     void begin_shutdown();
@@ -199,6 +205,7 @@
       applications(to_milliseconds(settings.callers.request_timeout)),
       records(api, self, idempotency::guard_limits()),
       epochs(api),
+      sweeper(api),
       retries(retry_limits_from(settings), stable_hash(self.vm.str())),
       all{time,
           self,
@@ -228,6 +235,7 @@
     workers.post([this] { epochs.poll(time.now()); });
     workers.repeat(epoch_interval, [this] { epochs.poll(time.now()); });
     workers.repeat(record_retry_interval, [this] { records.retry_pending(time.now()); });
+    workers.repeat(sweep_interval, [this] { sweep_records(); });
     workers.repeat(readiness_interval, [this] { update_readiness(); });
     callers = std::make_unique<caller_server>(
         settings.callers.listen, caller_limits(settings),
@@ -282,6 +290,22 @@
     fleet.handle(fleet::vm_list_read{*vms});
 }
 
+// One shard a turn; a shard that another VM sweeps costs nothing.
+void daemon::details::sweep_records() {
+    const std::size_t shard = next_sweep++ % idempotency::record_shard_count;
+    const auto epoch = epochs.current(time.now());
+    std::vector<vm_id> vms;
+    for (const membership::member& it : fleet.members()) {
+        vms.push_back(it.entry.vm);
+    }
+    if (std::find(vms.begin(), vms.end(), self.vm) == vms.end()) {
+        vms.push_back(self.vm);
+    }
+    if (epoch && idempotency::sweeps(shard, self.vm, vms)) {
+        sweeper.sweep(shard, *epoch, calls_per_sweep);
+    }
+}
+
 void daemon::details::update_readiness() {
     bool serving = false;
     {
--- a/radishpulley/daemon/src/placement_runtime.cpp
+++ b/radishpulley/daemon/src/placement_runtime.cpp
@@ -207,6 +207,8 @@
     if (placement::router* router = find_router(id)) {
         router->on_cancelled(id);
         requests_.erase(id);
+        // The router may have given it a place that nobody has heard of yet.
+        apply(router->on_request_ended(id, clock_.now()));
     }
 }
 
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -70,6 +70,9 @@
 
 events::record_refused refusal_event(idempotency::refusal it) {
     switch (it) {
+        case idempotency::refusal::over_rate:
+            return {error_code::record_unavailable, run_state::not_run,
+                    "this VM makes no more idempotency records for the moment"};
         case idempotency::refusal::unavailable:
             return {error_code::record_unavailable, run_state::not_run,
                     "the idempotency record cannot be made now"};
@@ -122,12 +125,13 @@
 
     void on_end() override { tell(events::response_end{attempt_, true}); }
 
-    void on_failure(const http::call_failure&) override {
+    void on_failure(const http::call_failure& failure) override {
         if (sequence_ > 0) {
             tell(events::response_end{attempt_, false});
-        } else {
-            tell(events::attempt_failed{attempt_, false});
+            return;
         }
+        const bool not_connected = failure.stage == http::failure_stage::not_connected;
+        tell(events::attempt_failed{attempt_, false, not_connected});
     }
 
 private:
@@ -483,8 +487,10 @@
 
 void request_session::carry_out(const decisions::send_request& it) {
     const bool is_resumed = it.resume_from > 0;
-    if (place_ && !is_resumed && services_.time.now() > place_->send_by) {
-        queue(events::attempt_failed{it.attempt, false});
+    const bool is_late = place_ && !is_resumed && services_.time.now() > place_->send_by;
+    const bool has_left = !is_resumed && !services_.applications.may_start(endpoint_);
+    if (is_late || has_left) {
+        queue(events::not_sent{it.attempt});
         return;
     }
     http::request out = outgoing();
--- a/radishpulley/daemon/tests/caller_request_tests.cpp
+++ b/radishpulley/daemon/tests/caller_request_tests.cpp
@@ -12,7 +12,8 @@
 model::configuration sample_configuration() {
     return model::apply(model::configuration(), model::parse_ticket(R"({"number": 1, "set": {
         "services": [{"id": "drafts", "kind": "model", "base_model": "b"},
-                     {"id": "print", "kind": "application", "route": "print"}],
+                     {"id": "print", "kind": "application", "route": "print"},
+                     {"id": "hours", "kind": "application", "route": "hours", "open": true}],
         "client_accounts": [{"id": "a", "rate": 1, "burst": 1}],
         "adapters": [{"id": "runners", "service": "drafts", "current_version": "v2",
                       "accounts": ["a"]}],
@@ -84,6 +85,12 @@
     BOOST_TEST((rule("POST", {{"Idempotency-Key", "k"}}) == repeat_rule::once_with_key));
 }
 
+BOOST_AUTO_TEST_CASE(open_routes_take_no_idempotency_key) {
+    BOOST_TEST((error_of(parse("POST", "/v1/services/hours", "b", {{"Idempotency-Key", "k"}})) ==
+                requests::error_code::bad_request));
+    BOOST_TEST(std::get<application_call>(parse("POST", "/v1/services/hours", "b")).open);
+}
+
 BOOST_AUTO_TEST_CASE(models_of_other_accounts_are_not_shown) {
     const model::configuration now = sample_configuration();
     BOOST_TEST(models_body(now, client_account_id("a")).find("runners") != std::string::npos);
