Quota: an idle owner is not a paused one

An owner without messages for more than the pause limit took itself for paused and lent nothing until it read the table, for as long as an outage of the object API lasted. It now asks to be run four times in the pause limit; the new test failed before.

--- a/libs/quota/include/quota/slot_owner.h
+++ b/libs/quota/include/quota/slot_owner.h
@@ -45,7 +45,8 @@
     /// Ends what has run out and serves the requests in line.
     outgoing_messages advance(time_point now);
 
-    /// Moment of the next call of advance(); `time_point::max()` while no request is in line.
+    /// Moment of the next call of advance(), which also shows that the daemon was not paused;
+    /// `time_point::max()` while there is nothing to lend.
     time_point next_event() const;
 
     /// Lends nothing any more, as a stopping daemon does before it releases its slots.
--- a/libs/quota/src/slot_owner.cpp
+++ b/libs/quota/src/slot_owner.cpp
@@ -28,6 +28,8 @@
 // Time between two looks at requests that wait for tokens to accrue.
 constexpr duration line_interval = std::chrono::milliseconds(10);
 
+constexpr int wakes_per_pause_limit = 4;
+
 duration ready_in(time_point ready_at, time_point now) {
     return std::max(duration::zero(), duration(ready_at - now));
 }
@@ -191,7 +193,7 @@
 }
 
 time_point slot_owner::next_event() const {
-    if (stopped_ || needs_table_) {
+    if (stopped_ || needs_table_ || slots_.empty()) {
         return time_point::max();
     }
     for (const auto& [number, slot] : slots_) {
@@ -201,7 +203,8 @@
             }
         }
     }
-    return time_point::max();
+    // An owner that is idle must be told apart from one that was paused.
+    return last_run_ + policy_.pause_limit / wakes_per_pause_limit;
 }
 
 void slot_owner::stop() {
--- a/libs/quota/tests/quota_tests.cpp
+++ b/libs/quota/tests/quota_tests.cpp
@@ -125,4 +125,15 @@
     BOOST_TEST(seen.admitted_count() == 100);
 }
 
+BOOST_AUTO_TEST_CASE(idle_owners_do_not_count_as_paused) {
+    trial_fleet fleet(settings(9));
+    results seen;
+    fleet.run_until(warm_up);
+    fleet.store().set_down(true);
+    fleet.run_until(warm_up + std::chrono::minutes(2));
+    fleet.admit(0, account, to_amount(1000), seen.handler());
+    fleet.run_until(fleet.now() + seconds(1));
+    BOOST_TEST(seen.admitted_count() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
