--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -522,11 +522,12 @@
 
 void router::maintain(const pin_key& key, pin& it, time_point now, router_decisions& out) {
     release_expired(key, it, now, out);
-    const bool busy = it.running > 0 || !it.waiting.empty();
+    // Requests that run need no renewal: the holder counts them until they have certainly ended.
+    const bool wanted = it.arrived > 0 || !it.waiting.empty();
     const bool ends_soon = it.valid_until < now + settings_.renew_before;
     const bool due =
         it.asked_at == time_point::min() || now - it.asked_at >= settings_.answer_timeout;
-    if (busy && ends_soon && due) {
+    if (wanted && ends_soon && due) {
         ask(key, it, now, out);
     }
 }
