--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -525,9 +525,12 @@
     // Requests that run need no renewal: the holder counts them until they have certainly ended.
     const bool wanted = it.arrived > 0 || !it.waiting.empty();
     const bool ends_soon = it.valid_until < now + settings_.renew_before;
-    const bool due =
-        it.asked_at == time_point::min() || now - it.asked_at >= settings_.answer_timeout;
-    if (wanted && ends_soon && due) {
+    const bool asked = it.asked_at != time_point::min();
+    const bool due = !asked || now - it.asked_at >= settings_.answer_timeout;
+    // Requests that wait for a place need a window that follows the other daemons' demand.
+    const bool held_back =
+        !it.waiting.empty() && asked && now - it.asked_at >= settings_.window_refresh;
+    if ((wanted && ends_soon && due) || held_back) {
         ask(key, it, now, out);
     }
 }
