--- a/libs/placement/include/placement/messages.h
+++ b/libs/placement/include/placement/messages.h
@@ -62,6 +62,8 @@
     duration oldest_wait{};
     /// Sum of the waiting requests' account weights.
     double weight = 0;
+    /// Requests that run or wait for the engine at this daemon, over all adapters.
+    std::uint32_t engine_demand = 0;
 };
 
 /// Holder to daemon: the daemon may send requests for `validity` from when it SENT the request
@@ -124,6 +126,8 @@
     message_number number = 0;
     /// Requests that arrived since the message before.
     std::uint32_t arrived = 0;
+    /// Requests that run or wait for the engine at this daemon, over all adapters.
+    std::uint32_t engine_demand = 0;
 };
 
 /// One pin as an old holder passes it on.
--- a/libs/placement/include/placement/slot_keeper.h
+++ b/libs/placement/include/placement/slot_keeper.h
@@ -148,6 +148,10 @@
         time_point since{};
         time_point heard{};
     };
+    struct demand {
+        std::uint32_t requests = 0;
+        time_point heard{};
+    };
     struct failure {
         std::uint32_t count = 0;
         time_point retry_at{};
@@ -166,9 +170,7 @@
     duration expected_wait() const;
     engine_digest digest() const;
     std::size_t evicting() const;
-    void set_demand(const vm_incarnation& daemon, pin& it, std::uint32_t running,
-                    std::uint32_t waiting);
-    pin_map::iterator erase_pin(pin_map& pins, pin_map::iterator it);
+    void set_demand(const vm_incarnation& daemon, std::uint32_t requests, time_point now);
 
     void grant(const pin_request& it, time_point now, keeper_decisions& out);
     void refuse(const pin_request& it, pin_refusal_reason reason, duration wait,
@@ -217,8 +219,8 @@
     std::map<adapter_ref, slot> slots_;
     /// Pins outlive slots: daemons trust them also when the engine lost the adapter.
     std::map<adapter_ref, pin_map> pins_;
-    /// Running and waiting requests under all pins of a daemon, and of all daemons.
-    std::map<vm_incarnation, std::uint32_t> demand_;
+    /// Requests that run or wait for the engine by daemon, and of all daemons.
+    std::map<vm_incarnation, demand> demand_;
     std::uint32_t all_demand_ = 0;
     std::map<adapter_ref, wish_map> wishes_;
     std::map<adapter_ref, failure> failures_;
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -374,6 +374,7 @@
     body.number = ++last_number_;
     body.waiting = static_cast<std::uint32_t>(it.waiting.size());
     body.running = it.running;
+    body.engine_demand = engine.running + engine.waiting;
     body.arrived = std::exchange(it.arrived, 0);
     for (const waiting_request& entry : it.waiting) {
         body.oldest_wait = std::max(body.oldest_wait, now - entry.since);
@@ -392,6 +393,7 @@
     body.adapter = key.adapter;
     body.number = ++last_number_;
     body.arrived = std::exchange(it.arrived, 0);
+    body.engine_demand = engine.running + engine.waiting;
     it.held = false;
     it.sent.clear();
     it.valid_until = time_point::min();
--- a/libs/placement/src/slot_keeper.cpp
+++ b/libs/placement/src/slot_keeper.cpp
@@ -196,7 +196,7 @@
 
 std::uint32_t slot_keeper::window_for(const vm_incarnation& daemon) const {
     const auto it = demand_.find(daemon);
-    const std::uint32_t own = it == demand_.end() ? 0 : it->second;
+    const std::uint32_t own = it == demand_.end() ? 0 : it->second.requests;
     // A quarter more than the engine runs at once keeps its batch full between two grants.
     const std::uint32_t places = settings_.concurrency + settings_.concurrency / 4;
     const std::uint32_t free = places - std::min(places, all_demand_);
@@ -204,24 +204,15 @@
     return std::max<std::uint32_t>({1, share, own + free});
 }
 
-void slot_keeper::set_demand(const vm_incarnation& daemon, pin& it, std::uint32_t running,
-                             std::uint32_t waiting) {
-    const std::uint32_t before = it.running + it.waiting;
-    it.running = running;
-    it.waiting = waiting;
-    all_demand_ += running + waiting - before;
-    std::uint32_t& own = demand_[daemon];
-    own += running + waiting - before;
-    if (own == 0) {
-        demand_.erase(daemon);
+void slot_keeper::set_demand(const vm_incarnation& daemon, std::uint32_t requests, time_point now) {
+    const auto it = demand_.try_emplace(daemon).first;
+    all_demand_ += requests - it->second.requests;
+    it->second = {requests, now};
+    if (requests == 0) {
+        demand_.erase(it);
     }
 }
 
-slot_keeper::pin_map::iterator slot_keeper::erase_pin(pin_map& pins, pin_map::iterator it) {
-    set_demand(it->first, it->second, 0, 0);
-    return pins.erase(it);
-}
-
 duration slot_keeper::expected_wait() const {
     return load_interval_ * static_cast<int>(std::max<std::size_t>(1, wishes_.size()));
 }
@@ -245,6 +236,7 @@
         return out;
     }
     popularity_.add(it.adapter, it.arrived, now);
+    set_demand(it.daemon, it.engine_demand, now);
     const auto pins = pins_.find(it.adapter);
     if (pins != pins_.end()) {
         const auto known = pins->second.find(it.daemon);
@@ -281,7 +273,8 @@
     entry.hold_until =
         std::max(entry.hold_until,
                  now + settings_.pin_validity + settings_.longest_request + settings_.clock_margin);
-    set_demand(it.daemon, entry, it.running, it.waiting);
+    entry.running = it.running;
+    entry.waiting = it.waiting;
     pin_grant body;
     body.endpoint = endpoint_;
     body.adapter = it.adapter;
@@ -339,6 +332,7 @@
         return out;
     }
     popularity_.add(it.adapter, it.arrived, now);
+    set_demand(it.daemon, it.engine_demand, now);
     const auto wishes = wishes_.find(it.adapter);
     if (wishes != wishes_.end()) {
         const auto entry = wishes->second.find(it.daemon);
@@ -353,7 +347,7 @@
     if (pins != pins_.end()) {
         const auto entry = pins->second.find(it.daemon);
         if (entry != pins->second.end() && entry->second.number <= it.number) {
-            erase_pin(pins->second, entry);
+            pins->second.erase(entry);
         }
         if (pins->second.empty()) {
             pins_.erase(pins);
@@ -371,13 +365,15 @@
         evict_from_ = std::max(evict_from_, now + settings_.pin_validity +
                                                 settings_.longest_request + settings_.clock_margin);
     }
+    set_demand(who, 0, now);
     const time_point last_end = now + settings_.longest_request + settings_.clock_margin;
     for (auto& [adapter, pins] : pins_) {
         const auto it = pins.find(who);
         if (it != pins.end() && it->second.daemon_ended == time_point::max()) {
             it->second.hold_until = std::min(it->second.hold_until, last_end);
             it->second.daemon_ended = now;
-            set_demand(who, it->second, 0, 0);
+            it->second.running = 0;
+            it->second.waiting = 0;
         }
     }
     for (auto it = wishes_.begin(); it != wishes_.end();) {
--- a/libs/placement/src/slot_keeper_loads.cpp
+++ b/libs/placement/src/slot_keeper_loads.cpp
@@ -161,10 +161,19 @@
     for (auto it = pins_.begin(); it != pins_.end();) {
         for (auto entry = it->second.begin(); entry != it->second.end();) {
             const bool over = now >= entry->second.hold_until;
-            entry = over ? erase_pin(it->second, entry) : std::next(entry);
+            entry = over ? it->second.erase(entry) : std::next(entry);
         }
         it = it->second.empty() ? pins_.erase(it) : std::next(it);
     }
+    std::vector<vm_incarnation> silent;
+    for (const auto& [daemon, it] : demand_) {
+        if (now - it.heard > settings_.pin_validity * 2) {
+            silent.push_back(daemon);
+        }
+    }
+    for (const vm_incarnation& it : silent) {
+        set_demand(it, 0, now);
+    }
     for (auto it = wishes_.begin(); it != wishes_.end();) {
         for (auto entry = it->second.begin(); entry != it->second.end();) {
             const bool over = now - entry->second.heard > settings_.wish_life;
--- a/libs/placement/src/slot_keeper_reports.cpp
+++ b/libs/placement/src/slot_keeper_reports.cpp
@@ -127,8 +127,7 @@
         for (auto entry = pins.begin(); entry != pins.end();) {
             const time_point ended = entry->second.daemon_ended;
             const bool silent = ended != time_point::max() && now - ended > silence;
-            entry =
-                silent && active.count(adapter) == 0 ? erase_pin(pins, entry) : std::next(entry);
+            entry = silent && active.count(adapter) == 0 ? pins.erase(entry) : std::next(entry);
         }
     }
 }
