--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -374,6 +374,7 @@
     body.number = ++last_number_;
     body.waiting = static_cast<std::uint32_t>(it.waiting.size());
     body.running = it.running;
+    body.engine_demand = engine.running + engine.waiting;
     body.arrived = std::exchange(it.arrived, 0);
     for (const waiting_request& entry : it.waiting) {
         body.oldest_wait = std::max(body.oldest_wait, now - entry.since);
@@ -392,6 +393,7 @@
     body.adapter = key.adapter;
     body.number = ++last_number_;
     body.arrived = std::exchange(it.arrived, 0);
+    body.engine_demand = engine.running + engine.waiting;
     it.held = false;
     it.sent.clear();
     it.valid_until = time_point::min();
@@ -522,11 +524,15 @@
 
 void router::maintain(const pin_key& key, pin& it, time_point now, router_decisions& out) {
     release_expired(key, it, now, out);
-    const bool busy = it.running > 0 || !it.waiting.empty();
+    // Requests that run need no renewal: the holder counts them until they have certainly ended.
+    const bool wanted = it.arrived > 0 || !it.waiting.empty();
     const bool ends_soon = it.valid_until < now + settings_.renew_before;
-    const bool due =
-        it.asked_at == time_point::min() || now - it.asked_at >= settings_.answer_timeout;
-    if (busy && ends_soon && due) {
+    const bool asked = it.asked_at != time_point::min();
+    const bool due = !asked || now - it.asked_at >= settings_.answer_timeout;
+    // Requests that wait for a place need a window that follows the other daemons' demand.
+    const bool held_back =
+        !it.waiting.empty() && asked && now - it.asked_at >= settings_.window_refresh;
+    if ((wanted && ends_soon && due) || held_back) {
         ask(key, it, now, out);
     }
 }
