Daemon: commit step, probes with a short deadline, ended daemons, hand-over after suspicion

Cause: the notes of the decision packages on their wiring, compared with the daemon. Two keys of one digest are refused (test), because withdrawing one left the other.

--- a/libs/model/src/configuration.cpp
+++ b/libs/model/src/configuration.cpp
@@ -110,6 +110,33 @@
     }
 }
 
+// Two keys of one digest would be one key to callers, and withdrawing one would leave the other.
+void check_key_digests(const configuration& before, const view_after& after, const ticket& it,
+                       findings& found) {
+    std::map<std::string_view, std::string_view> owners;
+    for (const resource& entry : it.set) {
+        if (const auto* held = std::get_if<key>(&entry)) {
+            const auto [first, is_new] = owners.emplace(held->digest, held->id.str());
+            if (!is_new) {
+                found.add(place_of(reference_to(entry)),
+                          "has the same digest as keys/" + std::string(first->second));
+            }
+        }
+    }
+    if (owners.empty()) {
+        return;
+    }
+    for (const resource* entry : before.list(resource_kind::key)) {
+        const resource_reference name = reference_to(*entry);
+        const auto clash = owners.find(std::get<key>(*entry).digest);
+        const bool stays = after.changed().count(name) == 0;
+        if (stays && clash != owners.end()) {
+            found.add("keys/" + std::string(clash->second),
+                      "has the same digest as " + place_of(name));
+        }
+    }
+}
+
 }  // namespace
 
 std::size_t shard_of(const resource_reference& name) {
@@ -181,6 +208,7 @@
         check_references(after, entry, found);
     }
     check_removed(before, after, it, found);
+    check_key_digests(before, after, it, found);
     return found;
 }
 
--- a/libs/model/tests/model_tests.cpp
+++ b/libs/model/tests/model_tests.cpp
@@ -65,6 +65,21 @@
     BOOST_CHECK_THROW(apply(before, it), invalid_input);
 }
 
+BOOST_AUTO_TEST_CASE(two_keys_of_one_digest_are_refused) {
+    const std::string key =
+        R"("account": "sastro", "digest": "00000000000000000000000000000000000000000000000000000000000000aa"})";
+    const auto ticket_of = [&](const char* number, const std::string& names) {
+        return parse_ticket(std::string(R"({"number": )") + number + R"(, "set": {"keys": [)" +
+                            names + "]}}");
+    };
+    const std::string one = R"({"id": "k1", )" + key;
+    const std::string two = R"({"id": "k2", )" + key;
+    const configuration before = apply(base_configuration(), ticket_of("2", one));
+    BOOST_TEST(check(before, ticket_of("3", two)).list().size() == 1);
+    BOOST_TEST(check(base_configuration(), ticket_of("3", one + "," + two)).list().size() == 1);
+    BOOST_TEST(check(before, ticket_of("3", one)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(shards_survive_their_text_form) {
     const configuration before = base_configuration();
     for (std::size_t i = 0; i < shard_count; ++i) {
--- a/radishpulley/daemon/include/daemon/fleet_runtime.h
+++ b/radishpulley/daemon/include/daemon/fleet_runtime.h
@@ -5,6 +5,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
 #include <vector>
 
 #include "base/clock.h"
@@ -31,9 +34,11 @@
 public:
     using listener = std::function<void(std::shared_ptr<const configuration_view>)>;
 
+    /// `probes` is the object API with the short deadline of fleet::probe_api; `api` takes commits.
     fleet_runtime(platform::vm_entry self, incarnation_number incarnation,
                   fleet::fleet_settings settings, std::string key_secret, const clock& time,
-                  platform::object_store& api, message_bus& bus, worker_pool& workers);
+                  platform::object_store& api, platform::object_store& probes, message_bus& bus,
+                  worker_pool& workers);
 
     /// Calls `it` after each new configuration.
     void add_listener(listener it);
@@ -54,6 +59,8 @@
     void leave();
 
 private:
+    void apply(const fleet::event& it);
+    std::optional<keys::must_not_commit> start_accept();
     void carry_out(const fleet::action& it);
     void probe(const fleet::probe_api& it);
     void read_head();
@@ -61,10 +68,11 @@
     void put_in_force(const tickets::put_in_force& it);
 
     const clock& clock_;
-    platform::object_store& api_;
+    platform::object_store& probes_;
     message_bus& bus_;
     worker_pool& workers_;
     tickets::ticket_store store_;
+    tickets::ticket_store reads_;
     mutable std::mutex mutex_;
     fleet::fleet_agent agent_;
     // Serializes commits of this daemon; taken before mutex_.
--- a/radishpulley/daemon/include/daemon/placement_runtime.h
+++ b/radishpulley/daemon/include/daemon/placement_runtime.h
@@ -98,6 +98,8 @@
     void place_again(const request_id& id);
     void send_handoffs();
     void apply(const endpoint_id& engine, placement::keeper_decisions out);
+    void refuse_as_not_holder(const placement::pin_request& it);
+    void drop_ended_daemons(time_point now);
     void apply_budget();
     void deliver(const vm_id& to, const placement::message& it);
     void dispatch_queued();
@@ -138,6 +140,8 @@
     std::map<service_id, placement::router> routers_;
     std::map<endpoint_id, engine> engines_;
     std::map<endpoint_id, held_engine> held_;
+    // Daemons that may have pins or permits here.
+    std::set<vm_incarnation> daemons_;
     std::optional<placement::load_budget> budget_;
     std::map<placement::adapter_ref, std::string> sources_;
     std::map<request_id, placed_request> requests_;
--- a/radishpulley/daemon/include/daemon/request_session.h
+++ b/radishpulley/daemon/include/daemon/request_session.h
@@ -113,6 +113,7 @@
     std::optional<idempotency::run_permit> permit_;
     std::shared_ptr<http::running_call> running_call_;
     std::shared_ptr<endpoint_observer> observer_;
+    bool adapter_was_missing_ = false;
     bool paused_ = false;
     std::function<void()> proceed_;
     bool watching_backlog_ = false;
--- a/radishpulley/daemon/src/daemon.cpp
+++ b/radishpulley/daemon/src/daemon.cpp
@@ -30,7 +30,7 @@
 
 constexpr std::size_t worker_threads = 8;
 constexpr duration fleet_tick = std::chrono::milliseconds(50);
-constexpr duration vm_list_interval = std::chrono::seconds(2);
+constexpr duration vm_list_interval = std::chrono::seconds(5);
 constexpr duration epoch_interval = std::chrono::seconds(2);
 constexpr duration record_retry_interval = std::chrono::seconds(1);
 constexpr duration sweep_interval = std::chrono::seconds(10);
@@ -146,6 +146,7 @@
     const settings::settings settings;
     const system_clock time;
     platform::http_object_store api;
+    platform::http_object_store probes;
     platform::http_vm_list vm_list;
     const vm_incarnation self;
     const std::string key_secret;
@@ -191,6 +192,8 @@
 daemon::details::details(settings::settings with)
     : settings(std::move(with)),
       api(settings.platform.object_api, to_milliseconds(settings.platform.timeout)),
+      probes(settings.platform.object_api,
+             to_milliseconds(fleet::fleet_settings().freshness.probe_deadline)),
       vm_list(settings.platform.vm_list, to_milliseconds(settings.platform.timeout)),
       self(raise_incarnation(api, settings.vm.id)),
       key_secret(read_secret(settings.keys.secret_file)),
@@ -198,7 +201,7 @@
       workers(worker_threads),
       bus(make_transport(settings, self, time), registry),
       fleet(own_entry(settings), self.incarnation, fleet_settings_from(settings), key_secret, time,
-            api, bus, workers),
+            api, probes, bus, workers),
       quota(self, time, api, bus, workers),
       placement(self, settings.vm.availability_zone, settings.vm.region,
                 settings.callers.request_timeout, time, api, bus, workers),
--- a/radishpulley/daemon/src/fleet_runtime.cpp
+++ b/radishpulley/daemon/src/fleet_runtime.cpp
@@ -12,6 +12,9 @@
 using telemetry::log_event;
 using telemetry::severity;
 
+constexpr duration clean_up_delay = std::chrono::seconds(10);
+constexpr std::size_t clean_up_limit = 32;
+
 template <typename... Visitors>
 struct overloaded : Visitors... {
     using Visitors::operator()...;
@@ -35,13 +38,14 @@
 
 fleet_runtime::fleet_runtime(platform::vm_entry self, incarnation_number incarnation,
                              fleet::fleet_settings settings, std::string key_secret,
-                             const clock& time, platform::object_store& api, message_bus& bus,
-                             worker_pool& workers)
+                             const clock& time, platform::object_store& api,
+                             platform::object_store& probes, message_bus& bus, worker_pool& workers)
     : clock_(time),
-      api_(api),
+      probes_(probes),
       bus_(bus),
       workers_(workers),
       store_(api, time, [](duration it) { std::this_thread::sleep_for(it); }),
+      reads_(probes, time, [](duration it) { std::this_thread::sleep_for(it); }),
       agent_(std::move(self), incarnation, settings, time.now()),
       view_(std::make_shared<configuration_view>(
           configuration_view{{}, keys::key_authenticator(std::move(key_secret))})) {}
@@ -52,6 +56,10 @@
 
 void fleet_runtime::handle(const fleet::event& it) {
     const std::lock_guard<std::mutex> lock(mutex_);
+    apply(it);
+}
+
+void fleet_runtime::apply(const fleet::event& it) {
     for (const fleet::action& action : agent_.handle(it, clock_.now())) {
         carry_out(action);
     }
@@ -71,7 +79,7 @@
 void fleet_runtime::probe(const fleet::probe_api& it) {
     workers_.post([this, since = it.since] {
         const time_point sent = clock_.now();
-        const auto result = api_.watch(tickets::head_object, since, duration(0));
+        const auto result = probes_.watch(tickets::head_object, since, duration(0));
         if (const auto* answer = std::get_if<platform::watch_answer>(&result)) {
             handle(fleet::probe_answered{sent, answer->revision, touches_head(*answer, since)});
         } else {
@@ -83,7 +91,7 @@
 void fleet_runtime::read_head() {
     workers_.post([this] {
         const time_point sent = clock_.now();
-        const tickets::head_result result = store_.load_head();
+        const tickets::head_result result = reads_.load_head();
         if (const auto* at = std::get_if<tickets::head>(&result)) {
             handle(fleet::head_answered{sent, *at});
         } else {
@@ -94,7 +102,7 @@
 
 void fleet_runtime::read_shard(const tickets::read_shard& it) {
     workers_.post([this, it] {
-        const tickets::shard_result result = store_.load_shard(it.index, it.name);
+        const tickets::shard_result result = reads_.load_shard(it.index, it.name);
         const auto* text = std::get_if<std::string>(&result);
         handle(fleet::shard_answered{{it.index, it.name, text == nullptr ? "" : *text}});
     });
@@ -116,23 +124,35 @@
 std::variant<tickets::accept_result, keys::must_not_commit> fleet_runtime::accept(
     const model::ticket& it) {
     const std::lock_guard<std::mutex> one_at_a_time(accept_mutex_);
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const keys::commit_decision decision = agent_.committing(clock_.now());
-        if (const auto* refusal = std::get_if<keys::must_not_commit>(&decision)) {
-            return *refusal;
-        }
+    if (const auto refusal = start_accept()) {
+        return *refusal;
     }
-    handle(fleet::accept_started{});
     const tickets::accept_result result = store_.accept(it, view()->committed);
     std::optional<tickets::accepted_here> done;
     if (const auto* accepted = std::get_if<tickets::accepted>(&result)) {
         done = tickets::accepted_here{accepted->after, it};
     }
     handle(fleet::accept_ended{done});
+    if (done) {
+        workers_.post_after(clean_up_delay,
+                            [this] { store_.remove_unused_shards(clean_up_limit); });
+    }
     return result;
 }
 
+// No hold may be given between the question and the commit, so both stand in one step.
+std::optional<keys::must_not_commit> fleet_runtime::start_accept() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    apply(fleet::accept_started{});
+    const keys::commit_decision decision = agent_.committing(clock_.now());
+    const auto* refusal = std::get_if<keys::must_not_commit>(&decision);
+    if (refusal == nullptr) {
+        return std::nullopt;
+    }
+    apply(fleet::accept_ended{std::nullopt});
+    return *refusal;
+}
+
 std::shared_ptr<const configuration_view> fleet_runtime::view() const {
     return std::atomic_load(&view_);
 }
--- a/radishpulley/daemon/src/placement_runtime.cpp
+++ b/radishpulley/daemon/src/placement_runtime.cpp
@@ -19,6 +19,8 @@
 constexpr duration pause_limit = std::chrono::seconds(5);
 constexpr duration holder_wait = std::chrono::seconds(8);
 constexpr duration holder_retry = std::chrono::milliseconds(200);
+// All engines together; the weight store's budget grants the rest of its two loads a second.
+constexpr double loads_without_permit_per_second = 0.2;
 constexpr duration unhealthy_time = std::chrono::seconds(3);
 constexpr std::chrono::milliseconds engine_timeout{5000};
 constexpr std::string_view engine_prefix = "engine/";
@@ -322,6 +324,7 @@
     const time_point now = clock_.now();
     guard_.on_running(now);
     if (const auto* request = std::get_if<placement::permit_request>(&it)) {
+        daemons_.insert(request->holder);
         if (budget_) {
             budget_->on_request(*request, now);
             apply_budget();
@@ -366,6 +369,36 @@
                it);
 }
 
+void placement_runtime::refuse_as_not_holder(const placement::pin_request& it) {
+    placement::pin_refusal refusal;
+    refusal.endpoint = it.endpoint;
+    refusal.adapter = it.adapter;
+    refusal.daemon = it.daemon;
+    refusal.number = it.number;
+    refusal.reason = placement::pin_refusal_reason::not_holder;
+    if (const auto entry = policy_.find(engine_holding(it.endpoint))) {
+        refusal.fence = entry->fence;
+    }
+    deliver(it.daemon.vm, refusal);
+}
+
+// Pins of a daemon that has certainly ended last no longer than its requests may.
+void placement_runtime::drop_ended_daemons(time_point now) {
+    for (auto it = daemons_.begin(); it != daemons_.end();) {
+        if (!vms_.certainly_ended(*it, now)) {
+            ++it;
+            continue;
+        }
+        for (auto& [id, engine] : held_) {
+            apply(id, engine.keeper->on_daemon_ended(*it, now));
+        }
+        if (budget_) {
+            budget_->on_holder_ended(*it);
+        }
+        it = daemons_.erase(it);
+    }
+}
+
 void placement_runtime::apply_budget() {
     const time_point now = clock_.now();
     if (!budget_ || !guard_.may_act(holding_id(weight_store_holding), now)) {
@@ -435,6 +468,7 @@
             update_router(now);
         }
     }
+    drop_ended_daemons(now);
     for (auto& [id, it] : held_) {
         apply(id, it.keeper->tick(now));
     }
@@ -599,7 +633,16 @@
         }
     }
     for (auto it = held_.begin(); it != held_.end();) {
-        it = mine.count(it->first) == 0 ? held_.erase(it) : std::next(it);
+        if (mine.count(it->first) != 0) {
+            ++it;
+            continue;
+        }
+        const auto entry = policy_.find(engine_holding(it->first));
+        if (entry && entry->holder != self_) {
+            // Replaced on suspicion: the next holder evicts nothing until it has this.
+            handoffs_[it->first] = it->second.keeper->hand_off(now);
+        }
+        it = held_.erase(it);
     }
     send_handoffs();
     const auto store = policy_.find(holding_id(weight_store_holding));
@@ -645,11 +688,14 @@
     settings.concurrency = configured.concurrency;
     settings.checks_fencing = configured.checks_fencing;
     settings.longest_request = longest_request_;
+    settings.own_loads_per_second =
+        loads_without_permit_per_second / static_cast<double>(engines_.size());
     placement::keeper_term term;
     term.fence = it.fence;
     term.self = self_;
     term.suspects = it.suspects;
     term.first = it.fence == 1;
+    daemons_.insert(it.suspects.begin(), it.suspects.end());
     held_engine entry;
     entry.keeper = std::make_unique<placement::slot_keeper>(id, settings, term, now);
     held_[id] = std::move(entry);
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -468,6 +468,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         endpoint = endpoint_;
+        adapter_was_missing_ = true;
     }
     // The engine refused the adapter as not loaded, as one that restarted empty does.
     services_.placement.adapter_missing(endpoint, as_model().adapter);
@@ -547,9 +548,11 @@
 }
 
 void request_session::carry_out(const decisions::ask_retry& it) {
-    if (is_model()) {
+    // An engine that lacks an adapter is well.
+    const bool is_well = std::exchange(adapter_was_missing_, false);
+    if (!is_well && is_model()) {
         services_.placement.endpoint_failed(endpoint_);
-    } else {
+    } else if (!is_well) {
         services_.applications.failed(endpoint_, services_.time.now());
     }
     const service_id& service = is_model() ? as_model().service : as_application().service;
