Worker pool: one thread waits for the next timer, the others sleep

Cause: all eight threads waited for the time of the first task, so each of the daemon's timers (the shortest every 10 ms) woke eight threads. Ruled out: a longer quota timer, which would delay loans.

--- a/radishpulley/daemon/include/daemon/worker_pool.h
+++ b/radishpulley/daemon/include/daemon/worker_pool.h
@@ -37,7 +37,9 @@
     void run();
 
     std::mutex mutex_;
-    std::condition_variable due_;
+    std::condition_variable idle_;
+    std::condition_variable timed_;
+    bool has_timed_waiter_ = false;
     std::multimap<time_point, task> tasks_;
     std::vector<std::thread> threads_;
     bool stopping_ = false;
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -83,7 +83,7 @@
         void on_body(std::string_view bytes, std::function<void()> proceed) override {
             const auto now = steady::now();
             const double gap = std::chrono::duration<double, std::milli>(now - last_).count();
-            (n_ == 0 ? first_ : gaps_).push_back(gap);
+            (n_ == 0 ? first_tokens : gaps).push_back(gap);
             n_ += static_cast<int>(std::count(bytes.begin(), bytes.end(), '{'));
             last_ = now;
             proceed();
@@ -91,8 +91,8 @@
         void on_end() override { owner_.end(*this, status_ == 200); }
         void on_failure(const http::call_failure&) override { owner_.end(*this, false); }
 
-        std::vector<double> first_;
-        std::vector<double> gaps_;
+        std::vector<double> first_tokens;
+        std::vector<double> gaps;
 
     private:
         load& owner_;
@@ -107,9 +107,9 @@
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             auto& first = samples_.first_token_ms;
-            auto& gaps = samples_.between_tokens_ms;
-            first.insert(first.end(), it.first_.begin(), it.first_.end());
-            gaps.insert(gaps.end(), it.gaps_.begin(), it.gaps_.end());
+            auto& all_gaps = samples_.between_tokens_ms;
+            first.insert(first.end(), it.first_tokens.begin(), it.first_tokens.end());
+            all_gaps.insert(all_gaps.end(), it.gaps.begin(), it.gaps.end());
             samples_.finished += good ? 1 : 0;
             samples_.failed += good ? 0 : 1;
             samples_.tokens += good ? tokens_per_stream : 0;
