Daemon: two library threads in place of six

Cause: each token passes several short tasks of the HTTP library, and six threads woke each other for them. Conclusion: two; the need is 5,000 tokens/s, and entry VMs are small.

--- a/radishpulley/daemon/main.cpp
+++ b/radishpulley/daemon/main.cpp
@@ -23,7 +23,7 @@
 
 constexpr int exit_bad_settings = 2;
 constexpr int exit_failed = 1;
-constexpr std::size_t library_threads = 6;
+constexpr std::size_t library_threads = 2;
 
 telemetry::severity severity_of(settings::log_level it) {
     switch (it) {
