Daemon: fewer reads of tables that seldom change; peers' counts as metrics; cost of idle fleets

Cause: at 380 daemons the polls of the ownership table (every 0.5 s) and of the quota table (every 2 s) alone would be 760 watches and 190 or more reads a second of the platform's 2,000.

--- a/build.sh
+++ b/build.sh
@@ -12,7 +12,8 @@
   build     build everything into out/release
   test      build, then run every test
   demo      build, then run three daemons and all stand-ins on loopback, step by step
-  bench     build, then time one daemon on loopback against its stand-in asked directly
+  bench     build, then time one daemon on loopback against its stand-in asked directly;
+            with a number: the cost of that many daemons without requests
   measure   build, then print the measurements of the decisions; arguments go to each
   faults    build, then run the fault matrix; arguments go to it
   format    rewrite all sources with clang-format
@@ -55,14 +56,14 @@
 
 bench() {
     build
-    "$build_dir/tools/bench/rp_bench" "$build_dir/radishpulley/daemon/radishpulleyd"
+    "$build_dir/tools/bench/rp_bench" "$build_dir/radishpulley/daemon/radishpulleyd" "$@"
 }
 
 measure() {
     build
     local status=0
     local program
-    for program in "$build_dir"/tools/measure_*/measure_*; do
+    for program in "$build_dir"/tools/{measure_*/measure_*,requests_measure/requests_measure}; do
         if [[ -f "$program" && -x "$program" ]]; then
             echo "== $(basename "$program") $*"
             "$program" "$@" || status=1
@@ -86,7 +87,7 @@
         ctest --test-dir "$build_dir" --output-on-failure --parallel 4
         ;;
     demo) demo ;;
-    bench) bench ;;
+    bench) shift && bench "$@" ;;
     measure) shift && measure "$@" ;;
     faults)
         shift
--- a/radishpulley/daemon/include/daemon/message_bus.h
+++ b/radishpulley/daemon/include/daemon/message_bus.h
@@ -45,6 +45,9 @@
     void connect(const vm_id& vm, const std::string& address);
     void disconnect(const vm_id& vm);
 
+    /// Copies the transport's counts into the metrics.
+    void export_counters();
+
 private:
     void deliver(const vm_id& to, const char* type, nlohmann::json body);
     void update_peers();
@@ -53,6 +56,7 @@
     peer::message_router router_;
     telemetry::counter_family& sent_;
     telemetry::counter_family& received_;
+    telemetry::gauge_family& transport_counts_;
     std::mutex mutex_;
     std::map<vm_id, std::string> wanted_;
 };
--- a/radishpulley/daemon/src/daemon.cpp
+++ b/radishpulley/daemon/src/daemon.cpp
@@ -33,6 +33,7 @@
 constexpr duration vm_list_interval = std::chrono::seconds(5);
 constexpr duration epoch_interval = std::chrono::seconds(2);
 constexpr duration record_retry_interval = std::chrono::seconds(1);
+constexpr duration export_interval = std::chrono::seconds(1);
 constexpr duration sweep_interval = std::chrono::seconds(10);
 constexpr std::size_t calls_per_sweep = 50;
 constexpr duration readiness_interval = std::chrono::milliseconds(100);
@@ -238,6 +239,7 @@
     workers.post([this] { epochs.poll(time.now()); });
     workers.repeat(epoch_interval, [this] { epochs.poll(time.now()); });
     workers.repeat(record_retry_interval, [this] { records.retry_pending(time.now()); });
+    workers.repeat(export_interval, [this] { bus.export_counters(); });
     workers.repeat(sweep_interval, [this] { sweep_records(); });
     workers.repeat(readiness_interval, [this] { update_readiness(); });
     callers = std::make_unique<caller_server>(
--- a/radishpulley/daemon/src/message_bus.cpp
+++ b/radishpulley/daemon/src/message_bus.cpp
@@ -17,7 +17,15 @@
       sent_(metrics.add_counters("peer_messages_sent_total", "Messages to other daemons.",
                                  {"type", "result"})),
       received_(metrics.add_counters("peer_messages_received_total", "Messages from other daemons.",
-                                     {"result"})) {}
+                                     {"result"})),
+      transport_counts_(
+          metrics.add_gauges("peer_transport", "Counts of the peers' connections.", {"count"})) {}
+
+void message_bus::export_counters() {
+    for (const peer::counter_entry& it : peer::list_counters(transport_->counters())) {
+        transport_counts_.with({it.name}).set(static_cast<double>(it.value));
+    }
+}
 
 void message_bus::start(bus_handlers handlers) {
     router_.add(wire::fleet_type, wire::decode_fleet, handlers.on_fleet);
--- a/radishpulley/daemon/src/placement_runtime.cpp
+++ b/radishpulley/daemon/src/placement_runtime.cpp
@@ -15,7 +15,7 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 constexpr duration report_interval = std::chrono::milliseconds(500);
-constexpr duration ownership_interval = std::chrono::milliseconds(500);
+constexpr duration ownership_interval = std::chrono::seconds(1);
 constexpr duration pause_limit = std::chrono::seconds(5);
 constexpr duration holder_wait = std::chrono::seconds(8);
 constexpr duration holder_retry = std::chrono::milliseconds(200);
--- a/radishpulley/daemon/src/quota_runtime.cpp
+++ b/radishpulley/daemon/src/quota_runtime.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t slots_of_the_fleet = 16;
-constexpr duration claim_interval = std::chrono::seconds(2);
+constexpr duration claim_interval = std::chrono::seconds(5);
 constexpr duration advance_interval = std::chrono::milliseconds(10);
 
 }  // namespace
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -188,6 +188,57 @@
         resident_megabytes(id), cores * 1e6 / tokens);
 }
 
+// Bytes that a daemon has sent to its peers, from its metrics.
+double bytes_sent(const local_fleet& fleet, std::size_t i) {
+    const std::string text = fleet.administer(i, "GET", "/metrics", "").body;
+    const std::string name = "radishpulley_peer_transport{count=\"bytes_sent\"} ";
+    const auto at = text.find(name);
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
+}
+
+// Cost of a fleet without requests, for each daemon.
+int measure_idle(const std::string& program, const std::string& folder, std::size_t vms) {
+    fleet_of_processes::local_fleet_settings settings;
+    settings.daemon_program = program;
+    settings.folder = folder;
+    settings.vms = vms;
+    settings.engines = vms;
+    local_fleet fleet(settings);
+    fleet.start_all();
+    for (std::size_t i = 0; i < vms; ++i) {
+        fleet.wait_ready(i, 30s);
+    }
+    fleet.accept(0, fleet.first_ticket(1));
+    sleep(10);
+    constexpr unsigned seconds = 20;
+    std::vector<double> cpu;
+    std::vector<double> bytes;
+    for (std::size_t i = 0; i < vms; ++i) {
+        cpu.push_back(processor_seconds(fleet.vm(i).process->id()));
+        bytes.push_back(bytes_sent(fleet, i));
+    }
+    const standins::store_counts before = fleet.platform().store().counts();
+    sleep(seconds);
+    const standins::store_counts after = fleet.platform().store().counts();
+    double most_cpu = 0;
+    double most_bytes = 0;
+    double most_memory = 0;
+    for (std::size_t i = 0; i < vms; ++i) {
+        const pid_t id = fleet.vm(i).process->id();
+        most_cpu = std::max(most_cpu, processor_seconds(id) - cpu[i]);
+        most_bytes = std::max(most_bytes, bytes_sent(fleet, i) - bytes[i]);
+        most_memory = std::max(most_memory, resident_megabytes(id));
+    }
+    std::printf(
+        "idle, %zu daemons, worst of them: %.2f %% of a core, %.0f MB, %.0f bytes/s to "
+        "peers; fleet: %.1f reads/s, %.1f watches/s, %.1f writes/s\n",
+        vms, most_cpu / seconds * 100, most_memory, most_bytes / seconds,
+        static_cast<double>(after.reads - before.reads) / seconds,
+        static_cast<double>(after.watches - before.watches) / seconds,
+        static_cast<double>(after.writes - before.writes) / seconds);
+    return 0;
+}
+
 int run(const std::string& program, const std::string& folder) {
     fleet_of_processes::local_fleet_settings settings;
     settings.daemon_program = program;
@@ -223,14 +274,17 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc != 2) {
-        std::fputs("usage: rp_bench <path of radishpulleyd>\n", stderr);
+    if (argc < 2) {
+        std::fputs("usage: rp_bench <path of radishpulleyd> [number of idle daemons]\n", stderr);
         return 2;
     }
     const auto folder =
         std::filesystem::temp_directory_path() / ("radishpulley-bench-" + std::to_string(getpid()));
     std::filesystem::create_directories(folder);
     try {
+        if (argc > 2) {
+            return measure_idle(argv[1], folder, std::stoul(argv[2]));
+        }
         return run(argv[1], folder);
     } catch (const std::exception& e) {
         std::fprintf(stderr, "the benchmark failed: %s\n", e.what());
