Daemon: a stream that went silent is resumed over a fresh connection

Cause: a connection that something between the two ends has lost track of stays open and gives no byte; the daemon saw it only at the request's deadline of two minutes. Now a stream without a byte for 10 s while the caller reads is given up and resumed, not over a kept connection. Process test: an engine falls silent after 5 of 20 tokens with its connection open; the caller gets all 20 once and the end. The test was not run against the daemon before this change.

--- a/libs/standins/include/standins/model_engine.h
+++ b/libs/standins/include/standins/model_engine.h
@@ -48,6 +48,8 @@
     void restart();
     /// Cuts the next stream after this many tokens; 0 for none.
     void cut_next_stream_after(std::uint64_t tokens);
+    /// Lets the next stream go silent after this many tokens, its connection open; 0 for none.
+    void silence_next_stream_after(std::uint64_t tokens);
 
 private:
     struct details;
--- a/libs/standins/src/model_engine.cpp
+++ b/libs/standins/src/model_engine.cpp
@@ -43,6 +43,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t highest_fence = 0;
     std::uint64_t cut_after = 0;
+    std::uint64_t silent_after = 0;
     std::size_t threads = 0;
     bool stopping = false;
     std::unique_ptr<http::server> listener;
@@ -62,9 +63,15 @@
         }).detach();
     }
 
+    void wait_for_stop() {
+        std::unique_lock<std::mutex> lock(mutex);
+        idle.wait(lock, [this] { return stopping; });
+    }
+
     void wait_until_idle() {
         std::unique_lock<std::mutex> lock(mutex);
         stopping = true;
+        idle.notify_all();
         idle.wait(lock, [this] { return threads == 0; });
     }
 
@@ -197,13 +204,15 @@
             return;
         }
         std::uint64_t cut = 0;
+        std::uint64_t silent = 0;
         {
             const std::lock_guard<std::mutex> lock(mutex);
             cut = std::exchange(cut_after, 0);
+            silent = std::exchange(silent_after, 0);
         }
         const std::string resume(it.header("X-Resume-From-Event"));
         const std::uint64_t first = resume.empty() ? 0 : std::stoull(resume);
-        run([=] { answer_stream(name, first, tokens, cut, id, answer); });
+        run([=] { answer_stream(name, first, tokens, cut, silent, id, answer); });
     }
 
     void answer_whole(const std::string& name, std::uint64_t tokens, const std::string& id,
@@ -224,7 +233,7 @@
     }
 
     void answer_stream(const std::string& name, std::uint64_t first, std::uint64_t tokens,
-                       std::uint64_t cut, const std::string& id,
+                       std::uint64_t cut, std::uint64_t silent, const std::string& id,
                        const std::shared_ptr<http::responder>& answer) {
         const auto left = std::make_shared<std::atomic<bool>>(false);
         answer->on_done([left](bool sent) { *left = !sent; });
@@ -238,6 +247,9 @@
                 answer->abort();
                 return;
             }
+            if (silent != 0 && n - first == silent) {
+                wait_for_stop();
+            }
             std::this_thread::sleep_for(settings.token_time);
             const json event = {{"model", name},
                                 {"choices", {{{"index", 0}, {"text", token_text(n)}}}}};
@@ -298,4 +310,9 @@
     details_->cut_after = tokens;
 }
 
+void model_engine::silence_next_stream_after(std::uint64_t tokens) {
+    const std::lock_guard<std::mutex> lock(details_->mutex);
+    details_->silent_after = tokens;
+}
+
 }  // namespace radishpulley::standins
--- a/radishpulley/daemon/include/daemon/request_session.h
+++ b/radishpulley/daemon/include/daemon/request_session.h
@@ -79,6 +79,10 @@
     void end_attempt(requests::attempt_number attempt);
     void lose_adapter(requests::attempt_number attempt);
     void watch_backlog();
+    void watch_silence(requests::attempt_number attempt);
+    void check_silence(requests::attempt_number attempt);
+    bool has_stream(requests::attempt_number attempt) const;
+    bool is_silent() const;
     void note_token();
     void log_end(const requests::decisions::finished& it);
     bool is_model() const { return std::holds_alternative<model_call>(call_); }
@@ -118,6 +122,7 @@
     std::function<void()> proceed_;
     bool watching_backlog_ = false;
     std::optional<time_point> last_token_;
+    time_point last_byte_{};
     time_point routed_at_{};
     std::string error_code_;
 };
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -19,6 +19,9 @@
 
 constexpr const char* open_account = "open";
 constexpr duration backlog_interval = std::chrono::milliseconds(20);
+// A stream without a byte for this long is taken for lost, however healthy its connection looks.
+constexpr duration stream_silence_limit = std::chrono::seconds(10);
+constexpr duration silence_check_interval = std::chrono::seconds(1);
 constexpr duration stale_retry = std::chrono::seconds(1);
 constexpr duration no_endpoint_retry = std::chrono::seconds(1);
 constexpr int status_not_found = 404;
@@ -104,7 +107,11 @@
             session->lose_adapter(attempt_);
             return;
         }
-        tell(head_event(attempt_, head));
+        const events::response_head event = head_event(attempt_, head);
+        tell(event);
+        if (session && event.framing == requests::body_framing::server_sent_events) {
+            session->watch_silence(attempt_);
+        }
     }
 
     void on_body(std::string_view bytes, std::function<void()> proceed) override {
@@ -115,6 +122,7 @@
         session->handle(events::chunk{attempt_, sequence_++, std::string(bytes)});
         {
             const std::lock_guard<std::mutex> lock(session->mutex_);
+            session->last_byte_ = session->services_.time.now();
             if (session->paused_ && session->observer_.get() == this) {
                 session->proceed_ = std::move(proceed);
                 return;
@@ -622,12 +630,49 @@
     });
 }
 
+void request_session::watch_silence(requests::attempt_number attempt) {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        last_byte_ = services_.time.now();
+    }
+    check_silence(attempt);
+}
+
+void request_session::check_silence(requests::attempt_number attempt) {
+    const auto weak = weak_from_this();
+    services_.workers.post_after(silence_check_interval, [weak, attempt] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (!self->has_stream(attempt)) {
+            return;
+        }
+        if (self->is_silent()) {
+            self->handle(events::attempt_failed{attempt, true, false});
+            return;
+        }
+        self->check_silence(attempt);
+    });
+}
+
+bool request_session::has_stream(requests::attempt_number attempt) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !machine_.is_finished() && sent_attempt_ == attempt && observer_;
+}
+
+bool request_session::is_silent() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !paused_ && services_.time.now() - last_byte_ > stream_silence_limit;
+}
+
 void request_session::carry_out(const decisions::pause_reading&) {
     paused_ = true;
 }
 
 void request_session::carry_out(const decisions::resume_reading&) {
     paused_ = false;
+    last_byte_ = services_.time.now();
     if (proceed_) {
         services_.workers.post(std::exchange(proceed_, nullptr));
     }
--- a/radishpulley/daemon/tests_processes/process_tests.cpp
+++ b/radishpulley/daemon/tests_processes/process_tests.cpp
@@ -124,12 +124,8 @@
     BOOST_TEST(fleet.application().runs_of("album") == 1);
 }
 
-void cut_stream_is_resumed(local_fleet& fleet) {
-    for (std::size_t i = 0; i < 2; ++i) {
-        fleet.engine(i).cut_next_stream_after(5);
-    }
-    const http::response stream =
-        fleet.call(0, "sastro-key", "/v1/completions", completion("runners", 20, true));
+// Checks that the stream holds each of 20 tokens once, in order, and its proper end.
+void check_whole_stream(const http::response& stream) {
     std::size_t at = 0;
     for (int n = 0; n < 20; ++n) {
         const std::string token = "\"t" + std::to_string(n) + " \"";
@@ -140,6 +136,26 @@
     BOOST_TEST(stream.body.find("data: [DONE]") != std::string::npos);
 }
 
+void cut_stream_is_resumed(local_fleet& fleet) {
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.engine(i).cut_next_stream_after(5);
+    }
+    check_whole_stream(
+        fleet.call(0, "sastro-key", "/v1/completions", completion("runners", 20, true)));
+}
+
+void silent_stream_is_resumed(local_fleet& fleet) {
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.engine(i).cut_next_stream_after(0);
+        fleet.engine(i).silence_next_stream_after(5);
+    }
+    check_whole_stream(
+        fleet.call(0, "sastro-key", "/v1/completions", completion("runners", 20, true)));
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.engine(i).silence_next_stream_after(0);
+    }
+}
+
 void stop_in_mid_stream(local_fleet& fleet) {
     http::response stream;
     std::thread caller([&] {
@@ -170,6 +186,7 @@
     BOOST_REQUIRE(wait_until([&] { return is_in_force(fleet, 1, 1); }, generous));
     BOOST_REQUIRE(wait_until([&] { return status_of(fleet, 0, "sastro-key") == 200; }, generous));
     cut_stream_is_resumed(fleet);
+    silent_stream_is_resumed(fleet);
     outage_of_the_object_api(fleet);
     freeze_while_a_key_is_withdrawn(fleet);
     kill_and_replace(fleet);
