--- a/libs/standins/src/platform_server.cpp
+++ b/libs/standins/src/platform_server.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/overloaded.h"
+
 namespace radishpulley::standins {
 namespace {
 
@@ -19,13 +21,6 @@
 constexpr std::string_view objects_path = "/v1/objects/";
 constexpr std::chrono::milliseconds max_watch_wait{30'000};
 
-template <typename... Visitors>
-struct overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 std::string tag_of(object_version version) {
     return '"' + std::to_string(version) + '"';
 }
--- a/radishpulley/daemon/src/admin_server.cpp
+++ b/radishpulley/daemon/src/admin_server.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/digest.h"
+#include "base/overloaded.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::daemon {
@@ -23,13 +24,6 @@
 constexpr std::string_view tickets_path = "/v1/tickets/";
 constexpr std::string_view resources_path = "/v1/resources/";
 
-template <typename... Visitors>
-struct overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 response state_answer(int status, std::string_view state, json more = json::object()) {
     more["state"] = state;
     return json_response(status, more.dump());
--- a/radishpulley/daemon/src/fleet_runtime.cpp
+++ b/radishpulley/daemon/src/fleet_runtime.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/findings.h"
+#include "base/overloaded.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::daemon {
@@ -15,13 +16,6 @@
 constexpr duration clean_up_delay = std::chrono::seconds(10);
 constexpr std::size_t clean_up_limit = 32;
 
-template <typename... Visitors>
-struct overloaded : Visitors... {
-    using Visitors::operator()...;
-};
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 bool touches_head(const platform::watch_answer& it, platform::store_revision since) {
     if (since == 0 || !it.complete) {
         return true;
