--- a/radishpulley/daemon/src/admin_server.cpp
+++ b/radishpulley/daemon/src/admin_server.cpp
@@ -94,6 +94,22 @@
     return std::nullopt;
 }
 
+std::string_view name_of(membership::member_state it) {
+    switch (it) {
+        case membership::member_state::listed:
+            return "listed";
+        case membership::member_state::heard:
+            return "heard";
+        case membership::member_state::silent:
+            return "silent";
+        case membership::member_state::gone:
+            return "gone";
+        case membership::member_state::leaving:
+            return "leaving";
+    }
+    return "unknown";
+}
+
 std::string_view name_of(const keys::serving_decision& it) {
     return std::visit(
         overloaded{[](const keys::serve_fresh&) { return std::string_view("fresh"); },
@@ -235,7 +251,7 @@
         peers.push_back({{"vm", it.entry.vm.str()},
                          {"incarnation", it.incarnation},
                          {"availability_zone", it.entry.zone.str()},
-                         {"state", static_cast<int>(it.state)}});
+                         {"state", name_of(it.state)}});
     }
     json held = json::array();
     for (const ownership::holding& it : services_.placement.holdings()) {
