--- a/radishpulley/daemon/include/daemon/request_session.h
+++ b/radishpulley/daemon/include/daemon/request_session.h
@@ -41,7 +41,6 @@
 
     void drain_events();
     void queue(requests::event it) { events_.push_back(std::move(it)); }
-    void post(requests::event it);
 
     void carry_out(const requests::decisions::ask_authentication& it);
     void carry_out(const requests::decisions::ask_admission& it);
@@ -90,6 +89,7 @@
     const application_call& as_application() const { return std::get<application_call>(call_); }
     const http::request& outgoing() const;
     bool is_open() const;
+    const service_id& service() const;
     static requests::request_terms terms_for(const request_id& id, const caller_call& call,
                                              time_point deadline);
 
--- a/radishpulley/daemon/src/admin_server.cpp
+++ b/radishpulley/daemon/src/admin_server.cpp
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "base/overloaded.h"
+#include "details/responses.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::daemon {
@@ -137,12 +138,8 @@
 
 void admin_server::take(const request& it, const std::shared_ptr<http::responder>& answer) {
     const std::string_view path = it.path();
-    if (path == "/healthz") {
-        answer->send({200, {}, "ok\n"});
-        return;
-    }
-    if (path == "/readyz") {
-        answer->send({state_.ready ? 200 : 503, {}, state_.ready ? "ready\n" : "not ready\n"});
+    if (const auto health = detail::health_response(path, state_)) {
+        answer->send(*health);
         return;
     }
     if (path == "/metrics") {
--- a/radishpulley/daemon/src/caller_server.cpp
+++ b/radishpulley/daemon/src/caller_server.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "daemon/request_session.h"
+#include "details/responses.h"
 #include "requests/shutdown_sequence.h"
 
 namespace radishpulley::daemon {
@@ -12,15 +13,6 @@
 using requests::error_code;
 using requests::run_state;
 
-http::response to_response(const error_answer& it) {
-    http::response out =
-        http::json_response(requests::http_status(it.code), requests::to_json_text(it));
-    if (const auto seconds = requests::retry_after_seconds(it)) {
-        out.headers["Retry-After"] = std::to_string(*seconds);
-    }
-    return out;
-}
-
 }  // namespace
 
 caller_server::caller_server(const std::string& address, http::server_limits limits,
@@ -37,26 +29,23 @@
 }
 
 void caller_server::take(http::request it, const std::shared_ptr<http::responder>& answer) {
-    if (it.path() == "/healthz") {
-        answer->send({200, {}, "ok\n"});
-        return;
-    }
-    if (it.path() == "/readyz") {
-        const bool ready = state_.ready;
-        answer->send({ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n"});
+    if (const auto health = detail::health_response(it.path(), state_)) {
+        answer->send(*health);
         return;
     }
     const request_id id = next_id();
     if (!state_.accepts_new) {
-        answer->send(to_response({error_code::shutting_down, run_state::not_run, id,
-                                  "this VM is shutting down", requests::shutdown_retry_after}));
+        answer->send(
+            detail::error_response({error_code::shutting_down, run_state::not_run, id,
+                                    "this VM is shutting down", requests::shutdown_retry_after}));
         return;
     }
     caller_call call = parse_call(it, services_.fleet.view()->value());
     if (const auto* error = std::get_if<call_error>(&call)) {
         services_.metrics.count_refusal(client_account_id(), requests::name_of(error->code),
                                         requests::name_of(run_state::not_run));
-        answer->send(to_response({error->code, run_state::not_run, id, error->message, {}}));
+        answer->send(
+            detail::error_response({error->code, run_state::not_run, id, error->message, {}}));
         return;
     }
     if (std::holds_alternative<list_models_call>(call)) {
@@ -70,20 +59,21 @@
 void caller_server::list_models(const http::request& it, http::responder& answer,
                                 const request_id& id) {
     if (std::holds_alternative<keys::refuse_keyed>(services_.fleet.serving())) {
-        answer.send(to_response({error_code::configuration_stale, run_state::not_run, id,
-                                 "this VM cannot tell whether its copy of the keys is current",
-                                 requests::shutdown_retry_after}));
+        answer.send(
+            detail::error_response({error_code::configuration_stale, run_state::not_run, id,
+                                    "this VM cannot tell whether its copy of the keys is current",
+                                    requests::shutdown_retry_after}));
         return;
     }
     const auto view = services_.fleet.view();
     const auto result = view->keys.authenticate(bearer_token(it).value_or(""));
     const auto* who = std::get_if<keys::authenticated>(&result);
     if (who == nullptr) {
-        answer.send(to_response({error_code::unauthenticated,
-                                 run_state::not_run,
-                                 id,
-                                 "the Authorization header holds no valid key",
-                                 {}}));
+        answer.send(detail::error_response({error_code::unauthenticated,
+                                            run_state::not_run,
+                                            id,
+                                            "the Authorization header holds no valid key",
+                                            {}}));
         return;
     }
     answer.send(http::json_response(200, models_body(view->value(), who->account)));
--- a/radishpulley/daemon/src/placement_holdings.cpp
+++ b/radishpulley/daemon/src/placement_holdings.cpp
@@ -47,8 +47,9 @@
         std::from_chars(first, name.data() + name.size(), i);
         indexes.insert(i);
     }
-    read_shards(indexes);
+    // Before the reads, because a read that fails sets it back.
     ownership_revision_ = answer->revision;
+    read_shards(indexes);
     write_plans();
     hand_over();
 }
--- a/radishpulley/daemon/src/placement_runtime.cpp
+++ b/radishpulley/daemon/src/placement_runtime.cpp
@@ -321,8 +321,11 @@
     const auto found = held_.find(id);
     placement::slot_keeper* keeper = found == held_.end() ? nullptr : found->second.keeper.get();
     std::visit(overloaded{[&](const placement::pin_request& m) {
+                              daemons_.insert(m.daemon);
                               if (keeper != nullptr) {
                                   apply(id, keeper->on_pin_request(m, now));
+                              } else {
+                                  refuse_as_not_holder(m);
                               }
                           },
                           [&](const placement::pin_release& m) {
--- a/radishpulley/daemon/src/request_session.cpp
+++ b/radishpulley/daemon/src/request_session.cpp
@@ -5,6 +5,7 @@
 #include "base/overloaded.h"
 #include "daemon/engine_protocol.h"
 #include "details/endpoint_events.h"
+#include "details/responses.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::daemon {
@@ -136,10 +137,6 @@
     drain_events();
 }
 
-void request_session::post(requests::event it) {
-    services_.workers.post([self = shared_from_this(), it = std::move(it)] { self->handle(it); });
-}
-
 void request_session::drain_events() {
     if (draining_) {
         return;
@@ -164,6 +161,10 @@
     return is_model() ? as_model().to_endpoint : as_application().to_endpoint;
 }
 
+const service_id& request_session::service() const {
+    return is_model() ? as_model().service : as_application().service;
+}
+
 bool request_session::is_open() const {
     return is_model() ? as_model().open : as_application().open;
 }
@@ -314,7 +315,7 @@
         return;
     }
     routed_at_ = services_.time.now();
-    services_.retries.count_request(is_model() ? as_model().service : as_application().service);
+    services_.retries.count_request(service());
     if (is_model()) {
         route_model(it);
     } else {
@@ -420,7 +421,9 @@
 }
 
 void request_session::carry_out(const decisions::return_choice&) {
-    release_place();
+    if (open_attempts_.empty()) {
+        release_place();
+    }
 }
 
 void request_session::carry_out(const decisions::open_connection& it) {
@@ -440,12 +443,13 @@
     }
     http::request out = outgoing();
     out.headers[std::string(request_id_header)] = id_.str();
-    if (it.resume_from > 0) {
+    if (is_resumed) {
         out.headers[std::string(resume_header)] = std::to_string(it.resume_from);
     }
-    const bool repeatable = machine_.run() != run_state::not_run && is_model();
+    // A stream that is resumed gets a fresh connection: the kept ones may be lost as well.
+    const bool may_reuse = is_model() && !is_resumed;
     const auto reuse =
-        repeatable ? http::connection_reuse::keep : http::connection_reuse::one_per_call;
+        may_reuse ? http::connection_reuse::keep : http::connection_reuse::one_per_call;
     sent_attempt_ = it.attempt;
     observer_ = std::make_shared<endpoint_observer>(weak_from_this(), it.attempt);
     paused_ = false;
@@ -499,8 +503,7 @@
     } else if (!is_well) {
         services_.applications.failed(endpoint_, services_.time.now());
     }
-    const service_id& service = is_model() ? as_model().service : as_application().service;
-    const auto delay = services_.retries.try_spend(service, id_, it.failed_attempt);
+    const auto delay = services_.retries.try_spend(service(), id_, it.failed_attempt);
     if (delay) {
         queue(events::retry_granted{*delay});
     } else {
@@ -615,15 +618,9 @@
 }
 
 void request_session::carry_out(const decisions::answer_error& it) {
-    http::response out =
-        http::json_response(requests::http_status(it.error.code), requests::to_json_text(it.error));
-    out.headers[std::string(request_id_header)] = id_.str();
-    if (const auto seconds = requests::retry_after_seconds(it.error)) {
-        out.headers["Retry-After"] = std::to_string(*seconds);
-    }
     error_code_ = std::string(requests::name_of(it.error.code));
     services_.metrics.count_refusal(running_.account, error_code_, requests::name_of(it.error.run));
-    answer_->send(out);
+    answer_->send(detail::error_response(it.error));
 }
 
 void request_session::carry_out(const decisions::end_with_error_event& it) {
@@ -642,10 +639,7 @@
 }
 
 void request_session::carry_out(const decisions::finished& it) {
-    if (running_call_) {
-        running_call_->cancel();
-        running_call_.reset();
-    }
+    close_call();
     if (is_model() && holds_place_ && !place_) {
         services_.placement.cancelled(id_);
         holds_place_ = false;
