--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -1,6 +1,8 @@
 /// Time as an interface, so that every decision runs under a virtual clock in tests.
 #pragma once
 
+#include <time.h>
+
 #include <atomic>
 #include <chrono>
 
@@ -26,6 +28,16 @@
     time_point now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// A monotonic clock that also counts the time for which the VM was suspended.
+class boot_clock final : public clock {
+public:
+    time_point now() const override {
+        timespec it{};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return time_point(std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec));
+    }
+};
+
 /// A clock that moves only when told to.
 class virtual_clock final : public clock {
 public:
--- /dev/null
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -0,0 +1,138 @@
+/// A caller's connection: reads requests within the configured bounds and writes answers.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/clock.h"
+#include "gateway/http_text.h"
+#include "gateway/link.h"
+
+namespace radishpulley::gateway {
+
+/// A request as a caller sent it.
+struct caller_request {
+    std::string method;
+    /// Path and query.
+    std::string target;
+    header_list headers;
+    std::string body;
+    /// When its first byte came.
+    time_point received{};
+};
+
+/// Head of an answer to a caller.
+struct caller_answer {
+    unsigned status = 0;
+    std::string reason;
+    /// Without those of the connection and of the body's framing.
+    header_list headers;
+    /// Length of the body; without it the body is sent in chunks.
+    std::optional<std::uint64_t> length;
+};
+
+/// Writes one answer.
+class answer_writer {
+public:
+    virtual ~answer_writer() = default;
+    virtual void send_head(const caller_answer& head) = 0;
+    virtual void send_body(std::string_view bytes) = 0;
+    /// The answer is whole.
+    virtual void send_end() = 0;
+    /// The answer can't be completed; the caller sees a broken connection.
+    virtual void cut() = 0;
+    /// Bytes that the caller has not taken yet.
+    virtual std::size_t unsent() const = 0;
+};
+
+/// The work on one request; destroyed when its answer is whole or the caller left.
+class request_work {
+public:
+    virtual ~request_work() = default;
+    /// The caller has taken what was written.
+    virtual void on_caller_ready() = 0;
+    /// The caller has left. Nothing may be written any more.
+    virtual void on_caller_left() = 0;
+};
+
+/// What a caller's connection needs of the daemon.
+class caller_service {
+public:
+    virtual ~caller_service() = default;
+    struct limits {
+        std::size_t max_header_bytes = 16'384;
+        std::size_t max_body_bytes = 4'194'304;
+        std::chrono::milliseconds header_timeout{5'000};
+        std::chrono::milliseconds idle_timeout{15'000};
+    };
+    virtual limits caller_limits() const = 0;
+    /// Starts the work on a request. `out` stays valid until the answer's end or the caller's.
+    virtual std::shared_ptr<request_work> start(caller_request request, answer_writer& out) = 0;
+    /// Whether answers should ask callers to close their connections.
+    virtual bool is_stopping() const = 0;
+    virtual void on_closed(const std::shared_ptr<class caller_link>& it) = 0;
+};
+
+/// One connection of a caller.
+class caller_link final : public std::enable_shared_from_this<caller_link>,
+                          private link_handler,
+                          private answer_writer {
+public:
+    caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop, const clock& time,
+                caller_service& service);
+    ~caller_link() override;
+    caller_link(const caller_link&) = delete;
+    caller_link& operator=(const caller_link&) = delete;
+
+    void start();
+    /// Whether a request is being read or worked on.
+    bool is_busy() const;
+    /// Closes at once.
+    void close();
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void on_input() override;
+    void on_end(link_end how) override;
+    void on_written() override;
+
+    void send_head(const caller_answer& head) override;
+    void send_body(std::string_view bytes) override;
+    void send_end() override;
+    void cut() override;
+    std::size_t unsent() const override { return link_->unsent(); }
+
+    void begin_request();
+    void parse();
+    void dispatch();
+    void refuse(unsigned status, std::string_view reason);
+    void wait_for(std::chrono::milliseconds time);
+    void on_timeout();
+    void ended();
+
+    std::shared_ptr<link> link_;
+    boost::asio::steady_timer timer_;
+    const clock& time_;
+    caller_service& service_;
+    std::unique_ptr<parser> parser_;
+    std::shared_ptr<request_work> work_;
+    time_point first_byte_{};
+    bool reading_request_ = false;
+    bool head_seen_ = false;
+    bool answering_ = false;
+    bool keep_alive_ = true;
+    bool chunked_ = false;
+    bool no_body_ = false;
+    bool is_head_ = false;
+    bool is_http11_ = true;
+    bool closed_ = false;
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -0,0 +1,75 @@
+/// Keeps a copy of one collection current: lists it, watches it, lists it again after a gap.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/clock.h"
+#include "gateway/object_collections.h"
+
+namespace radishpulley::gateway {
+
+/// Pace of a follower.
+struct follower_settings {
+    /// Longest wait of one watch; also bounds the time for which a silent connection is trusted.
+    std::chrono::milliseconds watch_wait{4'000};
+    /// Pause after changes before the next watch, so that changes come in groups.
+    std::chrono::milliseconds pause{0};
+    std::chrono::milliseconds first_retry{100};
+    std::chrono::milliseconds longest_retry{1'000};
+};
+
+/// What a follower tells.
+struct follower_events {
+    /// The whole collection, at first and after a gap.
+    std::function<void(const object_list&)> on_list;
+    std::function<void(const object_change&)> on_change;
+    /// The store answered after it had not, or failed after it had answered.
+    std::function<void(bool reachable)> on_reachable;
+};
+
+/// Follows one collection until it is destroyed.
+class collection_follower {
+public:
+    collection_follower(boost::asio::io_context& loop, const clock& time, object_collections& store,
+                        std::string kind, follower_settings settings, follower_events events);
+    ~collection_follower();
+    collection_follower(const collection_follower&) = delete;
+    collection_follower& operator=(const collection_follower&) = delete;
+
+    void start();
+    /// Time since the store last answered; the copy is at least as new as that.
+    duration age() const;
+    bool has_list() const { return has_list_; }
+    store_revision revision() const { return revision_; }
+
+private:
+    void list();
+    void watch();
+    void on_list(const list_result& result);
+    void on_changes(const changes_result& result);
+    void note_answer();
+    void fail(read_failure why);
+    void after(std::chrono::milliseconds wait, void (collection_follower::*next)());
+
+    boost::asio::steady_timer timer_;
+    const clock& time_;
+    object_collections& store_;
+    std::string kind_;
+    follower_settings settings_;
+    follower_events events_;
+    std::chrono::milliseconds retry_;
+    store_revision revision_ = 0;
+    bool has_list_ = false;
+    bool reachable_ = true;
+    time_point answered_at_;
+    /// Callbacks that outlive the follower see that it is gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -0,0 +1,108 @@
+/// A connection to an endpoint that runs one call at a time and is kept between calls.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/clock.h"
+#include "gateway/http_text.h"
+#include "gateway/link.h"
+
+namespace radishpulley::gateway {
+
+/// Head of an endpoint's answer.
+struct answer_head {
+    unsigned status = 0;
+    std::string reason;
+    header_list headers;
+    /// Length of the body where it is stated.
+    std::optional<std::uint64_t> length;
+};
+
+/// Why a call ended without a whole answer.
+enum class call_failure {
+    /// No byte of the request was sent.
+    not_sent,
+    /// The connection broke or closed after something was sent.
+    broken,
+    /// Bytes came that are no answer.
+    malformed
+};
+
+/// Receives the answer of a call.
+class call_handler {
+public:
+    virtual ~call_handler() = default;
+    virtual void on_head(const answer_head& head) = 0;
+    virtual void on_body(std::string_view bytes) = 0;
+    /// The answer is whole.
+    virtual void on_done() = 0;
+    virtual void on_failure(call_failure why) = 0;
+};
+
+/// One request as it is sent.
+struct call_request {
+    std::string bytes;
+    /// The answer has no body whatever its head says.
+    bool is_head = false;
+    /// Header of an answer that must have the value `id`, so that an answer to an earlier request
+    /// on the connection is told apart; empty for no check.
+    std::string id_header;
+    std::string id;
+};
+
+/// A connection with the parser of its answers.
+class endpoint_link final : public std::enable_shared_from_this<endpoint_link>,
+                            private link_handler {
+public:
+    explicit endpoint_link(std::shared_ptr<link> connection, const clock& time);
+    ~endpoint_link() override;
+    endpoint_link(const endpoint_link&) = delete;
+    endpoint_link& operator=(const endpoint_link&) = delete;
+
+    /// Sends a request; `handler` hears until on_done or on_failure, or until cancel().
+    void call(call_request request, call_handler& handler);
+    /// Ends the call under way by closing the connection; the handler hears no more.
+    void cancel();
+    /// Stops or continues reading the answer, while the caller reads slowly.
+    void set_paused(bool paused);
+
+    /// Whether another call may be sent on it.
+    bool reusable() const;
+    /// Moment of the last answer's end.
+    time_point idle_since() const { return idle_since_; }
+    /// Time for which the endpoint keeps an idle connection.
+    std::chrono::milliseconds keep_alive() const { return keep_alive_; }
+
+private:
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void on_input() override;
+    void on_end(link_end how) override;
+    void begin_answer();
+    bool parse();
+    void take_head();
+    bool finish_answer();
+    void fail(call_failure why);
+    void note_keep_alive(const answer_head& head);
+
+    std::shared_ptr<link> link_;
+    const clock& time_;
+    call_request request_;
+    call_handler* handler_ = nullptr;
+    std::unique_ptr<parser> parser_;
+    bool head_taken_ = false;
+    bool discarding_ = false;
+    bool paused_ = false;
+    bool spoilt_ = false;
+    time_point idle_since_;
+    std::chrono::milliseconds keep_alive_{4'000};
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway.h
@@ -0,0 +1,142 @@
+/// The data path of one daemon: takes callers' requests and runs them at endpoints.
+///
+/// Joins the pure decisions of libs/routing with the connections. All calls are on the loop's
+/// thread; the tables have no locks.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "base/clock.h"
+#include "gateway/caller_link.h"
+#include "gateway/endpoint_pool.h"
+#include "gateway/header_codec.h"
+#include "requests/retry_budget.h"
+#include "routing/account_limiter.h"
+#include "routing/adapter_table.h"
+#include "routing/configuration.h"
+#include "routing/endpoint_choice.h"
+#include "routing/endpoint_directory.h"
+#include "routing/hints.h"
+#include "routing/prompt_memory.h"
+#include "routing/work_table.h"
+#include "telemetry/metrics.h"
+
+namespace radishpulley::gateway {
+
+/// Settings of the data path.
+struct gateway_settings {
+    routing::location where;
+    /// Repeats that all VMs together may send, as a part of the requests, and beyond that part.
+    double retry_ratio = 0.16;
+    double retry_reserve = 40;
+    /// Longest wait for a holder's word on a wished load.
+    std::chrono::milliseconds wish_timeout{150};
+    /// Attempts at getting one request to run, rejections included.
+    unsigned most_sends = 4;
+    /// Answer bytes that wait for a slow caller before the endpoint is no longer read.
+    std::size_t most_unsent = 262'144;
+    /// Request bodies that may be held at once, over all callers.
+    std::size_t most_body_bytes = 48'000'000;
+    /// Time left to a caller below which a request is not worth sending.
+    std::chrono::milliseconds least_time_left{15};
+};
+
+/// The other daemons, as the data path needs them.
+class load_broker {
+public:
+    virtual ~load_broker() = default;
+    /// Asks for an adapter at an engine. False where nobody can order it now.
+    virtual bool wish(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
+    /// A request for the adapter goes to the engine.
+    virtual void note_use(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
+    /// The engine answered that it is another one, or left.
+    virtual void note_gone(const endpoint_id& engine) = 0;
+};
+
+class exchange;
+
+/// State that the requests of one daemon share.
+class gateway final : public caller_service {
+public:
+    gateway(boost::asio::io_context& loop, const clock& time, const header_codec& codec,
+            telemetry::registry& metrics, gateway_settings settings);
+    ~gateway() override;
+
+    /// Sets who orders loads; must be called before the first request.
+    void set_broker(load_broker& broker) { broker_ = &broker; }
+
+    /// Puts a configuration in force.
+    void on_configuration(routing::configuration_ptr it);
+    /// Sets how many VMs serve callers.
+    void set_fleet_size(std::size_t vms);
+    /// Takes an endpoint's entry.
+    void on_endpoint(const routing::endpoint& it);
+    void on_endpoint_removed(const endpoint_id& id);
+    /// Takes the state of an adapter at an engine; requests that wait for it go on.
+    void on_adapter(const endpoint_id& engine, const routing::model_choice& adapter,
+                    const routing::adapter_view& view);
+    /// The engine's holder can't load the adapter.
+    void on_load_refused(const endpoint_id& engine, const routing::model_choice& adapter);
+
+    /// From now on callers are asked to close their connections.
+    void begin_stop() { stopping_ = true; }
+    /// Takes a caller's connection.
+    void accept(link::socket socket);
+    /// Closes callers' connections on which no request is.
+    void close_idle_callers();
+    std::size_t caller_count() const { return callers_.size(); }
+    std::size_t request_count() const { return requests_; }
+
+    caller_service::limits caller_limits() const override;
+    std::shared_ptr<request_work> start(caller_request request, answer_writer& out) override;
+    bool is_stopping() const override { return stopping_; }
+    void on_closed(const std::shared_ptr<caller_link>& it) override;
+
+    const routing::configuration_ptr& configuration() const { return configuration_; }
+    routing::endpoint_directory& directory() { return directory_; }
+    routing::adapter_table& adapters() { return adapters_; }
+    routing::account_limiter& limiter() { return limiter_; }
+    routing::work_table& work() { return work_; }
+    endpoint_pool& pool() { return pool_; }
+
+private:
+    friend class exchange;
+    using load_key = std::pair<endpoint_id, routing::model_choice>;
+
+    requests::retry_budget& budget_of(const service_id& id);
+    void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
+
+    boost::asio::io_context& loop_;
+    const clock& time_;
+    const header_codec& codec_;
+    gateway_settings settings_;
+    load_broker* broker_ = nullptr;
+    routing::configuration_ptr configuration_;
+    routing::endpoint_directory directory_;
+    routing::adapter_table adapters_;
+    routing::prompt_memory prompts_;
+    routing::work_table work_;
+    routing::endpoint_chooser chooser_;
+    routing::account_limiter limiter_;
+    endpoint_pool pool_;
+    std::map<service_id, requests::retry_budget> budgets_;
+    std::set<std::shared_ptr<caller_link>> callers_;
+    std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
+    telemetry::counter_family& answers_;
+    telemetry::histogram_family& latencies_;
+    std::size_t fleet_size_ = 1;
+    std::size_t requests_ = 0;
+    std::size_t body_bytes_ = 0;
+    routing::request_number last_number_ = 0;
+    bool stopping_ = false;
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/hint_socket.h
@@ -0,0 +1,47 @@
+/// Sends and receives the hints between the daemons as signed datagrams.
+///
+/// Hints are small, may be lost and come again; datagrams need no connection that could go silent.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "routing/hints.h"
+
+namespace radishpulley::gateway {
+
+/// A UDP socket for hints.
+class hint_socket {
+public:
+    using handler = std::function<void(const routing::hint_message&)>;
+
+    /// Binds `address` (IP:PORT). Throws boost::system::system_error where that fails.
+    hint_socket(boost::asio::io_context& loop, const std::string& address, handler on_message);
+
+    /// Sets the secret that signs datagrams; nothing is sent or taken before.
+    void set_secret(std::string secret) { secret_ = std::move(secret); }
+    bool has_secret() const { return !secret_.empty(); }
+    /// Returns the datagram of a message.
+    std::string seal(const routing::hint_message& it) const;
+    /// Sends a sealed datagram; a full buffer drops it.
+    void send(const std::string& address, const std::string& datagram);
+
+    std::uint64_t dropped() const { return dropped_; }
+
+private:
+    void receive();
+    void take(std::string_view datagram);
+
+    boost::asio::ip::udp::socket socket_;
+    boost::asio::ip::udp::endpoint from_;
+    std::array<char, 65'536> buffer_{};
+    std::string secret_;
+    handler on_message_;
+    std::uint64_t dropped_ = 0;
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -0,0 +1,93 @@
+/// The platform's store as the event loop uses it: collections of named objects with revisions.
+///
+/// The deployment's adapter implements it; callbacks come once, on the loop's thread.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace radishpulley::gateway {
+
+/// Position in the order of all changes of the store.
+using store_revision = std::uint64_t;
+
+/// One object.
+struct stored_object {
+    std::string name;
+    /// Revision of its last change.
+    store_revision revision = 0;
+    /// Its contents as JSON text.
+    std::string contents;
+};
+
+/// All objects of a collection as of a revision.
+struct object_list {
+    std::vector<stored_object> objects;
+    store_revision revision = 0;
+};
+
+/// One change of a collection.
+struct object_change {
+    stored_object object;
+    bool removed = false;
+};
+
+/// Changes up to a revision; may be empty when the wait ran out.
+struct object_changes {
+    std::vector<object_change> changes;
+    store_revision revision = 0;
+};
+
+/// Why a read has no result.
+enum class read_failure {
+    /// No answer, or the store is busy.
+    unavailable,
+    /// The changes since that revision are no longer kept.
+    history_gone
+};
+
+/// The change took effect.
+struct write_done {
+    stored_object object;
+};
+
+/// The object has another revision, or exists already; nothing was changed.
+struct write_conflict {
+    std::optional<stored_object> current;
+};
+
+/// Nothing was changed.
+struct write_refused {};
+
+/// It may have taken effect, or may do so later if the revision still fits.
+struct write_unknown {};
+
+using list_result = std::variant<object_list, read_failure>;
+using changes_result = std::variant<object_changes, read_failure>;
+using write_result = std::variant<write_done, write_conflict, write_refused, write_unknown>;
+
+/// Client of the store.
+class object_collections {
+public:
+    virtual ~object_collections() = default;
+    virtual void list(const std::string& kind, std::function<void(list_result)> done) = 0;
+    /// Waits for a change after `since`, at most for `wait`.
+    virtual void watch(const std::string& kind, store_revision since,
+                       std::chrono::milliseconds wait, std::function<void(changes_result)> done) = 0;
+    /// Creates an object that does not exist.
+    virtual void create(const std::string& kind, const std::string& name,
+                        const std::string& contents, std::function<void(write_result)> done) = 0;
+    /// Replaces an object of that revision.
+    virtual void replace(const std::string& kind, const std::string& name, store_revision revision,
+                         const std::string& contents, std::function<void(write_result)> done) = 0;
+    virtual void remove(const std::string& kind, const std::string& name, store_revision revision,
+                        std::function<void(write_result)> done) = 0;
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/include/gateway/simple_call.h
@@ -0,0 +1,38 @@
+/// A whole HTTP call in one piece: request out, answer collected, bounded in time and size.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "gateway/endpoint_pool.h"
+
+namespace radishpulley::gateway {
+
+/// A whole answer.
+struct simple_answer {
+    unsigned status = 0;
+    header_list headers;
+    std::string body;
+};
+
+using simple_result = std::variant<simple_answer, call_failure>;
+
+/// One call.
+struct simple_request {
+    std::string method = "GET";
+    std::string target;
+    /// Without the framing.
+    header_list headers;
+    std::string body;
+    std::chrono::milliseconds timeout{1'000};
+    std::size_t most_body = 8'000'000;
+};
+
+/// Runs a call over the pool; `done` comes once. A timeout counts as broken.
+void run_simple_call(boost::asio::io_context& loop, endpoint_pool& pool, const endpoint_id& id,
+                     const std::string& address, simple_request request,
+                     std::function<void(simple_result)> done);
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/caller_link.cpp
@@ -0,0 +1,268 @@
+#include "gateway/caller_link.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace radishpulley::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr unsigned bad_request = 400;
+constexpr unsigned request_timeout = 408;
+constexpr unsigned too_large = 413;
+constexpr unsigned headers_too_large = 431;
+constexpr unsigned no_content = 204;
+constexpr unsigned not_modified = 304;
+// Longest line end and chunk header that may stand before the limits apply.
+constexpr std::uint32_t header_slack = 64;
+
+unsigned status_of(const error_code& ec) {
+    if (ec == http::error::header_limit) {
+        return headers_too_large;
+    }
+    return ec == http::error::body_limit ? too_large : bad_request;
+}
+
+}  // namespace
+
+caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
+                         const clock& time, caller_service& service)
+    : link_(std::move(connection)), timer_(loop), time_(time), service_(service) {}
+
+caller_link::~caller_link() {
+    link_->set_handler(nullptr);
+    link_->close();
+}
+
+void caller_link::start() {
+    link_->set_handler(this);
+    begin_request();
+    link_->start();
+}
+
+bool caller_link::is_busy() const { return reading_request_ || work_ != nullptr; }
+
+void caller_link::close() {
+    link_->close();
+    ended();
+}
+
+void caller_link::ended() {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    timer_.cancel();
+    if (work_) {
+        const auto work = std::move(work_);
+        work_.reset();
+        work->on_caller_left();
+    }
+    service_.on_closed(shared_from_this());
+}
+
+void caller_link::begin_request() {
+    const caller_service::limits limits = service_.caller_limits();
+    parser_ = std::make_unique<parser>();
+    parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes) + header_slack);
+    parser_->body_limit(limits.max_body_bytes);
+    parser_->eager(false);
+    reading_request_ = false;
+    head_seen_ = false;
+    answering_ = false;
+    wait_for(limits.idle_timeout);
+}
+
+void caller_link::wait_for(std::chrono::milliseconds time) {
+    timer_.expires_after(time);
+    timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && !self->closed_) {
+            self->on_timeout();
+        }
+    });
+}
+
+void caller_link::on_timeout() {
+    if (work_) {
+        return;
+    }
+    if (reading_request_) {
+        refuse(request_timeout, "the request took too long to arrive");
+    } else {
+        link_->finish();
+        ended();
+    }
+}
+
+void caller_link::on_input() {
+    const auto self = shared_from_this();
+    if (!work_) {
+        parse();
+    }
+}
+
+void caller_link::parse() {
+    auto& input = link_->input();
+    while (input.size() > 0 && !work_ && !closed_) {
+        if (!reading_request_) {
+            reading_request_ = true;
+            first_byte_ = time_.now();
+            wait_for(service_.caller_limits().header_timeout);
+        }
+        error_code ec;
+        const std::size_t n = parser_->put(input.data(), ec);
+        input.consume(n);
+        if (ec && ec != http::error::need_more) {
+            refuse(status_of(ec), ec.message());
+            return;
+        }
+        if (!head_seen_ && parser_->is_header_done()) {
+            head_seen_ = true;
+            parser_->eager(true);
+            wait_for(service_.caller_limits().idle_timeout);
+            const auto expected = parser_->get()[http::field::expect];
+            if (same_name({expected.data(), expected.size()}, "100-continue")) {
+                link_->write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        if (parser_->is_done()) {
+            dispatch();
+            return;
+        }
+        if (n == 0) {
+            return;
+        }
+    }
+}
+
+void caller_link::dispatch() {
+    timer_.cancel();
+    auto& message = parser_->get();
+    caller_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& it : message) {
+        request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    request.body = std::move(message.body());
+    request.received = first_byte_;
+    keep_alive_ = message.keep_alive();
+    is_http11_ = message.version() >= 11;
+    is_head_ = message.method() == http::verb::head;
+    reading_request_ = false;
+    // The work may answer before start() returns.
+    answering_ = true;
+    auto work = service_.start(std::move(request), *this);
+    if (answering_ && !closed_) {
+        work_ = std::move(work);
+    }
+}
+
+void caller_link::refuse(unsigned status, std::string_view reason) {
+    reading_request_ = false;
+    keep_alive_ = false;
+    answering_ = true;
+    caller_answer head;
+    head.status = status;
+    head.headers.push_back({"Content-Type", "text/plain"});
+    head.length = reason.size();
+    send_head(head);
+    send_body(reason);
+    send_end();
+}
+
+void caller_link::send_head(const caller_answer& head) {
+    if (closed_) {
+        return;
+    }
+    if (service_.is_stopping()) {
+        keep_alive_ = false;
+    }
+    no_body_ = is_head_ || head.status == no_content || head.status == not_modified;
+    chunked_ = !head.length && !no_body_ && is_http11_;
+    if (!head.length && !no_body_ && !is_http11_) {
+        keep_alive_ = false;
+    }
+    std::string out = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    out += head.reason.empty() ? std::string(http::obsolete_reason(http::int_to_status(head.status)))
+                               : head.reason;
+    out += "\r\n";
+    for (const header& it : head.headers) {
+        append_header(out, it.name, it.value);
+    }
+    if (head.length && head.status != no_content) {
+        append_header(out, "Content-Length", std::to_string(*head.length));
+    } else if (chunked_) {
+        append_header(out, "Transfer-Encoding", "chunked");
+    }
+    if (!keep_alive_) {
+        append_header(out, "Connection", "close");
+    }
+    out += "\r\n";
+    link_->write(std::move(out));
+}
+
+void caller_link::send_body(std::string_view bytes) {
+    if (closed_ || no_body_ || bytes.empty()) {
+        return;
+    }
+    link_->write(chunked_ ? to_chunk(bytes) : std::string(bytes));
+}
+
+void caller_link::send_end() {
+    if (closed_ || !answering_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (chunked_) {
+        link_->write(std::string(last_chunk));
+    }
+    answering_ = false;
+    work_.reset();
+    if (!keep_alive_) {
+        link_->finish();
+        ended();
+        return;
+    }
+    begin_request();
+    // Parse what came meanwhile from the loop, so that answers don't nest.
+    if (link_->input().size() > 0) {
+        boost::asio::post(timer_.get_executor(), [self] {
+            if (!self->closed_ && !self->work_) {
+                self->parse();
+                self->link_->resume();
+            }
+        });
+    } else {
+        link_->resume();
+    }
+}
+
+void caller_link::cut() {
+    if (closed_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    answering_ = false;
+    work_.reset();
+    link_->close();
+    ended();
+}
+
+void caller_link::on_end(link_end) {
+    const auto self = shared_from_this();
+    ended();
+}
+
+void caller_link::on_written() {
+    const auto self = shared_from_this();
+    if (const auto work = work_) {
+        work->on_caller_ready();
+    }
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/collection_follower.cpp
@@ -0,0 +1,114 @@
+#include "gateway/collection_follower.h"
+
+#include <algorithm>
+
+#include "base/overloaded.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::gateway {
+
+collection_follower::collection_follower(boost::asio::io_context& loop, const clock& time,
+                                         object_collections& store, std::string kind,
+                                         follower_settings settings, follower_events events)
+    : timer_(loop),
+      time_(time),
+      store_(store),
+      kind_(std::move(kind)),
+      settings_(settings),
+      events_(std::move(events)),
+      retry_(settings.first_retry),
+      answered_at_(time.now()) {}
+
+collection_follower::~collection_follower() { *alive_ = false; }
+
+void collection_follower::start() { list(); }
+
+duration collection_follower::age() const { return time_.now() - answered_at_; }
+
+void collection_follower::after(std::chrono::milliseconds wait,
+                                void (collection_follower::*next)()) {
+    timer_.expires_after(wait);
+    timer_.async_wait([this, next, alive = alive_](const boost::system::error_code& ec) {
+        if (!ec && *alive) {
+            (this->*next)();
+        }
+    });
+}
+
+void collection_follower::list() {
+    store_.list(kind_, [this, alive = alive_](const list_result& it) {
+        if (*alive) {
+            on_list(it);
+        }
+    });
+}
+
+void collection_follower::watch() {
+    store_.watch(kind_, revision_, settings_.watch_wait,
+                 [this, alive = alive_](const changes_result& it) {
+                     if (*alive) {
+                         on_changes(it);
+                     }
+                 });
+}
+
+void collection_follower::note_answer() {
+    answered_at_ = time_.now();
+    retry_ = settings_.first_retry;
+    if (!reachable_) {
+        reachable_ = true;
+        telemetry::log_event(telemetry::severity::info, "store_regained", {{"kind", kind_}});
+        events_.on_reachable(true);
+    }
+}
+
+void collection_follower::on_list(const list_result& result) {
+    std::visit(overloaded{[this](const object_list& it) {
+                              note_answer();
+                              has_list_ = true;
+                              revision_ = it.revision;
+                              events_.on_list(it);
+                              watch();
+                          },
+                          [this](read_failure why) { fail(why); }},
+               result);
+}
+
+void collection_follower::on_changes(const changes_result& result) {
+    std::visit(overloaded{[this](const object_changes& it) {
+                              note_answer();
+                              revision_ = std::max(revision_, it.revision);
+                              for (const object_change& each : it.changes) {
+                                  events_.on_change(each);
+                              }
+                              const bool pauses = !it.changes.empty() && settings_.pause.count() > 0;
+                              if (pauses) {
+                                  after(settings_.pause, &collection_follower::watch);
+                              } else {
+                                  watch();
+                              }
+                          },
+                          [this](read_failure why) { fail(why); }},
+               result);
+}
+
+void collection_follower::fail(read_failure why) {
+    if (why == read_failure::history_gone) {
+        telemetry::log_event(telemetry::severity::info, "store_history_gone",
+                             {{"kind", kind_}, {"revision", revision_}});
+        has_list_ = false;
+        list();
+        return;
+    }
+    if (reachable_) {
+        reachable_ = false;
+        telemetry::log_event(telemetry::severity::warning, "store_lost",
+                             {{"kind", kind_}, {"revision", revision_}, {"age", age()}});
+        events_.on_reachable(false);
+    }
+    const auto next = has_list_ ? &collection_follower::watch : &collection_follower::list;
+    after(retry_, next);
+    retry_ = std::min(retry_ * 2, settings_.longest_retry);
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -0,0 +1,209 @@
+#include "gateway/endpoint_link.h"
+
+#include <algorithm>
+
+#include <boost/beast/http/error.hpp>
+
+namespace radishpulley::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::uint32_t most_answer_head = 65'536;
+// An idle connection is not used in the last part of the time for which its endpoint keeps it.
+constexpr std::chrono::milliseconds keep_alive_margin{700};
+
+}  // namespace
+
+endpoint_link::endpoint_link(std::shared_ptr<link> connection, const clock& time)
+    : link_(std::move(connection)), time_(time), idle_since_(time.now()) {
+    link_->set_handler(this);
+}
+
+endpoint_link::~endpoint_link() { link_->close(); }
+
+void endpoint_link::call(call_request request, call_handler& handler) {
+    request_ = std::move(request);
+    handler_ = &handler;
+    begin_answer();
+    link_->write(std::move(request_.bytes));
+}
+
+void endpoint_link::begin_answer() {
+    parser_ = std::make_unique<parser>();
+    parser_->header_limit(most_answer_head);
+    parser_->body_limit(boost::none);
+    parser_->eager(false);
+    parser_->skip(request_.is_head);
+    head_taken_ = false;
+    discarding_ = false;
+}
+
+void endpoint_link::cancel() {
+    handler_ = nullptr;
+    spoilt_ = true;
+    link_->close();
+}
+
+void endpoint_link::set_paused(bool paused) {
+    if (paused_ == paused) {
+        return;
+    }
+    paused_ = paused;
+    if (!paused) {
+        on_input();
+        link_->resume();
+    }
+}
+
+bool endpoint_link::reusable() const {
+    return handler_ == nullptr && !spoilt_ && link_->is_open() && link_->unsent() == 0 &&
+           time_.now() - idle_since_ < keep_alive_;
+}
+
+void endpoint_link::on_input() {
+    const auto self = shared_from_this();
+    if (handler_ == nullptr) {
+        // Bytes that nobody asked for.
+        spoilt_ = true;
+        link_->close();
+        return;
+    }
+    while (!paused_ && handler_ != nullptr && parse()) {
+    }
+}
+
+bool endpoint_link::parse() {
+    auto& input = link_->input();
+    if (input.size() == 0) {
+        return false;
+    }
+    error_code ec;
+    const std::size_t n = parser_->put(input.data(), ec);
+    input.consume(n);
+    if (ec && ec != http::error::need_more) {
+        fail(call_failure::malformed);
+        return false;
+    }
+    if (!head_taken_ && parser_->is_header_done()) {
+        take_head();
+    }
+    if (handler_ == nullptr) {
+        return false;
+    }
+    std::string& body = parser_->get().body();
+    if (!body.empty()) {
+        const std::string bytes = std::move(body);
+        body.clear();
+        if (!discarding_) {
+            handler_->on_body(bytes);
+        }
+    }
+    if (handler_ == nullptr) {
+        return false;
+    }
+    if (parser_->is_done()) {
+        return finish_answer();
+    }
+    return n > 0 && !ec;
+}
+
+void endpoint_link::take_head() {
+    head_taken_ = true;
+    parser_->eager(true);
+    const auto& message = parser_->get();
+    answer_head head;
+    head.status = message.result_int();
+    head.reason = std::string(message.reason());
+    for (const auto& it : message) {
+        head.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    if (parser_->content_length()) {
+        head.length = *parser_->content_length();
+    }
+    if (head.status / 100 == 1) {
+        discarding_ = true;
+        return;
+    }
+    const std::string_view id =
+        request_.id_header.empty() ? std::string_view() : find_header(head.headers, request_.id_header);
+    if (!id.empty() && id != request_.id) {
+        discarding_ = true;
+        return;
+    }
+    note_keep_alive(head);
+    handler_->on_head(head);
+}
+
+void endpoint_link::note_keep_alive(const answer_head& head) {
+    const std::string_view text = find_header(head.headers, "keep-alive");
+    const std::size_t at = text.find("timeout=");
+    int seconds = 0;
+    if (at == std::string_view::npos) {
+        return;
+    }
+    for (std::size_t i = at + 8; i < text.size() && text[i] >= '0' && text[i] <= '9'; ++i) {
+        seconds = seconds * 10 + (text[i] - '0');
+    }
+    const std::chrono::milliseconds stated = std::chrono::seconds(seconds);
+    keep_alive_ = std::max(stated - keep_alive_margin, stated / 3);
+}
+
+bool endpoint_link::finish_answer() {
+    if (!parser_->keep_alive()) {
+        spoilt_ = true;
+    }
+    if (discarding_) {
+        if (spoilt_) {
+            fail(call_failure::broken);
+            return false;
+        }
+        begin_answer();
+        return true;
+    }
+    call_handler* handler = handler_;
+    handler_ = nullptr;
+    idle_since_ = time_.now();
+    const bool has_more = link_->input().size() > 0;
+    if (has_more || link_->unsent() > 0) {
+        spoilt_ = true;
+    }
+    if (spoilt_) {
+        link_->close();
+    }
+    handler->on_done();
+    return false;
+}
+
+void endpoint_link::on_end(link_end how) {
+    const auto self = shared_from_this();
+    paused_ = false;
+    while (handler_ != nullptr && parse()) {
+    }
+    if (handler_ == nullptr) {
+        spoilt_ = true;
+        return;
+    }
+    if (how == link_end::closed && head_taken_ && !discarding_) {
+        error_code ec;
+        parser_->put_eof(ec);
+        if (!ec && parser_->is_done()) {
+            finish_answer();
+            return;
+        }
+    }
+    fail(link_->wrote_any() ? call_failure::broken : call_failure::not_sent);
+}
+
+void endpoint_link::fail(call_failure why) {
+    call_handler* handler = handler_;
+    handler_ = nullptr;
+    spoilt_ = true;
+    link_->close();
+    if (handler != nullptr) {
+        handler->on_failure(why);
+    }
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/event_cutter.cpp
@@ -0,0 +1,46 @@
+#include "event_cutter.h"
+
+namespace radishpulley::gateway {
+namespace {
+
+// Returns the id in the last `id:` line of `events`, or an empty text.
+std::string_view find_last_id(std::string_view events) {
+    std::size_t at = events.rfind("\nid:");
+    if (at != std::string_view::npos) {
+        at += 4;
+    } else if (events.compare(0, 3, "id:") == 0) {
+        at = 3;
+    } else {
+        return {};
+    }
+    std::string_view id = events.substr(at, events.find_first_of("\r\n", at) - at);
+    if (!id.empty() && id.front() == ' ') {
+        id.remove_prefix(1);
+    }
+    return id;
+}
+
+// Returns the position behind the last empty line, or 0.
+std::size_t last_border(std::string_view text) {
+    const std::size_t plain = text.rfind("\n\n");
+    const std::size_t with_returns = text.rfind("\r\n\r\n");
+    const std::size_t a = plain == std::string_view::npos ? 0 : plain + 2;
+    const std::size_t b = with_returns == std::string_view::npos ? 0 : with_returns + 4;
+    return a > b ? a : b;
+}
+
+}  // namespace
+
+std::string event_cutter::take(std::string_view bytes) {
+    rest_.append(bytes);
+    const std::size_t border = last_border(rest_);
+    std::string ready = rest_.substr(0, border);
+    rest_.erase(0, border);
+    const std::string_view id = find_last_id(ready);
+    if (!id.empty()) {
+        last_id_ = std::string(id);
+    }
+    return ready;
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.cpp
@@ -0,0 +1,625 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "base/digest.h"
+#include "base/overloaded.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::gateway {
+namespace {
+
+using boost::system::error_code;
+using routing::milliseconds;
+using telemetry::severity;
+
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+constexpr unsigned status_misdirected = 421;
+// Logged for a request whose caller left; never sent.
+constexpr unsigned status_caller_left = 499;
+
+// When a caller may come back after a refusal whose cause has no end of its own.
+constexpr duration usual_retry_after = std::chrono::milliseconds(250);
+constexpr duration start_retry_after = std::chrono::milliseconds(500);
+constexpr milliseconds default_deadline{30'000};
+// Age from which a replaced adapter version is no longer asked for.
+constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
+
+double seconds_of(duration it) { return std::chrono::duration<double>(it).count(); }
+
+milliseconds to_ms(duration it) { return std::chrono::duration_cast<milliseconds>(it); }
+
+std::string seconds_text(duration it) {
+    char buf[32];
+    std::snprintf(buf, sizeof buf, "%.3f", std::max(0.001, seconds_of(it)));
+    return buf;
+}
+
+}  // namespace
+
+exchange::exchange(gateway& owner, caller_request request, answer_writer& out)
+    : owner_(owner),
+      request_(std::move(request)),
+      out_(&out),
+      configuration_(owner.configuration_),
+      number_(++owner.last_number_),
+      deadline_timer_(owner.loop_),
+      wait_timer_(owner.loop_) {
+    ++owner_.requests_;
+    owner_.body_bytes_ += request_.body.size();
+}
+
+exchange::~exchange() {
+    stop_call();
+    --owner_.requests_;
+    owner_.body_bytes_ -= request_.body.size();
+}
+
+duration exchange::elapsed() const { return owner_.time_.now() - request_.received; }
+
+duration exchange::time_left() const {
+    return deadline_ ? *deadline_ - owner_.time_.now() : duration(default_deadline);
+}
+
+double exchange::units() const {
+    if (!account_->counts_tokens) {
+        return 1;
+    }
+    return facts_.states_tokens ? static_cast<double>(facts_.prompt_tokens) +
+                                      static_cast<double>(facts_.most_output_tokens)
+                                : account_->plain_tokens;
+}
+
+void exchange::start() {
+    if (!configuration_) {
+        refuse({status_unavailable, "no_configuration", start_retry_after});
+        return;
+    }
+    facts_ = owner_.codec_.read_request(request_.headers);
+    route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
+    if (route_ == nullptr) {
+        refuse({status_not_found, "no_route", std::nullopt});
+        return;
+    }
+    if (facts_.id.empty()) {
+        refuse({status_bad_request, "no_request_id", std::nullopt});
+        return;
+    }
+    if (!admit()) {
+        return;
+    }
+    milliseconds wait = facts_.deadline.value_or(default_deadline);
+    if (route_->timeout.count() > 0) {
+        wait = std::min(wait, route_->timeout);
+    }
+    deadline_ = request_.received + wait;
+    if (time_left() < owner_.settings_.least_time_left) {
+        refuse({status_unavailable, "no_time_left", usual_retry_after});
+        return;
+    }
+    deadline_timer_.expires_after(time_left());
+    deadline_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ != phase::ended) {
+            self->on_deadline();
+        }
+    });
+    owner_.budget_of(service_->id).count_request();
+    find_endpoint();
+}
+
+bool exchange::admit() {
+    if (configuration_->needs_keys()) {
+        account_ = configuration_->find_account(facts_.key);
+        if (account_ == nullptr && !route_->open) {
+            refuse({status_unauthorized, "unknown_key", std::nullopt});
+            return false;
+        }
+    }
+    const double point =
+        static_cast<double>(stable_hash(facts_.id.str()) >> 11) / static_cast<double>(1ULL << 53);
+    const service_id* chosen = routing::pick_service(*route_, point);
+    service_ = chosen == nullptr ? nullptr : configuration_->find_service(*chosen);
+    if (service_ == nullptr) {
+        refuse({status_unavailable, "no_service", start_retry_after});
+        return false;
+    }
+    if (owner_.body_bytes_ > owner_.settings_.most_body_bytes) {
+        refuse({status_unavailable, "too_many_bodies", usual_retry_after});
+        return false;
+    }
+    if (account_ != nullptr) {
+        const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
+        if (const auto* it = std::get_if<routing::over_limit>(&result)) {
+            refuse({status_too_many, "over_limit", it->retry_after});
+            return false;
+        }
+    }
+    return true;
+}
+
+void exchange::find_endpoint() {
+    const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_};
+    const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
+    if (!choice) {
+        refuse({status_unavailable, "no_endpoint", usual_retry_after});
+        return;
+    }
+    if (choice->expected > time_left()) {
+        refuse({status_unavailable, "would_be_late", usual_retry_after});
+        return;
+    }
+    unread_tokens_ = choice->unread_tokens;
+    if (choice->needs_load) {
+        wait_for_load(*choice);
+    } else if (choice->ready_at) {
+        waited_for_ = facts_.target;
+        wait_until(*choice->ready_at, choice->id);
+    } else {
+        send_to(choice->id);
+    }
+}
+
+void exchange::wait_for_load(const routing::endpoint_choice& it) {
+    phase_ = phase::waiting_for_load;
+    endpoint_ = it.id;
+    waited_for_ = facts_.target;
+    const auto self = shared_from_this();
+    owner_.wait_for_load({it.id, facts_.target}, self);
+    wait_timer_.expires_after(owner_.settings_.wish_timeout);
+    wait_timer_.async_wait([weak = weak_from_this(), id = it.id](const error_code& ec) {
+        const auto held = weak.lock();
+        if (!ec && held && held->phase_ == phase::waiting_for_load) {
+            held->on_load_refused(id);
+        }
+    });
+    if (!owner_.broker_->wish(it.id, facts_.target)) {
+        on_load_refused(it.id);
+    }
+}
+
+void exchange::on_load_granted(const endpoint_id& engine, time_point ready_at) {
+    if (phase_ == phase::waiting_for_load && engine == endpoint_) {
+        wait_until(ready_at, engine);
+    }
+}
+
+void exchange::on_load_refused(const endpoint_id& engine) {
+    if (phase_ == phase::waiting_for_load && engine == endpoint_) {
+        wait_timer_.cancel();
+        no_loads_.insert(engine);
+        find_endpoint();
+    }
+}
+
+void exchange::wait_until(time_point when, const endpoint_id& id) {
+    phase_ = phase::connecting;
+    const duration wait = std::max(duration::zero(), when - owner_.time_.now());
+    load_wait_ += wait;
+    wait_timer_.expires_after(wait);
+    wait_timer_.async_wait([weak = weak_from_this(), id](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ == phase::connecting) {
+            self->send_to(id);
+        }
+    });
+}
+
+void exchange::send_to(const endpoint_id& id) {
+    const routing::endpoint* target = owner_.directory_.find(id);
+    if (target == nullptr || target->draining) {
+        excluded_.insert(id);
+        find_endpoint();
+        return;
+    }
+    phase_ = phase::connecting;
+    endpoint_ = id;
+    ++sends_;
+    const std::uint32_t memory = facts_.prompt_tokens +
+                                 facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
+    owner_.work_.start(number_, id, unread_tokens_, memory);
+    owner_.pool_.acquire(id, target->address,
+                         [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
+                             const auto self = weak.lock();
+                             const bool wanted = self && self->phase_ == phase::connecting &&
+                                                 self->endpoint_ == id;
+                             if (wanted) {
+                                 self->on_connected(std::move(it));
+                             } else if (self && it) {
+                                 self->owner_.pool_.release(id, std::move(it));
+                             }
+                         });
+}
+
+void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
+    const routing::endpoint* target = owner_.directory_.find(endpoint_);
+    const bool left = target == nullptr || target->draining;
+    if (!connection || left) {
+        owner_.work_.finish(number_);
+        excluded_.insert(endpoint_);
+        if (!connection) {
+            owner_.directory_.on_call(endpoint_, routing::call_outcome::unreachable,
+                                      owner_.time_.now());
+        }
+        if (sends_ >= owner_.settings_.most_sends) {
+            refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
+        } else {
+            find_endpoint();
+        }
+        return;
+    }
+    if (time_left() < owner_.settings_.least_time_left) {
+        owner_.pool_.release(endpoint_, std::move(connection));
+        on_deadline();
+        return;
+    }
+    phase_ = phase::sent;
+    rejected_ = false;
+    discard_answer_ = false;
+    may_have_run_ = true;
+    ++runs_;
+    sent_at_ = owner_.time_.now();
+    connection_ = std::move(connection);
+    if (service_->engine) {
+        owner_.prompts_.on_read(endpoint_, facts_, sent_at_);
+        if (!facts_.target.adapter.empty()) {
+            owner_.broker_->note_use(endpoint_, facts_.target);
+        }
+    }
+    call_request call;
+    call.bytes = request_bytes();
+    call.is_head = request_.method == "HEAD";
+    call.id_header = std::string(owner_.codec_.id_header());
+    call.id = facts_.id.str();
+    const auto self = shared_from_this();
+    const auto held = connection_;
+    held->call(std::move(call), *this);
+}
+
+std::string exchange::request_bytes() const {
+    std::string out = request_.method + " " + request_.target + " HTTP/1.1\r\n";
+    for (const header& it : end_to_end_headers(request_.headers)) {
+        const bool is_expect = same_name(it.name, "expect");
+        if (!is_expect && owner_.codec_.is_forwarded(it.name)) {
+            append_header(out, it.name, it.value);
+        }
+    }
+    endpoint_statement said;
+    said.expected = endpoint_;
+    if (account_ != nullptr) {
+        said.account = account_->id;
+    }
+    said.time_left = std::max(milliseconds(1), to_ms(time_left()));
+    if (service_->engine) {
+        said.priority = account_ != nullptr && account_->priority ? *account_->priority
+                                                                  : route_->priority;
+        const std::uint64_t newest = owner_.adapters_.newest_version(facts_.target);
+        const duration age = owner_.time_.now() - owner_.adapters_.announced_at(facts_.target);
+        if (newest != 0 && age > version_enforced_after) {
+            said.adapter_version = newest;
+        }
+    }
+    said.last_event = facts_.last_event;
+    if (events_ && !events_->last_id().empty()) {
+        said.last_event = events_->last_id();
+    }
+    owner_.codec_.append_statement(said, out);
+    const bool has_body = !request_.body.empty() || request_.method == "POST" ||
+                          request_.method == "PUT" || request_.method == "PATCH";
+    if (has_body) {
+        append_header(out, "Content-Length", std::to_string(request_.body.size()));
+    }
+    out += "\r\n";
+    out += request_.body;
+    return out;
+}
+
+void exchange::on_head(const answer_head& head) {
+    const auto self = shared_from_this();
+    const answer_facts said = owner_.codec_.read_answer(head.status, head.headers);
+    if (said.not_run) {
+        rejected_ = true;
+        discard_answer_ = true;
+        status_ = head.status;
+        may_have_run_ = --runs_ > 0;
+        owner_.directory_.on_call(endpoint_, routing::call_outcome::answered, owner_.time_.now());
+        on_rejected(head);
+        return;
+    }
+    const bool is_success = head.status / 100 == 2;
+    const bool foreign = is_success && (!said.is_signed ||
+                                        !find_header(head.headers, "content-encoding").empty());
+    if (foreign) {
+        stop_call();
+        owner_.directory_.on_call(endpoint_, routing::call_outcome::failed, owner_.time_.now());
+        on_failure(call_failure::malformed);
+        return;
+    }
+    const bool failed = head.status >= 500;
+    owner_.directory_.on_call(
+        endpoint_, failed ? routing::call_outcome::failed : routing::call_outcome::answered,
+        owner_.time_.now());
+    if (head_sent_) {
+        // A resumed stream keeps the head of its first endpoint.
+        if (!is_success) {
+            cut("resume_failed");
+            return;
+        }
+        phase_ = phase::relaying;
+        return;
+    }
+    if (failed && may_run_again() && spend_retry()) {
+        excluded_.insert(endpoint_);
+        discard_answer_ = true;
+        status_ = head.status;
+        return;
+    }
+    relay_head(head);
+}
+
+void exchange::relay_head(const answer_head& head) {
+    phase_ = phase::relaying;
+    head_sent_ = true;
+    status_ = head.status;
+    caller_answer out;
+    out.status = head.status;
+    out.reason = head.reason;
+    out.headers = end_to_end_headers(head.headers);
+    out.length = head.length;
+    if (route_->resumable && head.status / 100 == 2) {
+        events_.emplace();
+        // A resumed stream has another length than its first endpoint stated.
+        out.length.reset();
+    }
+    out_->send_head(out);
+}
+
+void exchange::on_rejected(const answer_head& head) {
+    if (head.status == status_misdirected) {
+        const routing::endpoint* known = owner_.directory_.find(endpoint_);
+        if (!facts_.target.adapter.empty() && known != nullptr) {
+            owner_.adapters_.on_missing(endpoint_, facts_.target, owner_.time_.now());
+        } else {
+            excluded_.insert(endpoint_);
+        }
+        owner_.broker_->note_gone(endpoint_);
+    }
+}
+
+void exchange::on_body(std::string_view bytes) {
+    if (discard_answer_ || phase_ != phase::relaying) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (first_body_) {
+        first_body_ = false;
+        first_event_ = elapsed();
+        owner_.work_.on_prompt_read(number_);
+    }
+    relayed_ += bytes.size();
+    if (events_) {
+        const std::string ready = events_->take(bytes);
+        if (!ready.empty()) {
+            out_->send_body(ready);
+        }
+    } else {
+        out_->send_body(bytes);
+    }
+    if (connection_ && out_ != nullptr && out_->unsent() > owner_.settings_.most_unsent) {
+        connection_->set_paused(true);
+    }
+}
+
+void exchange::on_caller_ready() {
+    if (connection_) {
+        const auto held = connection_;
+        held->set_paused(false);
+    }
+}
+
+void exchange::on_done() {
+    const auto self = shared_from_this();
+    owner_.work_.finish(number_);
+    owner_.pool_.release(endpoint_, std::move(connection_));
+    connection_.reset();
+    if (rejected_) {
+        retry("rejected");
+        return;
+    }
+    if (discard_answer_) {
+        find_endpoint();
+        return;
+    }
+    if (events_ && !events_->rest().empty()) {
+        out_->send_body(events_->rest());
+    }
+    finish(status_, "answered");
+    if (out_ != nullptr) {
+        answer_writer* out = out_;
+        out_ = nullptr;
+        out->send_end();
+    }
+}
+
+void exchange::on_failure(call_failure why) {
+    const auto self = shared_from_this();
+    owner_.work_.finish(number_);
+    connection_.reset();
+    const std::string_view reason = why == call_failure::malformed ? "malformed_answer"
+                                                                   : "connection_broken";
+    if (rejected_) {
+        retry("rejected");
+        return;
+    }
+    if (discard_answer_) {
+        find_endpoint();
+        return;
+    }
+    owner_.directory_.on_call(endpoint_,
+                              why == call_failure::malformed ? routing::call_outcome::failed
+                                                             : routing::call_outcome::unreachable,
+                              owner_.time_.now());
+    if (why == call_failure::not_sent) {
+        may_have_run_ = --runs_ > 0;
+        excluded_.insert(endpoint_);
+        if (sends_ < owner_.settings_.most_sends) {
+            find_endpoint();
+        } else {
+            refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
+        }
+        return;
+    }
+    if (head_sent_ && !events_) {
+        cut(reason);
+        return;
+    }
+    if (events_) {
+        events_->drop_rest();
+    }
+    excluded_.insert(endpoint_);
+    if (may_run_again() && spend_retry()) {
+        find_endpoint();
+        return;
+    }
+    if (head_sent_) {
+        cut(reason);
+    } else {
+        refuse({status_bad_gateway, reason, std::nullopt});
+    }
+}
+
+bool exchange::may_run_again() const {
+    return route_->repeatable() && runs_ < std::max(1U, route_->max_attempts) &&
+           sends_ < owner_.settings_.most_sends &&
+           time_left() > owner_.settings_.least_time_left;
+}
+
+bool exchange::spend_retry() {
+    return owner_.budget_of(service_->id).try_spend(facts_.id, sends_).has_value();
+}
+
+void exchange::retry(std::string_view why) {
+    if (status_ == status_unavailable || facts_.target.adapter.empty()) {
+        excluded_.insert(endpoint_);
+    }
+    const bool allowed = sends_ < owner_.settings_.most_sends && spend_retry();
+    if (allowed) {
+        find_endpoint();
+    } else if (head_sent_) {
+        cut(why);
+    } else if (may_have_run_) {
+        refuse({status_bad_gateway, why, std::nullopt});
+    } else {
+        refuse({status_unavailable, why, usual_retry_after});
+    }
+}
+
+void exchange::stop_call() {
+    owner_.work_.finish(number_);
+    if (connection_) {
+        connection_->cancel();
+        connection_.reset();
+    }
+}
+
+void exchange::on_deadline() {
+    const auto self = shared_from_this();
+    const bool was_sent = may_have_run_;
+    stop_call();
+    if (head_sent_) {
+        cut("deadline");
+    } else if (was_sent) {
+        refuse({status_gateway_timeout, "deadline", std::nullopt});
+    } else {
+        refuse({status_unavailable, "deadline_before_sending", usual_retry_after});
+    }
+}
+
+void exchange::refuse(const refusal& it) {
+    const auto self = shared_from_this();
+    if (phase_ == phase::ended || out_ == nullptr) {
+        return;
+    }
+    if (head_sent_) {
+        cut(it.reason);
+        return;
+    }
+    finish(it.status, it.reason);
+    caller_answer head;
+    head.status = it.status;
+    head.headers.push_back({"Content-Type", "application/json"});
+    if (!facts_.id.empty()) {
+        head.headers.push_back({std::string(owner_.codec_.id_header()), facts_.id.str()});
+    }
+    if (it.retry_after) {
+        head.headers.push_back({"Retry-After", seconds_text(*it.retry_after)});
+    }
+    const std::string body = "{\"error\":\"" + std::string(it.reason) + "\"}";
+    head.length = body.size();
+    answer_writer* out = out_;
+    out_ = nullptr;
+    out->send_head(head);
+    out->send_body(body);
+    out->send_end();
+}
+
+void exchange::cut(std::string_view why) {
+    const auto self = shared_from_this();
+    if (phase_ == phase::ended || out_ == nullptr) {
+        return;
+    }
+    stop_call();
+    finish(status_, why);
+    answer_writer* out = out_;
+    out_ = nullptr;
+    out->cut();
+}
+
+void exchange::on_caller_left() {
+    const auto self = shared_from_this();
+    if (phase_ == phase::ended) {
+        return;
+    }
+    stop_call();
+    out_ = nullptr;
+    finish(status_caller_left, "caller_left");
+}
+
+void exchange::finish(unsigned status, std::string_view reason) {
+    phase_ = phase::ended;
+    deadline_timer_.cancel();
+    wait_timer_.cancel();
+    const std::string_view account = account_ == nullptr ? "-" : account_->id.str();
+    const std::string_view route = route_ == nullptr ? "-" : std::string_view(route_->name);
+    owner_.answers_.with({account, route, std::to_string(status)}).add();
+    owner_.latencies_.with({account, route}).record(elapsed());
+    telemetry::log_event(
+        severity::info, "request_finished",
+        {{"request", facts_.id},
+         {"status", status},
+         {"reason", reason},
+         {"account", account},
+         {"route", route},
+         {"service", service_ == nullptr ? std::string_view("-") : service_->id.str()},
+         {"endpoint", endpoint_},
+         {"adapter", facts_.target.adapter},
+         {"configuration", configuration_ ? configuration_->version() : 0},
+         {"sends", sends_},
+         {"load_wait_ms", to_ms(load_wait_).count()},
+         {"sent_after_ms",
+          sent_at_ == time_point{} ? -1 : to_ms(sent_at_ - request_.received).count()},
+         {"first_byte_ms", to_ms(first_event_).count()},
+         {"unread_tokens", unread_tokens_},
+         {"elapsed_ms", to_ms(elapsed()).count()},
+         {"left_ms", deadline_ ? to_ms(time_left()).count() : -1}});
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.h
@@ -0,0 +1,103 @@
+/// One request from its arrival to the end of its answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "event_cutter.h"
+#include "gateway/gateway.h"
+
+namespace radishpulley::gateway {
+
+/// Why the daemon answers a request itself.
+struct refusal {
+    unsigned status = 503;
+    /// Short and stable, for callers and logs.
+    std::string_view reason;
+    std::optional<duration> retry_after;
+};
+
+/// Sends one request to endpoints until it is answered or given up.
+class exchange final : public request_work,
+                       public std::enable_shared_from_this<exchange>,
+                       private call_handler {
+public:
+    exchange(gateway& owner, caller_request request, answer_writer& out);
+    ~exchange() override;
+
+    void start();
+    void on_caller_ready() override;
+    void on_caller_left() override;
+    /// The adapter that this request waits for is, or will be, at the engine.
+    void on_load_granted(const endpoint_id& engine, time_point ready_at);
+    void on_load_refused(const endpoint_id& engine);
+
+private:
+    enum class phase { starting, waiting_for_load, connecting, sent, relaying, ended };
+
+    void on_head(const answer_head& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_done() override;
+    void on_failure(call_failure why) override;
+
+    bool admit();
+    void find_endpoint();
+    void wait_for_load(const routing::endpoint_choice& it);
+    void wait_until(time_point when, const endpoint_id& id);
+    void send_to(const endpoint_id& id);
+    void on_connected(std::shared_ptr<endpoint_link> connection);
+    std::string request_bytes() const;
+    void on_rejected(const answer_head& head);
+    void relay_head(const answer_head& head);
+    bool may_run_again() const;
+    bool spend_retry();
+    void retry(std::string_view why);
+    void stop_call();
+    void refuse(const refusal& it);
+    void cut(std::string_view why);
+    void on_deadline();
+    void finish(unsigned status, std::string_view reason);
+    duration elapsed() const;
+    duration time_left() const;
+    double units() const;
+
+    gateway& owner_;
+    caller_request request_;
+    answer_writer* out_;
+    routing::configuration_ptr configuration_;
+    routing::request_number number_;
+    routing::request_facts facts_;
+    const routing::route* route_ = nullptr;
+    const routing::client_account* account_ = nullptr;
+    const routing::service* service_ = nullptr;
+    boost::asio::steady_timer deadline_timer_;
+    boost::asio::steady_timer wait_timer_;
+    std::optional<time_point> deadline_;
+    phase phase_ = phase::starting;
+    endpoint_id endpoint_;
+    std::uint32_t unread_tokens_ = 0;
+    std::shared_ptr<endpoint_link> connection_;
+    std::set<endpoint_id> excluded_;
+    std::set<endpoint_id> no_loads_;
+    routing::model_choice waited_for_;
+    unsigned sends_ = 0;
+    /// Endpoints on which it may have run.
+    unsigned runs_ = 0;
+    bool may_have_run_ = false;
+    bool head_sent_ = false;
+    bool rejected_ = false;
+    bool discard_answer_ = false;
+    bool first_body_ = true;
+    std::optional<event_cutter> events_;
+    std::uint64_t relayed_ = 0;
+    unsigned status_ = 0;
+    time_point sent_at_{};
+    duration first_event_{};
+    duration load_wait_{};
+};
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,127 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+
+#include "exchange.h"
+
+namespace radishpulley::gateway {
+
+gateway::gateway(boost::asio::io_context& loop, const clock& time, const header_codec& codec,
+                 telemetry::registry& metrics, gateway_settings settings)
+    : loop_(loop),
+      time_(time),
+      codec_(codec),
+      settings_(std::move(settings)),
+      chooser_(directory_, adapters_, prompts_, work_, settings_.where),
+      pool_(loop, time),
+      answers_(metrics.add_counters("answers_total", "Answers by account, route and status.",
+                                    {"account", "route", "status"})),
+      latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
+                                        {"account", "route"})) {}
+
+gateway::~gateway() = default;
+
+void gateway::on_configuration(routing::configuration_ptr it) {
+    configuration_ = std::move(it);
+    limiter_.configure(configuration_->accounts(), time_.now());
+}
+
+void gateway::set_fleet_size(std::size_t vms) {
+    fleet_size_ = std::max<std::size_t>(1, vms);
+    limiter_.set_fleet_size(vms);
+}
+
+void gateway::on_endpoint(const routing::endpoint& it) {
+    const auto change = directory_.on_entry(it, time_.now());
+    if (change == routing::directory_change::restarted) {
+        adapters_.on_removed(it.id);
+        prompts_.forget(it.id);
+        pool_.drop(it.id);
+    }
+    adapters_.on_entry(it, time_.now());
+}
+
+void gateway::on_endpoint_removed(const endpoint_id& id) {
+    adapters_.on_removed(id);
+    pool_.drop(id);
+}
+
+void gateway::wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it) {
+    load_waiters_[key].push_back(it);
+}
+
+void gateway::on_adapter(const endpoint_id& engine, const routing::model_choice& adapter,
+                         const routing::adapter_view& view) {
+    adapters_.on_hint(engine, adapter, view, time_.now());
+    const auto found = load_waiters_.find({engine, adapter});
+    if (found == load_waiters_.end() || view.state == routing::adapter_state::absent) {
+        return;
+    }
+    const auto waiters = std::move(found->second);
+    load_waiters_.erase(found);
+    for (const auto& it : waiters) {
+        if (const auto held = it.lock()) {
+            held->on_load_granted(engine, view.ready_at);
+        }
+    }
+}
+
+void gateway::on_load_refused(const endpoint_id& engine, const routing::model_choice& adapter) {
+    const auto found = load_waiters_.find({engine, adapter});
+    if (found == load_waiters_.end()) {
+        return;
+    }
+    const auto waiters = std::move(found->second);
+    load_waiters_.erase(found);
+    for (const auto& it : waiters) {
+        if (const auto held = it.lock()) {
+            held->on_load_refused(engine);
+        }
+    }
+}
+
+requests::retry_budget& gateway::budget_of(const service_id& id) {
+    const auto found = budgets_.find(id);
+    if (found != budgets_.end()) {
+        return found->second;
+    }
+    requests::retry_limits limits;
+    limits.ratio = settings_.retry_ratio;
+    limits.capacity = std::max(1.0, settings_.retry_reserve / static_cast<double>(fleet_size_));
+    return budgets_.emplace(id, requests::retry_budget(limits, 1)).first->second;
+}
+
+void gateway::accept(link::socket socket) {
+    auto connection = std::make_shared<link>(std::move(socket), link_options{});
+    auto it = std::make_shared<caller_link>(std::move(connection), loop_, time_, *this);
+    callers_.insert(it);
+    it->start();
+}
+
+void gateway::close_idle_callers() {
+    const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    for (const auto& it : all) {
+        if (!it->is_busy()) {
+            it->close();
+        }
+    }
+}
+
+caller_service::limits gateway::caller_limits() const {
+    caller_service::limits out;
+    if (configuration_) {
+        const routing::caller_limits& it = configuration_->limits();
+        out = {it.max_header_bytes, it.max_body_bytes, it.header_timeout, it.idle_timeout};
+    }
+    return out;
+}
+
+std::shared_ptr<request_work> gateway::start(caller_request request, answer_writer& out) {
+    auto it = std::make_shared<exchange>(*this, std::move(request), out);
+    it->start();
+    return it;
+}
+
+void gateway::on_closed(const std::shared_ptr<caller_link>& it) { callers_.erase(it); }
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/link.cpp
@@ -0,0 +1,190 @@
+#include "gateway/link.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace radishpulley::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t read_size = 16'384;
+// Time for which a finished connection waits for the other side's end.
+constexpr auto linger_time = std::chrono::milliseconds(1'000);
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+
+}  // namespace
+
+link::link(asio::io_context& loop, link_options options)
+    : socket_(loop), timer_(loop), options_(options) {}
+
+link::link(socket from, link_options options)
+    : socket_(std::move(from)), timer_(socket_.get_executor()), options_(options) {}
+
+void link::configure() {
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket_.non_blocking(true, ignored);
+    const int fd = socket_.native_handle();
+    const int silence_ms = static_cast<int>(options_.silence.count());
+    const int idle_s = std::max(1, silence_ms / 1'000 - keepalive_probes * keepalive_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s, sizeof keepalive_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes, sizeof keepalive_probes);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
+}
+
+void link::start() {
+    configure();
+    read();
+}
+
+void link::connect(const asio::ip::tcp::endpoint& to, std::chrono::milliseconds timeout,
+                   connect_callback done) {
+    auto self = shared_from_this();
+    timer_.expires_after(timeout);
+    timer_.async_wait([self](const error_code& ec) {
+        if (!ec) {
+            error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
+    socket_.async_connect(to, [self, done = std::move(done)](const error_code& ec) {
+        self->timer_.cancel();
+        const bool connected = !ec && self->socket_.is_open() && !self->ended_;
+        if (connected) {
+            self->start();
+        } else {
+            self->ended_ = true;
+        }
+        done(connected);
+    });
+}
+
+void link::resume() {
+    if (!reading_ && !ended_) {
+        read();
+    }
+}
+
+void link::read() {
+    if (reading_ || ended_ || input_.size() >= options_.most_input) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(input_.prepare(read_size),
+                            [self = shared_from_this()](const error_code& ec, std::size_t n) {
+                                self->reading_ = false;
+                                self->on_read(ec, n);
+                            });
+}
+
+void link::on_read(const error_code& ec, std::size_t n) {
+    if (ended_) {
+        return;
+    }
+    input_.commit(n);
+    if (ec) {
+        end(ec == asio::error::eof ? link_end::closed : link_end::broken);
+        return;
+    }
+    if (finishing_) {
+        input_.consume(input_.size());
+    } else if (handler_ != nullptr) {
+        handler_->on_input();
+    }
+    read();
+}
+
+void link::end(link_end how) {
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    auto self = shared_from_this();
+    link_handler* handler = handler_;
+    if (handler != nullptr) {
+        handler->on_end(how);
+    }
+    close();
+}
+
+void link::write(std::string bytes) {
+    if (ended_ || finishing_ || bytes.empty()) {
+        return;
+    }
+    unsent_ += bytes.size();
+    output_.push_back(std::move(bytes));
+    if (being_written_.empty()) {
+        write_next();
+    }
+}
+
+void link::write_next() {
+    being_written_.swap(output_);
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(being_written_.size());
+    for (const std::string& it : being_written_) {
+        buffers.emplace_back(it.data(), it.size());
+    }
+    wrote_any_ = true;
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](const error_code& ec, std::size_t n) {
+                          self->unsent_ -= std::min(n, self->unsent_);
+                          self->being_written_.clear();
+                          if (self->ended_) {
+                              return;
+                          }
+                          if (ec) {
+                              self->end(link_end::broken);
+                          } else if (!self->output_.empty()) {
+                              self->write_next();
+                          } else if (self->finishing_) {
+                              self->linger();
+                          } else if (self->handler_ != nullptr) {
+                              self->handler_->on_written();
+                          }
+                      });
+}
+
+void link::finish() {
+    if (ended_ || finishing_) {
+        return;
+    }
+    finishing_ = true;
+    handler_ = nullptr;
+    input_.consume(input_.size());
+    if (being_written_.empty()) {
+        linger();
+    }
+    resume();
+}
+
+void link::linger() {
+    error_code ignored;
+    socket_.shutdown(socket::shutdown_send, ignored);
+    timer_.expires_after(linger_time);
+    timer_.async_wait([self = shared_from_this()](const error_code& ec) {
+        if (!ec) {
+            self->close();
+        }
+    });
+}
+
+void link::close() {
+    ended_ = true;
+    handler_ = nullptr;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+}  // namespace radishpulley::gateway
--- a/libs/ownership/include/ownership/ownership_store.h
+++ b/libs/ownership/include/ownership/ownership_store.h
@@ -1,6 +1,7 @@
 /// Reads and commits the ownership table through the object API.
 #pragma once
 
+#include <optional>
 #include <variant>
 
 #include "ownership/ownership_policy.h"
@@ -21,6 +22,10 @@
 /// The store did not say; read the shard again before anything follows from the update.
 struct undecided {};
 
+/// Returns the shard after all assignments of `update`, or nothing where one of its entries has
+/// another fencing number than expected.
+std::optional<shard> applied(const shard& copy, const shard_update& update);
+
 using commit_result = std::variant<committed, superseded, undecided>;
 using read_result = std::variant<shard, platform::unreachable>;
 
--- a/libs/ownership/src/ownership_store.cpp
+++ b/libs/ownership/src/ownership_store.cpp
@@ -62,6 +62,14 @@
 
 }  // namespace
 
+std::optional<shard> applied(const shard& copy, const shard_update& update) {
+    shard next = copy;
+    if (progress_of(next, update) != progress::not_begun) {
+        return std::nullopt;
+    }
+    return with(std::move(next), update);
+}
+
 ownership_store::ownership_store(platform::object_store& store, std::string prefix)
     : store_(store), prefix_(std::move(prefix)) {}
 
--- /dev/null
+++ b/libs/routing/include/routing/account_limiter.h
@@ -0,0 +1,91 @@
+/// Keeps client accounts to their rate and burst over all VMs together.
+///
+/// Each VM has a share of every account's rate in proportion to the demand that it sees there; VMs
+/// tell each other their demand. A silent VM keeps its share until its statement is old. A request
+/// is admitted while its bucket is positive, so the last one may overdraw it; the debt is paid back
+/// before the next. Pure; not thread-safe.
+#pragma once
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "routing/configuration.h"
+
+namespace radishpulley::routing {
+
+/// Limits of the limiter.
+struct limiter_settings {
+    /// Time over which demand is averaged.
+    duration demand_window = std::chrono::seconds(2);
+    /// Age from which a silent peer's demand no longer counts.
+    duration peer_lifetime = std::chrono::seconds(10);
+    /// Demand that every VM has at least, as a part of the account's rate; it makes sure that a
+    /// VM's first requests find a share.
+    double least_demand = 0.02;
+};
+
+/// The request may go on.
+struct admitted {};
+
+/// The account is over its limit; the same request may be admitted after this time.
+struct over_limit {
+    duration retry_after{};
+};
+
+using admission = std::variant<admitted, over_limit>;
+
+/// Units a second by account.
+using demand_by_account = std::map<client_account_id, double>;
+
+/// Buckets of this VM.
+class account_limiter {
+public:
+    explicit account_limiter(limiter_settings settings = {});
+
+    /// Takes new limits; buckets keep their fill as far as the new limits allow.
+    void configure(const std::vector<client_account>& accounts, time_point now);
+    /// Sets how many VMs serve callers, this one included.
+    void set_fleet_size(std::size_t vms);
+    /// Takes the demand that another VM sees.
+    void on_peer(const vm_id& peer, demand_by_account demand, time_point now);
+    /// The VM has left for good.
+    void forget_peer(const vm_id& peer);
+
+    /// Charges a request of `units` to its account.
+    admission admit(const client_account_id& account, double units, time_point now);
+    /// Gives back what a request did not use.
+    void refund(const client_account_id& account, double units);
+
+    /// Demand that this VM sees.
+    demand_by_account demand(time_point now) const;
+    /// Part of an account's rate that this VM has now, from 0 to 1.
+    double share(const client_account_id& account, time_point now) const;
+
+private:
+    struct bucket {
+        double rate = 0;
+        double burst = 0;
+        double fill = 0;
+        time_point filled_at{};
+        /// Exponential average of the units asked for a second.
+        double demand = 0;
+        time_point demand_at{};
+    };
+    struct peer_demand {
+        demand_by_account demand;
+        time_point heard{};
+    };
+
+    double decayed_demand(const bucket& it, time_point now) const;
+    void refill(const client_account_id& account, bucket& it, time_point now);
+
+    limiter_settings settings_;
+    std::size_t fleet_size_ = 1;
+    std::map<client_account_id, bucket> buckets_;
+    std::map<vm_id, peer_demand> peers_;
+};
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/include/routing/configuration.h
@@ -0,0 +1,162 @@
+/// The configuration that decides where a caller's request may go: routes, services, client
+/// accounts and the bounds on what callers may send.
+///
+/// A configuration is immutable; a newer version replaces it as a whole.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/identifier.h"
+
+namespace radishpulley::routing {
+
+using std::chrono::milliseconds;
+
+/// What may be repeated.
+enum class request_kind {
+    /// May run more than once.
+    idempotent,
+    /// Runs at most once an attempt of the caller.
+    non_idempotent,
+    /// Answered by a series of events; repeatable only where the route is resumable.
+    streaming
+};
+
+/// One of the services among which a route's requests are split.
+struct weighted_service {
+    service_id service;
+    double weight = 1;
+};
+
+/// One route: which requests it takes and how they are treated.
+struct route {
+    std::string name;
+    /// Lower case, without a port.
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string path_prefix;
+    request_kind kind = request_kind::non_idempotent;
+    /// Longest time that a request may be kept waiting; 0 means no bound.
+    milliseconds timeout{0};
+    /// Time within which an answer, or a stream's first event, has its full use.
+    milliseconds target_latency{0};
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Most endpoints on which one attempt of a caller may run.
+    std::uint32_t max_attempts = 1;
+    /// Needs no key.
+    bool open = false;
+    /// A stream may go on at another endpoint after its last complete event.
+    bool resumable = false;
+    std::vector<weighted_service> services;
+
+    /// Whether a request that may have run may be sent again.
+    bool repeatable() const { return kind == request_kind::idempotent || resumable; }
+};
+
+/// A base model that the engines of a service serve.
+struct model {
+    std::string name;
+    double weights_mb = 0;
+    double adapter_mb = 0;
+    milliseconds load_time{0};
+};
+
+/// What the engines of a service have room for.
+struct engine_capacity {
+    std::uint32_t slots = 1;
+    /// Tokens of running requests and kept prompt parts.
+    std::uint64_t memory_tokens = 0;
+    double weights_mb = 0;
+    std::uint32_t max_adapters = 0;
+    /// Loads of base models a second over all engines.
+    double loads_per_second = 0;
+    std::vector<model> models;
+};
+
+/// A service whose endpoints run requests.
+struct service {
+    service_id id;
+    /// Connections that one endpoint accepts from all VMs together; 0 means unknown.
+    std::uint32_t max_connections = 0;
+    /// Present for services of model engines.
+    std::optional<engine_capacity> engine;
+};
+
+/// A client account with its keys and its limit.
+struct client_account {
+    client_account_id id;
+    std::vector<std::string> keys;
+    /// Goes before the route's priority.
+    std::optional<int> priority;
+    /// Units a second, and units at once; a rate of 0 means no limit.
+    double rate = 0;
+    double burst = 0;
+    /// Units are tokens; otherwise each request is one unit.
+    bool counts_tokens = false;
+    /// Tokens counted for a request that states none.
+    double plain_tokens = 1;
+};
+
+/// Bounds on what callers may send.
+struct caller_limits {
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4'194'304;
+    milliseconds header_timeout{5'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// All parts of a configuration.
+struct configuration_content {
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service> services;
+    std::vector<client_account> accounts;
+    caller_limits limits;
+};
+
+/// One version of the configuration, indexed for lookups.
+class configuration {
+public:
+    explicit configuration(configuration_content content);
+
+    std::uint64_t version() const { return content_.version; }
+    const caller_limits& limits() const { return content_.limits; }
+    const std::vector<client_account>& accounts() const { return content_.accounts; }
+    const std::vector<service>& services() const { return content_.services; }
+    /// Without accounts, no route needs a key.
+    bool needs_keys() const { return !content_.accounts.empty(); }
+
+    /// Returns the route of `host` with the longest prefix of `path`, or null. `host` may have a
+    /// port and any case; a query after `path` is ignored.
+    const route* find_route(std::string_view host, std::string_view path) const;
+    /// Returns the account that holds `key`, or null.
+    const client_account* find_account(std::string_view key) const;
+    /// Returns the service, or null.
+    const service* find_service(const service_id& id) const;
+
+private:
+    configuration_content content_;
+    /// Routes of a host, longest prefix first.
+    std::unordered_map<std::string, std::vector<const route*>> routes_by_host_;
+    std::unordered_map<std::string, const client_account*> accounts_by_key_;
+    std::unordered_map<service_id, const service*> services_by_id_;
+};
+
+using configuration_ptr = std::shared_ptr<const configuration>;
+
+/// Picks one of the route's services; `point` from 0 to 1 spreads requests by weight.
+/// Returns null where the route has no service.
+const service_id* pick_service(const route& it, double point);
+
+/// Returns `text` in lower case (ASCII).
+std::string lower_case(std::string_view text);
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/include/routing/endpoint.h
@@ -0,0 +1,45 @@
+/// What is known of one endpoint, as it states it in the platform's directory.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/identifier.h"
+
+namespace radishpulley::routing {
+
+/// An adapter that an engine holds.
+struct held_adapter {
+    std::string name;
+    std::uint64_t version = 0;
+};
+
+/// A base model that an engine holds, with its adapters.
+struct held_model {
+    std::string name;
+    std::uint64_t version = 0;
+    std::vector<held_adapter> adapters;
+};
+
+/// One entry of the directory.
+struct endpoint {
+    endpoint_id id;
+    service_id service;
+    /// IP number and port.
+    std::string address;
+    zone_id zone;
+    bool draining = false;
+    /// Time until it is gone, from the moment of the entry.
+    std::optional<std::chrono::milliseconds> leaves_in;
+    std::uint32_t slots = 1;
+    /// Orders that an engine has accepted since its start.
+    std::uint64_t order_sequence = 0;
+    /// Unix time of its start in milliseconds; tells two starts under one id apart.
+    std::int64_t started_at_ms = 0;
+    std::vector<held_model> models;
+};
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -0,0 +1,182 @@
+/// Decides the orders to one engine, on the daemon that holds the right to give them.
+///
+/// Orders go out one at a time, each under the number of orders that the engine has accepted so
+/// far. An order that is carried out late then fails instead of acting on a state that it was not
+/// meant for. Pure; not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "routing/configuration.h"
+#include "routing/endpoint.h"
+#include "routing/request_facts.h"
+
+namespace radishpulley::routing {
+
+/// Limits of a keeper.
+struct keeper_settings {
+    /// Adapters that may be on their way to one engine.
+    std::uint32_t parallel_loads = 4;
+    /// Time from an accepted order until the adapter is usable: fetched, and held of late.
+    duration fetched_load = std::chrono::milliseconds(265);
+    duration warm_load = std::chrono::milliseconds(40);
+    /// Adapters that an engine keeps copies of.
+    std::size_t warm_copies = 40;
+    /// Idle time from which an adapter may make way.
+    duration idle = std::chrono::milliseconds(2'000);
+    /// Time for which a fresh adapter stays even without use.
+    duration first_stay = std::chrono::milliseconds(1'500);
+    /// Time over which uses are averaged.
+    duration use_window = std::chrono::seconds(8);
+    /// Age of a wish from which nobody waits for it.
+    duration wish_lifetime = std::chrono::milliseconds(1'500);
+    /// Time until an engine's report shows what it did before.
+    duration report_lag = std::chrono::milliseconds(300);
+    /// Longest time by which the directory is behind an engine.
+    duration directory_lag = std::chrono::milliseconds(2'500);
+    /// Time from an order for a base model until the next one.
+    duration model_retry = std::chrono::seconds(3);
+};
+
+enum class order_kind { load, unload };
+
+/// One order.
+struct engine_order {
+    order_kind kind = order_kind::load;
+    /// Without an adapter, the base model itself.
+    model_choice target;
+    /// Version of the adapter to load; 0 is the newest.
+    std::uint64_t version = 0;
+    /// Orders that the engine must have accepted before this one.
+    std::uint64_t expected_sequence = 0;
+};
+
+/// What became of an order.
+enum class order_outcome {
+    accepted,
+    /// Nothing was to be done.
+    already_holds,
+    /// Another order came first, or the expected sequence differs.
+    conflict,
+    /// Another holder gave an order with a higher fencing number.
+    superseded,
+    /// The engine does not know the order, or is another one.
+    rejected,
+    /// It may have been accepted, or may be carried out later.
+    no_answer
+};
+
+/// What an engine says of itself when asked.
+struct engine_report {
+    std::uint64_t order_sequence = 0;
+    std::int64_t started_at_ms = 0;
+    std::vector<held_model> models;
+    /// Adapters on their way, by model.
+    std::vector<held_model> pending;
+};
+
+/// The adapter is or will be usable.
+struct wish_granted {
+    duration ready_in{};
+    std::uint64_t version = 0;
+};
+
+/// The engine has no room for it now.
+struct wish_refused {};
+
+using wish_answer = std::variant<wish_granted, wish_refused>;
+
+/// What other daemons should know after an order.
+struct adapter_change {
+    model_choice adapter;
+    /// False where it left.
+    bool held = false;
+    duration ready_in{};
+    std::uint64_t version = 0;
+};
+
+/// Keeps the adapter places of one engine.
+class engine_keeper {
+public:
+    engine_keeper(endpoint_id engine, engine_capacity capacity, keeper_settings settings = {});
+
+    const endpoint_id& engine() const { return engine_; }
+
+    /// Takes the engine's entry in the directory.
+    void on_entry(const endpoint& it, time_point now);
+    /// Takes an answer to `wants_report()`.
+    void on_report(const engine_report& it, time_point now);
+    /// Takes an announced version; `now` is when it was announced.
+    void on_version(const model_choice& adapter, std::uint64_t version);
+    /// A request for the adapter was sent to this engine, by any daemon.
+    void on_use(const model_choice& adapter, time_point now);
+    /// Somebody has a request for an adapter that the engine does not hold.
+    wish_answer on_wish(const model_choice& adapter, time_point now);
+
+    /// Returns the order to give now and takes it as given.
+    std::optional<engine_order> next_order(time_point now);
+    /// Takes the outcome of the order that was given last. Returns what changed.
+    std::optional<adapter_change> on_outcome(order_outcome outcome, time_point now);
+    /// Whether the engine must be asked for its state before the next order.
+    bool wants_report(time_point now) const;
+    /// Whether some order waits to be given.
+    bool has_work(time_point now) const;
+
+private:
+    struct place {
+        bool leaving = false;
+        /// A newer version is being loaded in its place.
+        bool replacing = false;
+        time_point ready_at{};
+        time_point last_use{};
+        std::uint64_t version = 0;
+        /// Exponential average of uses a second.
+        double rate = 0;
+        bool used = false;
+    };
+    struct wish {
+        model_choice adapter;
+        time_point since{};
+    };
+
+    void adopt(const std::vector<held_model>& models, const std::vector<held_model>& pending,
+               time_point now);
+    void reset();
+    std::size_t loads_under_way(time_point now) const;
+    std::size_t room() const;
+    double rate_of(const place& it, time_point now) const;
+    std::optional<model_choice> choose_victim(time_point now) const;
+    std::optional<model_choice> outdated(time_point now) const;
+    std::optional<engine_order> order_for_wishes(time_point now);
+    std::optional<engine_order> decide(time_point now);
+    void drop_old_wishes(time_point now);
+    duration load_time(const model_choice& adapter) const;
+    void remember_copy(const model_choice& adapter);
+    adapter_change note_load(const engine_order& order, time_point now);
+
+    endpoint_id engine_;
+    engine_capacity capacity_;
+    keeper_settings settings_;
+    bool known_ = false;
+    std::int64_t started_at_ms_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::set<std::string> models_;
+    std::map<model_choice, place> places_;
+    std::map<model_choice, std::uint64_t> versions_;
+    std::deque<wish> wishes_;
+    std::deque<model_choice> copies_;
+    std::optional<engine_order> given_;
+    bool needs_report_ = false;
+    time_point report_after_{};
+    time_point model_ordered_at_ = time_point::min();
+    time_point last_outcome_{};
+};
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/include/routing/hints.h
@@ -0,0 +1,71 @@
+/// Messages between the daemons: hints that make decisions better and that may be lost.
+///
+/// Nothing is agreed by them; what must be agreed goes through the platform's store.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/identifier.h"
+#include "routing/account_limiter.h"
+#include "routing/request_facts.h"
+#include "routing/work_table.h"
+
+namespace radishpulley::routing {
+
+/// What a daemon tells all others a few times a second.
+struct presence {
+    /// Newest configuration that is in force there.
+    std::uint64_t configuration_version = 0;
+    bool leaving = false;
+    work_by_endpoint work;
+    demand_by_account demand;
+};
+
+/// Requests for adapters that were sent to one engine, told to its holder.
+struct adapter_uses {
+    endpoint_id engine;
+    std::vector<model_choice> adapters;
+};
+
+/// A request waits for an adapter that an engine does not hold, told to its holder.
+struct load_wish {
+    endpoint_id engine;
+    model_choice adapter;
+};
+
+/// An adapter is or will be at an engine, or left it; told by the engine's holder.
+struct adapter_hint {
+    endpoint_id engine;
+    model_choice adapter;
+    bool held = false;
+    /// Time until it is usable, in milliseconds.
+    std::uint32_t ready_in_ms = 0;
+    std::uint64_t version = 0;
+};
+
+/// The holder can't load the adapter now.
+struct load_refusal {
+    endpoint_id engine;
+    model_choice adapter;
+};
+
+using hint = std::variant<presence, adapter_uses, load_wish, adapter_hint, load_refusal>;
+
+/// A hint with its sender.
+struct hint_message {
+    vm_incarnation from;
+    hint body;
+};
+
+/// Encodes a message as CBOR.
+std::string encode(const hint_message& it);
+
+/// Decodes a message; throws invalid_input.
+hint_message decode_hint(std::string_view data);
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/account_limiter.cpp
@@ -0,0 +1,123 @@
+#include "routing/account_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishpulley::routing {
+namespace {
+
+double seconds_of(duration it) { return std::chrono::duration<double>(it).count(); }
+
+duration from_seconds(double seconds) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+account_limiter::account_limiter(limiter_settings settings) : settings_(settings) {}
+
+void account_limiter::configure(const std::vector<client_account>& accounts, time_point now) {
+    std::map<client_account_id, bucket> next;
+    for (const client_account& account : accounts) {
+        if (account.rate <= 0) {
+            continue;
+        }
+        const auto known = buckets_.find(account.id);
+        bucket it;
+        if (known != buckets_.end()) {
+            refill(account.id, known->second, now);
+            it = known->second;
+        } else {
+            it.filled_at = now;
+            it.demand_at = now;
+            it.fill = account.burst * share(account.id, now);
+        }
+        it.rate = account.rate;
+        it.burst = account.burst;
+        next[account.id] = it;
+    }
+    buckets_ = std::move(next);
+}
+
+void account_limiter::set_fleet_size(std::size_t vms) {
+    fleet_size_ = std::max<std::size_t>(1, vms);
+}
+
+void account_limiter::on_peer(const vm_id& peer, demand_by_account demand, time_point now) {
+    peers_[peer] = {std::move(demand), now};
+}
+
+void account_limiter::forget_peer(const vm_id& peer) { peers_.erase(peer); }
+
+double account_limiter::decayed_demand(const bucket& it, time_point now) const {
+    return it.demand * std::exp(-seconds_of(now - it.demand_at) /
+                                seconds_of(settings_.demand_window));
+}
+
+double account_limiter::share(const client_account_id& account, time_point now) const {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return 1.0 / static_cast<double>(fleet_size_);
+    }
+    const double least = found->second.rate * settings_.least_demand;
+    const double own = decayed_demand(found->second, now) + least;
+    double all = own;
+    std::size_t heard = 1;
+    for (const auto& [vm, peer] : peers_) {
+        if (now - peer.heard > settings_.peer_lifetime) {
+            continue;
+        }
+        ++heard;
+        const auto demand = peer.demand.find(account);
+        all += least + (demand == peer.demand.end() ? 0 : demand->second);
+    }
+    // A VM that was never heard may see as much demand as this one.
+    if (heard < fleet_size_) {
+        all += static_cast<double>(fleet_size_ - heard) * own;
+    }
+    return own / all;
+}
+
+void account_limiter::refill(const client_account_id& account, bucket& it, time_point now) {
+    const double part = share(account, now);
+    const double elapsed = seconds_of(now - it.filled_at);
+    it.filled_at = now;
+    it.fill = std::min(it.fill + it.rate * part * elapsed, it.burst * part);
+}
+
+admission account_limiter::admit(const client_account_id& account, double units, time_point now) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return admitted{};
+    }
+    bucket& it = found->second;
+    it.demand = decayed_demand(it, now) + units / seconds_of(settings_.demand_window);
+    it.demand_at = now;
+    refill(account, it, now);
+    if (it.fill > 0) {
+        it.fill -= units;
+        return admitted{};
+    }
+    const double rate = std::max(1e-9, it.rate * share(account, now));
+    return over_limit{from_seconds((1 - it.fill) / rate)};
+}
+
+void account_limiter::refund(const client_account_id& account, double units) {
+    const auto found = buckets_.find(account);
+    if (found != buckets_.end()) {
+        found->second.fill += units;
+    }
+}
+
+demand_by_account account_limiter::demand(time_point now) const {
+    demand_by_account out;
+    for (const auto& [account, it] : buckets_) {
+        const double demand = decayed_demand(it, now);
+        if (demand > it.rate * 1e-3) {
+            out[account] = demand;
+        }
+    }
+    return out;
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/adapter_table.cpp
@@ -0,0 +1,89 @@
+#include "routing/adapter_table.h"
+
+#include <set>
+
+namespace radishpulley::routing {
+namespace {
+
+// Longest time by which the directory is behind an engine.
+constexpr duration directory_lag = std::chrono::milliseconds(2'500);
+
+}  // namespace
+
+void adapter_table::on_entry(const endpoint& it, time_point now) {
+    engine_row& row = engines_[it.id];
+    row.models.clear();
+    std::set<model_choice> held;
+    for (const held_model& model : it.models) {
+        row.models[model.name] = model.version;
+        for (const held_adapter& adapter : model.adapters) {
+            const model_choice name{model.name, adapter.name};
+            held.insert(name);
+            cell& known = row.adapters[name];
+            if (now >= known.hint_valid_until) {
+                known.view = {adapter_state::loaded, now, adapter.version};
+            }
+        }
+    }
+    for (auto at = row.adapters.begin(); at != row.adapters.end();) {
+        const bool dropped = held.count(at->first) == 0 && now >= at->second.hint_valid_until;
+        at = dropped ? row.adapters.erase(at) : std::next(at);
+    }
+}
+
+void adapter_table::on_hint(const endpoint_id& engine, const model_choice& adapter,
+                            const adapter_view& view, time_point now) {
+    cell& known = engines_[engine].adapters[adapter];
+    known.view = view;
+    const time_point from = view.state == adapter_state::loading ? view.ready_at : now;
+    known.hint_valid_until = from + directory_lag;
+}
+
+void adapter_table::on_missing(const endpoint_id& engine, const model_choice& adapter,
+                               time_point now) {
+    on_hint(engine, adapter, adapter_view{}, now);
+}
+
+void adapter_table::on_removed(const endpoint_id& engine) { engines_.erase(engine); }
+
+void adapter_table::on_version(const model_choice& adapter, std::uint64_t version,
+                               time_point now) {
+    announced& known = versions_[adapter];
+    if (version > known.version) {
+        known = {version, now};
+    }
+}
+
+adapter_view adapter_table::view(const endpoint_id& engine, const model_choice& adapter,
+                                 time_point now) const {
+    const auto row = engines_.find(engine);
+    if (row == engines_.end()) {
+        return {};
+    }
+    const auto found = row->second.adapters.find(adapter);
+    if (found == row->second.adapters.end()) {
+        return {};
+    }
+    adapter_view it = found->second.view;
+    if (it.state == adapter_state::loading && it.ready_at <= now) {
+        it.state = adapter_state::loaded;
+    }
+    return it;
+}
+
+bool adapter_table::has_model(const endpoint_id& engine, const std::string& model) const {
+    const auto row = engines_.find(engine);
+    return row != engines_.end() && row->second.models.count(model) != 0;
+}
+
+std::uint64_t adapter_table::newest_version(const model_choice& adapter) const {
+    const auto found = versions_.find(adapter);
+    return found == versions_.end() ? 0 : found->second.version;
+}
+
+time_point adapter_table::announced_at(const model_choice& adapter) const {
+    const auto found = versions_.find(adapter);
+    return found == versions_.end() ? time_point::min() : found->second.at;
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -0,0 +1,148 @@
+#include "routing/endpoint_choice.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/digest.h"
+
+namespace radishpulley::routing {
+namespace {
+
+duration from_ms(double ms) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+// Endpoints in an order that every daemon computes alike for this prompt and adapter.
+std::vector<const endpoint*> ranked(std::vector<const endpoint*> endpoints,
+                                    const request_facts& facts) {
+    const std::string seed = facts.target.empty()
+                                 ? std::string()
+                                 : facts.target.model + "/" + facts.target.adapter + "#";
+    std::vector<std::pair<std::uint64_t, const endpoint*>> scored;
+    scored.reserve(endpoints.size());
+    for (const endpoint* it : endpoints) {
+        scored.emplace_back(stable_hash(seed + it->id.str()), it);
+    }
+    std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+    });
+    std::transform(scored.begin(), scored.end(), endpoints.begin(),
+                   [](const auto& it) { return it.second; });
+    return endpoints;
+}
+
+}  // namespace
+
+endpoint_chooser::endpoint_chooser(const endpoint_directory& directory,
+                                   const adapter_table& adapters, const prompt_memory& prompts,
+                                   const work_table& work, location where, choice_settings settings)
+    : directory_(directory),
+      adapters_(adapters),
+      prompts_(prompts),
+      work_(work),
+      where_(std::move(where)),
+      settings_(settings) {}
+
+duration endpoint_chooser::distance(const endpoint& it) const {
+    if (it.zone == where_.zone) {
+        return duration::zero();
+    }
+    const auto region = where_.regions.find(it.zone);
+    const bool same_region = region != where_.regions.end() && region->second == where_.region;
+    return same_region ? settings_.other_zone : settings_.other_region;
+}
+
+bool endpoint_chooser::add_adapter_wait(const endpoint& it, const choice_request& request,
+                                        std::size_t rank, time_point now,
+                                        endpoint_choice& out) const {
+    const model_choice& target = request.facts.target;
+    if (!adapters_.has_model(it.id, target.model)) {
+        return false;
+    }
+    if (target.adapter.empty()) {
+        return true;
+    }
+    const adapter_view view = adapters_.view(it.id, target, now);
+    const std::uint64_t newest = adapters_.newest_version(target);
+    const bool outdated = view.version != 0 && view.version < newest &&
+                          now - adapters_.announced_at(target) > settings_.old_version_use;
+    if (view.state == adapter_state::loaded && !outdated) {
+        return true;
+    }
+    if (view.state == adapter_state::loading && !outdated) {
+        out.ready_at = view.ready_at;
+        out.expected += view.ready_at - now;
+        return true;
+    }
+    if (request.no_loads.count(it.id) != 0) {
+        return false;
+    }
+    out.needs_load = true;
+    out.expected += settings_.adapter_load + settings_.displacement;
+    out.expected += settings_.rank_step * static_cast<int>(rank);
+    return true;
+}
+
+duration endpoint_chooser::place_wait(const endpoint& it, const choice_request& request,
+                                      time_point now) const {
+    const endpoint_work work = work_.total(it.id, now);
+    const bool is_engine = request.target.engine.has_value();
+    const duration run = is_engine ? settings_.usual_run : settings_.usual_call;
+    duration wait = duration::zero();
+    if (work.requests >= it.slots) {
+        wait += run * static_cast<int>(work.requests + 1 - it.slots) /
+                static_cast<int>(std::max<std::uint32_t>(1, it.slots));
+    }
+    if (!is_engine) {
+        return wait + run * static_cast<int>(work.requests) / 2;
+    }
+    wait += settings_.batch_step * static_cast<int>(work.requests);
+    wait += from_ms(static_cast<double>(work.unread_tokens) / settings_.read_tokens_per_ms);
+    const std::uint64_t need = work.memory_tokens + request.facts.prompt_tokens;
+    const std::uint64_t room = request.target.engine->memory_tokens;
+    if (room != 0 && need > room) {
+        const double excess = static_cast<double>(need - room) / static_cast<double>(room);
+        wait += from_ms(excess * 3'000) + settings_.usual_run / 2;
+    }
+    return wait;
+}
+
+std::optional<endpoint_choice> endpoint_chooser::assess(const endpoint& it,
+                                                        const choice_request& request,
+                                                        std::size_t rank, time_point now) const {
+    endpoint_choice out;
+    out.id = it.id;
+    if (request.target.engine && !request.facts.target.empty()) {
+        if (!add_adapter_wait(it, request, rank, now, out)) {
+            return std::nullopt;
+        }
+        const std::uint32_t kept = prompts_.kept_tokens(it.id, request.facts, now);
+        out.unread_tokens = request.facts.prompt_tokens - std::min(kept, request.facts.prompt_tokens);
+        out.expected += from_ms(out.unread_tokens / settings_.read_tokens_per_ms);
+    }
+    out.expected += place_wait(it, request, now) + distance(it);
+    if (directory_.avoided(it.id, now)) {
+        out.expected += settings_.avoidance;
+    }
+    return out;
+}
+
+std::optional<endpoint_choice> endpoint_chooser::choose(const choice_request& request,
+                                                        time_point now) const {
+    const std::vector<const endpoint*> endpoints =
+        ranked(directory_.usable(request.target.id), request.facts);
+    std::optional<endpoint_choice> best;
+    for (std::size_t rank = 0; rank < endpoints.size(); ++rank) {
+        if (request.excluded.count(endpoints[rank]->id) != 0) {
+            continue;
+        }
+        const auto it = assess(*endpoints[rank], request, rank, now);
+        if (it && (!best || it->expected < best->expected)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -0,0 +1,156 @@
+#include "routing/endpoint_directory.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishpulley::routing {
+namespace {
+
+// Weight of the newest call in the average of failures.
+constexpr double failure_weight = 0.12;
+
+}  // namespace
+
+endpoint_directory::endpoint_directory(directory_settings settings) : settings_(settings) {}
+
+directory_change endpoint_directory::on_entry(const endpoint& it, time_point) {
+    const auto found = records_.find(it.id);
+    if (found == records_.end()) {
+        records_[it.id].entry = it;
+        return directory_change::added;
+    }
+    record& known = found->second;
+    if (it.started_at_ms < known.entry.started_at_ms) {
+        return directory_change::none;
+    }
+    const bool restarted = it.started_at_ms > known.entry.started_at_ms;
+    if (restarted) {
+        known = record{};
+    }
+    known.removal_due.reset();
+    known.entry = it;
+    return restarted ? directory_change::restarted : directory_change::changed;
+}
+
+directory_change endpoint_directory::on_removed(const endpoint_id& id, time_point now) {
+    const auto found = records_.find(id);
+    if (found == records_.end()) {
+        return directory_change::none;
+    }
+    const bool after_outage = store_returned_ != time_point::min() &&
+                              now - store_returned_ < settings_.return_grace;
+    if (after_outage && !found->second.entry.draining) {
+        found->second.removal_due = store_returned_ + settings_.return_grace;
+        return directory_change::none;
+    }
+    records_.erase(found);
+    return directory_change::removed;
+}
+
+std::vector<endpoint_id> endpoint_directory::on_list(const std::vector<endpoint>& list,
+                                                     time_point now) {
+    std::set<endpoint_id> listed;
+    for (const endpoint& it : list) {
+        listed.insert(it.id);
+        on_entry(it, now);
+    }
+    std::vector<endpoint_id> missing;
+    for (const auto& [id, known] : records_) {
+        if (listed.count(id) == 0 && !known.removal_due) {
+            missing.push_back(id);
+        }
+    }
+    std::vector<endpoint_id> removed;
+    for (const endpoint_id& id : missing) {
+        if (on_removed(id, now) == directory_change::removed) {
+            removed.push_back(id);
+        }
+    }
+    return removed;
+}
+
+void endpoint_directory::on_store_returned(time_point now) { store_returned_ = now; }
+
+std::vector<endpoint_id> endpoint_directory::advance(time_point now) {
+    std::vector<endpoint_id> removed;
+    for (auto it = records_.begin(); it != records_.end();) {
+        if (it->second.removal_due && *it->second.removal_due <= now) {
+            removed.push_back(it->first);
+            it = records_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return removed;
+}
+
+void endpoint_directory::on_call(const endpoint_id& id, call_outcome outcome, time_point now) {
+    const auto found = records_.find(id);
+    if (found == records_.end()) {
+        return;
+    }
+    record& it = found->second;
+    const bool failed = outcome != call_outcome::answered;
+    it.failures = failures_of(it, now);
+    it.failures += ((failed ? 1.0 : 0.0) - it.failures) * failure_weight;
+    it.failures_at = now;
+    if (outcome == call_outcome::answered) {
+        it.avoidance = duration::zero();
+        it.avoided_until = time_point::min();
+    } else if (outcome == call_outcome::unreachable && now >= it.avoided_until) {
+        it.avoidance = it.avoidance == duration::zero()
+                           ? settings_.first_avoidance
+                           : std::min(it.avoidance * 2, settings_.longest_avoidance);
+        it.avoided_until = now + it.avoidance;
+    }
+}
+
+void endpoint_directory::on_draining(const endpoint_id& id) {
+    const auto found = records_.find(id);
+    if (found != records_.end()) {
+        found->second.entry.draining = true;
+    }
+}
+
+const endpoint* endpoint_directory::find(const endpoint_id& id) const {
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<const endpoint*> endpoint_directory::usable(const service_id& service) const {
+    std::vector<const endpoint*> out;
+    for (const auto& [id, known] : records_) {
+        if (known.entry.service == service && !known.entry.draining) {
+            out.push_back(&known.entry);
+        }
+    }
+    return out;
+}
+
+bool endpoint_directory::avoided(const endpoint_id& id, time_point now) const {
+    const auto found = records_.find(id);
+    return found != records_.end() &&
+           (now < found->second.avoided_until ||
+            failures_of(found->second, now) > settings_.most_failures);
+}
+
+double endpoint_directory::failure_share(const endpoint_id& id, time_point now) const {
+    const auto found = records_.find(id);
+    return found == records_.end() ? 0 : failures_of(found->second, now);
+}
+
+double endpoint_directory::failures_of(const record& it, time_point now) const {
+    const double half_lives =
+        std::chrono::duration<double>(now - it.failures_at) / settings_.failure_half_life;
+    return it.failures * std::exp2(-half_lives);
+}
+
+std::vector<const endpoint*> endpoint_directory::all() const {
+    std::vector<const endpoint*> out;
+    for (const auto& [id, known] : records_) {
+        out.push_back(&known.entry);
+    }
+    return out;
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/engine_keeper.cpp
@@ -0,0 +1,323 @@
+#include "routing/engine_keeper.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishpulley::routing {
+
+engine_keeper::engine_keeper(endpoint_id engine, engine_capacity capacity, keeper_settings settings)
+    : engine_(std::move(engine)), capacity_(std::move(capacity)), settings_(settings) {}
+
+void engine_keeper::reset() {
+    sequence_ = 0;
+    models_.clear();
+    places_.clear();
+    wishes_.clear();
+    copies_.clear();
+    given_.reset();
+    needs_report_ = false;
+    model_ordered_at_ = time_point::min();
+}
+
+void engine_keeper::on_entry(const endpoint& it, time_point now) {
+    if (known_ && it.started_at_ms < started_at_ms_) {
+        return;
+    }
+    if (known_ && it.started_at_ms > started_at_ms_) {
+        reset();
+        known_ = false;
+    }
+    started_at_ms_ = it.started_at_ms;
+    if (known_ && (it.order_sequence < sequence_ || given_)) {
+        return;
+    }
+    const bool first = !known_;
+    const bool moved_on = it.order_sequence > sequence_;
+    known_ = true;
+    sequence_ = it.order_sequence;
+    if (moved_on && !first) {
+        // Orders of an earlier holder: the list may lack what is on its way.
+        needs_report_ = true;
+        report_after_ = now + settings_.report_lag;
+    }
+    adopt(it.models, {}, now);
+}
+
+void engine_keeper::on_report(const engine_report& it, time_point now) {
+    if (it.started_at_ms < started_at_ms_) {
+        return;
+    }
+    if (it.started_at_ms > started_at_ms_) {
+        reset();
+        started_at_ms_ = it.started_at_ms;
+    }
+    known_ = true;
+    needs_report_ = false;
+    sequence_ = std::max(sequence_, it.order_sequence);
+    adopt(it.models, it.pending, now);
+}
+
+void engine_keeper::adopt(const std::vector<held_model>& models,
+                          const std::vector<held_model>& pending, time_point now) {
+    std::set<model_choice> held;
+    models_.clear();
+    for (const held_model& model : models) {
+        models_.insert(model.name);
+        for (const held_adapter& adapter : model.adapters) {
+            const model_choice name{model.name, adapter.name};
+            held.insert(name);
+            const auto [at, added] = places_.try_emplace(name);
+            if (added) {
+                at->second.ready_at = now;
+                at->second.last_use = now - settings_.idle;
+            }
+            if (!at->second.replacing || adapter.version >= at->second.version) {
+                at->second.version = adapter.version;
+                at->second.replacing = false;
+            }
+        }
+    }
+    for (const held_model& model : pending) {
+        for (const held_adapter& adapter : model.adapters) {
+            const model_choice name{model.name, adapter.name};
+            held.insert(name);
+            const auto [at, added] = places_.try_emplace(name);
+            if (added) {
+                at->second.ready_at = now + settings_.fetched_load;
+                at->second.last_use = now;
+                at->second.version = adapter.version;
+            }
+        }
+    }
+    for (auto it = places_.begin(); it != places_.end();) {
+        const bool may_be_unseen = now < it->second.ready_at + settings_.directory_lag;
+        const bool dropped = held.count(it->first) == 0 && !may_be_unseen;
+        it = dropped ? places_.erase(it) : std::next(it);
+    }
+}
+
+void engine_keeper::on_version(const model_choice& adapter, std::uint64_t version) {
+    std::uint64_t& newest = versions_[adapter];
+    newest = std::max(newest, version);
+}
+
+double engine_keeper::rate_of(const place& it, time_point now) const {
+    const double age = std::chrono::duration<double>(now - it.last_use) / settings_.use_window;
+    return it.rate * std::exp(-age);
+}
+
+void engine_keeper::on_use(const model_choice& adapter, time_point now) {
+    const auto found = places_.find(adapter);
+    if (found == places_.end()) {
+        return;
+    }
+    place& it = found->second;
+    it.rate = rate_of(it, now) + 1 / std::chrono::duration<double>(settings_.use_window).count();
+    it.last_use = now;
+    it.used = true;
+}
+
+std::size_t engine_keeper::loads_under_way(time_point now) const {
+    return std::count_if(places_.begin(), places_.end(), [now](const auto& it) {
+        return it.second.ready_at > now || it.second.replacing;
+    });
+}
+
+std::size_t engine_keeper::room() const {
+    double used_mb = 0;
+    double adapter_mb = 0;
+    for (const model& it : capacity_.models) {
+        if (models_.count(it.name) != 0) {
+            used_mb += it.weights_mb;
+            adapter_mb = std::max(adapter_mb, it.adapter_mb);
+        }
+    }
+    std::size_t places = capacity_.max_adapters;
+    if (adapter_mb > 0 && capacity_.weights_mb > 0) {
+        const double by_size = std::max(0.0, (capacity_.weights_mb - used_mb) / adapter_mb);
+        places = std::min(places, static_cast<std::size_t>(by_size));
+    }
+    return places > places_.size() ? places - places_.size() : 0;
+}
+
+duration engine_keeper::load_time(const model_choice& adapter) const {
+    const bool warm = std::find(copies_.begin(), copies_.end(), adapter) != copies_.end();
+    return warm ? settings_.warm_load : settings_.fetched_load;
+}
+
+void engine_keeper::remember_copy(const model_choice& adapter) {
+    copies_.erase(std::remove(copies_.begin(), copies_.end(), adapter), copies_.end());
+    copies_.push_back(adapter);
+    if (copies_.size() > settings_.warm_copies) {
+        copies_.pop_front();
+    }
+}
+
+wish_answer engine_keeper::on_wish(const model_choice& adapter, time_point now) {
+    const auto found = places_.find(adapter);
+    if (found != places_.end() && !found->second.leaving) {
+        found->second.last_use = std::max(found->second.last_use, now);
+        const duration left = found->second.ready_at - now;
+        return wish_granted{std::max(left, duration::zero()), found->second.version};
+    }
+    if (!known_ || found != places_.end() || models_.count(adapter.model) == 0) {
+        return wish_refused{};
+    }
+    drop_old_wishes(now);
+    const auto waiting = std::find_if(wishes_.begin(), wishes_.end(),
+                                      [&](const wish& it) { return it.adapter == adapter; });
+    const std::size_t ahead = waiting - wishes_.begin();
+    if (waiting == wishes_.end()) {
+        const bool crowded = room() <= ahead && !choose_victim(now);
+        if (crowded || ahead >= settings_.parallel_loads) {
+            return wish_refused{};
+        }
+        wishes_.push_back({adapter, now});
+    }
+    const auto rounds = static_cast<int>((loads_under_way(now) + ahead) / settings_.parallel_loads);
+    return wish_granted{load_time(adapter) + settings_.fetched_load * rounds +
+                            (needs_report_ ? settings_.report_lag : duration::zero()),
+                        versions_.count(adapter) != 0 ? versions_[adapter] : 0};
+}
+
+void engine_keeper::drop_old_wishes(time_point now) {
+    while (!wishes_.empty() && now - wishes_.front().since > settings_.wish_lifetime) {
+        wishes_.pop_front();
+    }
+}
+
+std::optional<model_choice> engine_keeper::choose_victim(time_point now) const {
+    const model_choice* best = nullptr;
+    double lowest = 0;
+    for (const auto& [name, it] : places_) {
+        const bool fresh = !it.used && now < it.ready_at + settings_.first_stay;
+        const bool busy = it.leaving || it.replacing || it.ready_at > now || fresh;
+        if (busy || now - it.last_use < settings_.idle) {
+            continue;
+        }
+        const double rate = rate_of(it, now);
+        if (best == nullptr || rate < lowest) {
+            best = &name;
+            lowest = rate;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<model_choice>(*best);
+}
+
+std::optional<model_choice> engine_keeper::outdated(time_point now) const {
+    for (const auto& [name, it] : places_) {
+        const auto newest = versions_.find(name);
+        const bool behind = newest != versions_.end() && it.version < newest->second;
+        if (behind && !it.replacing && !it.leaving && it.ready_at <= now) {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> engine_keeper::order_for_wishes(time_point now) {
+    drop_old_wishes(now);
+    while (!wishes_.empty() && places_.count(wishes_.front().adapter) != 0) {
+        wishes_.pop_front();
+    }
+    if (wishes_.empty() || loads_under_way(now) >= settings_.parallel_loads) {
+        return std::nullopt;
+    }
+    if (room() > 0) {
+        engine_order order{order_kind::load, wishes_.front().adapter, 0, sequence_};
+        return order;
+    }
+    const auto victim = choose_victim(now);
+    if (!victim) {
+        return std::nullopt;
+    }
+    return engine_order{order_kind::unload, *victim, 0, sequence_};
+}
+
+std::optional<engine_order> engine_keeper::decide(time_point now) {
+    if (!known_ || given_ || needs_report_) {
+        return std::nullopt;
+    }
+    for (const model& it : capacity_.models) {
+        const bool waits = model_ordered_at_ != time_point::min() &&
+                           now < model_ordered_at_ + it.load_time + settings_.model_retry;
+        if (models_.empty() && !waits) {
+            return engine_order{order_kind::load, {it.name, ""}, 0, sequence_};
+        }
+    }
+    if (const auto name = outdated(now)) {
+        return engine_order{order_kind::load, *name, versions_.at(*name), sequence_};
+    }
+    return order_for_wishes(now);
+}
+
+std::optional<engine_order> engine_keeper::next_order(time_point now) {
+    std::optional<engine_order> order = decide(now);
+    if (!order) {
+        return order;
+    }
+    given_ = order;
+    if (order->target.adapter.empty()) {
+        model_ordered_at_ = now;
+    }
+    if (order->kind == order_kind::unload) {
+        places_[order->target].leaving = true;
+    }
+    return order;
+}
+
+adapter_change engine_keeper::note_load(const engine_order& order, time_point now) {
+    const duration takes = load_time(order.target);
+    place& it = places_[order.target];
+    it.replacing = order.version != 0 && it.version != 0;
+    it.ready_at = now + takes;
+    it.last_use = std::max(it.last_use, now);
+    const auto newest = versions_.find(order.target);
+    it.version = newest == versions_.end() ? it.version : newest->second;
+    it.replacing = false;
+    remember_copy(order.target);
+    return {order.target, true, takes, it.version};
+}
+
+std::optional<adapter_change> engine_keeper::on_outcome(order_outcome outcome, time_point now) {
+    if (!given_) {
+        return std::nullopt;
+    }
+    const engine_order order = *given_;
+    given_.reset();
+    const bool is_model = order.target.adapter.empty();
+    const bool done = outcome == order_outcome::accepted || outcome == order_outcome::already_holds;
+    if (!done) {
+        if (order.kind == order_kind::unload) {
+            places_[order.target].leaving = false;
+        }
+        if (outcome == order_outcome::conflict || outcome == order_outcome::rejected) {
+            needs_report_ = true;
+            report_after_ = now + settings_.report_lag;
+        }
+        return std::nullopt;
+    }
+    const bool unloaded = order.kind == order_kind::unload;
+    // The engine counts an unload that is done at once, but not a load of what it holds.
+    if (outcome == order_outcome::accepted || unloaded) {
+        ++sequence_;
+    }
+    if (is_model) {
+        return std::nullopt;
+    }
+    if (unloaded) {
+        places_.erase(order.target);
+        return adapter_change{order.target, false, {}, 0};
+    }
+    return note_load(order, now);
+}
+
+bool engine_keeper::wants_report(time_point now) const {
+    return needs_report_ && now >= report_after_;
+}
+
+bool engine_keeper::has_work(time_point now) const {
+    return needs_report_ || given_ || !wishes_.empty() || outdated(now) || models_.empty();
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/src/hints.cpp
@@ -0,0 +1,134 @@
+#include "routing/hints.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/findings.h"
+#include "base/overloaded.h"
+
+namespace radishpulley::routing {
+namespace {
+
+using nlohmann::json;
+
+json to_json(const model_choice& it) { return json::array({it.model, it.adapter}); }
+
+model_choice read_choice(const json& in) {
+    return {in.at(0).get<std::string>(), in.at(1).get<std::string>()};
+}
+
+json work_to_json(const work_by_endpoint& work) {
+    json out = json::array();
+    for (const auto& [id, it] : work) {
+        out.push_back({id.str(), it.requests, it.unread_tokens, it.memory_tokens});
+    }
+    return out;
+}
+
+work_by_endpoint read_work(const json& in) {
+    work_by_endpoint out;
+    for (const json& it : in) {
+        out[endpoint_id(it.at(0).get<std::string>())] = {it.at(1).get<std::uint32_t>(),
+                                                         it.at(2).get<std::uint64_t>(),
+                                                         it.at(3).get<std::uint64_t>()};
+    }
+    return out;
+}
+
+json demand_to_json(const demand_by_account& demand) {
+    json out = json::array();
+    for (const auto& [account, units] : demand) {
+        out.push_back({account.str(), static_cast<std::uint64_t>(units)});
+    }
+    return out;
+}
+
+demand_by_account read_demand(const json& in) {
+    demand_by_account out;
+    for (const json& it : in) {
+        out[client_account_id(it.at(0).get<std::string>())] = it.at(1).get<double>();
+    }
+    return out;
+}
+
+json body_of(const hint& it) {
+    return std::visit(
+        overloaded{
+            [](const presence& p) {
+                return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
+                                    demand_to_json(p.demand)});
+            },
+            [](const adapter_uses& u) {
+                json adapters = json::array();
+                for (const model_choice& each : u.adapters) {
+                    adapters.push_back(to_json(each));
+                }
+                return json::array({"u", u.engine.str(), std::move(adapters)});
+            },
+            [](const load_wish& w) {
+                return json::array({"w", w.engine.str(), to_json(w.adapter)});
+            },
+            [](const adapter_hint& h) {
+                return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
+                                    h.version});
+            },
+            [](const load_refusal& r) {
+                return json::array({"r", r.engine.str(), to_json(r.adapter)});
+            }},
+        it);
+}
+
+hint read_body(const json& in) {
+    const std::string kind = in.at(0).get<std::string>();
+    if (kind == "p") {
+        return presence{in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(), read_work(in.at(3)),
+                        read_demand(in.at(4))};
+    }
+    const endpoint_id engine(in.at(1).get<std::string>());
+    if (kind == "u") {
+        adapter_uses out{engine, {}};
+        for (const json& it : in.at(2)) {
+            out.adapters.push_back(read_choice(it));
+        }
+        return out;
+    }
+    if (kind == "w") {
+        return load_wish{engine, read_choice(in.at(2))};
+    }
+    if (kind == "h") {
+        return adapter_hint{engine, read_choice(in.at(2)), in.at(3).get<bool>(),
+                            in.at(4).get<std::uint32_t>(), in.at(5).get<std::uint64_t>()};
+    }
+    if (kind == "r") {
+        return load_refusal{engine, read_choice(in.at(2))};
+    }
+    findings found;
+    found.add("hint", "unknown kind " + kind);
+    throw invalid_input(found);
+}
+
+}  // namespace
+
+std::string encode(const hint_message& it) {
+    const json out =
+        json::array({it.from.vm.str(), it.from.incarnation, body_of(it.body)});
+    std::string bytes;
+    json::to_cbor(out, bytes);
+    return bytes;
+}
+
+hint_message decode_hint(std::string_view data) {
+    try {
+        const json in = json::from_cbor(data.begin(), data.end());
+        hint_message out;
+        out.from.vm = vm_id(in.at(0).get<std::string>());
+        out.from.incarnation = in.at(1).get<incarnation_number>();
+        out.body = read_body(in.at(2));
+        return out;
+    } catch (const json::exception& e) {
+        findings found;
+        found.add("hint", e.what());
+        throw invalid_input(found);
+    }
+}
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/settings/include/settings/edge_settings.h
@@ -0,0 +1,60 @@
+/// Settings of a daemon on a platform's entry VM: a TOML file, checked as a whole.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "base/identifier.h"
+
+namespace radishpulley::settings {
+
+/// Addresses of the daemon, each IP:PORT.
+struct edge_listen_settings {
+    std::string callers;
+    /// Where the platform asks whether the daemon takes callers.
+    std::string readiness;
+    /// Datagrams of the other daemons.
+    std::string peers;
+    std::string metrics;
+};
+
+/// The platform's store.
+struct edge_store_settings {
+    /// IP:PORT.
+    std::string address;
+};
+
+/// Figures that the platform promises or asks for.
+struct edge_bounds_settings {
+    /// Time from SIGTERM until the process is killed.
+    duration shutdown_grace = std::chrono::seconds(8);
+    /// Repeats over all VMs: as a part of the requests, and beyond that part.
+    double retry_ratio = 0.2;
+    double retry_reserve = 50;
+    /// Whether endpoints refuse orders with an old fencing number.
+    bool endpoints_check_fencing = false;
+};
+
+/// All settings.
+struct edge_settings {
+    vm_id vm;
+    zone_id availability_zone;
+    region_id region;
+    /// Region of each availability zone of the deployment.
+    std::map<zone_id, region_id> regions;
+    edge_listen_settings listen;
+    edge_store_settings store;
+    edge_bounds_settings bounds;
+};
+
+/// Reads and checks a file.
+/// Throws invalid_input with every finding, each placed as `file:line:column`.
+edge_settings load_edge_settings(const std::string& path);
+
+/// Checks `text`; `file_name` stands in the places of the findings. Throws invalid_input.
+edge_settings parse_edge_settings(std::string_view text, std::string_view file_name);
+
+}  // namespace radishpulley::settings
--- /dev/null
+++ b/libs/settings/src/edge_settings.cpp
@@ -0,0 +1,149 @@
+#include "settings/edge_settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "base/findings.h"
+
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
+#include <toml++/toml.h>
+
+namespace radishpulley::settings {
+namespace {
+
+class edge_reader {
+public:
+    edge_reader(const toml::table& root, std::string file_name, findings& found)
+        : root_(root), file_name_(std::move(file_name)), found_(found) {}
+
+    std::string text(std::string_view name) {
+        const auto node = root_.at_path(name);
+        const auto value = node.value_exact<std::string>();
+        if (!value || value->empty()) {
+            report(name, "must be a text that is not empty");
+            return {};
+        }
+        return *value;
+    }
+
+    std::string address(std::string_view name) {
+        std::string value = text(name);
+        const std::size_t colon = value.rfind(':');
+        std::uint16_t port = 0;
+        const char* const end = value.data() + value.size();
+        const bool is_number = colon != std::string::npos &&
+                               std::from_chars(value.data() + colon + 1, end, port).ptr == end;
+        if (!value.empty() && (!is_number || port == 0)) {
+            report(name, "must be IP:PORT");
+        }
+        return value;
+    }
+
+    double number(std::string_view name, double low, double high) {
+        const auto value = root_.at_path(name).value<double>();
+        if (!value || *value < low || *value > high) {
+            std::ostringstream message;
+            message << "must be a number from " << low << " to " << high;
+            report(name, message.str());
+            return low;
+        }
+        return *value;
+    }
+
+    bool flag(std::string_view name) {
+        const auto value = root_.at_path(name).value_exact<bool>();
+        if (!value) {
+            report(name, "must be true or false");
+        }
+        return value.value_or(false);
+    }
+
+    std::map<zone_id, region_id> regions(std::string_view name) {
+        std::map<zone_id, region_id> out;
+        const auto* table = root_.at_path(name).as_table();
+        if (table == nullptr) {
+            report(name, "must be a table of availability zones and their regions");
+            return out;
+        }
+        for (const auto& [zone, region] : *table) {
+            const auto value = region.value_exact<std::string>();
+            if (value) {
+                out[zone_id(std::string_view(zone.str()))] = region_id(*value);
+            } else {
+                report(std::string(name) + "." + std::string(zone.str()), "must be a text");
+            }
+        }
+        return out;
+    }
+
+private:
+    void report(std::string_view name, std::string_view message) {
+        std::string place = file_name_;
+        if (const auto node = root_.at_path(name)) {
+            const auto at = node.node()->source().begin;
+            place += ":" + std::to_string(at.line) + ":" + std::to_string(at.column);
+        }
+        found_.add(place, std::string(name) + " " + std::string(message));
+    }
+
+    const toml::table& root_;
+    std::string file_name_;
+    findings& found_;
+};
+
+toml::table parse_table(std::string_view text, const std::string& file_name) {
+    try {
+        return toml::parse(text);
+    } catch (const toml::parse_error& e) {
+        const toml::source_position at = e.source().begin;
+        findings found;
+        found.add(file_name + ":" + std::to_string(at.line) + ":" + std::to_string(at.column),
+                  e.description());
+        throw invalid_input(found);
+    }
+}
+
+constexpr double longest_grace_s = 3'600;
+constexpr double most_retries = 1'000'000;
+
+}  // namespace
+
+edge_settings parse_edge_settings(std::string_view text, std::string_view file_name) {
+    const toml::table root = parse_table(text, std::string(file_name));
+    findings found;
+    edge_reader in(root, std::string(file_name), found);
+    edge_settings out;
+    out.vm = vm_id(in.text("vm.id"));
+    out.availability_zone = zone_id(in.text("vm.availability_zone"));
+    out.region = region_id(in.text("vm.region"));
+    out.regions = in.regions("regions");
+    out.listen.callers = in.address("listen.callers");
+    out.listen.readiness = in.address("listen.readiness");
+    out.listen.peers = in.address("listen.peers");
+    out.listen.metrics = in.address("listen.metrics");
+    out.store.address = in.address("store.address");
+    out.bounds.shutdown_grace = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(in.number("bounds.shutdown_grace_s", 0, longest_grace_s)));
+    out.bounds.retry_ratio = in.number("bounds.retry_ratio", 0, 1);
+    out.bounds.retry_reserve = in.number("bounds.retry_reserve", 0, most_retries);
+    out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
+    if (!found.empty()) {
+        throw invalid_input(found);
+    }
+    return out;
+}
+
+edge_settings load_edge_settings(const std::string& path) {
+    std::ifstream in(path);
+    std::stringstream text;
+    text << in.rdbuf();
+    if (!in) {
+        findings found;
+        found.add(path, "can't be read");
+        throw invalid_input(found);
+    }
+    return parse_edge_settings(text.str(), path);
+}
+
+}  // namespace radishpulley::settings
--- a/radishpulley/daemon/main.cpp
+++ b/radishpulley/daemon/main.cpp
@@ -10,11 +10,14 @@
 
 #include "base/findings.h"
 #include "daemon/daemon.h"
+#include "edge/edge_daemon.h"
 #include "http/client.h"
 #include "telemetry/event_log.h"
 
 ABSL_FLAG(std::string, settings, "/etc/radishpulley/radishpulleyd.toml",
           "Settings file; see samples/radishpulleyd.toml.");
+ABSL_FLAG(bool, edge, false,
+          "Serve the platform of an entry VM; see deploy/radishpulleyd.toml.template.");
 ABSL_FLAG(bool, check, false, "Check the settings file, print every finding, and exit.");
 
 namespace {
@@ -52,21 +55,45 @@
     return status;
 }
 
+int run_edge(const std::string& path, bool only_check) {
+    const settings::edge_settings with = settings::load_edge_settings(path);
+    if (only_check) {
+        std::puts("the settings are valid");
+        return 0;
+    }
+    telemetry::start_log("radishpulleyd", telemetry::severity::info,
+                         telemetry::log_target::standard_output);
+    edge::edge_daemon(with).run();
+    return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     absl::SetProgramUsageMessage(
         "Serves many LoRA adapters on shared engines.\n\n"
         "  radishpulleyd --settings=FILE           run until SIGTERM, then finish and exit 0\n"
-        "  radishpulleyd --settings=FILE --check   only check the settings");
+        "  radishpulleyd --settings=FILE --check   only check the settings\n"
+        "  radishpulleyd --edge --settings=FILE    serve a platform's entry VM");
     absl::ParseCommandLine(argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (absl::GetFlag(FLAGS_edge)) {
+        try {
+            return run_edge(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_check));
+        } catch (const invalid_input& e) {
+            std::fputs(e.what(), stderr);
+            return exit_bad_settings;
+        } catch (const std::exception& e) {
+            std::fprintf(stderr, "radishpulleyd: %s\n", e.what());
+            return exit_failed;
+        }
+    }
     // Blocked before any thread starts, so that only the waiting thread gets them.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
     try {
         const settings::settings with = settings::load_settings(absl::GetFlag(FLAGS_settings));
         if (absl::GetFlag(FLAGS_check)) {
--- /dev/null
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -0,0 +1,94 @@
+/// This daemon as one of the fleet: its entry in the store, the others' entries, and the hints.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/clock.h"
+#include "gateway/collection_follower.h"
+#include "gateway/hint_socket.h"
+#include "gateway/object_collections.h"
+#include "ownership/vm_knowledge.h"
+#include "routing/hints.h"
+
+namespace radishpulley::edge {
+
+/// Where this daemon is reached and found.
+struct member_settings {
+    vm_id vm;
+    zone_id zone;
+    region_id region;
+    /// Address for hints, IP:PORT.
+    std::string address;
+    /// Silence after which another VM is suspected.
+    duration suspicion = std::chrono::milliseconds(3'200);
+    /// Silence after which a VM no longer counts as serving callers.
+    duration serving_memory = std::chrono::seconds(10);
+};
+
+/// Registers this VM and knows the others.
+class fleet_member {
+public:
+    using hint_handler = std::function<void(const routing::hint_message&)>;
+
+    fleet_member(boost::asio::io_context& loop, const clock& time,
+                 gateway::object_collections& store, member_settings settings,
+                 hint_handler on_hint);
+
+    void start();
+    /// Sends a hint to one VM; false where its address is not known.
+    bool send(const vm_id& to, const routing::hint& it);
+    /// Sends a hint to all VMs that are heard.
+    void broadcast(const routing::hint& it);
+
+    /// This start of this VM; nothing while it is not registered.
+    const std::optional<vm_incarnation>& self() const { return self_; }
+    ownership::vm_knowledge* knowledge() { return knowledge_ ? &*knowledge_ : nullptr; }
+    /// VMs that serve callers now, this one included.
+    std::size_t serving(time_point now) const;
+
+private:
+    struct peer {
+        std::string address;
+        zone_id zone;
+        region_id region;
+        incarnation_number incarnation = 0;
+        bool leaving = false;
+        time_point heard = time_point::min();
+        gateway::store_revision revision = 0;
+    };
+
+    void on_list(const gateway::object_list& it);
+    void on_object(const gateway::stored_object& it);
+    void on_removed(const std::string& name);
+    void tell_knowledge();
+    void register_self();
+    void on_registered(const gateway::write_result& result, incarnation_number incarnation);
+    void read_secret();
+    void create_secret();
+    void on_hint(const routing::hint_message& it);
+    void retry(void (fleet_member::*what)());
+
+    boost::asio::io_context& loop_;
+    const clock& time_;
+    gateway::object_collections& store_;
+    member_settings settings_;
+    hint_handler on_hint_;
+    gateway::hint_socket socket_;
+    gateway::collection_follower follower_;
+    boost::asio::steady_timer retry_timer_;
+    boost::asio::steady_timer secret_timer_;
+    std::optional<vm_incarnation> self_;
+    std::optional<ownership::vm_knowledge> knowledge_;
+    std::map<vm_id, peer> peers_;
+    time_point started_;
+};
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -0,0 +1,92 @@
+/// Orders adapters onto engines: finds out who may order an engine, keeps the engines that this
+/// daemon holds, and passes wishes on to the holders of the others.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/clock.h"
+#include "edge/fleet_member.h"
+#include "gateway/collection_follower.h"
+#include "gateway/engine_port.h"
+#include "gateway/gateway.h"
+#include "ownership/holder_guard.h"
+#include "ownership/ownership_policy.h"
+#include "routing/engine_keeper.h"
+
+namespace radishpulley::edge {
+
+/// The part of the daemon that loads adapters.
+class load_coordinator final : public gateway::load_broker {
+public:
+    load_coordinator(boost::asio::io_context& loop, const clock& time,
+                     gateway::object_collections& store, gateway::engine_port& engines,
+                     fleet_member& fleet, gateway::gateway& data_path,
+                     bool endpoints_check_fencing);
+    ~load_coordinator() override;
+
+    void start();
+    /// Takes an engine's entry in the directory, after the data path took it.
+    void on_endpoint(const routing::endpoint& it);
+    void on_endpoint_removed(const endpoint_id& id);
+    void on_version(const routing::model_choice& adapter, std::uint64_t version);
+    void on_hint(const routing::hint_message& it);
+    /// Gives up all engines: this VM is leaving.
+    void leave();
+
+    bool wish(const endpoint_id& engine, const routing::model_choice& adapter) override;
+    void note_use(const endpoint_id& engine, const routing::model_choice& adapter) override;
+    void note_gone(const endpoint_id& engine) override;
+
+private:
+    struct kept_engine {
+        routing::engine_keeper keeper;
+        bool busy = false;
+    };
+
+    void tick();
+    void on_shard_object(const gateway::stored_object& it);
+    void take_shard(const ownership::shard& it);
+    void ensure_policy();
+    void configure_policy();
+    void plan(time_point now);
+    void commit(const ownership::shard_update& update);
+    void on_committed(ownership::shard_index index, const ownership::shard& next,
+                      const gateway::write_result& result);
+    void hand_over(time_point now);
+    void update_keepers();
+    void pump(const endpoint_id& engine);
+    void give(const endpoint_id& engine, const routing::engine_order& order,
+              ownership::fencing_number fence);
+    void tell(const endpoint_id& engine, const routing::adapter_change& change);
+    void flush_uses();
+    routing::wish_answer ask_keeper(const endpoint_id& engine,
+                                    const routing::model_choice& adapter);
+
+    const clock& time_;
+    gateway::object_collections& store_;
+    gateway::engine_port& engines_;
+    fleet_member& fleet_;
+    gateway::gateway& data_path_;
+    bool endpoints_check_fencing_;
+    gateway::collection_follower follower_;
+    boost::asio::steady_timer tick_timer_;
+    bool has_list_ = false;
+    bool leaving_ = false;
+    std::optional<ownership::ownership_policy> policy_;
+    std::optional<ownership::holder_guard> guard_;
+    std::map<ownership::shard_index, ownership::shard> shards_;
+    std::set<ownership::shard_index> being_written_;
+    std::map<endpoint_id, kept_engine> kept_;
+    std::map<routing::model_choice, std::uint64_t> versions_;
+    std::map<endpoint_id, std::vector<routing::model_choice>> uses_;
+    time_point flushed_at_{};
+};
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -0,0 +1,358 @@
+#include "edge/edge_daemon.h"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "acceptor.h"
+#include "base/findings.h"
+#include "base/overloaded.h"
+#include "edge/fleet_member.h"
+#include "edge/load_coordinator.h"
+#include "gateway/collection_follower.h"
+#include "gateway/gateway.h"
+#include "platform_adapter/decoders.h"
+#include "platform_adapter/wire_engine_port.h"
+#include "platform_adapter/wire_header_codec.h"
+#include "platform_adapter/wire_object_collections.h"
+#include "status_server.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::edge {
+namespace {
+
+using telemetry::severity;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+constexpr gateway::follower_settings configuration_pace{std::chrono::milliseconds(4'000)};
+constexpr gateway::follower_settings endpoints_pace{std::chrono::milliseconds(4'000),
+                                                    std::chrono::milliseconds(500)};
+constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(4'000),
+                                                   std::chrono::milliseconds(200)};
+constexpr std::chrono::milliseconds housekeeping_interval{400};
+// Time after SIGTERM in which the platform's balancer may still send new connections.
+constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
+// Part of the shutdown's grace that is left unused.
+constexpr duration grace_margin = std::chrono::milliseconds(400);
+constexpr double retry_margin = 0.8;
+
+gateway::gateway_settings data_path_settings(const settings::edge_settings& with) {
+    gateway::gateway_settings out;
+    out.where = {with.availability_zone, with.region, with.regions};
+    out.retry_ratio = with.bounds.retry_ratio * retry_margin;
+    out.retry_reserve = with.bounds.retry_reserve * retry_margin;
+    return out;
+}
+
+member_settings member_settings_of(const settings::edge_settings& with) {
+    member_settings out;
+    out.vm = with.vm;
+    out.zone = with.availability_zone;
+    out.region = with.region;
+    out.address = with.listen.peers;
+    return out;
+}
+
+}  // namespace
+
+class edge_daemon::state {
+public:
+    explicit state(const settings::edge_settings& with)
+        : with_(with),
+          signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+          timer_(loop_),
+          data_path_(loop_, time_, codec_, metrics_, data_path_settings(with)),
+          store_(loop_, time_, with.store.address),
+          engines_(loop_, data_path_.pool()),
+          fleet_(loop_, time_, store_, member_settings_of(with),
+                 [this](const routing::hint_message& it) { on_hint(it); }),
+          loads_(loop_, time_, store_, engines_, fleet_, data_path_,
+                 with.bounds.endpoints_check_fencing),
+          configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
+                         configuration_pace,
+                         {[this](const gateway::object_list& it) {
+                              for (const auto& object : it.objects) {
+                                  on_configuration(object);
+                              }
+                          },
+                          [this](const gateway::object_change& it) {
+                              if (!it.removed) {
+                                  on_configuration(it.object);
+                              }
+                          },
+                          [](bool) {}}),
+          endpoints_(loop_, time_, store_, platform_adapter::endpoints_kind, endpoints_pace,
+                     {[this](const gateway::object_list& it) { on_endpoints(it); },
+                      [this](const gateway::object_change& it) {
+                          if (it.removed) {
+                              on_endpoint_removed(endpoint_id(it.object.name));
+                          } else {
+                              on_endpoint(it.object);
+                          }
+                      },
+                      [this](bool reachable) {
+                          if (reachable) {
+                              data_path_.directory().on_store_returned(time_.now());
+                          }
+                      }}),
+          versions_(loop_, time_, store_, platform_adapter::versions_kind, versions_pace,
+                    {[this](const gateway::object_list& it) {
+                         for (const auto& object : it.objects) {
+                             on_version(object);
+                         }
+                     },
+                     [this](const gateway::object_change& it) {
+                         if (!it.removed) {
+                             on_version(it.object);
+                         }
+                     },
+                     [](bool) {}}),
+          readiness_(loop_, time_, [this] { return readiness(); }),
+          metrics_server_(loop_, time_,
+                          [this] { return status_answer{status_ok, metrics_.to_text()}; }),
+          callers_(loop_, with.listen.callers,
+                   [this](auto socket) { data_path_.accept(std::move(socket)); }),
+          readiness_port_(loop_, with.listen.readiness,
+                          [this](auto socket) { readiness_.accept(std::move(socket)); }),
+          metrics_port_(loop_, with.listen.metrics,
+                        [this](auto socket) { metrics_server_.accept(std::move(socket)); }) {
+        data_path_.set_broker(loads_);
+    }
+
+    void run() {
+        telemetry::log_event(severity::info, "started",
+                             {{"vm", with_.vm},
+                              {"availability_zone", with_.availability_zone},
+                              {"callers", with_.listen.callers},
+                              {"store", with_.store.address}});
+        wait_for_signal();
+        configuration_.start();
+        endpoints_.start();
+        versions_.start();
+        fleet_.start();
+        loads_.start();
+        housekeep();
+        loop_.run();
+        telemetry::log_event(severity::info, "stopped", {{"vm", with_.vm}});
+    }
+
+private:
+    void wait_for_signal() {
+        signals_.async_wait([this](const boost::system::error_code& ec, int signal) {
+            if (ec) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                telemetry::log_event(severity::info, "reload", {{"vm", with_.vm}});
+            } else {
+                begin_stop();
+            }
+            wait_for_signal();
+        });
+    }
+
+    void begin_stop() {
+        if (stop_began_) {
+            return;
+        }
+        stop_began_ = time_.now();
+        telemetry::log_event(severity::info, "stopping",
+                             {{"requests", data_path_.request_count()},
+                              {"callers", data_path_.caller_count()}});
+        data_path_.begin_stop();
+        loads_.leave();
+        tell_presence();
+    }
+
+    status_answer readiness() const {
+        const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list();
+        return {ready ? status_ok : status_unavailable, ""};
+    }
+
+    void on_configuration(const gateway::stored_object& it) {
+        if (it.name != platform_adapter::configuration_name) {
+            return;
+        }
+        try {
+            auto content = platform_adapter::decode_configuration(it.contents);
+            const auto& known = data_path_.configuration();
+            if (known && content.version <= known->version()) {
+                return;
+            }
+            telemetry::log_event(severity::info, "configuration_in_force",
+                                 {{"version", content.version},
+                                  {"revision", it.revision},
+                                  {"routes", content.routes.size()},
+                                  {"accounts", content.accounts.size()}});
+            data_path_.on_configuration(
+                std::make_shared<routing::configuration>(std::move(content)));
+        } catch (const invalid_input& e) {
+            telemetry::log_event(severity::error, "configuration_unreadable",
+                                 {{"revision", it.revision},
+                                  {"reason", std::string_view(e.what())}});
+        }
+    }
+
+    std::optional<routing::endpoint> read_endpoint(const gateway::stored_object& it) {
+        try {
+            return platform_adapter::decode_endpoint(it.name, it.contents);
+        } catch (const invalid_input& e) {
+            telemetry::log_event(severity::warning, "endpoint_unreadable",
+                                 {{"endpoint", it.name}, {"reason", std::string_view(e.what())}});
+            return std::nullopt;
+        }
+    }
+
+    void take_endpoint(const routing::endpoint& it) {
+        const routing::endpoint* known = data_path_.directory().find(it.id);
+        if (known == nullptr || known->draining != it.draining) {
+            telemetry::log_event(severity::info, "endpoint",
+                                 {{"endpoint", it.id},
+                                  {"service", it.service},
+                                  {"address", it.address},
+                                  {"zone", it.zone},
+                                  {"draining", it.draining},
+                                  {"age", endpoints_.age()}});
+        }
+        data_path_.on_endpoint(it);
+        loads_.on_endpoint(it);
+    }
+
+    void on_endpoint(const gateway::stored_object& it) {
+        if (const auto entry = read_endpoint(it)) {
+            take_endpoint(*entry);
+        } else {
+            on_endpoint_removed(endpoint_id(it.name));
+        }
+    }
+
+    void on_endpoints(const gateway::object_list& it) {
+        std::vector<routing::endpoint> list;
+        for (const auto& object : it.objects) {
+            if (auto entry = read_endpoint(object)) {
+                list.push_back(std::move(*entry));
+            }
+        }
+        for (const endpoint_id& id : data_path_.directory().on_list(list, time_.now())) {
+            note_endpoint_gone(id);
+        }
+        for (const routing::endpoint& each : list) {
+            take_endpoint(each);
+        }
+    }
+
+    void on_endpoint_removed(const endpoint_id& id) {
+        const auto change = data_path_.directory().on_removed(id, time_.now());
+        if (change == routing::directory_change::removed) {
+            note_endpoint_gone(id);
+        }
+    }
+
+    void note_endpoint_gone(const endpoint_id& id) {
+        telemetry::log_event(severity::info, "endpoint_gone",
+                             {{"endpoint", id}, {"age", endpoints_.age()}});
+        data_path_.on_endpoint_removed(id);
+        loads_.on_endpoint_removed(id);
+    }
+
+    void on_version(const gateway::stored_object& it) {
+        try {
+            const auto said = platform_adapter::decode_version(it.contents);
+            data_path_.adapters().on_version(said.adapter, said.version, time_.now());
+            loads_.on_version(said.adapter, said.version);
+            telemetry::log_event(severity::info, "adapter_version",
+                                 {{"model", said.adapter.model},
+                                  {"adapter", said.adapter.adapter},
+                                  {"version", said.version},
+                                  {"revision", it.revision}});
+        } catch (const invalid_input& e) {
+            telemetry::log_event(severity::warning, "version_unreadable",
+                                 {{"object", it.name}, {"reason", std::string_view(e.what())}});
+        }
+    }
+
+    void on_hint(const routing::hint_message& it) {
+        if (const auto* state = std::get_if<routing::presence>(&it.body)) {
+            data_path_.work().on_peer(it.from.vm, state->work, time_.now());
+            data_path_.limiter().on_peer(it.from.vm, state->demand, time_.now());
+        } else {
+            loads_.on_hint(it);
+        }
+    }
+
+    void tell_presence() {
+        routing::presence state;
+        state.configuration_version =
+            data_path_.configuration() ? data_path_.configuration()->version() : 0;
+        state.leaving = stop_began_.has_value();
+        state.work = data_path_.work().own();
+        state.demand = data_path_.limiter().demand(time_.now());
+        fleet_.broadcast(state);
+    }
+
+    void housekeep() {
+        const time_point now = time_.now();
+        for (const endpoint_id& id : data_path_.directory().advance(now)) {
+            note_endpoint_gone(id);
+        }
+        data_path_.pool().sweep();
+        data_path_.set_fleet_size(fleet_.serving(now));
+        tell_presence();
+        if (stop_began_ && may_end(now)) {
+            loop_.stop();
+            return;
+        }
+        timer_.expires_after(housekeeping_interval);
+        timer_.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec) {
+                housekeep();
+            }
+        });
+    }
+
+    bool may_end(time_point now) {
+        const duration since = now - *stop_began_;
+        if (since >= with_.bounds.shutdown_grace - grace_margin) {
+            return true;
+        }
+        if (since < balancer_delay) {
+            return false;
+        }
+        callers_.close();
+        data_path_.close_idle_callers();
+        return data_path_.request_count() == 0 && data_path_.caller_count() == 0;
+    }
+
+    const settings::edge_settings with_;
+    boot_clock time_;
+    boost::asio::io_context loop_{1};
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    telemetry::registry metrics_;
+    platform_adapter::wire_header_codec codec_;
+    gateway::gateway data_path_;
+    platform_adapter::wire_object_collections store_;
+    platform_adapter::wire_engine_port engines_;
+    fleet_member fleet_;
+    load_coordinator loads_;
+    gateway::collection_follower configuration_;
+    gateway::collection_follower endpoints_;
+    gateway::collection_follower versions_;
+    status_server readiness_;
+    status_server metrics_server_;
+    acceptor callers_;
+    acceptor readiness_port_;
+    acceptor metrics_port_;
+    std::optional<time_point> stop_began_;
+};
+
+edge_daemon::edge_daemon(const settings::edge_settings& with)
+    : state_(std::make_unique<state>(with)) {}
+
+edge_daemon::~edge_daemon() = default;
+
+void edge_daemon::run() { state_->run(); }
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -0,0 +1,257 @@
+#include "edge/fleet_member.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "base/digest.h"
+#include "base/overloaded.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::edge {
+namespace {
+
+using gateway::write_result;
+using nlohmann::json;
+using telemetry::severity;
+
+constexpr const char* vms_kind = "entry-vms";
+constexpr const char* secrets_kind = "fleet-secrets";
+constexpr const char* hints_secret = "hints";
+constexpr std::size_t secret_bytes = 32;
+constexpr std::chrono::milliseconds retry_delay{500};
+
+constexpr gateway::follower_settings vms_pace{std::chrono::milliseconds(15'000),
+                                              std::chrono::milliseconds(300)};
+
+json parse_contents(const gateway::stored_object& it) {
+    return json::parse(it.contents, nullptr, false);
+}
+
+}  // namespace
+
+fleet_member::fleet_member(boost::asio::io_context& loop, const clock& time,
+                           gateway::object_collections& store, member_settings settings,
+                           hint_handler on_hint)
+    : loop_(loop),
+      time_(time),
+      store_(store),
+      settings_(std::move(settings)),
+      on_hint_(std::move(on_hint)),
+      socket_(loop, settings_.address, [this](const auto& it) { this->on_hint(it); }),
+      follower_(loop, time, store, vms_kind, vms_pace,
+                {[this](const gateway::object_list& it) { on_list(it); },
+                 [this](const gateway::object_change& it) {
+                     if (it.removed) {
+                         on_removed(it.object.name);
+                     } else {
+                         on_object(it.object);
+                     }
+                     tell_knowledge();
+                 },
+                 [](bool) {}}),
+      retry_timer_(loop),
+      secret_timer_(loop),
+      started_(time.now()) {}
+
+void fleet_member::start() {
+    follower_.start();
+    read_secret();
+}
+
+void fleet_member::on_list(const gateway::object_list& it) {
+    std::map<vm_id, peer> before = std::move(peers_);
+    peers_.clear();
+    for (const gateway::stored_object& object : it.objects) {
+        const auto known = before.find(vm_id(object.name));
+        if (known != before.end()) {
+            peers_.insert(*known);
+        }
+        on_object(object);
+    }
+    if (!self_) {
+        register_self();
+    }
+    tell_knowledge();
+}
+
+void fleet_member::on_object(const gateway::stored_object& it) {
+    const json in = parse_contents(it);
+    const bool readable = in.is_object() && in.contains("address") && in["address"].is_string() &&
+                          in.contains("incarnation") && in["incarnation"].is_number_unsigned();
+    if (!readable) {
+        telemetry::log_event(severity::warning, "vm_entry_unreadable", {{"vm", it.name}});
+        return;
+    }
+    peer& known = peers_[vm_id(it.name)];
+    known.address = in["address"].get<std::string>();
+    known.zone = zone_id(in.value("zone", ""));
+    known.region = region_id(in.value("region", ""));
+    const auto incarnation = in["incarnation"].get<incarnation_number>();
+    if (incarnation > known.incarnation) {
+        known.incarnation = incarnation;
+        known.leaving = false;
+    }
+    known.revision = it.revision;
+    if (knowledge_) {
+        knowledge_->on_mentioned({vm_id(it.name), incarnation}, time_.now());
+    }
+}
+
+void fleet_member::on_removed(const std::string& name) { peers_.erase(vm_id(name)); }
+
+void fleet_member::tell_knowledge() {
+    if (!knowledge_) {
+        return;
+    }
+    std::vector<platform::vm_entry> list;
+    for (const auto& [vm, it] : peers_) {
+        list.push_back({vm, it.zone, it.region, it.address, platform::vm_state::live});
+    }
+    knowledge_->on_list(list, time_.now());
+}
+
+void fleet_member::register_self() {
+    const auto known = peers_.find(settings_.vm);
+    const incarnation_number incarnation =
+        known == peers_.end() ? 1 : known->second.incarnation + 1;
+    const json contents = {{"address", settings_.address},
+                           {"zone", settings_.zone.str()},
+                           {"region", settings_.region.str()},
+                           {"incarnation", incarnation}};
+    auto done = [this, incarnation](const write_result& it) { on_registered(it, incarnation); };
+    if (known == peers_.end()) {
+        store_.create(vms_kind, settings_.vm.str(), contents.dump(), std::move(done));
+    } else {
+        store_.replace(vms_kind, settings_.vm.str(), known->second.revision, contents.dump(),
+                       std::move(done));
+    }
+}
+
+void fleet_member::on_registered(const write_result& result, incarnation_number incarnation) {
+    if (const auto* done = std::get_if<gateway::write_done>(&result)) {
+        self_ = vm_incarnation{settings_.vm, incarnation};
+        ownership::vm_knowledge_settings limits;
+        limits.suspicion = settings_.suspicion;
+        knowledge_.emplace(*self_, limits);
+        telemetry::log_event(severity::info, "registered",
+                             {{"vm", settings_.vm}, {"incarnation", incarnation}});
+        if (!done->object.name.empty()) {
+            on_object(done->object);
+        }
+        tell_knowledge();
+        return;
+    }
+    if (const auto* it = std::get_if<gateway::write_conflict>(&result)) {
+        if (it->current) {
+            on_object(*it->current);
+        }
+    }
+    // After an unknown outcome the next try finds the entry one incarnation on.
+    retry(&fleet_member::register_self);
+}
+
+void fleet_member::retry(void (fleet_member::*what)()) {
+    retry_timer_.expires_after(retry_delay);
+    retry_timer_.async_wait([this, what](const boost::system::error_code& ec) {
+        if (!ec && !self_) {
+            (this->*what)();
+        }
+    });
+}
+
+void fleet_member::read_secret() {
+    store_.list(secrets_kind, [this](const gateway::list_result& result) {
+        const auto* list = std::get_if<gateway::object_list>(&result);
+        if (list != nullptr) {
+            for (const gateway::stored_object& it : list->objects) {
+                const json in = parse_contents(it);
+                if (it.name == hints_secret && in.is_object()) {
+                    socket_.set_secret(in.value("secret", ""));
+                }
+            }
+            if (!socket_.has_secret()) {
+                create_secret();
+            }
+        }
+        if (!socket_.has_secret()) {
+            secret_timer_.expires_after(retry_delay);
+            secret_timer_.async_wait([this](const boost::system::error_code& ec) {
+                if (!ec && !socket_.has_secret()) {
+                    read_secret();
+                }
+            });
+        }
+    });
+}
+
+void fleet_member::create_secret() {
+    const json contents = {{"secret", random_hex(secret_bytes)}};
+    // Whoever comes second finds the first one's secret when it reads again.
+    store_.create(secrets_kind, hints_secret, contents.dump(),
+                  [this, contents](const write_result& it) {
+                      if (std::holds_alternative<gateway::write_done>(it)) {
+                          socket_.set_secret(contents["secret"].get<std::string>());
+                      }
+                  });
+}
+
+void fleet_member::on_hint(const routing::hint_message& it) {
+    const auto known = peers_.find(it.from.vm);
+    if (known == peers_.end() || it.from.vm == settings_.vm ||
+        it.from.incarnation < known->second.incarnation) {
+        return;
+    }
+    known->second.heard = time_.now();
+    if (knowledge_) {
+        knowledge_->on_heard(it.from, time_.now());
+    }
+    if (const auto* state = std::get_if<routing::presence>(&it.body)) {
+        known->second.leaving = state->leaving;
+        if (state->leaving && knowledge_) {
+            knowledge_->on_leaving(it.from, time_.now());
+        }
+    }
+    on_hint_(it);
+}
+
+bool fleet_member::send(const vm_id& to, const routing::hint& it) {
+    const auto known = peers_.find(to);
+    if (known == peers_.end() || !self_ || !socket_.has_secret()) {
+        return false;
+    }
+    socket_.send(known->second.address, socket_.seal({*self_, it}));
+    return true;
+}
+
+void fleet_member::broadcast(const routing::hint& it) {
+    if (!self_ || !socket_.has_secret()) {
+        return;
+    }
+    const std::string datagram = socket_.seal({*self_, it});
+    const time_point now = time_.now();
+    for (const auto& [vm, peer] : peers_) {
+        // VMs that were never heard may just not have heard of this one yet.
+        const bool silent = peer.heard != time_point::min()
+                                ? now - peer.heard > settings_.serving_memory * 3
+                                : now - started_ > settings_.serving_memory * 3;
+        if (vm != settings_.vm && !silent) {
+            socket_.send(peer.address, datagram);
+        }
+    }
+}
+
+std::size_t fleet_member::serving(time_point now) const {
+    std::size_t n = 1;
+    for (const auto& [vm, peer] : peers_) {
+        const bool starting = now - started_ < settings_.serving_memory;
+        const bool heard = peer.heard != time_point::min() &&
+                           now - peer.heard < settings_.serving_memory;
+        if (vm != settings_.vm && !peer.leaving && (heard || starting)) {
+            ++n;
+        }
+    }
+    return n;
+}
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -0,0 +1,464 @@
+#include "edge/load_coordinator.h"
+
+#include <algorithm>
+
+#include "base/findings.h"
+#include "base/overloaded.h"
+#include "ownership/ownership_store.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::edge {
+namespace {
+
+using telemetry::severity;
+
+constexpr const char* holders_kind = "engine-holders";
+constexpr ownership::shard_index shard_count = 4;
+constexpr duration rank_delay = std::chrono::milliseconds(400);
+// Holders keep what they have: a hand-over for balance would only interrupt loads.
+constexpr duration balance_interval = std::chrono::hours(24);
+constexpr duration pause_limit = std::chrono::milliseconds(1'500);
+constexpr std::chrono::milliseconds tick_interval{100};
+constexpr duration flush_interval = std::chrono::milliseconds(400);
+constexpr gateway::follower_settings holders_pace{std::chrono::milliseconds(10'000),
+                                                  std::chrono::milliseconds(0)};
+
+ownership::holding_id holding_of(const endpoint_id& engine) {
+    return ownership::holding_id("engine/" + engine.str());
+}
+
+std::string shard_name(ownership::shard_index index) { return std::to_string(index); }
+
+std::int64_t ms_of(duration it) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
+const char* name_of(routing::order_outcome it) {
+    switch (it) {
+        case routing::order_outcome::accepted:
+            return "accepted";
+        case routing::order_outcome::already_holds:
+            return "already_holds";
+        case routing::order_outcome::conflict:
+            return "conflict";
+        case routing::order_outcome::superseded:
+            return "superseded";
+        case routing::order_outcome::rejected:
+            return "rejected";
+        case routing::order_outcome::no_answer:
+            break;
+    }
+    return "no_answer";
+}
+
+}  // namespace
+
+load_coordinator::load_coordinator(boost::asio::io_context& loop, const clock& time,
+                                   gateway::object_collections& store,
+                                   gateway::engine_port& engines, fleet_member& fleet,
+                                   gateway::gateway& data_path, bool endpoints_check_fencing)
+    : time_(time),
+      store_(store),
+      engines_(engines),
+      fleet_(fleet),
+      data_path_(data_path),
+      endpoints_check_fencing_(endpoints_check_fencing),
+      follower_(loop, time, store, holders_kind, holders_pace,
+                {[this](const gateway::object_list& it) {
+                     for (const gateway::stored_object& object : it.objects) {
+                         on_shard_object(object);
+                     }
+                     has_list_ = true;
+                     for (ownership::shard_index i = 0; i < shard_count; ++i) {
+                         if (shards_.count(i) == 0) {
+                             take_shard({i, 0, {}});
+                         }
+                     }
+                 },
+                 [this](const gateway::object_change& it) {
+                     if (!it.removed) {
+                         on_shard_object(it.object);
+                     }
+                 },
+                 [](bool) {}}),
+      tick_timer_(loop) {}
+
+load_coordinator::~load_coordinator() = default;
+
+void load_coordinator::start() {
+    follower_.start();
+    tick();
+}
+
+void load_coordinator::tick() {
+    const time_point now = time_.now();
+    ensure_policy();
+    if (policy_) {
+        guard_->on_running(now);
+        plan(now);
+        hand_over(now);
+        update_keepers();
+    }
+    if (now - flushed_at_ >= flush_interval) {
+        flushed_at_ = now;
+        flush_uses();
+    }
+    std::vector<endpoint_id> engines;
+    for (const auto& [id, it] : kept_) {
+        if (it.keeper.has_work(now)) {
+            engines.push_back(id);
+        }
+    }
+    for (const endpoint_id& id : engines) {
+        pump(id);
+    }
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void load_coordinator::ensure_policy() {
+    if (policy_ || !fleet_.self() || !has_list_) {
+        return;
+    }
+    ownership::ownership_settings settings;
+    settings.shards = shard_count;
+    settings.rank_delay = rank_delay;
+    settings.balance_interval = balance_interval;
+    policy_.emplace(*fleet_.self(), settings);
+    guard_.emplace(*fleet_.self(), pause_limit);
+    for (const auto& [index, it] : shards_) {
+        take_shard(it);
+    }
+    configure_policy();
+}
+
+void load_coordinator::on_shard_object(const gateway::stored_object& it) {
+    try {
+        const auto index = static_cast<ownership::shard_index>(std::stoul(it.name));
+        if (index < shard_count) {
+            take_shard({index, it.revision, ownership::decode(it.contents)});
+        }
+    } catch (const std::exception& e) {
+        telemetry::log_event(severity::warning, "holders_unreadable",
+                             {{"object", it.name}, {"reason", std::string_view(e.what())}});
+    }
+}
+
+void load_coordinator::take_shard(const ownership::shard& it) {
+    const auto known = shards_.find(it.index);
+    if (known != shards_.end() && it.version < known->second.version) {
+        return;
+    }
+    shards_[it.index] = it;
+    if (!policy_) {
+        return;
+    }
+    const time_point now = time_.now();
+    policy_->on_shard(it, now);
+    for (const ownership::holding& entry : it.holdings) {
+        guard_->on_entry(entry, now);
+        if (!entry.vacant()) {
+            fleet_.knowledge()->on_mentioned(entry.holder, now);
+        }
+    }
+    update_keepers();
+}
+
+void load_coordinator::configure_policy() {
+    if (!policy_) {
+        return;
+    }
+    std::vector<ownership::holding_spec> specs;
+    for (const routing::endpoint* it : data_path_.directory().all()) {
+        const auto& configuration = data_path_.configuration();
+        const routing::service* service =
+            configuration ? configuration->find_service(it->service) : nullptr;
+        if (service != nullptr && service->engine) {
+            specs.push_back({holding_of(it->id), endpoints_check_fencing_
+                                                     ? ownership::replacement::on_suspicion
+                                                     : ownership::replacement::on_certain_end});
+        }
+    }
+    policy_->configure(std::move(specs));
+}
+
+void load_coordinator::plan(time_point now) {
+    configure_policy();
+    for (const ownership::shard_update& it : policy_->plan(*fleet_.knowledge(), now)) {
+        commit(it);
+    }
+}
+
+void load_coordinator::commit(const ownership::shard_update& update) {
+    const auto known = shards_.find(update.index);
+    if (update.assignments.empty() || known == shards_.end() ||
+        being_written_.count(update.index) != 0) {
+        return;
+    }
+    const auto next = ownership::applied(known->second, update);
+    if (!next) {
+        return;
+    }
+    being_written_.insert(update.index);
+    auto done = [this, next = *next](const gateway::write_result& it) {
+        on_committed(next.index, next, it);
+    };
+    const std::string contents = ownership::encode(next->holdings);
+    if (known->second.version == 0) {
+        store_.create(holders_kind, shard_name(update.index), contents, std::move(done));
+    } else {
+        store_.replace(holders_kind, shard_name(update.index), known->second.version, contents,
+                       std::move(done));
+    }
+}
+
+void load_coordinator::on_committed(ownership::shard_index index, const ownership::shard& next,
+                                    const gateway::write_result& result) {
+    being_written_.erase(index);
+    std::visit(overloaded{[&](const gateway::write_done& it) {
+                              ownership::shard taken = next;
+                              taken.version = it.object.revision;
+                              take_shard(taken);
+                              telemetry::log_event(severity::info, "holders_changed",
+                                                   {{"shard", index},
+                                                    {"revision", it.object.revision}});
+                          },
+                          [&](const gateway::write_conflict& it) {
+                              if (it.current) {
+                                  on_shard_object(*it.current);
+                              }
+                          },
+                          [](const gateway::write_refused&) {},
+                          [&](const gateway::write_unknown&) {
+                              telemetry::log_event(severity::warning, "holders_write_unknown",
+                                                   {{"shard", index}});
+                          }},
+               result);
+}
+
+void load_coordinator::hand_over(time_point now) {
+    for (const ownership::holding_id& id : policy_->to_hand_over(*fleet_.knowledge(), now)) {
+        guard_->stop(id);
+        commit(policy_->vacate(id));
+    }
+}
+
+void load_coordinator::update_keepers() {
+    const time_point now = time_.now();
+    for (const routing::endpoint* it : data_path_.directory().all()) {
+        const auto& configuration = data_path_.configuration();
+        const routing::service* service =
+            configuration ? configuration->find_service(it->service) : nullptr;
+        const bool holds = guard_ && guard_->may_act(holding_of(it->id), now).has_value();
+        if (!holds || service == nullptr || !service->engine || it->draining) {
+            kept_.erase(it->id);
+            continue;
+        }
+        if (kept_.count(it->id) != 0) {
+            continue;
+        }
+        auto& kept =
+            kept_.emplace(it->id, kept_engine{routing::engine_keeper(it->id, *service->engine)})
+                .first->second;
+        kept.keeper.on_entry(*it, now);
+        for (const auto& [adapter, version] : versions_) {
+            kept.keeper.on_version(adapter, version);
+        }
+        telemetry::log_event(severity::info, "holds_engine", {{"engine", it->id}});
+    }
+}
+
+void load_coordinator::on_endpoint(const routing::endpoint& it) {
+    const auto kept = kept_.find(it.id);
+    if (kept != kept_.end()) {
+        kept->second.keeper.on_entry(it, time_.now());
+        pump(it.id);
+    }
+}
+
+void load_coordinator::on_endpoint_removed(const endpoint_id& id) { kept_.erase(id); }
+
+void load_coordinator::on_version(const routing::model_choice& adapter, std::uint64_t version) {
+    versions_[adapter] = std::max(versions_[adapter], version);
+    for (auto& [id, it] : kept_) {
+        it.keeper.on_version(adapter, version);
+    }
+}
+
+routing::wish_answer load_coordinator::ask_keeper(const endpoint_id& engine,
+                                                  const routing::model_choice& adapter) {
+    const auto kept = kept_.find(engine);
+    if (kept == kept_.end()) {
+        return routing::wish_refused{};
+    }
+    const auto answer = kept->second.keeper.on_wish(adapter, time_.now());
+    pump(engine);
+    return answer;
+}
+
+bool load_coordinator::wish(const endpoint_id& engine, const routing::model_choice& adapter) {
+    if (kept_.count(engine) != 0) {
+        const auto answer = ask_keeper(engine, adapter);
+        const auto* granted = std::get_if<routing::wish_granted>(&answer);
+        if (granted != nullptr) {
+            data_path_.on_adapter(engine, adapter,
+                                  {routing::adapter_state::loading,
+                                   time_.now() + granted->ready_in, granted->version});
+        }
+        return granted != nullptr;
+    }
+    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
+    return holding && !holding->vacant() && holding->holder != *fleet_.self() &&
+           fleet_.send(holding->holder.vm, routing::load_wish{engine, adapter});
+}
+
+void load_coordinator::note_use(const endpoint_id& engine, const routing::model_choice& adapter) {
+    const auto kept = kept_.find(engine);
+    if (kept != kept_.end()) {
+        kept->second.keeper.on_use(adapter, time_.now());
+    } else {
+        uses_[engine].push_back(adapter);
+    }
+}
+
+void load_coordinator::note_gone(const endpoint_id&) {}
+
+void load_coordinator::flush_uses() {
+    for (auto& [engine, adapters] : uses_) {
+        const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
+        if (holding && !holding->vacant()) {
+            fleet_.send(holding->holder.vm, routing::adapter_uses{engine, std::move(adapters)});
+        }
+    }
+    uses_.clear();
+}
+
+void load_coordinator::on_hint(const routing::hint_message& it) {
+    const time_point now = time_.now();
+    std::visit(
+        overloaded{[](const routing::presence&) {},
+                   [&](const routing::adapter_uses& uses) {
+                       const auto kept = kept_.find(uses.engine);
+                       if (kept != kept_.end()) {
+                           for (const routing::model_choice& each : uses.adapters) {
+                               kept->second.keeper.on_use(each, now);
+                           }
+                       }
+                   },
+                   [&](const routing::load_wish& wish) {
+                       const auto answer = ask_keeper(wish.engine, wish.adapter);
+                       if (const auto* granted = std::get_if<routing::wish_granted>(&answer)) {
+                           fleet_.send(it.from.vm,
+                                       routing::adapter_hint{
+                                           wish.engine, wish.adapter, true,
+                                           static_cast<std::uint32_t>(ms_of(granted->ready_in)),
+                                           granted->version});
+                       } else {
+                           fleet_.send(it.from.vm,
+                                       routing::load_refusal{wish.engine, wish.adapter});
+                       }
+                   },
+                   [&](const routing::adapter_hint& hint) {
+                       routing::adapter_view view;
+                       if (hint.held) {
+                           view = {routing::adapter_state::loading,
+                                   now + std::chrono::milliseconds(hint.ready_in_ms), hint.version};
+                       }
+                       data_path_.on_adapter(hint.engine, hint.adapter, view);
+                   },
+                   [&](const routing::load_refusal& refusal) {
+                       data_path_.on_load_refused(refusal.engine, refusal.adapter);
+                   }},
+        it.body);
+}
+
+void load_coordinator::pump(const endpoint_id& engine) {
+    const auto kept = kept_.find(engine);
+    const routing::endpoint* target = data_path_.directory().find(engine);
+    if (kept == kept_.end() || target == nullptr || kept->second.busy) {
+        return;
+    }
+    const time_point now = time_.now();
+    const auto fence = guard_->may_act(holding_of(engine), now);
+    if (!fence) {
+        return;
+    }
+    if (kept->second.keeper.wants_report(now)) {
+        kept->second.busy = true;
+        engines_.ask(*target, [this, engine](const std::optional<routing::engine_report>& report) {
+            const auto it = kept_.find(engine);
+            if (it == kept_.end()) {
+                return;
+            }
+            it->second.busy = false;
+            if (report) {
+                it->second.keeper.on_report(*report, time_.now());
+                pump(engine);
+            }
+        });
+        return;
+    }
+    if (const auto order = kept->second.keeper.next_order(now)) {
+        give(engine, *order, *fence);
+    }
+}
+
+void load_coordinator::give(const endpoint_id& engine, const routing::engine_order& order,
+                            ownership::fencing_number fence) {
+    kept_.at(engine).busy = true;
+    const routing::endpoint* target = data_path_.directory().find(engine);
+    engines_.give(
+        *target, order, {fleet_.self()->vm.str(), fence},
+        [this, engine, order, fence](routing::order_outcome outcome) {
+            telemetry::log_event(
+                severity::info, "engine_order",
+                {{"engine", engine},
+                 {"kind", order.kind == routing::order_kind::load ? "load" : "unload"},
+                 {"model", order.target.model},
+                 {"adapter", order.target.adapter},
+                 {"version", order.version},
+                 {"sequence", order.expected_sequence},
+                 {"fence", fence},
+                 {"outcome", name_of(outcome)}});
+            const auto it = kept_.find(engine);
+            if (it == kept_.end()) {
+                return;
+            }
+            it->second.busy = false;
+            if (outcome == routing::order_outcome::superseded) {
+                guard_->stop(holding_of(engine));
+                kept_.erase(it);
+                return;
+            }
+            if (const auto change = it->second.keeper.on_outcome(outcome, time_.now())) {
+                tell(engine, *change);
+            }
+            pump(engine);
+        });
+}
+
+void load_coordinator::tell(const endpoint_id& engine, const routing::adapter_change& change) {
+    routing::adapter_view view;
+    if (change.held) {
+        view = {routing::adapter_state::loading, time_.now() + change.ready_in, change.version};
+    }
+    data_path_.on_adapter(engine, change.adapter, view);
+    fleet_.broadcast(routing::adapter_hint{engine, change.adapter, change.held,
+                                           static_cast<std::uint32_t>(ms_of(change.ready_in)),
+                                           change.version});
+}
+
+void load_coordinator::leave() {
+    leaving_ = true;
+    if (policy_) {
+        policy_->leave();
+        hand_over(time_.now());
+        kept_.clear();
+    }
+}
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/src/status_server.cpp
@@ -0,0 +1,32 @@
+#include "status_server.h"
+
+namespace radishpulley::edge {
+
+status_server::status_server(boost::asio::io_context& loop, const clock& time,
+                             std::function<status_answer()> answer)
+    : loop_(loop), time_(time), answer_(std::move(answer)) {}
+
+void status_server::accept(gateway::link::socket socket) {
+    auto connection =
+        std::make_shared<gateway::link>(std::move(socket), gateway::link_options{});
+    auto it = std::make_shared<gateway::caller_link>(std::move(connection), loop_, time_, *this);
+    open_.insert(it);
+    it->start();
+}
+
+std::shared_ptr<gateway::request_work> status_server::start(gateway::caller_request,
+                                                            gateway::answer_writer& out) {
+    const status_answer it = answer_();
+    gateway::caller_answer head;
+    head.status = it.status;
+    head.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    head.length = it.body.size();
+    out.send_head(head);
+    out.send_body(it.body);
+    out.send_end();
+    return nullptr;
+}
+
+void status_server::on_closed(const std::shared_ptr<gateway::caller_link>& it) { open_.erase(it); }
+
+}  // namespace radishpulley::edge
--- /dev/null
+++ b/radishpulley/edge/src/status_server.h
@@ -0,0 +1,41 @@
+/// Answers the platform's question whether this daemon takes callers, and serves the metrics.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/caller_link.h"
+
+namespace radishpulley::edge {
+
+/// What a status address answers.
+struct status_answer {
+    unsigned status = 200;
+    std::string body;
+};
+
+/// A small HTTP server whose answers are made at once.
+class status_server final : public gateway::caller_service {
+public:
+    status_server(boost::asio::io_context& loop, const clock& time,
+                  std::function<status_answer()> answer);
+
+    void accept(gateway::link::socket socket);
+
+    limits caller_limits() const override { return {}; }
+    std::shared_ptr<gateway::request_work> start(gateway::caller_request request,
+                                                 gateway::answer_writer& out) override;
+    bool is_stopping() const override { return false; }
+    void on_closed(const std::shared_ptr<gateway::caller_link>& it) override;
+
+private:
+    boost::asio::io_context& loop_;
+    const clock& time_;
+    std::function<status_answer()> answer_;
+    std::set<std::shared_ptr<gateway::caller_link>> open_;
+};
+
+}  // namespace radishpulley::edge
