--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -33,8 +33,10 @@
     : link_(std::move(connection)), timer_(loop), time_(time), service_(service) {}
 
 caller_link::~caller_link() {
-    link_->set_handler(nullptr);
-    link_->close();
+    // A link that was finished still sends what was written.
+    if (!closed_) {
+        link_->close();
+    }
 }
 
 void caller_link::start() {
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoint_link.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/beast/http/error.hpp>
 
@@ -33,7 +34,7 @@
 void endpoint_link::begin_answer() {
     parser_ = std::make_unique<parser>();
     parser_->header_limit(most_answer_head);
-    parser_->body_limit(boost::none);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->eager(false);
     parser_->skip(request_.is_head);
     head_taken_ = false;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -597,8 +597,10 @@
     phase_ = phase::ended;
     deadline_timer_.cancel();
     wait_timer_.cancel();
-    const std::string_view account = account_ == nullptr ? "-" : account_->id.str();
-    const std::string_view route = route_ == nullptr ? "-" : std::string_view(route_->name);
+    const std::string_view account =
+        account_ == nullptr ? std::string_view("-") : std::string_view(account_->id.str());
+    const std::string_view route =
+        route_ == nullptr ? std::string_view("-") : std::string_view(route_->name);
     owner_.answers_.with({account, route, std::to_string(status)}).add();
     owner_.latencies_.with({account, route}).record(elapsed());
     telemetry::log_event(
@@ -608,7 +610,8 @@
          {"reason", reason},
          {"account", account},
          {"route", route},
-         {"service", service_ == nullptr ? std::string_view("-") : service_->id.str()},
+         {"service",
+          service_ == nullptr ? std::string_view("-") : std::string_view(service_->id.str())},
          {"endpoint", endpoint_},
          {"adapter", facts_.target.adapter},
          {"configuration", configuration_ ? configuration_->version() : 0},
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -164,7 +164,6 @@
     endpoint_id engine_;
     engine_capacity capacity_;
     keeper_settings settings_;
-    bool known_ = false;
     std::int64_t started_at_ms_ = 0;
     std::uint64_t sequence_ = 0;
     std::set<std::string> models_;
@@ -173,10 +172,10 @@
     std::deque<wish> wishes_;
     std::deque<model_choice> copies_;
     std::optional<engine_order> given_;
-    bool needs_report_ = false;
+    /// What the engine has accepted so far is known from its report alone.
+    bool needs_report_ = true;
     time_point report_after_{};
     time_point model_ordered_at_ = time_point::min();
-    time_point last_outcome_{};
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -15,30 +15,18 @@
     wishes_.clear();
     copies_.clear();
     given_.reset();
-    needs_report_ = false;
+    needs_report_ = true;
+    report_after_ = time_point{};
     model_ordered_at_ = time_point::min();
 }
 
 void engine_keeper::on_entry(const endpoint& it, time_point now) {
-    if (known_ && it.started_at_ms < started_at_ms_) {
+    if (it.started_at_ms < started_at_ms_) {
         return;
     }
-    if (known_ && it.started_at_ms > started_at_ms_) {
+    if (it.started_at_ms > started_at_ms_) {
         reset();
-        known_ = false;
-    }
-    started_at_ms_ = it.started_at_ms;
-    if (known_ && (it.order_sequence < sequence_ || given_)) {
-        return;
-    }
-    const bool first = !known_;
-    const bool moved_on = it.order_sequence > sequence_;
-    known_ = true;
-    sequence_ = it.order_sequence;
-    if (moved_on && !first) {
-        // Orders of an earlier holder: the list may lack what is on its way.
-        needs_report_ = true;
-        report_after_ = now + settings_.report_lag;
+        started_at_ms_ = it.started_at_ms;
     }
     adopt(it.models, {}, now);
 }
@@ -51,9 +39,8 @@
         reset();
         started_at_ms_ = it.started_at_ms;
     }
-    known_ = true;
     needs_report_ = false;
-    sequence_ = std::max(sequence_, it.order_sequence);
+    sequence_ = it.order_sequence;
     adopt(it.models, it.pending, now);
 }
 
@@ -160,7 +147,7 @@
         const duration left = found->second.ready_at - now;
         return wish_granted{std::max(left, duration::zero()), found->second.version};
     }
-    if (!known_ || found != places_.end() || models_.count(adapter.model) == 0) {
+    if (found != places_.end() || models_.count(adapter.model) == 0) {
         return wish_refused{};
     }
     drop_old_wishes(now);
@@ -235,7 +222,7 @@
 }
 
 std::optional<engine_order> engine_keeper::decide(time_point now) {
-    if (!known_ || given_ || needs_report_) {
+    if (given_ || needs_report_) {
         return std::nullopt;
     }
     for (const model& it : capacity_.models) {
