Adapter loads: time by the loads of the whole fleet, places until they are free, nearly empty new retry budgets

Each daemon that started anew brought a full retry budget along. Ruled out: a wrong count of the fleet (logged as 9 and 7).

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -208,11 +208,26 @@
     wait_timer_.async_wait([weak = weak_from_this(), id](const error_code& ec) {
         const auto self = weak.lock();
         if (!ec && self && self->phase_ == phase::connecting) {
-            self->send_to(id);
+            self->on_wait_over(id);
         }
     });
 }
 
+void exchange::on_wait_over(const endpoint_id& id) {
+    const auto view = owner_.adapters_.view(id, facts_.target, owner_.time_.now());
+    switch (view.state) {
+        case routing::adapter_state::loaded:
+            send_to(id);
+            break;
+        case routing::adapter_state::loading:
+            wait_until(view.ready_at, id);
+            break;
+        case routing::adapter_state::absent:
+            find_endpoint();
+            break;
+    }
+}
+
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     if (target == nullptr || target->draining) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -48,6 +48,7 @@
     void find_endpoint();
     void wait_for_load(const routing::endpoint_choice& it);
     void wait_until(time_point when, const endpoint_id& id);
+    void on_wait_over(const endpoint_id& id);
     void send_to(const endpoint_id& id);
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string request_bytes() const;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -88,6 +88,8 @@
     requests::retry_limits limits;
     limits.ratio = settings_.retry_ratio;
     limits.capacity = std::max(1.0, settings_.retry_reserve / static_cast<double>(fleet_size_));
+    // Many daemons may start at once, as after a power cut.
+    limits.initial = 1;
     return budgets_.emplace(id, requests::retry_budget(limits, 1)).first->second;
 }
 
--- a/libs/requests/include/requests/retry_budget.h
+++ b/libs/requests/include/requests/retry_budget.h
@@ -14,8 +14,10 @@
 struct retry_limits {
     /// Retries earned by each first attempt.
     double ratio = 0.1;
-    /// Most retries that can be saved up; also what a new budget holds.
+    /// Most retries that can be saved up.
     double capacity = 10;
+    /// What a new budget holds; `capacity` where it is not set.
+    std::optional<double> initial;
     /// Longest delay before the first retry; it doubles with each attempt.
     duration base_delay = std::chrono::milliseconds(25);
     duration max_delay = std::chrono::seconds(1);
--- a/libs/requests/src/retry_budget.cpp
+++ b/libs/requests/src/retry_budget.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 retry_budget::retry_budget(retry_limits limits, std::uint64_t seed)
-    : limits_(limits), seed_(seed), available_(limits.capacity) {}
+    : limits_(limits), seed_(seed), available_(limits.initial.value_or(limits.capacity)) {}
 
 void retry_budget::count_request() {
     available_ = std::min(limits_.capacity, available_ + limits_.ratio);
--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -43,6 +43,8 @@
     adapter_view view(const endpoint_id& engine, const model_choice& adapter, time_point now) const;
     /// Whether the engine holds the base model.
     bool has_model(const endpoint_id& engine, const std::string& model) const;
+    /// Returns how many adapters are on their way to all engines.
+    std::size_t loads_under_way(time_point now) const;
     /// Returns the newest announced version, or 0.
     std::uint64_t newest_version(const model_choice& adapter) const;
     /// Returns when the newest version was announced to this daemon.
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -26,6 +26,8 @@
     std::uint32_t parallel_loads = 4;
     /// Time from an accepted order until the adapter is usable: fetched, and held of late.
     duration fetched_load = std::chrono::milliseconds(265);
+    /// Fetches of all engines together that run at full speed.
+    std::size_t full_speed_loads = 8;
     duration warm_load = std::chrono::milliseconds(40);
     /// Adapters that an engine keeps copies of.
     std::size_t warm_copies = 40;
@@ -118,12 +120,14 @@
     /// A request for the adapter was sent to this engine, by any daemon.
     void on_use(const model_choice& adapter, time_point now);
     /// Somebody has a request for an adapter that the engine does not hold.
-    wish_answer on_wish(const model_choice& adapter, time_point now);
+    /// `fleet_loads` counts the adapters on their way to all engines.
+    wish_answer on_wish(const model_choice& adapter, std::size_t fleet_loads, time_point now);
 
     /// Returns the order to give now and takes it as given.
     std::optional<engine_order> next_order(time_point now);
     /// Takes the outcome of the order that was given last. Returns what changed.
-    std::optional<adapter_change> on_outcome(order_outcome outcome, time_point now);
+    std::optional<adapter_change> on_outcome(order_outcome outcome, std::size_t fleet_loads,
+                                             time_point now);
     /// Whether the engine must be asked for its state before the next order.
     bool wants_report(time_point now) const;
     /// Whether some order waits to be given.
@@ -157,9 +161,11 @@
     std::optional<engine_order> order_for_wishes(time_point now);
     std::optional<engine_order> decide(time_point now);
     void drop_old_wishes(time_point now);
-    duration load_time(const model_choice& adapter) const;
+    duration load_time(const model_choice& adapter, std::size_t fleet_loads) const;
     void remember_copy(const model_choice& adapter);
-    adapter_change note_load(const engine_order& order, time_point now);
+    adapter_change note_load(const engine_order& order, std::size_t fleet_loads, time_point now);
+    adapter_change note_unload(const engine_order& order, bool at_once, time_point now);
+    bool left_of_late(const model_choice& adapter, time_point now) const;
 
     endpoint_id engine_;
     engine_capacity capacity_;
@@ -171,6 +177,8 @@
     std::map<model_choice, std::uint64_t> versions_;
     std::deque<wish> wishes_;
     std::deque<model_choice> copies_;
+    /// When an adapter left; later entries of the directory may still list it.
+    std::map<model_choice, time_point> left_at_;
     std::optional<engine_order> given_;
     /// What the engine has accepted so far is known from its report alone.
     bool needs_report_ = true;
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -71,6 +71,16 @@
     return it;
 }
 
+std::size_t adapter_table::loads_under_way(time_point now) const {
+    std::size_t n = 0;
+    for (const auto& [engine, row] : engines_) {
+        for (const auto& [adapter, cell] : row.adapters) {
+            n += cell.view.state == adapter_state::loading && cell.view.ready_at > now ? 1 : 0;
+        }
+    }
+    return n;
+}
+
 bool adapter_table::has_model(const endpoint_id& engine, const std::string& model) const {
     const auto row = engines_.find(engine);
     return row != engines_.end() && row->second.models.count(model) != 0;
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -14,6 +14,7 @@
     places_.clear();
     wishes_.clear();
     copies_.clear();
+    left_at_.clear();
     given_.reset();
     needs_report_ = true;
     report_after_ = time_point{};
@@ -52,6 +53,9 @@
         models_.insert(model.name);
         for (const held_adapter& adapter : model.adapters) {
             const model_choice name{model.name, adapter.name};
+            if (left_of_late(name, now)) {
+                continue;
+            }
             held.insert(name);
             const auto [at, added] = places_.try_emplace(name);
             if (added) {
@@ -78,7 +82,8 @@
     }
     for (auto it = places_.begin(); it != places_.end();) {
         const bool may_be_unseen = now < it->second.ready_at + settings_.directory_lag;
-        const bool dropped = held.count(it->first) == 0 && !may_be_unseen;
+        const bool dropped =
+            held.count(it->first) == 0 && (!may_be_unseen || it->second.leaving);
         it = dropped ? places_.erase(it) : std::next(it);
     }
 }
@@ -127,9 +132,18 @@
     return places > places_.size() ? places - places_.size() : 0;
 }
 
-duration engine_keeper::load_time(const model_choice& adapter) const {
-    const bool warm = std::find(copies_.begin(), copies_.end(), adapter) != copies_.end();
-    return warm ? settings_.warm_load : settings_.fetched_load;
+bool engine_keeper::left_of_late(const model_choice& adapter, time_point now) const {
+    const auto found = left_at_.find(adapter);
+    return found != left_at_.end() && now < found->second + settings_.directory_lag;
+}
+
+duration engine_keeper::load_time(const model_choice& adapter, std::size_t fleet_loads) const {
+    if (std::find(copies_.begin(), copies_.end(), adapter) != copies_.end()) {
+        return settings_.warm_load;
+    }
+    const double crowd =
+        static_cast<double>(fleet_loads + 1) / static_cast<double>(settings_.full_speed_loads);
+    return std::chrono::duration_cast<duration>(settings_.fetched_load * std::max(1.0, crowd));
 }
 
 void engine_keeper::remember_copy(const model_choice& adapter) {
@@ -140,7 +154,8 @@
     }
 }
 
-wish_answer engine_keeper::on_wish(const model_choice& adapter, time_point now) {
+wish_answer engine_keeper::on_wish(const model_choice& adapter, std::size_t fleet_loads,
+                                   time_point now) {
     const auto found = places_.find(adapter);
     if (found != places_.end() && !found->second.leaving) {
         found->second.last_use = std::max(found->second.last_use, now);
@@ -162,7 +177,8 @@
         wishes_.push_back({adapter, now});
     }
     const auto rounds = static_cast<int>((loads_under_way(now) + ahead) / settings_.parallel_loads);
-    return wish_granted{load_time(adapter) + settings_.fetched_load * rounds +
+    const duration one_load = load_time(adapter, fleet_loads);
+    return wish_granted{one_load * (1 + rounds) +
                             (needs_report_ ? settings_.report_lag : duration::zero()),
                         versions_.count(adapter) != 0 ? versions_[adapter] : 0};
 }
@@ -253,8 +269,10 @@
     return order;
 }
 
-adapter_change engine_keeper::note_load(const engine_order& order, time_point now) {
-    const duration takes = load_time(order.target);
+adapter_change engine_keeper::note_load(const engine_order& order, std::size_t fleet_loads,
+                                        time_point now) {
+    const duration takes = load_time(order.target, fleet_loads);
+    left_at_.erase(order.target);
     place& it = places_[order.target];
     it.replacing = order.version != 0 && it.version != 0;
     it.ready_at = now + takes;
@@ -266,7 +284,21 @@
     return {order.target, true, takes, it.version};
 }
 
-std::optional<adapter_change> engine_keeper::on_outcome(order_outcome outcome, time_point now) {
+adapter_change engine_keeper::note_unload(const engine_order& order, bool at_once,
+                                          time_point now) {
+    if (at_once) {
+        places_.erase(order.target);
+        left_at_[order.target] = now;
+    } else {
+        // It leaves when its requests have ended; until then its place is taken.
+        needs_report_ = true;
+        report_after_ = now + settings_.report_lag;
+    }
+    return {order.target, false, {}, 0};
+}
+
+std::optional<adapter_change> engine_keeper::on_outcome(order_outcome outcome,
+                                                        std::size_t fleet_loads, time_point now) {
     if (!given_) {
         return std::nullopt;
     }
@@ -293,10 +325,9 @@
         return std::nullopt;
     }
     if (unloaded) {
-        places_.erase(order.target);
-        return adapter_change{order.target, false, {}, 0};
+        return note_unload(order, outcome == order_outcome::already_holds, now);
     }
-    return note_load(order, now);
+    return note_load(order, fleet_loads, now);
 }
 
 bool engine_keeper::wants_report(time_point now) const {
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -295,7 +295,8 @@
     if (kept == kept_.end()) {
         return routing::wish_refused{};
     }
-    const auto answer = kept->second.keeper.on_wish(adapter, time_.now());
+    const auto answer = kept->second.keeper.on_wish(
+        adapter, data_path_.adapters().loads_under_way(time_.now()), time_.now());
     pump(engine);
     return answer;
 }
@@ -434,7 +435,8 @@
                 kept_.erase(it);
                 return;
             }
-            if (const auto change = it->second.keeper.on_outcome(outcome, time_.now())) {
+            if (const auto change = it->second.keeper.on_outcome(
+                    outcome, data_path_.adapters().loads_under_way(time_.now()), time_.now())) {
                 tell(engine, *change);
             }
             pump(engine);
