--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -88,6 +88,8 @@
 
     /// From now on callers are asked to close their connections.
     void begin_stop() { stopping_ = true; }
+    /// From now on requests are refused, for they could not end before this daemon does.
+    void refuse_requests() { refusing_ = true; }
     /// Takes a caller's connection.
     void accept(link::socket socket);
     /// Closes callers' connections on which no request is.
@@ -137,6 +139,7 @@
     std::size_t body_bytes_ = 0;
     routing::request_number last_number_ = 0;
     bool stopping_ = false;
+    bool refusing_ = false;
 };
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -225,7 +225,8 @@
     }
     answering_ = false;
     work_.reset();
-    if (!keep_alive_) {
+    // An answer that began before the stop did not announce it.
+    if (!keep_alive_ || service_.is_stopping()) {
         link_->finish();
         ended();
         return;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -29,6 +29,8 @@
 // When a caller may come back after a refusal whose cause has no end of its own.
 constexpr duration usual_retry_after = std::chrono::milliseconds(250);
 constexpr duration start_retry_after = std::chrono::milliseconds(500);
+// Another daemon takes the next connection at once.
+constexpr duration stop_retry_after = std::chrono::milliseconds(20);
 constexpr milliseconds default_deadline{30'000};
 // Age from which a replaced adapter version is no longer asked for.
 constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
@@ -84,6 +86,10 @@
         return;
     }
     facts_ = owner_.codec_.read_request(request_.headers);
+    if (owner_.refusing_) {
+        refuse({status_unavailable, "stopping", stop_retry_after});
+        return;
+    }
     route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
     if (route_ == nullptr) {
         refuse({status_not_found, "no_route", std::nullopt});
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -322,6 +322,9 @@
         }
         callers_.close();
         data_path_.close_idle_callers();
+        if (since >= with_.bounds.shutdown_grace / 2) {
+            data_path_.refuse_requests();
+        }
         return data_path_.request_count() == 0 && data_path_.caller_count() == 0;
     }
 
