--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -57,6 +57,8 @@
     virtual bool wish(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
     /// A request for the adapter goes to the engine.
     virtual void note_use(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
+    /// Such a request has ended.
+    virtual void note_end(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
     /// The engine answered that it is another one, or left.
     virtual void note_gone(const endpoint_id& engine) = 0;
 };
--- a/libs/gateway/include/gateway/object_collections.h
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -79,7 +79,8 @@
     virtual void list(const std::string& kind, std::function<void(list_result)> done) = 0;
     /// Waits for a change after `since`, at most for `wait`.
     virtual void watch(const std::string& kind, store_revision since,
-                       std::chrono::milliseconds wait, std::function<void(changes_result)> done) = 0;
+                       std::chrono::milliseconds wait,
+                       std::function<void(changes_result)> done) = 0;
     /// Creates an object that does not exist.
     virtual void create(const std::string& kind, const std::string& name,
                         const std::string& contents, std::function<void(write_result)> done) = 0;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -45,7 +45,9 @@
     link_->start();
 }
 
-bool caller_link::is_busy() const { return reading_request_ || work_ != nullptr; }
+bool caller_link::is_busy() const {
+    return reading_request_ || work_ != nullptr;
+}
 
 void caller_link::close() {
     link_->close();
@@ -190,8 +192,9 @@
         keep_alive_ = false;
     }
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + " ";
-    out += head.reason.empty() ? std::string(http::obsolete_reason(http::int_to_status(head.status)))
-                               : head.reason;
+    out += head.reason.empty()
+               ? std::string(http::obsolete_reason(http::int_to_status(head.status)))
+               : head.reason;
     out += "\r\n";
     for (const header& it : head.headers) {
         append_header(out, it.name, it.value);
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -19,11 +19,17 @@
       retry_(settings.first_retry),
       answered_at_(time.now()) {}
 
-collection_follower::~collection_follower() { *alive_ = false; }
+collection_follower::~collection_follower() {
+    *alive_ = false;
+}
 
-void collection_follower::start() { list(); }
+void collection_follower::start() {
+    list();
+}
 
-duration collection_follower::age() const { return time_.now() - answered_at_; }
+duration collection_follower::age() const {
+    return time_.now() - answered_at_;
+}
 
 void collection_follower::after(std::chrono::milliseconds wait,
                                 void (collection_follower::*next)()) {
@@ -81,7 +87,8 @@
                               for (const object_change& each : it.changes) {
                                   events_.on_change(each);
                               }
-                              const bool pauses = !it.changes.empty() && settings_.pause.count() > 0;
+                              const bool pauses =
+                                  !it.changes.empty() && settings_.pause.count() > 0;
                               if (pauses) {
                                   after(settings_.pause, &collection_follower::watch);
                               } else {
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -22,7 +22,9 @@
     link_->set_handler(this);
 }
 
-endpoint_link::~endpoint_link() { link_->close(); }
+endpoint_link::~endpoint_link() {
+    link_->close();
+}
 
 void endpoint_link::call(call_request request, call_handler& handler) {
     request_ = std::move(request);
@@ -127,8 +129,9 @@
         discarding_ = true;
         return;
     }
-    const std::string_view id =
-        request_.id_header.empty() ? std::string_view() : find_header(head.headers, request_.id_header);
+    const std::string_view id = request_.id_header.empty()
+                                    ? std::string_view()
+                                    : find_header(head.headers, request_.id_header);
     if (!id.empty() && id != request_.id) {
         discarding_ = true;
         return;
--- a/libs/gateway/src/endpoint_pool.cpp
+++ b/libs/gateway/src/endpoint_pool.cpp
@@ -50,11 +50,10 @@
     }
     ++connections_made_;
     auto connection = std::make_shared<link>(loop_);
-    connection->connect(to, settings_.connect_timeout,
-                        [this, connection, done = std::move(done)](bool connected) {
-                            done(connected ? std::make_shared<endpoint_link>(connection, time_)
-                                           : nullptr);
-                        });
+    connection->connect(
+        to, settings_.connect_timeout, [this, connection, done = std::move(done)](bool connected) {
+            done(connected ? std::make_shared<endpoint_link>(connection, time_) : nullptr);
+        });
 }
 
 void endpoint_pool::release(const endpoint_id& id, std::shared_ptr<endpoint_link> it) {
@@ -64,7 +63,9 @@
     }
 }
 
-void endpoint_pool::drop(const endpoint_id& id) { idle_.erase(id); }
+void endpoint_pool::drop(const endpoint_id& id) {
+    idle_.erase(id);
+}
 
 void endpoint_pool::sweep() {
     for (auto at = idle_.begin(); at != idle_.end();) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -35,9 +35,13 @@
 // Age from which a replaced adapter version is no longer asked for.
 constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
 
-double seconds_of(duration it) { return std::chrono::duration<double>(it).count(); }
+double seconds_of(duration it) {
+    return std::chrono::duration<double>(it).count();
+}
 
-milliseconds to_ms(duration it) { return std::chrono::duration_cast<milliseconds>(it); }
+milliseconds to_ms(duration it) {
+    return std::chrono::duration_cast<milliseconds>(it);
+}
 
 std::string seconds_text(duration it) {
     char buf[32];
@@ -65,7 +69,9 @@
     owner_.body_bytes_ -= request_.body.size();
 }
 
-duration exchange::elapsed() const { return owner_.time_.now() - request_.received; }
+duration exchange::elapsed() const {
+    return owner_.time_.now() - request_.received;
+}
 
 duration exchange::time_left() const {
     return deadline_ ? *deadline_ - owner_.time_.now() : duration(default_deadline);
@@ -145,6 +151,14 @@
     if (account_ != nullptr) {
         const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
         if (const auto* it = std::get_if<routing::over_limit>(&result)) {
+            telemetry::log_event(severity::info, "over_limit",
+                                 {{"request", facts_.id},
+                                  {"account", account_->id},
+                                  {"units", units()},
+                                  {"rate", it->rate},
+                                  {"share", it->share},
+                                  {"fill", it->fill},
+                                  {"retry_after", it->retry_after}});
             refuse({status_too_many, "over_limit", it->retry_after});
             return false;
         }
@@ -244,20 +258,19 @@
     phase_ = phase::connecting;
     endpoint_ = id;
     ++sends_;
-    const std::uint32_t memory = facts_.prompt_tokens +
-                                 facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
+    const std::uint32_t memory =
+        facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
     owner_.work_.start(number_, id, unread_tokens_, memory);
-    owner_.pool_.acquire(id, target->address,
-                         [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
-                             const auto self = weak.lock();
-                             const bool wanted = self && self->phase_ == phase::connecting &&
-                                                 self->endpoint_ == id;
-                             if (wanted) {
-                                 self->on_connected(std::move(it));
-                             } else if (self && it) {
-                                 self->owner_.pool_.release(id, std::move(it));
-                             }
-                         });
+    owner_.pool_.acquire(
+        id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
+            const auto self = weak.lock();
+            const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
+            if (wanted) {
+                self->on_connected(std::move(it));
+            } else if (self && it) {
+                self->owner_.pool_.release(id, std::move(it));
+            }
+        });
 }
 
 void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
@@ -292,6 +305,7 @@
     if (service_->engine) {
         owner_.prompts_.on_read(endpoint_, facts_, sent_at_);
         if (!facts_.target.adapter.empty()) {
+            used_at_ = endpoint_;
             owner_.broker_->note_use(endpoint_, facts_.target);
         }
     }
@@ -320,8 +334,8 @@
     }
     said.time_left = std::max(milliseconds(1), to_ms(time_left()));
     if (service_->engine) {
-        said.priority = account_ != nullptr && account_->priority ? *account_->priority
-                                                                  : route_->priority;
+        said.priority =
+            account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
         const std::uint64_t newest = owner_.adapters_.newest_version(facts_.target);
         const duration age = owner_.time_.now() - owner_.adapters_.announced_at(facts_.target);
         if (newest != 0 && age > version_enforced_after) {
@@ -356,8 +370,8 @@
         return;
     }
     const bool is_success = head.status / 100 == 2;
-    const bool foreign = is_success && (!said.is_signed ||
-                                        !find_header(head.headers, "content-encoding").empty());
+    const bool foreign =
+        is_success && (!said.is_signed || !find_header(head.headers, "content-encoding").empty());
     if (foreign) {
         stop_call();
         owner_.directory_.on_call(endpoint_, routing::call_outcome::failed, owner_.time_.now());
@@ -448,7 +462,7 @@
 
 void exchange::on_done() {
     const auto self = shared_from_this();
-    owner_.work_.finish(number_);
+    note_call_ended();
     owner_.pool_.release(endpoint_, std::move(connection_));
     connection_.reset();
     if (rejected_) {
@@ -472,10 +486,10 @@
 
 void exchange::on_failure(call_failure why) {
     const auto self = shared_from_this();
-    owner_.work_.finish(number_);
+    note_call_ended();
     connection_.reset();
-    const std::string_view reason = why == call_failure::malformed ? "malformed_answer"
-                                                                   : "connection_broken";
+    const std::string_view reason =
+        why == call_failure::malformed ? "malformed_answer" : "connection_broken";
     if (rejected_) {
         retry("rejected");
         return;
@@ -519,8 +533,7 @@
 
 bool exchange::may_run_again() const {
     return route_->repeatable() && runs_ < std::max(1U, route_->max_attempts) &&
-           sends_ < owner_.settings_.most_sends &&
-           time_left() > owner_.settings_.least_time_left;
+           sends_ < owner_.settings_.most_sends && time_left() > owner_.settings_.least_time_left;
 }
 
 bool exchange::spend_retry() {
@@ -543,8 +556,16 @@
     }
 }
 
-void exchange::stop_call() {
+void exchange::note_call_ended() {
     owner_.work_.finish(number_);
+    if (!used_at_.empty()) {
+        owner_.broker_->note_end(used_at_, facts_.target);
+        used_at_ = endpoint_id();
+    }
+}
+
+void exchange::stop_call() {
+    note_call_ended();
     if (connection_) {
         connection_->cancel();
         connection_.reset();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -58,6 +58,7 @@
     bool spend_retry();
     void retry(std::string_view why);
     void stop_call();
+    void note_call_ended();
     void refuse(const refusal& it);
     void cut(std::string_view why);
     void on_deadline();
@@ -82,6 +83,8 @@
     endpoint_id endpoint_;
     std::uint32_t unread_tokens_ = 0;
     std::shared_ptr<endpoint_link> connection_;
+    /// Engine that was told of a use of the adapter.
+    endpoint_id used_at_;
     std::set<endpoint_id> excluded_;
     std::set<endpoint_id> no_loads_;
     routing::model_choice waited_for_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -124,6 +124,8 @@
     return it;
 }
 
-void gateway::on_closed(const std::shared_ptr<caller_link>& it) { callers_.erase(it); }
+void gateway::on_closed(const std::shared_ptr<caller_link>& it) {
+    callers_.erase(it);
+}
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -8,9 +8,16 @@
 namespace radishpulley::gateway {
 namespace {
 
-constexpr std::array<std::string_view, 10> connection_headers = {
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te", "trailer", "transfer-encoding", "upgrade", "content-length"};
+constexpr std::array<std::string_view, 10> connection_headers = {"connection",
+                                                                 "keep-alive",
+                                                                 "proxy-connection",
+                                                                 "proxy-authenticate",
+                                                                 "proxy-authorization",
+                                                                 "te",
+                                                                 "trailer",
+                                                                 "transfer-encoding",
+                                                                 "upgrade",
+                                                                 "content-length"};
 
 std::string_view trimmed(std::string_view text) {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
--- a/libs/ownership/include/ownership/ownership_policy.h
+++ b/libs/ownership/include/ownership/ownership_policy.h
@@ -24,6 +24,8 @@
 struct holding_spec {
     holding_id id;
     replacement rule = replacement::on_certain_end;
+    /// VMs that are near it and come first; where none of them can hold it, any may.
+    std::set<vm_id> near;
 };
 
 /// Limits of the policy.
--- a/libs/ownership/src/ownership_policy.cpp
+++ b/libs/ownership/src/ownership_policy.cpp
@@ -133,7 +133,11 @@
                                     const vm_knowledge& vms, time_point now) const {
     assignment result;
     result.id = spec.id;
-    result.holder = rendezvous_order(spec.id.str(), candidates).front();
+    std::vector<vm_incarnation> preferred;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred),
+                 [&](const vm_incarnation& it) { return spec.near.count(it.vm) != 0; });
+    result.holder =
+        rendezvous_order(spec.id.str(), preferred.empty() ? candidates : preferred).front();
     const holding* entry = lookup(spec.id);
     if (entry == nullptr) {
         return result;
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -33,6 +33,10 @@
 /// The account is over its limit; the same request may be admitted after this time.
 struct over_limit {
     duration retry_after{};
+    /// What decided it: the account's rate, this VM's share of it, and the bucket's fill.
+    double rate = 0;
+    double share = 0;
+    double fill = 0;
 };
 
 using admission = std::variant<admitted, over_limit>;
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -32,7 +32,9 @@
     /// Adapters that an engine keeps copies of.
     std::size_t warm_copies = 40;
     /// Idle time from which an adapter may make way.
-    duration idle = std::chrono::milliseconds(2'000);
+    duration idle = std::chrono::milliseconds(800);
+    /// Age from which a daemon's statement of what runs no longer counts.
+    duration running_lifetime = std::chrono::milliseconds(6'000);
     /// Time for which a fresh adapter stays even without use.
     duration first_stay = std::chrono::milliseconds(1'500);
     /// Time over which uses are averaged.
@@ -119,6 +121,8 @@
     void on_version(const model_choice& adapter, std::uint64_t version);
     /// A request for the adapter was sent to this engine, by any daemon.
     void on_use(const model_choice& adapter, time_point now);
+    /// Takes the adapters that a daemon's requests run on at this engine now.
+    void on_running(const vm_id& daemon, const std::vector<model_choice>& adapters, time_point now);
     /// Somebody has a request for an adapter that the engine does not hold.
     /// `fleet_loads` counts the adapters on their way to all engines.
     wish_answer on_wish(const model_choice& adapter, std::size_t fleet_loads, time_point now);
@@ -163,6 +167,7 @@
     void drop_old_wishes(time_point now);
     duration load_time(const model_choice& adapter, std::size_t fleet_loads) const;
     void remember_copy(const model_choice& adapter);
+    bool is_running(const model_choice& adapter, time_point now) const;
     adapter_change note_load(const engine_order& order, std::size_t fleet_loads, time_point now);
     adapter_change note_unload(const engine_order& order, bool at_once, time_point now);
     bool left_of_late(const model_choice& adapter, time_point now) const;
@@ -175,6 +180,11 @@
     std::set<std::string> models_;
     std::map<model_choice, place> places_;
     std::map<model_choice, std::uint64_t> versions_;
+    struct running_at {
+        std::set<model_choice> adapters;
+        time_point heard{};
+    };
+    std::map<vm_id, running_at> running_;
     std::deque<wish> wishes_;
     std::deque<model_choice> copies_;
     /// When an adapter left; later entries of the directory may still list it.
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -26,10 +26,13 @@
     demand_by_account demand;
 };
 
-/// Requests for adapters that were sent to one engine, told to its holder.
+/// Requests for adapters at one engine, told to its holder.
 struct adapter_uses {
     endpoint_id engine;
-    std::vector<model_choice> adapters;
+    /// Adapter of each request that was sent since the last message.
+    std::vector<model_choice> sent;
+    /// Adapters that requests of this daemon run on now.
+    std::vector<model_choice> running;
 };
 
 /// A request waits for an adapter that an engine does not hold, told to its holder.
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -6,7 +6,9 @@
 namespace radishpulley::routing {
 namespace {
 
-double seconds_of(duration it) { return std::chrono::duration<double>(it).count(); }
+double seconds_of(duration it) {
+    return std::chrono::duration<double>(it).count();
+}
 
 duration from_seconds(double seconds) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
@@ -47,11 +49,13 @@
     peers_[peer] = {std::move(demand), now};
 }
 
-void account_limiter::forget_peer(const vm_id& peer) { peers_.erase(peer); }
+void account_limiter::forget_peer(const vm_id& peer) {
+    peers_.erase(peer);
+}
 
 double account_limiter::decayed_demand(const bucket& it, time_point now) const {
-    return it.demand * std::exp(-seconds_of(now - it.demand_at) /
-                                seconds_of(settings_.demand_window));
+    return it.demand *
+           std::exp(-seconds_of(now - it.demand_at) / seconds_of(settings_.demand_window));
 }
 
 double account_limiter::share(const client_account_id& account, time_point now) const {
@@ -98,8 +102,9 @@
         it.fill -= units;
         return admitted{};
     }
-    const double rate = std::max(1e-9, it.rate * share(account, now));
-    return over_limit{from_seconds((1 - it.fill) / rate)};
+    const double part = share(account, now);
+    const double rate = std::max(1e-9, it.rate * part);
+    return over_limit{from_seconds((1 - it.fill) / rate), it.rate, part, it.fill};
 }
 
 void account_limiter::refund(const client_account_id& account, double units) {
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -44,10 +44,11 @@
     on_hint(engine, adapter, adapter_view{}, now);
 }
 
-void adapter_table::on_removed(const endpoint_id& engine) { engines_.erase(engine); }
+void adapter_table::on_removed(const endpoint_id& engine) {
+    engines_.erase(engine);
+}
 
-void adapter_table::on_version(const model_choice& adapter, std::uint64_t version,
-                               time_point now) {
+void adapter_table::on_version(const model_choice& adapter, std::uint64_t version, time_point now) {
     announced& known = versions_[adapter];
     if (version > known.version) {
         known = {version, now};
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -118,7 +118,8 @@
             return std::nullopt;
         }
         const std::uint32_t kept = prompts_.kept_tokens(it.id, request.facts, now);
-        out.unread_tokens = request.facts.prompt_tokens - std::min(kept, request.facts.prompt_tokens);
+        out.unread_tokens =
+            request.facts.prompt_tokens - std::min(kept, request.facts.prompt_tokens);
         out.expected += from_ms(out.unread_tokens / settings_.read_tokens_per_ms);
     }
     out.expected += place_wait(it, request, now) + distance(it);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -37,8 +37,8 @@
     if (found == records_.end()) {
         return directory_change::none;
     }
-    const bool after_outage = store_returned_ != time_point::min() &&
-                              now - store_returned_ < settings_.return_grace;
+    const bool after_outage =
+        store_returned_ != time_point::min() && now - store_returned_ < settings_.return_grace;
     if (after_outage && !found->second.entry.draining) {
         found->second.removal_due = store_returned_ + settings_.return_grace;
         return directory_change::none;
@@ -69,7 +69,9 @@
     return removed;
 }
 
-void endpoint_directory::on_store_returned(time_point now) { store_returned_ = now; }
+void endpoint_directory::on_store_returned(time_point now) {
+    store_returned_ = now;
+}
 
 std::vector<endpoint_id> endpoint_directory::advance(time_point now) {
     std::vector<endpoint_id> removed;
@@ -129,9 +131,8 @@
 
 bool endpoint_directory::avoided(const endpoint_id& id, time_point now) const {
     const auto found = records_.find(id);
-    return found != records_.end() &&
-           (now < found->second.avoided_until ||
-            failures_of(found->second, now) > settings_.most_failures);
+    return found != records_.end() && (now < found->second.avoided_until ||
+                                       failures_of(found->second, now) > settings_.most_failures);
 }
 
 double endpoint_directory::failure_share(const endpoint_id& id, time_point now) const {
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -82,8 +82,7 @@
     }
     for (auto it = places_.begin(); it != places_.end();) {
         const bool may_be_unseen = now < it->second.ready_at + settings_.directory_lag;
-        const bool dropped =
-            held.count(it->first) == 0 && (!may_be_unseen || it->second.leaving);
+        const bool dropped = held.count(it->first) == 0 && (!may_be_unseen || it->second.leaving);
         it = dropped ? places_.erase(it) : std::next(it);
     }
 }
@@ -109,6 +108,18 @@
     it.used = true;
 }
 
+void engine_keeper::on_running(const vm_id& daemon, const std::vector<model_choice>& adapters,
+                               time_point now) {
+    running_[daemon] = {{adapters.begin(), adapters.end()}, now};
+}
+
+bool engine_keeper::is_running(const model_choice& adapter, time_point now) const {
+    return std::any_of(running_.begin(), running_.end(), [&](const auto& it) {
+        return now - it.second.heard < settings_.running_lifetime &&
+               it.second.adapters.count(adapter) != 0;
+    });
+}
+
 std::size_t engine_keeper::loads_under_way(time_point now) const {
     return std::count_if(places_.begin(), places_.end(), [now](const auto& it) {
         return it.second.ready_at > now || it.second.replacing;
@@ -178,9 +189,9 @@
     }
     const auto rounds = static_cast<int>((loads_under_way(now) + ahead) / settings_.parallel_loads);
     const duration one_load = load_time(adapter, fleet_loads);
-    return wish_granted{one_load * (1 + rounds) +
-                            (needs_report_ ? settings_.report_lag : duration::zero()),
-                        versions_.count(adapter) != 0 ? versions_[adapter] : 0};
+    return wish_granted{
+        one_load * (1 + rounds) + (needs_report_ ? settings_.report_lag : duration::zero()),
+        versions_.count(adapter) != 0 ? versions_[adapter] : 0};
 }
 
 void engine_keeper::drop_old_wishes(time_point now) {
@@ -195,7 +206,7 @@
     for (const auto& [name, it] : places_) {
         const bool fresh = !it.used && now < it.ready_at + settings_.first_stay;
         const bool busy = it.leaving || it.replacing || it.ready_at > now || fresh;
-        if (busy || now - it.last_use < settings_.idle) {
+        if (busy || now - it.last_use < settings_.idle || is_running(name, now)) {
             continue;
         }
         const double rate = rate_of(it, now);
@@ -284,8 +295,7 @@
     return {order.target, true, takes, it.version};
 }
 
-adapter_change engine_keeper::note_unload(const engine_order& order, bool at_once,
-                                          time_point now) {
+adapter_change engine_keeper::note_unload(const engine_order& order, bool at_once, time_point now) {
     if (at_once) {
         places_.erase(order.target);
         left_at_[order.target] = now;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -10,12 +10,30 @@
 
 using nlohmann::json;
 
-json to_json(const model_choice& it) { return json::array({it.model, it.adapter}); }
+json to_json(const model_choice& it) {
+    return json::array({it.model, it.adapter});
+}
 
 model_choice read_choice(const json& in) {
     return {in.at(0).get<std::string>(), in.at(1).get<std::string>()};
 }
 
+json to_json(const std::vector<model_choice>& list) {
+    json out = json::array();
+    for (const model_choice& it : list) {
+        out.push_back(to_json(it));
+    }
+    return out;
+}
+
+std::vector<model_choice> read_choices(const json& in) {
+    std::vector<model_choice> out;
+    for (const json& it : in) {
+        out.push_back(read_choice(it));
+    }
+    return out;
+}
+
 json work_to_json(const work_by_endpoint& work) {
     json out = json::array();
     for (const auto& [id, it] : work) {
@@ -58,18 +76,14 @@
                                     demand_to_json(p.demand)});
             },
             [](const adapter_uses& u) {
-                json adapters = json::array();
-                for (const model_choice& each : u.adapters) {
-                    adapters.push_back(to_json(each));
-                }
-                return json::array({"u", u.engine.str(), std::move(adapters)});
+                return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
             },
             [](const load_wish& w) {
                 return json::array({"w", w.engine.str(), to_json(w.adapter)});
             },
             [](const adapter_hint& h) {
-                return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
-                                    h.version});
+                return json::array(
+                    {"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms, h.version});
             },
             [](const load_refusal& r) {
                 return json::array({"r", r.engine.str(), to_json(r.adapter)});
@@ -85,11 +99,7 @@
     }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
-        adapter_uses out{engine, {}};
-        for (const json& it : in.at(2)) {
-            out.adapters.push_back(read_choice(it));
-        }
-        return out;
+        return adapter_uses{engine, read_choices(in.at(2)), read_choices(in.at(3))};
     }
     if (kind == "w") {
         return load_wish{engine, read_choice(in.at(2))};
@@ -109,8 +119,7 @@
 }  // namespace
 
 std::string encode(const hint_message& it) {
-    const json out =
-        json::array({it.from.vm.str(), it.from.incarnation, body_of(it.body)});
+    const json out = json::array({it.from.vm.str(), it.from.incarnation, body_of(it.body)});
     std::string bytes;
     json::to_cbor(out, bytes);
     return bytes;
--- a/libs/routing/src/prompt_memory.cpp
+++ b/libs/routing/src/prompt_memory.cpp
@@ -45,7 +45,9 @@
     }
 }
 
-void prompt_memory::forget(const endpoint_id& engine) { ++restarts_[engine]; }
+void prompt_memory::forget(const endpoint_id& engine) {
+    ++restarts_[engine];
+}
 
 std::uint32_t prompt_memory::kept_tokens(const endpoint_id& engine, const request_facts& request,
                                          time_point now) const {
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
     /// This start of this VM; nothing while it is not registered.
     const std::optional<vm_incarnation>& self() const { return self_; }
     ownership::vm_knowledge* knowledge() { return knowledge_ ? &*knowledge_ : nullptr; }
+    /// VMs of an availability zone.
+    std::set<vm_id> vms_in(const zone_id& zone) const;
     /// VMs that serve callers now, this one included.
     std::size_t serving(time_point now) const;
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -42,6 +42,7 @@
 
     bool wish(const endpoint_id& engine, const routing::model_choice& adapter) override;
     void note_use(const endpoint_id& engine, const routing::model_choice& adapter) override;
+    void note_end(const endpoint_id& engine, const routing::model_choice& adapter) override;
     void note_gone(const endpoint_id& engine) override;
 
 private:
@@ -85,7 +86,16 @@
     std::set<ownership::shard_index> being_written_;
     std::map<endpoint_id, kept_engine> kept_;
     std::map<routing::model_choice, std::uint64_t> versions_;
-    std::map<endpoint_id, std::vector<routing::model_choice>> uses_;
+    /// Requests of this daemon at one engine.
+    struct engine_use {
+        std::vector<routing::model_choice> sent;
+        std::map<routing::model_choice, std::size_t> running;
+        /// The holder was told that something runs.
+        bool told = false;
+
+        std::vector<routing::model_choice> running_list() const;
+    };
+    std::map<endpoint_id, engine_use> uses_;
     time_point flushed_at_{};
 };
 
--- a/radishpulley/edge/src/acceptor.cpp
+++ b/radishpulley/edge/src/acceptor.cpp
@@ -11,8 +11,7 @@
 
 }  // namespace
 
-acceptor::acceptor(boost::asio::io_context& loop, const std::string& address,
-                   handler on_connection)
+acceptor::acceptor(boost::asio::io_context& loop, const std::string& address, handler on_connection)
     : loop_(loop), socket_(loop), pause_(loop), on_connection_(std::move(on_connection)) {
     const auto at = gateway::parse_address(address);
     socket_.open(at.protocol());
@@ -23,25 +22,25 @@
 }
 
 void acceptor::accept() {
-    socket_.async_accept(loop_, [this](const boost::system::error_code& ec,
-                                       boost::asio::ip::tcp::socket socket) {
-        if (!socket_.is_open()) {
-            return;
-        }
-        if (!ec) {
-            on_connection_(std::move(socket));
-            accept();
-            return;
-        }
-        telemetry::log_event(telemetry::severity::warning, "accept_failed",
-                             {{"reason", ec.message()}});
-        pause_.expires_after(accept_pause);
-        pause_.async_wait([this](const boost::system::error_code& stopped) {
-            if (!stopped) {
+    socket_.async_accept(
+        loop_, [this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
+            if (!socket_.is_open()) {
+                return;
+            }
+            if (!ec) {
+                on_connection_(std::move(socket));
                 accept();
+                return;
             }
+            telemetry::log_event(telemetry::severity::warning, "accept_failed",
+                                 {{"reason", ec.message()}});
+            pause_.expires_after(accept_pause);
+            pause_.async_wait([this](const boost::system::error_code& stopped) {
+                if (!stopped) {
+                    accept();
+                }
+            });
         });
-    });
 }
 
 void acceptor::close() {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -111,7 +111,9 @@
                      [](bool) {}}),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
-                          [this] { return status_answer{status_ok, metrics_.to_text()}; }),
+                          [this] {
+                              return status_answer{status_ok, metrics_.to_text()};
+                          }),
           callers_(loop_, with.listen.callers,
                    [this](auto socket) { data_path_.accept(std::move(socket)); }),
           readiness_port_(loop_, with.listen.readiness,
@@ -158,9 +160,9 @@
             return;
         }
         stop_began_ = time_.now();
-        telemetry::log_event(severity::info, "stopping",
-                             {{"requests", data_path_.request_count()},
-                              {"callers", data_path_.caller_count()}});
+        telemetry::log_event(
+            severity::info, "stopping",
+            {{"requests", data_path_.request_count()}, {"callers", data_path_.caller_count()}});
         data_path_.begin_stop();
         loads_.leave();
         tell_presence();
@@ -189,9 +191,9 @@
             data_path_.on_configuration(
                 std::make_shared<routing::configuration>(std::move(content)));
         } catch (const invalid_input& e) {
-            telemetry::log_event(severity::error, "configuration_unreadable",
-                                 {{"revision", it.revision},
-                                  {"reason", std::string_view(e.what())}});
+            telemetry::log_event(
+                severity::error, "configuration_unreadable",
+                {{"revision", it.revision}, {"reason", std::string_view(e.what())}});
         }
     }
 
@@ -356,6 +358,8 @@
 
 edge_daemon::~edge_daemon() = default;
 
-void edge_daemon::run() { state_->run(); }
+void edge_daemon::run() {
+    state_->run();
+}
 
 }  // namespace radishpulley::edge
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -98,7 +98,9 @@
     }
 }
 
-void fleet_member::on_removed(const std::string& name) { peers_.erase(vm_id(name)); }
+void fleet_member::on_removed(const std::string& name) {
+    peers_.erase(vm_id(name));
+}
 
 void fleet_member::tell_knowledge() {
     if (!knowledge_) {
@@ -241,12 +243,22 @@
     }
 }
 
+std::set<vm_id> fleet_member::vms_in(const zone_id& zone) const {
+    std::set<vm_id> out;
+    for (const auto& [vm, it] : peers_) {
+        if (it.zone == zone) {
+            out.insert(vm);
+        }
+    }
+    return out;
+}
+
 std::size_t fleet_member::serving(time_point now) const {
     std::size_t n = 1;
     for (const auto& [vm, peer] : peers_) {
         const bool starting = now - started_ < settings_.serving_memory;
-        const bool heard = peer.heard != time_point::min() &&
-                           now - peer.heard < settings_.serving_memory;
+        const bool heard =
+            peer.heard != time_point::min() && now - peer.heard < settings_.serving_memory;
         if (vm != settings_.vm && !peer.leaving && (heard || starting)) {
             ++n;
         }
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -27,7 +27,9 @@
     return ownership::holding_id("engine/" + engine.str());
 }
 
-std::string shard_name(ownership::shard_index index) { return std::to_string(index); }
+std::string shard_name(ownership::shard_index index) {
+    return std::to_string(index);
+}
 
 std::int64_t ms_of(duration it) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
@@ -178,9 +180,10 @@
         const routing::service* service =
             configuration ? configuration->find_service(it->service) : nullptr;
         if (service != nullptr && service->engine) {
-            specs.push_back({holding_of(it->id), endpoints_check_fencing_
-                                                     ? ownership::replacement::on_suspicion
-                                                     : ownership::replacement::on_certain_end});
+            specs.push_back({holding_of(it->id),
+                             endpoints_check_fencing_ ? ownership::replacement::on_suspicion
+                                                      : ownership::replacement::on_certain_end,
+                             fleet_.vms_in(it->zone)});
         }
     }
     policy_->configure(std::move(specs));
@@ -223,9 +226,9 @@
                               ownership::shard taken = next;
                               taken.version = it.object.revision;
                               take_shard(taken);
-                              telemetry::log_event(severity::info, "holders_changed",
-                                                   {{"shard", index},
-                                                    {"revision", it.object.revision}});
+                              telemetry::log_event(
+                                  severity::info, "holders_changed",
+                                  {{"shard", index}, {"revision", it.object.revision}});
                           },
                           [&](const gateway::write_conflict& it) {
                               if (it.current) {
@@ -280,7 +283,9 @@
     }
 }
 
-void load_coordinator::on_endpoint_removed(const endpoint_id& id) { kept_.erase(id); }
+void load_coordinator::on_endpoint_removed(const endpoint_id& id) {
+    kept_.erase(id);
+}
 
 void load_coordinator::on_version(const routing::model_choice& adapter, std::uint64_t version) {
     versions_[adapter] = std::max(versions_[adapter], version);
@@ -307,8 +312,8 @@
         const auto* granted = std::get_if<routing::wish_granted>(&answer);
         if (granted != nullptr) {
             data_path_.on_adapter(engine, adapter,
-                                  {routing::adapter_state::loading,
-                                   time_.now() + granted->ready_in, granted->version});
+                                  {routing::adapter_state::loading, time_.now() + granted->ready_in,
+                                   granted->version});
         }
         return granted != nullptr;
     }
@@ -318,62 +323,91 @@
 }
 
 void load_coordinator::note_use(const endpoint_id& engine, const routing::model_choice& adapter) {
+    engine_use& use = uses_[engine];
+    ++use.running[adapter];
     const auto kept = kept_.find(engine);
     if (kept != kept_.end()) {
         kept->second.keeper.on_use(adapter, time_.now());
+        kept->second.keeper.on_running(fleet_.self()->vm, use.running_list(), time_.now());
     } else {
-        uses_[engine].push_back(adapter);
+        use.sent.push_back(adapter);
+    }
+}
+
+void load_coordinator::note_end(const endpoint_id& engine, const routing::model_choice& adapter) {
+    engine_use& use = uses_[engine];
+    const auto found = use.running.find(adapter);
+    if (found != use.running.end() && --found->second == 0) {
+        use.running.erase(found);
+    }
+}
+
+std::vector<routing::model_choice> load_coordinator::engine_use::running_list() const {
+    std::vector<routing::model_choice> out;
+    for (const auto& [adapter, count] : running) {
+        out.push_back(adapter);
     }
+    return out;
 }
 
 void load_coordinator::note_gone(const endpoint_id&) {}
 
 void load_coordinator::flush_uses() {
-    for (auto& [engine, adapters] : uses_) {
+    for (auto it = uses_.begin(); it != uses_.end();) {
+        auto& [engine, use] = *it;
+        const std::vector<routing::model_choice> running = use.running_list();
+        const auto kept = kept_.find(engine);
         const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
-        if (holding && !holding->vacant()) {
-            fleet_.send(holding->holder.vm, routing::adapter_uses{engine, std::move(adapters)});
+        const bool changed = !use.sent.empty() || !running.empty() || use.told;
+        if (kept != kept_.end()) {
+            kept->second.keeper.on_running(fleet_.self()->vm, running, time_.now());
+        } else if (changed && holding && !holding->vacant()) {
+            fleet_.send(holding->holder.vm,
+                        routing::adapter_uses{engine, std::move(use.sent), running});
         }
+        use.sent.clear();
+        use.told = !running.empty();
+        it = use.running.empty() && !use.told ? uses_.erase(it) : std::next(it);
     }
-    uses_.clear();
 }
 
 void load_coordinator::on_hint(const routing::hint_message& it) {
     const time_point now = time_.now();
     std::visit(
-        overloaded{[](const routing::presence&) {},
-                   [&](const routing::adapter_uses& uses) {
-                       const auto kept = kept_.find(uses.engine);
-                       if (kept != kept_.end()) {
-                           for (const routing::model_choice& each : uses.adapters) {
-                               kept->second.keeper.on_use(each, now);
-                           }
-                       }
-                   },
-                   [&](const routing::load_wish& wish) {
-                       const auto answer = ask_keeper(wish.engine, wish.adapter);
-                       if (const auto* granted = std::get_if<routing::wish_granted>(&answer)) {
-                           fleet_.send(it.from.vm,
-                                       routing::adapter_hint{
-                                           wish.engine, wish.adapter, true,
-                                           static_cast<std::uint32_t>(ms_of(granted->ready_in)),
-                                           granted->version});
-                       } else {
-                           fleet_.send(it.from.vm,
-                                       routing::load_refusal{wish.engine, wish.adapter});
-                       }
-                   },
-                   [&](const routing::adapter_hint& hint) {
-                       routing::adapter_view view;
-                       if (hint.held) {
-                           view = {routing::adapter_state::loading,
-                                   now + std::chrono::milliseconds(hint.ready_in_ms), hint.version};
-                       }
-                       data_path_.on_adapter(hint.engine, hint.adapter, view);
-                   },
-                   [&](const routing::load_refusal& refusal) {
-                       data_path_.on_load_refused(refusal.engine, refusal.adapter);
-                   }},
+        overloaded{
+            [](const routing::presence&) {},
+            [&](const routing::adapter_uses& uses) {
+                const auto kept = kept_.find(uses.engine);
+                if (kept != kept_.end()) {
+                    for (const routing::model_choice& each : uses.sent) {
+                        kept->second.keeper.on_use(each, now);
+                    }
+                    kept->second.keeper.on_running(it.from.vm, uses.running, now);
+                }
+            },
+            [&](const routing::load_wish& wish) {
+                const auto answer = ask_keeper(wish.engine, wish.adapter);
+                if (const auto* granted = std::get_if<routing::wish_granted>(&answer)) {
+                    fleet_.send(
+                        it.from.vm,
+                        routing::adapter_hint{wish.engine, wish.adapter, true,
+                                              static_cast<std::uint32_t>(ms_of(granted->ready_in)),
+                                              granted->version});
+                } else {
+                    fleet_.send(it.from.vm, routing::load_refusal{wish.engine, wish.adapter});
+                }
+            },
+            [&](const routing::adapter_hint& hint) {
+                routing::adapter_view view;
+                if (hint.held) {
+                    view = {routing::adapter_state::loading,
+                            now + std::chrono::milliseconds(hint.ready_in_ms), hint.version};
+                }
+                data_path_.on_adapter(hint.engine, hint.adapter, view);
+            },
+            [&](const routing::load_refusal& refusal) {
+                data_path_.on_load_refused(refusal.engine, refusal.adapter);
+            }},
         it.body);
 }
 
--- a/radishpulley/edge/src/status_server.cpp
+++ b/radishpulley/edge/src/status_server.cpp
@@ -7,8 +7,7 @@
     : loop_(loop), time_(time), answer_(std::move(answer)) {}
 
 void status_server::accept(gateway::link::socket socket) {
-    auto connection =
-        std::make_shared<gateway::link>(std::move(socket), gateway::link_options{});
+    auto connection = std::make_shared<gateway::link>(std::move(socket), gateway::link_options{});
     auto it = std::make_shared<gateway::caller_link>(std::move(connection), loop_, time_, *this);
     open_.insert(it);
     it->start();
@@ -27,6 +26,8 @@
     return nullptr;
 }
 
-void status_server::on_closed(const std::shared_ptr<gateway::caller_link>& it) { open_.erase(it); }
+void status_server::on_closed(const std::shared_ptr<gateway::caller_link>& it) {
+    open_.erase(it);
+}
 
 }  // namespace radishpulley::edge
