--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -37,6 +37,7 @@
     /// Repeats that all VMs together may send, as a part of the requests, and beyond that part.
     double retry_ratio = 0.16;
     double retry_reserve = 40;
+    routing::limiter_settings limiter;
     /// Longest wait for a holder's word on a wished load.
     std::chrono::milliseconds wish_timeout{150};
     /// Attempts at getting one request to run, rejections included.
@@ -45,6 +46,8 @@
     std::size_t most_unsent = 262'144;
     /// Request bodies that may be held at once, over all callers.
     std::size_t most_body_bytes = 48'000'000;
+    /// Reading work, in tokens, from which other daemons are told of it at once.
+    std::uint32_t large_read = 3'000;
     /// Time left to a caller below which a request is not worth sending.
     std::chrono::milliseconds least_time_left{15};
 };
@@ -57,6 +60,8 @@
     virtual bool wish(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
     /// A request for the adapter goes to the engine.
     virtual void note_use(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
+    /// A long prompt was sent: other daemons should hear of this daemon's work soon.
+    virtual void note_large_work() = 0;
     /// Such a request has ended.
     virtual void note_end(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
     /// The engine answered that it is another one, or left.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -178,6 +178,7 @@
         return;
     }
     unread_tokens_ = choice->unread_tokens;
+    read_work_ = choice->read_work;
     if (choice->needs_load) {
         wait_for_load(*choice);
     } else if (choice->ready_at) {
@@ -260,7 +261,10 @@
     ++sends_;
     const std::uint32_t memory =
         facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
-    owner_.work_.start(number_, id, unread_tokens_, memory);
+    owner_.work_.start(number_, id, read_work_, memory);
+    if (read_work_ > owner_.settings_.large_read) {
+        owner_.broker_->note_large_work();
+    }
     owner_.pool_.acquire(
         id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
             const auto self = weak.lock();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -82,6 +82,7 @@
     phase phase_ = phase::starting;
     endpoint_id endpoint_;
     std::uint32_t unread_tokens_ = 0;
+    std::uint32_t read_work_ = 0;
     std::shared_ptr<endpoint_link> connection_;
     /// Engine that was told of a use of the adapter.
     endpoint_id used_at_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -13,6 +13,7 @@
       codec_(codec),
       settings_(std::move(settings)),
       chooser_(directory_, adapters_, prompts_, work_, settings_.where),
+      limiter_(settings_.limiter),
       pool_(loop, time),
       answers_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                     {"account", "route", "status"})),
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -2,8 +2,9 @@
 ///
 /// Each VM has a share of every account's rate in proportion to the demand that it sees there; VMs
 /// tell each other their demand. A silent VM keeps its share until its statement is old. A request
-/// is admitted while its bucket is positive, so the last one may overdraw it; the debt is paid back
-/// before the next. Pure; not thread-safe.
+/// is admitted while its bucket is above its reserve, so the last one may overdraw it; the debt is
+/// paid back before the next. Small requests have a part of the rate to themselves, so that a few
+/// long prompts do not keep out many short calls. Pure; not thread-safe.
 #pragma once
 
 #include <map>
@@ -25,6 +26,12 @@
     /// Demand that every VM has at least, as a part of the account's rate; it makes sure that a
     /// VM's first requests find a share.
     double least_demand = 0.02;
+    /// Part of the rate and burst that small requests use first; what they leave goes to all.
+    double small_part = 0.2;
+    /// A request is small up to this part of the burst.
+    double small_size = 0.03;
+    /// Units that all VMs together may overdraw for a while, against unevenly spread requests.
+    double reserve = 0;
 };
 
 /// The request may go on.
@@ -73,6 +80,8 @@
         double rate = 0;
         double burst = 0;
         double fill = 0;
+        /// Fill of the part that is for small requests.
+        double small_fill = 0;
         time_point filled_at{};
         /// Exponential average of the units asked for a second.
         double demand = 0;
@@ -85,6 +94,7 @@
 
     double decayed_demand(const bucket& it, time_point now) const;
     void refill(const client_account_id& account, bucket& it, time_point now);
+    bool take(bucket& it, double units) const;
 
     limiter_settings settings_;
     std::size_t fleet_size_ = 1;
--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,6 +46,8 @@
     bool has_model(const endpoint_id& engine, const std::string& model) const;
     /// Returns how many adapters are on their way to all engines.
     std::size_t loads_under_way(time_point now) const;
+    /// Whether the engine held the adapter of late, so that it loads fast.
+    bool has_copy(const endpoint_id& engine, const model_choice& adapter) const;
     /// Returns the newest announced version, or 0.
     std::uint64_t newest_version(const model_choice& adapter) const;
     /// Returns when the newest version was announced to this daemon.
@@ -59,12 +62,16 @@
     struct engine_row {
         std::map<std::string, std::uint64_t> models;
         std::map<model_choice, cell> adapters;
+        /// Adapters that it holds or held, the latest last.
+        std::deque<model_choice> copies;
     };
     struct announced {
         std::uint64_t version = 0;
         time_point at{};
     };
 
+    static void remember_copy(engine_row& row, const model_choice& adapter);
+
     std::map<endpoint_id, engine_row> engines_;
     std::map<model_choice, announced> versions_;
 };
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -18,12 +18,18 @@
 
 /// Costs as time, and speeds.
 struct choice_settings {
-    /// Prompt tokens that an engine reads in a millisecond.
-    double read_tokens_per_ms = 34;
+    /// Prompt tokens that an engine reads in a millisecond, for short prompts.
+    double read_tokens_per_ms = 34.5;
+    /// Length at which a prompt takes twice as long for each token as a short one.
+    double slow_prompt_tokens = 60'000;
     /// Time from an order until an adapter is usable.
     duration adapter_load = std::chrono::milliseconds(270);
-    /// Harm that a further copy of an adapter does to the adapter that it displaces.
+    /// The same where the engine held the adapter of late.
+    duration warm_load = std::chrono::milliseconds(60);
+    /// Harm that a further copy of an adapter does to the adapter that it displaces, and to the
+    /// weight store's other loads.
     duration displacement = std::chrono::milliseconds(150);
+    duration warm_displacement = std::chrono::milliseconds(25);
     /// Added for each place by which an engine stands behind the first for an adapter, so that
     /// daemons choose the same engine for an adapter that is nowhere.
     duration rank_step = std::chrono::milliseconds(20);
@@ -59,6 +65,8 @@
     duration expected{};
     /// Prompt tokens that the engine has to read.
     std::uint32_t unread_tokens = 0;
+    /// Work of reading them, as tokens of a short prompt.
+    std::uint32_t read_work = 0;
 };
 
 /// What is asked for.
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -32,7 +32,9 @@
         } else {
             it.filled_at = now;
             it.demand_at = now;
-            it.fill = account.burst * share(account.id, now);
+            const double room = account.burst * share(account.id, now);
+            it.small_fill = room * settings_.small_part;
+            it.fill = room - it.small_fill;
         }
         it.rate = account.rate;
         it.burst = account.burst;
@@ -86,7 +88,25 @@
     const double part = share(account, now);
     const double elapsed = seconds_of(now - it.filled_at);
     it.filled_at = now;
-    it.fill = std::min(it.fill + it.rate * part * elapsed, it.burst * part);
+    const double small_room = it.burst * part * settings_.small_part;
+    const double small = it.small_fill + it.rate * part * elapsed * settings_.small_part;
+    it.small_fill = std::min(small, small_room);
+    const double left_over = std::max(0.0, small - small_room);
+    const double large = it.rate * part * elapsed * (1 - settings_.small_part) + left_over;
+    it.fill = std::min(it.fill + large, it.burst * part * (1 - settings_.small_part));
+}
+
+bool account_limiter::take(bucket& it, double units) const {
+    const bool is_small = units <= it.burst * settings_.small_size;
+    if (is_small && it.small_fill >= units) {
+        it.small_fill -= units;
+        return true;
+    }
+    if (it.fill > -settings_.reserve / static_cast<double>(fleet_size_)) {
+        it.fill -= units;
+        return true;
+    }
+    return false;
 }
 
 admission account_limiter::admit(const client_account_id& account, double units, time_point now) {
@@ -98,13 +118,14 @@
     it.demand = decayed_demand(it, now) + units / seconds_of(settings_.demand_window);
     it.demand_at = now;
     refill(account, it, now);
-    if (it.fill > 0) {
-        it.fill -= units;
+    if (take(it, units)) {
         return admitted{};
     }
     const double part = share(account, now);
     const double rate = std::max(1e-9, it.rate * part);
-    return over_limit{from_seconds((1 - it.fill) / rate), it.rate, part, it.fill};
+    // While more is asked for than is allowed, other requests take a part of what comes in.
+    const double crowd = std::max(1.0, it.demand / rate);
+    return over_limit{from_seconds((1 - it.fill) / rate * crowd), it.rate, part, it.fill};
 }
 
 void account_limiter::refund(const client_account_id& account, double units) {
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -1,5 +1,6 @@
 #include "routing/adapter_table.h"
 
+#include <algorithm>
 #include <set>
 
 namespace radishpulley::routing {
@@ -7,6 +8,8 @@
 
 // Longest time by which the directory is behind an engine.
 constexpr duration directory_lag = std::chrono::milliseconds(2'500);
+// Adapters that an engine keeps copies of; somewhat below what engines state.
+constexpr std::size_t most_copies = 40;
 
 }  // namespace
 
@@ -20,6 +23,9 @@
             const model_choice name{model.name, adapter.name};
             held.insert(name);
             cell& known = row.adapters[name];
+            if (std::find(row.copies.begin(), row.copies.end(), name) == row.copies.end()) {
+                remember_copy(row, name);
+            }
             if (now >= known.hint_valid_until) {
                 known.view = {adapter_state::loaded, now, adapter.version};
             }
@@ -31,10 +37,32 @@
     }
 }
 
+void adapter_table::remember_copy(engine_row& row, const model_choice& adapter) {
+    const auto found = std::find(row.copies.begin(), row.copies.end(), adapter);
+    if (found != row.copies.end()) {
+        row.copies.erase(found);
+    }
+    row.copies.push_back(adapter);
+    if (row.copies.size() > most_copies) {
+        row.copies.pop_front();
+    }
+}
+
+bool adapter_table::has_copy(const endpoint_id& engine, const model_choice& adapter) const {
+    const auto row = engines_.find(engine);
+    return row != engines_.end() && std::find(row->second.copies.begin(), row->second.copies.end(),
+                                              adapter) != row->second.copies.end();
+}
+
 void adapter_table::on_hint(const endpoint_id& engine, const model_choice& adapter,
                             const adapter_view& view, time_point now) {
-    cell& known = engines_[engine].adapters[adapter];
+    engine_row& row = engines_[engine];
+    cell& known = row.adapters[adapter];
+    const bool was_held = known.view.state != adapter_state::absent;
     known.view = view;
+    if (view.state != adapter_state::absent || was_held) {
+        remember_copy(row, adapter);
+    }
     const time_point from = view.state == adapter_state::loading ? view.ready_at : now;
     known.hint_valid_until = from + directory_lag;
 }
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -79,8 +79,12 @@
         return false;
     }
     out.needs_load = true;
-    out.expected += settings_.adapter_load + settings_.displacement;
-    out.expected += settings_.rank_step * static_cast<int>(rank);
+    const bool is_warm = adapters_.has_copy(it.id, target);
+    out.expected += is_warm ? settings_.warm_load + settings_.warm_displacement
+                            : settings_.adapter_load + settings_.displacement;
+    if (!is_warm) {
+        out.expected += settings_.rank_step * static_cast<int>(rank);
+    }
     return true;
 }
 
@@ -120,7 +124,9 @@
         const std::uint32_t kept = prompts_.kept_tokens(it.id, request.facts, now);
         out.unread_tokens =
             request.facts.prompt_tokens - std::min(kept, request.facts.prompt_tokens);
-        out.expected += from_ms(out.unread_tokens / settings_.read_tokens_per_ms);
+        out.read_work = static_cast<std::uint32_t>(
+            out.unread_tokens * (1 + request.facts.prompt_tokens / settings_.slow_prompt_tokens));
+        out.expected += from_ms(out.read_work / settings_.read_tokens_per_ms);
     }
     out.expected += place_wait(it, request, now) + distance(it);
     if (directory_.avoided(it.id, now)) {
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -61,6 +61,7 @@
             if (added) {
                 at->second.ready_at = now;
                 at->second.last_use = now - settings_.idle;
+                remember_copy(name);
             }
             if (!at->second.replacing || adapter.version >= at->second.version) {
                 at->second.version = adapter.version;
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -34,6 +34,8 @@
     /// Repeats over all VMs: as a part of the requests, and beyond that part.
     double retry_ratio = 0.2;
     double retry_reserve = 50;
+    /// Units by which all VMs together may overdraw an account's limit for a while.
+    double limit_reserve = 0;
     /// Whether endpoints refuse orders with an old fencing number.
     bool endpoints_check_fencing = false;
 };
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -106,6 +106,7 @@
 
 constexpr double longest_grace_s = 3'600;
 constexpr double most_retries = 1'000'000;
+constexpr double most_units = 1e12;
 
 }  // namespace
 
@@ -127,6 +128,7 @@
         std::chrono::duration<double>(in.number("bounds.shutdown_grace_s", 0, longest_grace_s)));
     out.bounds.retry_ratio = in.number("bounds.retry_ratio", 0, 1);
     out.bounds.retry_reserve = in.number("bounds.retry_reserve", 0, most_retries);
+    out.bounds.limit_reserve = in.number("bounds.limit_reserve", 0, most_units);
     out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
     if (!found.empty()) {
         throw invalid_input(found);
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -2,6 +2,7 @@
 /// daemon holds, and passes wishes on to the holders of the others.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -42,6 +43,9 @@
 
     bool wish(const endpoint_id& engine, const routing::model_choice& adapter) override;
     void note_use(const endpoint_id& engine, const routing::model_choice& adapter) override;
+    void note_large_work() override { on_large_work_(); }
+    /// Sets what is called when a long prompt was sent.
+    void set_on_large_work(std::function<void()> call) { on_large_work_ = std::move(call); }
     void note_end(const endpoint_id& engine, const routing::model_choice& adapter) override;
     void note_gone(const endpoint_id& engine) override;
 
@@ -96,6 +100,7 @@
         std::vector<routing::model_choice> running_list() const;
     };
     std::map<endpoint_id, engine_use> uses_;
+    std::function<void()> on_large_work_ = [] {};
     time_point flushed_at_{};
 };
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -32,17 +32,22 @@
 constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(4'000),
                                                    std::chrono::milliseconds(200)};
 constexpr std::chrono::milliseconds housekeeping_interval{400};
+// Delay by which statements about several long prompts are joined.
+constexpr std::chrono::milliseconds presence_delay{10};
 // Time after SIGTERM in which the platform's balancer may still send new connections.
 constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
 // Part of the shutdown's grace that is left unused.
 constexpr duration grace_margin = std::chrono::milliseconds(400);
 constexpr double retry_margin = 0.8;
+// The rest of the reserve covers requests that are larger than what is left of it.
+constexpr double limit_margin = 0.4;
 
 gateway::gateway_settings data_path_settings(const settings::edge_settings& with) {
     gateway::gateway_settings out;
     out.where = {with.availability_zone, with.region, with.regions};
     out.retry_ratio = with.bounds.retry_ratio * retry_margin;
     out.retry_reserve = with.bounds.retry_reserve * retry_margin;
+    out.limiter.reserve = with.bounds.limit_reserve * limit_margin;
     return out;
 }
 
@@ -63,6 +68,7 @@
         : with_(with),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           timer_(loop_),
+          presence_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(with)),
           store_(loop_, time_, with.store.address),
           engines_(loop_, data_path_.pool()),
@@ -121,6 +127,7 @@
           metrics_port_(loop_, with.listen.metrics,
                         [this](auto socket) { metrics_server_.accept(std::move(socket)); }) {
         data_path_.set_broker(loads_);
+        loads_.set_on_large_work([this] { tell_presence_soon(); });
     }
 
     void run() {
@@ -284,7 +291,21 @@
         }
     }
 
+    void tell_presence_soon() {
+        if (presence_due_) {
+            return;
+        }
+        presence_due_ = true;
+        presence_timer_.expires_after(presence_delay);
+        presence_timer_.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec) {
+                tell_presence();
+            }
+        });
+    }
+
     void tell_presence() {
+        presence_due_ = false;
         routing::presence state;
         state.configuration_version =
             data_path_.configuration() ? data_path_.configuration()->version() : 0;
@@ -335,6 +356,8 @@
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer presence_timer_;
+    bool presence_due_ = false;
     telemetry::registry metrics_;
     platform_adapter::wire_header_codec codec_;
     gateway::gateway data_path_;
