--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -41,7 +41,9 @@
     duration usual_run = std::chrono::milliseconds(900);
     duration usual_call = std::chrono::milliseconds(20);
     /// Time for which an adapter's replaced version may still be used.
-    duration old_version_use = std::chrono::milliseconds(3'000);
+    duration old_version_use = std::chrono::milliseconds(2'600);
+    /// Added for a replaced version, so that requests leave it and it can be exchanged.
+    duration old_version_cost = std::chrono::milliseconds(350);
     /// Slowing of all tokens by one more running request.
     duration batch_step = std::chrono::milliseconds(2);
 };
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -33,6 +33,8 @@
     std::size_t warm_copies = 40;
     /// Idle time from which an adapter may make way.
     duration idle = std::chrono::milliseconds(800);
+    /// Idle time from which an outdated version is replaced.
+    duration replace_idle = std::chrono::milliseconds(60);
     /// Age from which a daemon's statement of what runs no longer counts.
     duration running_lifetime = std::chrono::milliseconds(6'000);
     /// Time for which a fresh adapter stays even without use.
@@ -140,8 +142,6 @@
 private:
     struct place {
         bool leaving = false;
-        /// A newer version is being loaded in its place.
-        bool replacing = false;
         time_point ready_at{};
         time_point last_use{};
         std::uint64_t version = 0;
@@ -161,6 +161,7 @@
     std::size_t room() const;
     double rate_of(const place& it, time_point now) const;
     std::optional<model_choice> choose_victim(time_point now) const;
+    bool is_outdated(const model_choice& adapter, const place& it) const;
     std::optional<model_choice> outdated(time_point now) const;
     std::optional<engine_order> order_for_wishes(time_point now);
     std::optional<engine_order> decide(time_point now);
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -65,8 +65,12 @@
     }
     const adapter_view view = adapters_.view(it.id, target, now);
     const std::uint64_t newest = adapters_.newest_version(target);
-    const bool outdated = view.version != 0 && view.version < newest &&
-                          now - adapters_.announced_at(target) > settings_.old_version_use;
+    const bool replaced = view.version < newest;
+    const bool outdated =
+        replaced && now - adapters_.announced_at(target) > settings_.old_version_use;
+    if (replaced) {
+        out.expected += settings_.old_version_cost;
+    }
     if (view.state == adapter_state::loaded && !outdated) {
         return true;
     }
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -63,10 +63,8 @@
                 at->second.last_use = now - settings_.idle;
                 remember_copy(name);
             }
-            if (!at->second.replacing || adapter.version >= at->second.version) {
-                at->second.version = adapter.version;
-                at->second.replacing = false;
-            }
+            // The directory is late: it does not take back a version that was ordered since.
+            at->second.version = std::max(at->second.version, adapter.version);
         }
     }
     for (const held_model& model : pending) {
@@ -122,9 +120,8 @@
 }
 
 std::size_t engine_keeper::loads_under_way(time_point now) const {
-    return std::count_if(places_.begin(), places_.end(), [now](const auto& it) {
-        return it.second.ready_at > now || it.second.replacing;
-    });
+    return std::count_if(places_.begin(), places_.end(),
+                         [now](const auto& it) { return it.second.ready_at > now; });
 }
 
 std::size_t engine_keeper::room() const {
@@ -169,6 +166,13 @@
 wish_answer engine_keeper::on_wish(const model_choice& adapter, std::size_t fleet_loads,
                                    time_point now) {
     const auto found = places_.find(adapter);
+    if (found != places_.end() && is_outdated(adapter, found->second)) {
+        // It is replaced as soon as nothing runs on it.
+        return is_running(adapter, now) || found->second.leaving
+                   ? wish_answer(wish_refused{})
+                   : wish_answer(
+                         wish_granted{load_time(adapter, fleet_loads), versions_.at(adapter)});
+    }
     if (found != places_.end() && !found->second.leaving) {
         found->second.last_use = std::max(found->second.last_use, now);
         const duration left = found->second.ready_at - now;
@@ -206,11 +210,11 @@
     double lowest = 0;
     for (const auto& [name, it] : places_) {
         const bool fresh = !it.used && now < it.ready_at + settings_.first_stay;
-        const bool busy = it.leaving || it.replacing || it.ready_at > now || fresh;
+        const bool busy = it.leaving || it.ready_at > now || fresh;
         if (busy || now - it.last_use < settings_.idle || is_running(name, now)) {
             continue;
         }
-        const double rate = rate_of(it, now);
+        const double rate = is_outdated(name, it) ? -1 : rate_of(it, now);
         if (best == nullptr || rate < lowest) {
             best = &name;
             lowest = rate;
@@ -219,11 +223,17 @@
     return best == nullptr ? std::nullopt : std::optional<model_choice>(*best);
 }
 
+bool engine_keeper::is_outdated(const model_choice& adapter, const place& it) const {
+    const auto newest = versions_.find(adapter);
+    return newest != versions_.end() && it.version < newest->second;
+}
+
 std::optional<model_choice> engine_keeper::outdated(time_point now) const {
     for (const auto& [name, it] : places_) {
-        const auto newest = versions_.find(name);
-        const bool behind = newest != versions_.end() && it.version < newest->second;
-        if (behind && !it.replacing && !it.leaving && it.ready_at <= now) {
+        // Replacing what is in use would keep the engine from all other orders until its requests
+        // have ended.
+        const bool in_use = is_running(name, now) || now - it.last_use < settings_.replace_idle;
+        if (is_outdated(name, it) && !in_use && !it.leaving && it.ready_at <= now) {
             return name;
         }
     }
@@ -286,12 +296,10 @@
     const duration takes = load_time(order.target, fleet_loads);
     left_at_.erase(order.target);
     place& it = places_[order.target];
-    it.replacing = order.version != 0 && it.version != 0;
     it.ready_at = now + takes;
     it.last_use = std::max(it.last_use, now);
     const auto newest = versions_.find(order.target);
     it.version = newest == versions_.end() ? it.version : newest->second;
-    it.replacing = false;
     remember_copy(order.target);
     return {order.target, true, takes, it.version};
 }
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -94,11 +94,13 @@
     struct engine_use {
         std::vector<routing::model_choice> sent;
         std::map<routing::model_choice, std::size_t> running;
-        /// The holder was told that something runs.
-        bool told = false;
+        /// What the holder was last told to be running.
+        std::set<routing::model_choice> told;
 
         std::vector<routing::model_choice> running_list() const;
     };
+    void tell_uses(const endpoint_id& engine, engine_use& use);
+
     std::map<endpoint_id, engine_use> uses_;
     std::function<void()> on_large_work_ = [] {};
     time_point flushed_at_{};
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -329,9 +329,24 @@
     if (kept != kept_.end()) {
         kept->second.keeper.on_use(adapter, time_.now());
         kept->second.keeper.on_running(fleet_.self()->vm, use.running_list(), time_.now());
-    } else {
-        use.sent.push_back(adapter);
+        return;
+    }
+    use.sent.push_back(adapter);
+    // The holder must know of it before it frees the adapter's place.
+    if (use.told.count(adapter) == 0) {
+        tell_uses(engine, use);
+    }
+}
+
+void load_coordinator::tell_uses(const endpoint_id& engine, engine_use& use) {
+    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
+    const std::vector<routing::model_choice> running = use.running_list();
+    if (holding && !holding->vacant()) {
+        fleet_.send(holding->holder.vm,
+                    routing::adapter_uses{engine, std::move(use.sent), running});
     }
+    use.sent.clear();
+    use.told = {running.begin(), running.end()};
 }
 
 void load_coordinator::note_end(const endpoint_id& engine, const routing::model_choice& adapter) {
@@ -355,19 +370,15 @@
 void load_coordinator::flush_uses() {
     for (auto it = uses_.begin(); it != uses_.end();) {
         auto& [engine, use] = *it;
-        const std::vector<routing::model_choice> running = use.running_list();
         const auto kept = kept_.find(engine);
-        const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
-        const bool changed = !use.sent.empty() || !running.empty() || use.told;
         if (kept != kept_.end()) {
-            kept->second.keeper.on_running(fleet_.self()->vm, running, time_.now());
-        } else if (changed && holding && !holding->vacant()) {
-            fleet_.send(holding->holder.vm,
-                        routing::adapter_uses{engine, std::move(use.sent), running});
+            kept->second.keeper.on_running(fleet_.self()->vm, use.running_list(), time_.now());
+            use.sent.clear();
+            use.told.clear();
+        } else if (!use.sent.empty() || !use.running.empty() || !use.told.empty()) {
+            tell_uses(engine, use);
         }
-        use.sent.clear();
-        use.told = !running.empty();
-        it = use.running.empty() && !use.told ? uses_.erase(it) : std::next(it);
+        it = use.running.empty() && use.told.empty() ? uses_.erase(it) : std::next(it);
     }
 }
 
