Requests count as work of their engine while they wait for their adapter

Cause: during the quarter second of a load neither this daemon nor the others saw the prompt that would follow, and sent more to the same engine.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -167,6 +167,7 @@
 }
 
 void exchange::find_endpoint() {
+    owner_.work_.finish(number_);
     const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_};
     const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
     if (!choice) {
@@ -179,6 +180,7 @@
     }
     unread_tokens_ = choice->unread_tokens;
     read_work_ = choice->read_work;
+    reserve_work(choice->id);
     if (choice->needs_load) {
         wait_for_load(*choice);
     } else if (choice->ready_at) {
@@ -189,6 +191,15 @@
     }
 }
 
+void exchange::reserve_work(const endpoint_id& id) {
+    const std::uint32_t memory =
+        facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
+    owner_.work_.start(number_, id, read_work_, memory);
+    if (read_work_ > owner_.settings_.large_read) {
+        owner_.broker_->note_large_work();
+    }
+}
+
 void exchange::wait_for_load(const routing::endpoint_choice& it) {
     phase_ = phase::waiting_for_load;
     endpoint_ = it.id;
@@ -259,12 +270,6 @@
     phase_ = phase::connecting;
     endpoint_ = id;
     ++sends_;
-    const std::uint32_t memory =
-        facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
-    owner_.work_.start(number_, id, read_work_, memory);
-    if (read_work_ > owner_.settings_.large_read) {
-        owner_.broker_->note_large_work();
-    }
     owner_.pool_.acquire(
         id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
             const auto self = weak.lock();
@@ -641,6 +646,7 @@
 
 void exchange::finish(unsigned status, std::string_view reason) {
     phase_ = phase::ended;
+    note_call_ended();
     deadline_timer_.cancel();
     wait_timer_.cancel();
     const std::string_view account =
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -46,6 +46,8 @@
 
     bool admit();
     void find_endpoint();
+    /// Counts this request among the endpoint's work, also while it waits for an adapter.
+    void reserve_work(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
     void wait_until(time_point when, const endpoint_id& id);
     void on_wait_over(const endpoint_id& id);
