--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -64,8 +64,8 @@
     virtual void note_large_work() = 0;
     /// Such a request has ended.
     virtual void note_end(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
-    /// The engine answered that it is another one, or left.
-    virtual void note_gone(const endpoint_id& engine) = 0;
+    /// The engine refused a request because it does not hold the adapter.
+    virtual void note_missing(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
 };
 
 class exchange;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -1,11 +1,33 @@
 #include "gateway/collection_follower.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
+#include <vector>
 
 #include "base/overloaded.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::gateway {
+namespace {
+
+// Returns the last change of each object. After an outage a watch tells all that happened since,
+// and what an object was in between is past.
+std::vector<const object_change*> newest_of_each(const std::vector<object_change>& changes) {
+    std::map<std::string_view, const object_change*> newest;
+    for (const object_change& it : changes) {
+        newest[it.object.name] = &it;
+    }
+    std::vector<const object_change*> out;
+    for (const object_change& it : changes) {
+        if (newest[it.object.name] == &it) {
+            out.push_back(&it);
+        }
+    }
+    return out;
+}
+
+}  // namespace
 
 collection_follower::collection_follower(boost::asio::io_context& loop, const clock& time,
                                          object_collections& store, std::string kind,
@@ -84,8 +106,8 @@
     std::visit(overloaded{[this](const object_changes& it) {
                               note_answer();
                               revision_ = std::max(revision_, it.revision);
-                              for (const object_change& each : it.changes) {
-                                  events_.on_change(each);
+                              for (const object_change* each : newest_of_each(it.changes)) {
+                                  events_.on_change(*each);
                               }
                               const bool pauses =
                                   !it.changes.empty() && settings_.pause.count() > 0;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -34,6 +34,9 @@
 
 void gateway::on_endpoint(const routing::endpoint& it) {
     const auto change = directory_.on_entry(it, time_.now());
+    if (change == routing::directory_change::none) {
+        return;
+    }
     if (change == routing::directory_change::restarted) {
         adapters_.on_removed(it.id);
         prompts_.forget(it.id);
--- a/libs/routing/include/routing/endpoint.h
+++ b/libs/routing/include/routing/endpoint.h
@@ -35,6 +35,8 @@
     /// Time until it is gone, from the moment of the entry.
     std::optional<std::chrono::milliseconds> leaves_in;
     std::uint32_t slots = 1;
+    /// Counts the entries that it wrote since its start.
+    std::uint64_t heartbeat = 0;
     /// Unix time of its start in milliseconds; tells two starts under one id apart.
     std::int64_t started_at_ms = 0;
     std::vector<held_model> models;
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -45,8 +45,6 @@
     duration wish_lifetime = std::chrono::milliseconds(1'500);
     /// Time until an engine's report shows what it did before.
     duration report_lag = std::chrono::milliseconds(300);
-    /// Longest time by which the directory is behind an engine.
-    duration directory_lag = std::chrono::milliseconds(2'500);
     /// Time from an order for a base model until the next one.
     duration model_retry = std::chrono::seconds(3);
 };
@@ -115,10 +113,14 @@
 
     const endpoint_id& engine() const { return engine_; }
 
-    /// Takes the engine's entry in the directory.
-    void on_entry(const endpoint& it, time_point now);
+    /// Takes the engine's entry in the directory, which is late: only a restart is read from it.
+    void on_entry(const endpoint& it);
+    /// The engine refused a request for what it should hold.
+    void on_doubt(time_point now);
     /// Takes an answer to `wants_report()`.
     void on_report(const engine_report& it, time_point now);
+    /// The engine did not answer when asked.
+    void on_report_lost(time_point now);
     /// Takes an announced version; `now` is when it was announced.
     void on_version(const model_choice& adapter, std::uint64_t version);
     /// A request for the adapter was sent to this engine, by any daemon.
@@ -154,8 +156,8 @@
         time_point since{};
     };
 
-    void adopt(const std::vector<held_model>& models, const std::vector<held_model>& pending,
-               time_point now);
+    void adopt(const std::vector<held_model>& models, time_point ready_at,
+               std::set<model_choice>& held);
     void reset();
     std::size_t loads_under_way(time_point now) const;
     std::size_t room() const;
@@ -171,7 +173,6 @@
     bool is_running(const model_choice& adapter, time_point now) const;
     adapter_change note_load(const engine_order& order, std::size_t fleet_loads, time_point now);
     adapter_change note_unload(const engine_order& order, bool at_once, time_point now);
-    bool left_of_late(const model_choice& adapter, time_point now) const;
 
     endpoint_id engine_;
     engine_capacity capacity_;
@@ -188,12 +189,11 @@
     std::map<vm_id, running_at> running_;
     std::deque<wish> wishes_;
     std::deque<model_choice> copies_;
-    /// When an adapter left; later entries of the directory may still list it.
-    std::map<model_choice, time_point> left_at_;
     std::optional<engine_order> given_;
     /// What the engine has accepted so far is known from its report alone.
     bool needs_report_ = true;
     time_point report_after_{};
+    time_point last_order_at_{};
     time_point model_ordered_at_ = time_point::min();
 };
 
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -23,6 +23,11 @@
     if (it.started_at_ms < known.entry.started_at_ms) {
         return directory_change::none;
     }
+    const bool is_old =
+        it.started_at_ms == known.entry.started_at_ms && it.heartbeat < known.entry.heartbeat;
+    if (is_old) {
+        return directory_change::none;
+    }
     const bool restarted = it.started_at_ms > known.entry.started_at_ms;
     if (restarted) {
         known = record{};
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -14,22 +14,28 @@
     places_.clear();
     wishes_.clear();
     copies_.clear();
-    left_at_.clear();
     given_.reset();
     needs_report_ = true;
     report_after_ = time_point{};
     model_ordered_at_ = time_point::min();
 }
 
-void engine_keeper::on_entry(const endpoint& it, time_point now) {
-    if (it.started_at_ms < started_at_ms_) {
-        return;
-    }
+void engine_keeper::on_entry(const endpoint& it) {
     if (it.started_at_ms > started_at_ms_) {
         reset();
         started_at_ms_ = it.started_at_ms;
     }
-    adopt(it.models, {}, now);
+}
+
+void engine_keeper::on_doubt(time_point now) {
+    if (!needs_report_) {
+        needs_report_ = true;
+        report_after_ = std::max(now, last_order_at_ + settings_.report_lag);
+    }
+}
+
+void engine_keeper::on_report_lost(time_point now) {
+    report_after_ = now + settings_.report_lag;
 }
 
 void engine_keeper::on_report(const engine_report& it, time_point now) {
@@ -42,48 +48,39 @@
     }
     needs_report_ = false;
     sequence_ = it.order_sequence;
-    adopt(it.models, it.pending, now);
+    models_.clear();
+    for (const held_model& model : it.models) {
+        models_.insert(model.name);
+    }
+    std::set<model_choice> held;
+    adopt(it.models, now, held);
+    adopt(it.pending, now + settings_.fetched_load, held);
+    for (auto at = places_.begin(); at != places_.end();) {
+        at = held.count(at->first) == 0 ? places_.erase(at) : std::next(at);
+    }
+    const bool some_leave = std::any_of(places_.begin(), places_.end(),
+                                        [](const auto& place) { return place.second.leaving; });
+    if (some_leave) {
+        needs_report_ = true;
+        report_after_ = now + settings_.report_lag;
+    }
 }
 
-void engine_keeper::adopt(const std::vector<held_model>& models,
-                          const std::vector<held_model>& pending, time_point now) {
-    std::set<model_choice> held;
-    models_.clear();
+void engine_keeper::adopt(const std::vector<held_model>& models, time_point ready_at,
+                          std::set<model_choice>& held) {
     for (const held_model& model : models) {
-        models_.insert(model.name);
         for (const held_adapter& adapter : model.adapters) {
             const model_choice name{model.name, adapter.name};
-            if (left_of_late(name, now)) {
-                continue;
-            }
             held.insert(name);
             const auto [at, added] = places_.try_emplace(name);
             if (added) {
-                at->second.ready_at = now;
-                at->second.last_use = now - settings_.idle;
+                at->second.ready_at = ready_at;
+                at->second.last_use = ready_at;
                 remember_copy(name);
             }
-            // The directory is late: it does not take back a version that was ordered since.
             at->second.version = std::max(at->second.version, adapter.version);
         }
     }
-    for (const held_model& model : pending) {
-        for (const held_adapter& adapter : model.adapters) {
-            const model_choice name{model.name, adapter.name};
-            held.insert(name);
-            const auto [at, added] = places_.try_emplace(name);
-            if (added) {
-                at->second.ready_at = now + settings_.fetched_load;
-                at->second.last_use = now;
-                at->second.version = adapter.version;
-            }
-        }
-    }
-    for (auto it = places_.begin(); it != places_.end();) {
-        const bool may_be_unseen = now < it->second.ready_at + settings_.directory_lag;
-        const bool dropped = held.count(it->first) == 0 && (!may_be_unseen || it->second.leaving);
-        it = dropped ? places_.erase(it) : std::next(it);
-    }
 }
 
 void engine_keeper::on_version(const model_choice& adapter, std::uint64_t version) {
@@ -141,11 +138,6 @@
     return places > places_.size() ? places - places_.size() : 0;
 }
 
-bool engine_keeper::left_of_late(const model_choice& adapter, time_point now) const {
-    const auto found = left_at_.find(adapter);
-    return found != left_at_.end() && now < found->second + settings_.directory_lag;
-}
-
 duration engine_keeper::load_time(const model_choice& adapter, std::size_t fleet_loads) const {
     if (std::find(copies_.begin(), copies_.end(), adapter) != copies_.end()) {
         return settings_.warm_load;
@@ -282,6 +274,7 @@
         return order;
     }
     given_ = order;
+    last_order_at_ = now;
     if (order->target.adapter.empty()) {
         model_ordered_at_ = now;
     }
@@ -294,7 +287,6 @@
 adapter_change engine_keeper::note_load(const engine_order& order, std::size_t fleet_loads,
                                         time_point now) {
     const duration takes = load_time(order.target, fleet_loads);
-    left_at_.erase(order.target);
     place& it = places_[order.target];
     it.ready_at = now + takes;
     it.last_use = std::max(it.last_use, now);
@@ -307,7 +299,6 @@
 adapter_change engine_keeper::note_unload(const engine_order& order, bool at_once, time_point now) {
     if (at_once) {
         places_.erase(order.target);
-        left_at_[order.target] = now;
     } else {
         // It leaves when its requests have ended; until then its place is taken.
         needs_report_ = true;
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -47,7 +47,7 @@
     /// Sets what is called when a long prompt was sent.
     void set_on_large_work(std::function<void()> call) { on_large_work_ = std::move(call); }
     void note_end(const endpoint_id& engine, const routing::model_choice& adapter) override;
-    void note_gone(const endpoint_id& engine) override;
+    void note_missing(const endpoint_id& engine, const routing::model_choice& adapter) override;
 
 private:
     struct kept_engine {
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -267,7 +267,7 @@
         auto& kept =
             kept_.emplace(it->id, kept_engine{routing::engine_keeper(it->id, *service->engine)})
                 .first->second;
-        kept.keeper.on_entry(*it, now);
+        kept.keeper.on_entry(*it);
         for (const auto& [adapter, version] : versions_) {
             kept.keeper.on_version(adapter, version);
         }
@@ -278,7 +278,7 @@
 void load_coordinator::on_endpoint(const routing::endpoint& it) {
     const auto kept = kept_.find(it.id);
     if (kept != kept_.end()) {
-        kept->second.keeper.on_entry(it, time_.now());
+        kept->second.keeper.on_entry(it);
         pump(it.id);
     }
 }
@@ -365,7 +365,18 @@
     return out;
 }
 
-void load_coordinator::note_gone(const endpoint_id&) {}
+void load_coordinator::note_missing(const endpoint_id& engine,
+                                    const routing::model_choice& adapter) {
+    const auto kept = kept_.find(engine);
+    if (kept != kept_.end()) {
+        kept->second.keeper.on_doubt(time_.now());
+        return;
+    }
+    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
+    if (holding && !holding->vacant()) {
+        fleet_.send(holding->holder.vm, routing::adapter_hint{engine, adapter, false, 0, 0});
+    }
+}
 
 void load_coordinator::flush_uses() {
     for (auto it = uses_.begin(); it != uses_.end();) {
@@ -409,6 +420,12 @@
                 }
             },
             [&](const routing::adapter_hint& hint) {
+                const auto kept = kept_.find(hint.engine);
+                if (kept != kept_.end()) {
+                    // Only a daemon whose request was refused tells the holder itself.
+                    kept->second.keeper.on_doubt(now);
+                    return;
+                }
                 routing::adapter_view view;
                 if (hint.held) {
                     view = {routing::adapter_state::loading,
@@ -441,10 +458,12 @@
                 return;
             }
             it->second.busy = false;
-            if (report) {
-                it->second.keeper.on_report(*report, time_.now());
-                pump(engine);
+            if (!report) {
+                it->second.keeper.on_report_lost(time_.now());
+                return;
             }
+            it->second.keeper.on_report(*report, time_.now());
+            pump(engine);
         });
         return;
     }
