--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -43,6 +43,8 @@
     duration use_window = std::chrono::seconds(8);
     /// Age of a wish from which nobody waits for it.
     duration wish_lifetime = std::chrono::milliseconds(1'500);
+    /// Pause after an order that was not accepted.
+    duration retry_delay = std::chrono::milliseconds(80);
     /// Time until an engine's report shows what it did before.
     duration report_lag = std::chrono::milliseconds(300);
     /// Time from an order for a base model until the next one.
@@ -194,6 +196,7 @@
     bool needs_report_ = true;
     time_point report_after_{};
     time_point last_order_at_{};
+    time_point quiet_until_{};
     time_point model_ordered_at_ = time_point::min();
 };
 
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -252,7 +252,7 @@
 }
 
 std::optional<engine_order> engine_keeper::decide(time_point now) {
-    if (given_ || needs_report_) {
+    if (given_ || needs_report_ || now < quiet_until_) {
         return std::nullopt;
     }
     for (const model& it : capacity_.models) {
@@ -320,6 +320,7 @@
         if (order.kind == order_kind::unload) {
             places_[order.target].leaving = false;
         }
+        quiet_until_ = now + settings_.retry_delay;
         if (outcome == order_outcome::conflict || outcome == order_outcome::rejected) {
             needs_report_ = true;
             report_after_ = now + settings_.report_lag;
