--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -94,8 +94,22 @@
     std::uint64_t version = 0;
 };
 
+/// Why a wish is refused.
+enum class wish_obstacle {
+    /// The base model is not there.
+    no_model,
+    /// The adapter is leaving, or a replaced version of it is in use.
+    being_changed,
+    /// Every place is in use.
+    places_in_use,
+    /// Others wait for places already.
+    many_waiting
+};
+
 /// The engine has no room for it now.
-struct wish_refused {};
+struct wish_refused {
+    wish_obstacle obstacle = wish_obstacle::places_in_use;
+};
 
 using wish_answer = std::variant<wish_granted, wish_refused>;
 
@@ -115,7 +129,8 @@
 
     const endpoint_id& engine() const { return engine_; }
 
-    /// Takes the engine's entry in the directory, which is late: only a restart is read from it.
+    /// Takes the engine's entry in the directory, which is late: only a restart and base models
+    /// are read from it.
     void on_entry(const endpoint& it);
     /// The engine refused a request for what it should hold.
     void on_doubt(time_point now);
@@ -133,6 +148,10 @@
     /// `fleet_loads` counts the adapters on their way to all engines.
     wish_answer on_wish(const model_choice& adapter, std::size_t fleet_loads, time_point now);
 
+    /// Adapters that the engine holds or loads, and those of them that requests run on.
+    std::size_t place_count() const { return places_.size(); }
+    std::size_t running_count(time_point now) const;
+
     /// Returns the order to give now and takes it as given.
     std::optional<engine_order> next_order(time_point now);
     /// Takes the outcome of the order that was given last. Returns what changed.
@@ -174,6 +193,7 @@
     void remember_copy(const model_choice& adapter);
     bool is_running(const model_choice& adapter, time_point now) const;
     adapter_change note_load(const engine_order& order, std::size_t fleet_loads, time_point now);
+    void note_model_load(const engine_order& order, bool is_there, time_point now);
     adapter_change note_unload(const engine_order& order, bool at_once, time_point now);
 
     endpoint_id engine_;
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -25,6 +25,11 @@
         reset();
         started_at_ms_ = it.started_at_ms;
     }
+    if (it.started_at_ms == started_at_ms_) {
+        for (const held_model& model : it.models) {
+            models_.insert(model.name);
+        }
+    }
 }
 
 void engine_keeper::on_doubt(time_point now) {
@@ -48,7 +53,6 @@
     }
     needs_report_ = false;
     sequence_ = it.order_sequence;
-    models_.clear();
     for (const held_model& model : it.models) {
         models_.insert(model.name);
     }
@@ -109,6 +113,11 @@
     running_[daemon] = {{adapters.begin(), adapters.end()}, now};
 }
 
+std::size_t engine_keeper::running_count(time_point now) const {
+    return std::count_if(places_.begin(), places_.end(),
+                         [&](const auto& it) { return is_running(it.first, now); });
+}
+
 bool engine_keeper::is_running(const model_choice& adapter, time_point now) const {
     return std::any_of(running_.begin(), running_.end(), [&](const auto& it) {
         return now - it.second.heard < settings_.running_lifetime &&
@@ -161,7 +170,7 @@
     if (found != places_.end() && is_outdated(adapter, found->second)) {
         // It is replaced as soon as nothing runs on it.
         return is_running(adapter, now) || found->second.leaving
-                   ? wish_answer(wish_refused{})
+                   ? wish_answer(wish_refused{wish_obstacle::being_changed})
                    : wish_answer(
                          wish_granted{load_time(adapter, fleet_loads), versions_.at(adapter)});
     }
@@ -170,8 +179,11 @@
         const duration left = found->second.ready_at - now;
         return wish_granted{std::max(left, duration::zero()), found->second.version};
     }
-    if (found != places_.end() || models_.count(adapter.model) == 0) {
-        return wish_refused{};
+    if (models_.count(adapter.model) == 0) {
+        return wish_refused{wish_obstacle::no_model};
+    }
+    if (found != places_.end()) {
+        return wish_refused{wish_obstacle::being_changed};
     }
     drop_old_wishes(now);
     const auto waiting = std::find_if(wishes_.begin(), wishes_.end(),
@@ -179,8 +191,11 @@
     const std::size_t ahead = waiting - wishes_.begin();
     if (waiting == wishes_.end()) {
         const bool crowded = room() <= ahead && !choose_victim(now);
-        if (crowded || ahead >= settings_.parallel_loads) {
-            return wish_refused{};
+        if (crowded) {
+            return wish_refused{wish_obstacle::places_in_use};
+        }
+        if (ahead >= settings_.parallel_loads) {
+            return wish_refused{wish_obstacle::many_waiting};
         }
         wishes_.push_back({adapter, now});
     }
@@ -307,6 +322,19 @@
     return {order.target, false, {}, 0};
 }
 
+void engine_keeper::note_model_load(const engine_order& order, bool is_there, time_point now) {
+    if (is_there) {
+        models_.insert(order.target.model);
+        return;
+    }
+    for (const model& it : capacity_.models) {
+        if (it.name == order.target.model) {
+            needs_report_ = true;
+            report_after_ = now + it.load_time + settings_.report_lag;
+        }
+    }
+}
+
 std::optional<adapter_change> engine_keeper::on_outcome(order_outcome outcome,
                                                         std::size_t fleet_loads, time_point now) {
     if (!given_) {
@@ -333,6 +361,7 @@
         ++sequence_;
     }
     if (is_model) {
+        note_model_load(order, outcome == order_outcome::already_holds, now);
         return std::nullopt;
     }
     if (unloaded) {
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -53,6 +53,20 @@
     return "no_answer";
 }
 
+const char* name_of(routing::wish_obstacle it) {
+    switch (it) {
+        case routing::wish_obstacle::no_model:
+            return "no_model";
+        case routing::wish_obstacle::being_changed:
+            return "being_changed";
+        case routing::wish_obstacle::places_in_use:
+            return "places_in_use";
+        case routing::wish_obstacle::many_waiting:
+            break;
+    }
+    return "many_waiting";
+}
+
 }  // namespace
 
 load_coordinator::load_coordinator(boost::asio::io_context& loop, const clock& time,
@@ -298,10 +312,19 @@
                                                   const routing::model_choice& adapter) {
     const auto kept = kept_.find(engine);
     if (kept == kept_.end()) {
-        return routing::wish_refused{};
+        return routing::wish_refused{routing::wish_obstacle::no_model};
     }
     const auto answer = kept->second.keeper.on_wish(
         adapter, data_path_.adapters().loads_under_way(time_.now()), time_.now());
+    if (const auto* refused = std::get_if<routing::wish_refused>(&answer)) {
+        const time_point now = time_.now();
+        telemetry::log_event(severity::info, "load_refused",
+                             {{"engine", engine},
+                              {"adapter", adapter.adapter},
+                              {"obstacle", name_of(refused->obstacle)},
+                              {"places", kept->second.keeper.place_count()},
+                              {"running", kept->second.keeper.running_count(now)}});
+    }
     pump(engine);
     return answer;
 }
