Tests of the routing decisions; settled wishes no longer count as ahead of others

Cause: found by the first test of the keeper: a wish stayed in line after its adapter was loaded, so the next one was refused while places were free.

--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -188,7 +188,7 @@
     std::optional<model_choice> outdated(time_point now) const;
     std::optional<engine_order> order_for_wishes(time_point now);
     std::optional<engine_order> decide(time_point now);
-    void drop_old_wishes(time_point now);
+    void drop_settled_wishes(time_point now);
     duration load_time(const model_choice& adapter, std::size_t fleet_loads) const;
     void remember_copy(const model_choice& adapter);
     bool is_running(const model_choice& adapter, time_point now) const;
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -185,7 +185,7 @@
     if (found != places_.end()) {
         return wish_refused{wish_obstacle::being_changed};
     }
-    drop_old_wishes(now);
+    drop_settled_wishes(now);
     const auto waiting = std::find_if(wishes_.begin(), wishes_.end(),
                                       [&](const wish& it) { return it.adapter == adapter; });
     const std::size_t ahead = waiting - wishes_.begin();
@@ -206,10 +206,11 @@
         versions_.count(adapter) != 0 ? versions_[adapter] : 0};
 }
 
-void engine_keeper::drop_old_wishes(time_point now) {
-    while (!wishes_.empty() && now - wishes_.front().since > settings_.wish_lifetime) {
-        wishes_.pop_front();
-    }
+void engine_keeper::drop_settled_wishes(time_point now) {
+    const auto is_settled = [&](const wish& it) {
+        return now - it.since > settings_.wish_lifetime || places_.count(it.adapter) != 0;
+    };
+    wishes_.erase(std::remove_if(wishes_.begin(), wishes_.end(), is_settled), wishes_.end());
 }
 
 std::optional<model_choice> engine_keeper::choose_victim(time_point now) const {
@@ -248,10 +249,7 @@
 }
 
 std::optional<engine_order> engine_keeper::order_for_wishes(time_point now) {
-    drop_old_wishes(now);
-    while (!wishes_.empty() && places_.count(wishes_.front().adapter) != 0) {
-        wishes_.pop_front();
-    }
+    drop_settled_wishes(now);
     if (wishes_.empty() || loads_under_way(now) >= settings_.parallel_loads) {
         return std::nullopt;
     }
--- /dev/null
+++ b/libs/routing/tests/account_limiter_tests.cpp
@@ -0,0 +1,175 @@
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <random>
+
+#include "routing/account_limiter.h"
+
+namespace radishpulley::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{std::chrono::hours(1)};
+const client_account_id acme("acme");
+
+client_account account(double rate, double burst) {
+    client_account out;
+    out.id = acme;
+    out.rate = rate;
+    out.burst = burst;
+    out.counts_tokens = true;
+    return out;
+}
+
+bool is_admitted(const admission& it) {
+    return std::holds_alternative<admitted>(it);
+}
+
+// A fleet whose VMs tell each other their demand every 400 ms.
+struct fleet {
+    explicit fleet(std::size_t n, double rate, double burst, limiter_settings settings = {}) {
+        for (std::size_t i = 0; i < n; ++i) {
+            vms.push_back(std::make_unique<account_limiter>(settings));
+            vms.back()->set_fleet_size(n);
+            vms.back()->configure({account(rate, burst)}, start);
+        }
+    }
+
+    void exchange(time_point now) {
+        for (std::size_t from = 0; from < vms.size(); ++from) {
+            for (std::size_t to = 0; to < vms.size(); ++to) {
+                if (from != to) {
+                    vms[to]->on_peer(vm_id("v" + std::to_string(from)), vms[from]->demand(now),
+                                     now);
+                }
+            }
+        }
+    }
+
+    std::vector<std::unique_ptr<account_limiter>> vms;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(account_limiter_tests)
+
+BOOST_AUTO_TEST_CASE(accounts_without_a_limit_are_admitted) {
+    account_limiter it;
+    it.configure({account(0, 0)}, start);
+    BOOST_TEST(is_admitted(it.admit(acme, 1e9, start)));
+    BOOST_TEST(is_admitted(it.admit(client_account_id("unknown"), 1e9, start)));
+}
+
+// What the platform asks: in each window of 8 s, a tenth over the limit and a fixed number of units.
+BOOST_AUTO_TEST_CASE(all_vms_together_stay_within_the_limit_whatever_the_spread) {
+    constexpr double rate = 80'000;
+    constexpr double burst = 80'000;
+    constexpr double largest = 12'000;
+    constexpr double slack = 72'000;
+    constexpr std::size_t vms = 7;
+    constexpr int ticks = 24'000;
+    constexpr int window = 8'000;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        limiter_settings settings;
+        settings.reserve = slack * 0.4;
+        fleet all(vms, rate, burst, settings);
+        std::mt19937 random(seed);
+        std::discrete_distribution<std::size_t> where({1, 1, 1, 1, 1, 1, double(seed)});
+        std::uniform_real_distribution<double> size(200, largest);
+        std::vector<double> given(ticks, 0);
+        // Five times the rate.
+        for (int ms = 0; ms < ticks; ++ms) {
+            const time_point now = start + milliseconds(ms);
+            if (ms % 400 == 0) {
+                all.exchange(now);
+            }
+            if (ms % 15 == 0) {
+                const double units = size(random);
+                if (is_admitted(all.vms[where(random)]->admit(acme, units, now))) {
+                    given[ms] = units;
+                }
+            }
+        }
+        const double bound = (rate * 8 + burst) * 1.1 + slack;
+        double in_window = 0;
+        double most = 0;
+        for (int ms = 0; ms < ticks; ++ms) {
+            in_window += given[ms] - (ms >= window ? given[ms - window] : 0);
+            most = std::max(most, in_window);
+        }
+        BOOST_TEST(most <= bound);
+        BOOST_TEST(in_window >= rate * 8 * 0.8);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(demand_within_the_limit_is_admitted_though_it_comes_to_one_vm) {
+    fleet all(7, 80'000, 80'000);
+    int refused = 0;
+    for (int ms = 0; ms < 20'000; ms += 10) {
+        const time_point now = start + milliseconds(ms);
+        if (ms % 400 == 0) {
+            all.exchange(now);
+        }
+        // 50,000 a second, all at the first VM.
+        const bool late = ms > 4'000;
+        if (!is_admitted(all.vms[0]->admit(acme, 500, now)) && late) {
+            ++refused;
+        }
+    }
+    BOOST_TEST(refused == 0);
+}
+
+BOOST_AUTO_TEST_CASE(short_calls_pass_while_long_prompts_are_over_the_limit) {
+    account_limiter it;
+    it.configure({account(15'000, 15'000)}, start);
+    int short_calls = 0;
+    int short_refused = 0;
+    int long_refused = 0;
+    for (int ms = 0; ms < 10'000; ms += 100) {
+        const time_point now = start + milliseconds(ms);
+        long_refused += is_admitted(it.admit(acme, 10'000, now)) ? 0 : 1;
+        ++short_calls;
+        short_refused += is_admitted(it.admit(acme, 200, now)) ? 0 : 1;
+    }
+    BOOST_TEST(long_refused > 50);
+    BOOST_TEST(short_refused == 0);
+    BOOST_TEST(short_calls == 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_vm_keeps_its_share_for_a_while) {
+    fleet all(2, 1'000, 1'000);
+    for (auto& vm : all.vms) {
+        vm->admit(acme, 500, start);
+    }
+    all.exchange(start);
+    const double before = all.vms[0]->share(acme, start);
+    BOOST_TEST(before == 0.5, boost::test_tools::tolerance(0.01));
+    all.vms[0]->admit(acme, 500, start + seconds(9));
+    BOOST_TEST(all.vms[0]->share(acme, start + seconds(9)) < 0.7);
+    all.vms[0]->set_fleet_size(1);
+    BOOST_TEST(all.vms[0]->share(acme, start + seconds(11)) > 0.99);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back) {
+    account_limiter it;
+    it.configure({account(1'000, 1'000)}, start);
+    while (is_admitted(it.admit(acme, 400, start))) {
+    }
+    const auto refused = std::get<over_limit>(it.admit(acme, 400, start));
+    BOOST_TEST((refused.retry_after > duration::zero()));
+    BOOST_TEST(is_admitted(it.admit(acme, 400, start + refused.retry_after)));
+}
+
+BOOST_AUTO_TEST_CASE(a_lowered_limit_holds_at_once) {
+    account_limiter it;
+    it.configure({account(100'000, 100'000)}, start);
+    it.configure({account(1'000, 1'000)}, start);
+    BOOST_TEST(is_admitted(it.admit(acme, 5'000, start)));
+    BOOST_TEST(!is_admitted(it.admit(acme, 5'000, start)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -0,0 +1,161 @@
+#include <boost/test/unit_test.hpp>
+
+#include "routing/endpoint_choice.h"
+
+namespace radishpulley::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{std::chrono::hours(1)};
+const model_choice plans{"m", "plans"};
+
+// Four engines of one service in two regions, all with the base model.
+struct fixture {
+    fixture() {
+        target.id = service_id("s");
+        target.engine.emplace();
+        target.engine->memory_tokens = 200'000;
+        for (const char* name : {"e1", "e2", "e3", "e4"}) {
+            endpoint it;
+            it.id = endpoint_id(name);
+            it.service = target.id;
+            it.zone = zone_id(name[1] < '3' ? "near" : "far");
+            it.slots = 64;
+            it.models = {{"m", 1, {}}};
+            directory.on_entry(it, start);
+            adapters.on_entry(it, start);
+        }
+        facts.target = plans;
+        facts.prompt_tokens = 3'000;
+    }
+
+    void hold(const std::string& engine, std::uint64_t version = 1) {
+        adapters.on_hint(endpoint_id(engine), plans, {adapter_state::loaded, start, version},
+                         start);
+    }
+
+    std::optional<endpoint_choice> choose(time_point now = start) {
+        const endpoint_chooser chooser(
+            directory, adapters, prompts, work,
+            {zone_id("near"),
+             region_id("r1"),
+             {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}});
+        return chooser.choose({facts, target, excluded, no_loads}, now);
+    }
+
+    endpoint_directory directory;
+    adapter_table adapters;
+    prompt_memory prompts;
+    work_table work;
+    service target;
+    request_facts facts;
+    std::set<endpoint_id> excluded;
+    std::set<endpoint_id> no_loads;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_choice_tests)
+
+BOOST_FIXTURE_TEST_CASE(the_engine_that_holds_the_adapter_is_chosen, fixture) {
+    hold("e3");
+    const auto it = choose();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->id.str() == "e3");
+    BOOST_TEST(!it->needs_load);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_near_copy_goes_before_a_far_one, fixture) {
+    hold("e3");
+    hold("e1");
+    BOOST_TEST(choose()->id.str() == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_engine_that_reads_long_prompts_is_left_for_another_copy, fixture) {
+    hold("e1");
+    hold("e3");
+    work.start(1, endpoint_id("e1"), 20'000, 20'000);
+    BOOST_TEST(choose()->id.str() == "e3");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_hot_adapter_gets_a_second_copy, fixture) {
+    hold("e1");
+    work.start(1, endpoint_id("e1"), 60'000, 60'000);
+    const auto it = choose();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->needs_load);
+    BOOST_TEST(it->id.str() != "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(every_daemon_loads_a_cold_adapter_at_the_same_engine, fixture) {
+    const auto first = choose();
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->needs_load);
+    work.start(1, endpoint_id("e9"), 100, 100);
+    BOOST_TEST(choose()->id.str() == first->id.str());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_engine_that_held_the_adapter_of_late_loads_it_again, fixture) {
+    const std::string usual = choose()->id.str();
+    const std::string other = usual == "e1" ? "e2" : "e1";
+    hold(other);
+    adapters.on_hint(endpoint_id(other), plans, {}, start);
+    BOOST_TEST(choose()->id.str() == other);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_load_under_way_is_waited_for, fixture) {
+    adapters.on_hint(endpoint_id("e2"), plans,
+                     {adapter_state::loading, start + milliseconds(100), 1}, start);
+    const auto it = choose();
+    BOOST_TEST(it->id.str() == "e2");
+    BOOST_TEST(it->ready_at.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(without_loads_only_holders_can_be_chosen, fixture) {
+    no_loads = {endpoint_id("e1"), endpoint_id("e2"), endpoint_id("e3"), endpoint_id("e4")};
+    BOOST_TEST(!choose().has_value());
+    hold("e4");
+    BOOST_TEST(choose()->id.str() == "e4");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_replaced_version_is_used_for_a_while_only, fixture) {
+    hold("e1");
+    adapters.on_version(plans, 2, start);
+    no_loads = {endpoint_id("e1"), endpoint_id("e2"), endpoint_id("e3"), endpoint_id("e4")};
+    BOOST_TEST(choose(start + seconds(1))->id.str() == "e1");
+    BOOST_TEST(!choose(start + seconds(3)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_engine_whose_calls_failed_comes_last, fixture) {
+    hold("e1");
+    hold("e3");
+    directory.on_call(endpoint_id("e1"), call_outcome::unreachable, start);
+    BOOST_TEST(choose(start + milliseconds(10))->id.str() == "e3");
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_parts_draw_a_request, fixture) {
+    hold("e1");
+    hold("e2");
+    facts.parts = {{1, 2'000}, {2, 900}, {3, 100}};
+    prompts.on_read(endpoint_id("e2"), facts, start);
+    BOOST_TEST(choose()->id.str() == "e2");
+    BOOST_TEST(choose()->unread_tokens == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_engine_without_the_base_model_is_never_chosen, fixture) {
+    facts.target.model = "other";
+    BOOST_TEST(!choose().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(full_memory_is_avoided, fixture) {
+    hold("e1");
+    hold("e3");
+    work.start(1, endpoint_id("e1"), 0, 199'000);
+    BOOST_TEST(choose()->id.str() == "e3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::routing
--- /dev/null
+++ b/libs/routing/tests/tables_tests.cpp
@@ -0,0 +1,172 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base/findings.h"
+#include "routing/adapter_table.h"
+#include "routing/hints.h"
+#include "routing/prompt_memory.h"
+#include "routing/work_table.h"
+
+namespace radishpulley::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{std::chrono::hours(1)};
+const endpoint_id engine("e");
+const model_choice plans{"m", "plans"};
+
+endpoint entry_with(const std::vector<held_adapter>& adapters) {
+    endpoint out;
+    out.id = engine;
+    out.models = {{"m", 1, adapters}};
+    return out;
+}
+
+request_facts prompt(std::vector<prompt_part> parts) {
+    request_facts out;
+    out.target = plans;
+    out.parts = std::move(parts);
+    return out;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(tables_tests)
+
+BOOST_AUTO_TEST_CASE(a_load_counts_as_loaded_when_its_time_has_come) {
+    adapter_table it;
+    it.on_hint(engine, plans, {adapter_state::loading, start + milliseconds(250), 1}, start);
+    BOOST_TEST((it.view(engine, plans, start).state == adapter_state::loading));
+    BOOST_TEST(it.loads_under_way(start) == 1U);
+    const time_point later = start + milliseconds(250);
+    BOOST_TEST((it.view(engine, plans, later).state == adapter_state::loaded));
+    BOOST_TEST(it.loads_under_way(later) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_late_directory_does_not_overrule_a_fresh_hint) {
+    adapter_table it;
+    it.on_entry(entry_with({{"plans", 1}}), start);
+    it.on_hint(engine, plans, {}, start);
+    it.on_entry(entry_with({{"plans", 1}}), start + seconds(1));
+    BOOST_TEST((it.view(engine, plans, start + seconds(1)).state == adapter_state::absent));
+    it.on_entry(entry_with({{"plans", 1}}), start + seconds(4));
+    BOOST_TEST((it.view(engine, plans, start + seconds(4)).state == adapter_state::loaded));
+    it.on_entry(entry_with({}), start + seconds(8));
+    BOOST_TEST((it.view(engine, plans, start + seconds(8)).state == adapter_state::absent));
+}
+
+BOOST_AUTO_TEST_CASE(an_evicted_adapter_is_remembered_as_a_copy) {
+    adapter_table it;
+    BOOST_TEST(!it.has_copy(engine, plans));
+    it.on_hint(engine, plans, {adapter_state::loaded, start, 1}, start);
+    it.on_hint(engine, plans, {}, start);
+    BOOST_TEST(it.has_copy(engine, plans));
+    it.on_removed(engine);
+    BOOST_TEST(!it.has_copy(engine, plans));
+}
+
+BOOST_AUTO_TEST_CASE(only_a_newer_version_is_taken) {
+    adapter_table it;
+    it.on_version(plans, 3, start);
+    it.on_version(plans, 2, start + seconds(1));
+    BOOST_TEST(it.newest_version(plans) == 3U);
+    BOOST_TEST((it.announced_at(plans) == start));
+}
+
+BOOST_AUTO_TEST_CASE(work_is_added_up_and_taken_back) {
+    work_table it;
+    it.start(1, engine, 1'000, 1'500);
+    it.start(2, engine, 200, 300);
+    it.on_peer(vm_id("v"), {{engine, {3, 50, 60}}}, start);
+    BOOST_TEST(it.total(engine, start).requests == 5U);
+    BOOST_TEST(it.total(engine, start).unread_tokens == 1'250U);
+    it.on_prompt_read(1);
+    it.on_prompt_read(1);
+    BOOST_TEST(it.total(engine, start).unread_tokens == 250U);
+    it.finish(1);
+    it.finish(1);
+    it.finish(2);
+    BOOST_TEST(it.own().empty());
+    // A peer that fell silent no longer counts.
+    BOOST_TEST(it.total(engine, start + seconds(3)).requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_moves_on_counts_once) {
+    work_table it;
+    it.start(1, engine, 1'000, 1'500);
+    it.start(1, endpoint_id("f"), 900, 1'400);
+    BOOST_TEST(it.total(engine, start).requests == 0U);
+    BOOST_TEST(it.total(endpoint_id("f"), start).unread_tokens == 900U);
+}
+
+BOOST_AUTO_TEST_CASE(only_leading_parts_for_the_same_adapter_are_kept) {
+    prompt_memory it;
+    it.on_read(engine, prompt({{1, 100}, {2, 50}, {3, 7}}), start);
+    BOOST_TEST(it.kept_tokens(engine, prompt({{1, 100}, {2, 50}, {4, 9}}), start) == 150U);
+    BOOST_TEST(it.kept_tokens(engine, prompt({{2, 50}, {1, 100}}), start) == 0U);
+    request_facts other = prompt({{1, 100}});
+    other.target.adapter = "other";
+    BOOST_TEST(it.kept_tokens(engine, other, start) == 0U);
+    BOOST_TEST(it.kept_tokens(endpoint_id("f"), prompt({{1, 100}}), start) == 0U);
+    it.forget(engine);
+    BOOST_TEST(it.kept_tokens(engine, prompt({{1, 100}}), start) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_oldest_parts_are_forgotten_first) {
+    prompt_memory_settings settings;
+    settings.most_entries = 2;
+    prompt_memory it(settings);
+    it.on_read(engine, prompt({{1, 10}}), start);
+    it.on_read(engine, prompt({{2, 10}}), start);
+    it.on_read(engine, prompt({{1, 10}}), start);
+    it.on_read(engine, prompt({{3, 10}}), start);
+    BOOST_TEST(it.kept_tokens(engine, prompt({{1, 10}}), start) == 10U);
+    BOOST_TEST(it.kept_tokens(engine, prompt({{2, 10}}), start) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(hints_survive_their_encoding) {
+    presence state;
+    state.configuration_version = 9;
+    state.leaving = true;
+    state.work[engine] = {2, 300, 400};
+    state.demand[client_account_id("acme")] = 1'234;
+    const auto back = decode_hint(encode({{vm_id("v"), 7}, state}));
+    BOOST_TEST(back.from.vm.str() == "v");
+    BOOST_TEST(back.from.incarnation == 7U);
+    const auto& read = std::get<presence>(back.body);
+    BOOST_TEST(read.configuration_version == 9U);
+    BOOST_TEST(read.leaving);
+    BOOST_TEST(read.work.at(engine).memory_tokens == 400U);
+    BOOST_TEST(read.demand.at(client_account_id("acme")) == 1'234);
+
+    const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_uses{engine, {plans}, {}}}));
+    BOOST_TEST((std::get<adapter_uses>(uses.body).sent == std::vector<model_choice>{plans}));
+    const auto wish = decode_hint(encode({{vm_id("v"), 7}, load_wish{engine, plans}}));
+    BOOST_TEST((std::get<load_wish>(wish.body).adapter == plans));
+    const auto told =
+        decode_hint(encode({{vm_id("v"), 7}, adapter_hint{engine, plans, true, 5, 2}}));
+    BOOST_TEST(std::get<adapter_hint>(told.body).ready_in_ms == 5U);
+    const auto no = decode_hint(encode({{vm_id("v"), 7}, load_refusal{engine, plans}}));
+    BOOST_TEST((std::get<load_refusal>(no.body).engine == engine));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_hints_are_refused) {
+    const std::string whole = encode({{vm_id("v"), 7}, load_wish{engine, plans}});
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+        BOOST_CHECK_THROW(decode_hint(whole.substr(0, n)), invalid_input);
+    }
+    for (std::size_t i = 0; i < whole.size(); ++i) {
+        std::string damaged = whole;
+        damaged[i] = static_cast<char>(damaged[i] ^ 0x41);
+        try {
+            decode_hint(damaged);
+        } catch (const invalid_input&) {
+            continue;
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::routing
