--- /dev/null
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -0,0 +1,330 @@
+#include <boost/test/unit_test.hpp>
+
+#include "world.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+std::function<bool(const peer&)> until(const std::string& end) {
+    return [end](const peer& it) { return ends_with(it.received, end); };
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_tests)
+
+BOOST_FIXTURE_TEST_CASE(request_and_answer_pass_unchanged_but_for_the_key, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer& it) {
+        it.send(answer("201 Made", "r1", "held", "X-Signature: s\r\nX-Other: kept\r\n"));
+    });
+    const std::string got =
+        ask(request("POST /once/book?n=1", "r1", "X-Account: forged\r\nX-More: m\r\n", "body"),
+            until("held"));
+    BOOST_TEST(contains(got, "HTTP/1.1 201 Made\r\n"));
+    BOOST_TEST(contains(got, "X-Signature: s\r\n"));
+    BOOST_TEST(contains(got, "X-Other: kept\r\n"));
+    BOOST_REQUIRE_EQUAL(engine.requests.size(), 1U);
+    const std::string& sent = engine.requests.front();
+    BOOST_TEST(contains(sent, "POST /once/book?n=1 HTTP/1.1\r\n"));
+    BOOST_TEST(contains(sent, "X-Expect: e1\r\n"));
+    BOOST_TEST(contains(sent, "X-Account: acme\r\n"));
+    BOOST_TEST(contains(sent, "X-More: m\r\n"));
+    BOOST_TEST(ends_with(sent, "\r\n\r\nbody"));
+    BOOST_TEST(!contains(sent, "X-Key"));
+    BOOST_TEST(!contains(sent, "forged"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_daemon_without_configuration_says_not_run, world) {
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("}")), " 503 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(refusals_of_its_own, world) {
+    configure(1);
+    add_endpoint("e1",
+                 [](const std::string&, peer& it) { it.send(answer("200 OK", "r1", "done")); });
+    BOOST_TEST(contains(ask(request("GET /none/x", "r1"), until("}")), " 404 "));
+    BOOST_TEST(contains(
+        ask("GET /again/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: wrong\r\n\r\n", until("}")),
+        " 401 "));
+    BOOST_TEST(contains(ask("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n", until("done")),
+                        " 200 "));
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("done")), " 200 "));
+    const std::string limited = ask(request("GET /again/x", "r1"), until("}"));
+    BOOST_TEST(contains(limited, " 429 "));
+    BOOST_TEST(contains(limited, "Retry-After: "));
+}
+
+BOOST_FIXTURE_TEST_CASE(bounds_on_what_callers_send, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
+    const std::string long_header = "X-Long: " + std::string(3'000, 'x') + "\r\n";
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1", long_header), until("never")), " 431 "));
+    BOOST_TEST(contains(
+        ask(request("POST /once/x", "r1", "", std::string(20'000, 'x')), until("never")), " 413 "));
+    BOOST_TEST(contains(
+        ask(request("POST /once/x", "r1", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n"),
+            until("never")),
+        " 400 "));
+    BOOST_TEST(contains(ask("nonsense\r\n\r\n", until("never")), " 400 "));
+    BOOST_TEST(engine.requests.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_chunked_body_arrives_whole_and_only_once, world) {
+    configure();
+    auto& engine = add_endpoint(
+        "e1", [](const std::string&, peer& it) { it.send(answer("200 OK", "r1", "done")); });
+    ask(request("POST /once/x", "r1", "Transfer-Encoding: chunked\r\n") +
+            "4\r\nbook\r\n2\r\ned\r\n0\r\n\r\n",
+        until("done"));
+    BOOST_REQUIRE_EQUAL(engine.requests.size(), 1U);
+    BOOST_TEST(ends_with(engine.requests.front(), "\r\n\r\nbooked"));
+    BOOST_TEST(!contains(engine.requests.front(), "chunked"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_chunked_answer_is_relayed_in_chunks, world) {
+    configure();
+    add_endpoint("e1", [](const std::string&, peer& it) {
+        it.send(
+            "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    });
+    const std::string got = ask(request("GET /again/x", "r1"), until("0\r\n\r\n"));
+    BOOST_TEST(contains(got, "3\r\nabc\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_breaks_off_never_looks_complete, world) {
+    configure();
+    add_endpoint("e1", [](const std::string&, peer& it) {
+        it.send(
+            "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3\r\nabc\r\n");
+        it.close();
+    });
+    const std::string got = ask(request("GET /again/x", "r1"), until("never"));
+    BOOST_TEST(contains(got, "abc"));
+    BOOST_TEST(!contains(got, "0\r\n\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_to_the_end_of_its_connection, world) {
+    configure();
+    bool resets = false;
+    add_endpoint("e1", [&](const std::string&, peer& it) {
+        it.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n\r\nall of it");
+        if (resets) {
+            it.reset();
+        } else {
+            it.close();
+        }
+    });
+    BOOST_TEST(ends_with(ask(request("POST /once/x", "r1"), until("0\r\n\r\n")), "0\r\n\r\n"));
+    resets = true;
+    BOOST_TEST(!contains(ask(request("POST /once/x", "r1"), until("0\r\n\r\n")), "0\r\n\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_non_idempotent_request_that_may_have_run_is_not_repeated, world) {
+    configure();
+    const auto breaks = [](const std::string&, peer& it) { it.reset(); };
+    auto& first = add_endpoint("e1", breaks);
+    auto& second = add_endpoint("e2", breaks);
+    BOOST_TEST(contains(ask(request("POST /once/x", "r1"), until("}")), " 502 "));
+    BOOST_TEST(first.requests.size() + second.requests.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_idempotent_request_is_repeated_elsewhere, world) {
+    configure();
+    int calls = 0;
+    const auto breaks_once = [&](const std::string&, peer& it) {
+        if (++calls == 1) {
+            it.reset();
+        } else {
+            it.send(answer("200 OK", "r1", "done"));
+        }
+    };
+    auto& first = add_endpoint("e1", breaks_once);
+    auto& second = add_endpoint("e2", breaks_once);
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("done")), " 200 "));
+    BOOST_TEST(first.requests.size() == 1U);
+    BOOST_TEST(second.requests.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_was_not_run_may_go_elsewhere, world) {
+    configure();
+    int calls = 0;
+    const auto full_once = [&](const std::string&, peer& it) {
+        it.send(++calls == 1 ? answer("503 Service Unavailable", "r1", "", "X-Not-Run: 1\r\n")
+                             : answer("200 OK", "r1", "done"));
+    };
+    add_endpoint("e1", full_once);
+    add_endpoint("e2", full_once);
+    BOOST_TEST(contains(ask(request("POST /once/x", "r1"), until("done")), " 200 "));
+    BOOST_TEST(calls == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_everywhere_says_not_run, world) {
+    configure();
+    add_endpoint("e1", [](const std::string&, peer& it) {
+        it.send(answer("503 Service Unavailable", "r1", "", "X-Not-Run: 1\r\n"));
+    });
+    const std::string got = ask(request("POST /once/x", "r1"), until("}"));
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(contains(got, "Retry-After: "));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_failure_of_the_endpoint_passes_unchanged, world) {
+    configure();
+    add_endpoint("e1",
+                 [](const std::string&, peer& it) { it.send(answer("500 Broken", "r1", "no")); });
+    const std::string got = ask(request("POST /once/x", "r1"), until("no"));
+    BOOST_TEST(contains(got, "HTTP/1.1 500 Broken\r\n"));
+    BOOST_TEST(contains(got, "X-Signature: s\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_success_without_signature_is_no_answer, world) {
+    configure();
+    add_endpoint(
+        "e1", [](const std::string&, peer& it) { it.send(answer("200 OK", "r1", "forged", "")); });
+    const std::string got = ask(request("POST /once/x", "r1"), until("}"));
+    BOOST_TEST(contains(got, " 502 "));
+    BOOST_TEST(!contains(got, "forged"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_second_answer_is_not_taken_for_the_next_one, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string& request, peer& it) {
+        if (contains(request, "X-Id: r2")) {
+            it.send(answer("200 OK", "r1", "late and wrong"));
+            it.send(answer("200 OK", "r2", "second"));
+        } else {
+            it.send(answer("200 OK", "r1", "first"));
+        }
+    });
+    ask(request("POST /once/x", "r1"), until("first"));
+    const std::string got = ask(request("POST /once/x", "r2"), until("second"));
+    BOOST_TEST(!contains(got, "wrong"));
+    BOOST_TEST(engine.connections.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_with_bytes_that_nobody_asked_for_is_not_used_again, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string& request, peer& it) {
+        const std::string id = contains(request, "X-Id: r1") ? "r1" : "r2";
+        it.send(answer("200 OK", id, id) + (id == "r1" ? "HTTP/1.1 200 OK\r\n" : ""));
+    });
+    ask(request("POST /once/x", "r1"), until("r1"));
+    BOOST_TEST(contains(ask(request("POST /once/x", "r2"), until("\r\n\r\nr2")), " 200 "));
+    BOOST_TEST(engine.connections.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(work_ends_when_its_caller_leaves, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return engine.requests.size() == 1; });
+    caller->close();
+    run_until([&] { return engine.connections.front()->ended; });
+    run_until([&] { return paths().request_count() == 0; });
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_goes_on_elsewhere_after_its_last_whole_event, world) {
+    configure();
+    std::vector<std::string> heads;
+    const auto stream = [&](const std::string& request, peer& it) {
+        heads.push_back(request);
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Type: "
+            "text/event-stream\r\n\r\n";
+        if (heads.size() == 1) {
+            it.send(head + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+            it.reset();
+        } else {
+            it.send(head + "id: 3\ndata: c\n\n");
+            it.close();
+        }
+    };
+    add_endpoint("e1", stream);
+    add_endpoint("e2", stream);
+    const std::string got = ask(request("POST /events/x", "r1"), until("0\r\n\r\n"));
+    BOOST_REQUIRE_EQUAL(heads.size(), 2U);
+    BOOST_TEST(contains(heads[1], "Last-Event-Id: 2\r\n"));
+    BOOST_TEST(contains(got, "data: b"));
+    BOOST_TEST(contains(got, "data: c"));
+    BOOST_TEST(!contains(got, "id: 3\nda\r\n"));
+    BOOST_TEST(got.find("id: 3") == got.rfind("id: 3"));
+    BOOST_TEST(got.find(" 200 OK") == got.rfind(" 200 OK"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_is_given_up_at_its_deadline_with_an_answer, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
+    const std::string got = ask(request("GET /again/x", "r1", "X-Deadline: 60\r\n"), until("}"));
+    BOOST_TEST(contains(got, " 504 "));
+    run_until([&] { return engine.connections.front()->ended; });
+}
+
+BOOST_FIXTURE_TEST_CASE(kept_connections_close_after_the_answer_while_stopping, world) {
+    configure();
+    std::shared_ptr<peer> waiting;
+    add_endpoint("e1", [&](const std::string&, peer& it) {
+        it.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nha");
+        waiting = it.shared_from_this();
+    });
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return contains(caller->received, "\r\n\r\nha"); });
+    // The head is out already and did not announce the end.
+    paths().begin_stop();
+    waiting->send("lf");
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(ends_with(caller->received, "half"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_announces_the_end_of_connections, world) {
+    configure();
+    add_endpoint("e1",
+                 [](const std::string&, peer& it) { it.send(answer("200 OK", "r1", "done")); });
+    paths().begin_stop();
+    const std::string got = ask(request("GET /again/x", "r1"), until("never"));
+    BOOST_TEST(contains(got, "Connection: close\r\n"));
+    BOOST_TEST(ends_with(got, "done"));
+    paths().refuse_requests();
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("never")), " 503 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(callers_that_ask_for_the_end_get_whole_answers, world) {
+    configure();
+    const std::string body(300'000, 'x');
+    add_endpoint("e1",
+                 [&](const std::string&, peer& it) { it.send(answer("200 OK", "r1", body)); });
+    const std::string got =
+        ask(request("GET /again/x", "r1", "Connection: close\r\n"), until("never"));
+    BOOST_TEST(ends_with(got, body));
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_on_one_connection_are_answered_in_order, world) {
+    configure();
+    add_endpoint("e1", [](const std::string& request, peer& it) {
+        const std::string id = contains(request, "X-Id: r1") ? "r1" : "r2";
+        it.send(answer("200 OK", id, "for " + id));
+    });
+    const std::string got =
+        ask(request("GET /again/x", "r1") + request("GET /again/x", "r2"), until("for r2"));
+    BOOST_TEST(got.find("for r1") < got.find("for r2"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_draining_endpoint_gets_no_request, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
+    paths().directory().on_draining(endpoint_id("e1"));
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("}")), " 503 "));
+    BOOST_TEST(engine.requests.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
--- /dev/null
+++ b/libs/gateway/tests/world.h
@@ -0,0 +1,291 @@
+/// A gateway on loopback with callers and endpoints that a test scripts byte by byte.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/gateway.h"
+
+namespace radishpulley::gateway::testing {
+
+using tcp = boost::asio::ip::tcp;
+
+/// Headers of the tests' own protocol.
+class plain_codec final : public header_codec {
+public:
+    routing::request_facts read_request(const header_list& headers) const override {
+        routing::request_facts out;
+        out.id = request_id(find_header(headers, "X-Id"));
+        out.key = std::string(find_header(headers, "X-Key"));
+        const std::string_view deadline = find_header(headers, "X-Deadline");
+        if (!deadline.empty()) {
+            out.deadline = std::chrono::milliseconds(std::stoi(std::string(deadline)));
+        }
+        return out;
+    }
+    bool is_forwarded(std::string_view name) const override {
+        return !same_name(name, "X-Key") && !same_name(name, "X-Account");
+    }
+    void append_statement(const endpoint_statement& it, std::string& out) const override {
+        append_header(out, "X-Expect", it.expected.str());
+        append_header(out, "X-Account", it.account.str());
+        if (it.last_event) {
+            append_header(out, "Last-Event-Id", *it.last_event);
+        }
+    }
+    answer_facts read_answer(unsigned, const header_list& headers) const override {
+        return {!find_header(headers, "X-Signature").empty(),
+                !find_header(headers, "X-Not-Run").empty()};
+    }
+    std::string_view id_header() const override { return "X-Id"; }
+};
+
+/// Nobody orders loads in these tests.
+class no_broker final : public load_broker {
+public:
+    bool wish(const endpoint_id&, const routing::model_choice&) override { return false; }
+    void note_use(const endpoint_id&, const routing::model_choice&) override {}
+    void note_large_work() override {}
+    void note_end(const endpoint_id&, const routing::model_choice&) override {}
+    void note_missing(const endpoint_id&, const routing::model_choice&) override {}
+};
+
+/// One connection of the outside world, which collects what it gets.
+class peer : public std::enable_shared_from_this<peer> {
+public:
+    explicit peer(tcp::socket socket) : socket_(std::move(socket)) {}
+
+    void start() { read(); }
+    void send(const std::string& bytes) {
+        boost::system::error_code ignored;
+        boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+    }
+    /// Closes in order.
+    void close() {
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+    /// Closes with a reset.
+    void reset() {
+        boost::system::error_code ignored;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
+    std::string received;
+    bool ended = false;
+    std::function<void(peer&)> on_bytes = [](peer&) {};
+
+private:
+    void read() {
+        socket_.async_read_some(boost::asio::buffer(buffer_),
+                                [self = shared_from_this()](auto ec, std::size_t n) {
+                                    self->received.append(self->buffer_.data(), n);
+                                    if (ec) {
+                                        self->ended = true;
+                                        return;
+                                    }
+                                    self->on_bytes(*self);
+                                    self->read();
+                                });
+    }
+
+    tcp::socket socket_;
+    std::array<char, 4096> buffer_{};
+};
+
+/// An endpoint: each whole request goes to `script`, which answers through the connection.
+class fake_endpoint {
+public:
+    using script = std::function<void(const std::string& request, peer& connection)>;
+
+    fake_endpoint(boost::asio::io_context& loop, script answer)
+        : acceptor_(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+          answer_(std::move(answer)) {
+        accept();
+    }
+
+    std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    std::vector<std::string> requests;
+    std::vector<std::shared_ptr<peer>> connections;
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](auto ec, tcp::socket socket) {
+            if (ec) {
+                return;
+            }
+            auto it = std::make_shared<peer>(std::move(socket));
+            it->on_bytes = [this](peer& from) { take_requests(from); };
+            connections.push_back(it);
+            it->start();
+            accept();
+        });
+    }
+
+    void take_requests(peer& from) {
+        for (;;) {
+            const std::size_t end = from.received.find("\r\n\r\n");
+            if (end == std::string::npos) {
+                return;
+            }
+            std::size_t length = 0;
+            const std::size_t at = from.received.find("Content-Length: ");
+            if (at < end) {
+                length = std::stoul(from.received.substr(at + 16));
+            }
+            if (from.received.size() < end + 4 + length) {
+                return;
+            }
+            const std::string request = from.received.substr(0, end + 4 + length);
+            from.received.erase(0, request.size());
+            requests.push_back(request);
+            answer_(request, from);
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    script answer_;
+};
+
+/// All of it. Requests go to /once/ (non-idempotent), /again/ (idempotent), /events/ (a resumable
+/// stream), /open/ (no key); all but the last need the key `k`.
+class world {
+public:
+    world()
+        : paths_(loop, time, codec, metrics, settings()),
+          acceptor_(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+        paths_.set_broker(broker_);
+        accept();
+    }
+
+    /// Adds an endpoint of the service.
+    fake_endpoint& add_endpoint(const std::string& id, fake_endpoint::script answer) {
+        endpoints_.emplace_back(loop, std::move(answer));
+        routing::endpoint entry;
+        entry.id = endpoint_id(id);
+        entry.service = service_id("s");
+        entry.address = endpoints_.back().address();
+        entry.slots = 4;
+        paths_.on_endpoint(entry);
+        return endpoints_.back();
+    }
+
+    void configure(double rate = 0) {
+        routing::configuration_content content;
+        content.version = 1;
+        for (const char* name : {"once", "again", "events", "open"}) {
+            routing::route it;
+            it.name = name;
+            it.host = "h";
+            it.path_prefix = std::string("/") + name + "/";
+            it.services = {{service_id("s"), 1}};
+            it.max_attempts = 2;
+            it.timeout = std::chrono::milliseconds(5'000);
+            content.routes.push_back(it);
+        }
+        content.routes[1].kind = routing::request_kind::idempotent;
+        content.routes[2].kind = routing::request_kind::streaming;
+        content.routes[2].resumable = true;
+        content.routes[3].open = true;
+        routing::service service;
+        service.id = service_id("s");
+        content.services = {service};
+        routing::client_account account;
+        account.id = client_account_id("acme");
+        account.keys = {"k"};
+        account.rate = rate;
+        account.burst = rate;
+        content.accounts = {account};
+        content.limits.max_header_bytes = 2'000;
+        content.limits.max_body_bytes = 10'000;
+        paths_.on_configuration(std::make_shared<routing::configuration>(content));
+    }
+
+    std::shared_ptr<peer> connect() {
+        tcp::socket socket(loop);
+        socket.connect(acceptor_.local_endpoint());
+        auto it = std::make_shared<peer>(std::move(socket));
+        it->start();
+        return it;
+    }
+
+    /// Sends one request on a new connection and returns all that comes back until `done`.
+    std::string ask(const std::string& request, const std::function<bool(const peer&)>& done) {
+        const auto caller = connect();
+        caller->send(request);
+        run_until([&] { return caller->ended || done(*caller); });
+        return caller->received;
+    }
+
+    /// Runs the loop until `done`; a test that hangs fails.
+    void run_until(const std::function<bool()>& done) {
+        constexpr int most_steps = 2'000;
+        for (int i = 0; i < most_steps && !done(); ++i) {
+            loop.restart();
+            loop.run_one_for(std::chrono::milliseconds(10));
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    gateway& paths() { return paths_; }
+
+    boost::asio::io_context loop;
+    boot_clock time;
+    plain_codec codec;
+    telemetry::registry metrics;
+
+private:
+    static gateway_settings settings() {
+        gateway_settings out;
+        out.retry_reserve = 100;
+        return out;
+    }
+
+    void accept() {
+        acceptor_.async_accept([this](auto ec, tcp::socket socket) {
+            if (!ec) {
+                paths_.accept(std::move(socket));
+                accept();
+            }
+        });
+    }
+
+    no_broker broker_;
+    gateway paths_;
+    tcp::acceptor acceptor_;
+    std::list<fake_endpoint> endpoints_;
+};
+
+/// Returns a request with the tests' usual headers.
+inline std::string request(const std::string& line, const std::string& id,
+                           const std::string& more = "", const std::string& body = "") {
+    return line + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\nX-Key: k\r\n" + more +
+           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           "\r\n" + body;
+}
+
+/// Returns a whole answer with a length.
+inline std::string answer(const std::string& status, const std::string& id, const std::string& body,
+                          const std::string& more = "X-Signature: s\r\n") {
+    return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Whether `text` ends with `end`.
+inline bool ends_with(const std::string& text, const std::string& end) {
+    return text.size() >= end.size() &&
+           text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+}  // namespace radishpulley::gateway::testing
