--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -40,6 +40,8 @@
     routing::limiter_settings limiter;
     /// Longest wait for a holder's word on a wished load.
     std::chrono::milliseconds wish_timeout{150};
+    /// Silence after which an idempotent call is sent to another endpoint.
+    std::chrono::milliseconds call_silence{160};
     /// Attempts at getting one request to run, rejections included.
     unsigned most_sends = 4;
     /// Answer bytes that wait for a slow caller before the endpoint is no longer read.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -58,7 +58,8 @@
       configuration_(owner.configuration_),
       number_(++owner.last_number_),
       deadline_timer_(owner.loop_),
-      wait_timer_(owner.loop_) {
+      wait_timer_(owner.loop_),
+      silence_timer_(owner.loop_) {
     ++owner_.requests_;
     owner_.body_bytes_ += request_.body.size();
 }
@@ -184,7 +185,6 @@
     if (choice->needs_load) {
         wait_for_load(*choice);
     } else if (choice->ready_at) {
-        waited_for_ = facts_.target;
         wait_until(*choice->ready_at, choice->id);
     } else {
         send_to(choice->id);
@@ -201,15 +201,14 @@
 }
 
 void exchange::wait_for_load(const routing::endpoint_choice& it) {
-    phase_ = phase::waiting_for_load;
+    phase_ = phase::asking_for_load;
     endpoint_ = it.id;
-    waited_for_ = facts_.target;
     const auto self = shared_from_this();
     owner_.wait_for_load({it.id, facts_.target}, self);
     wait_timer_.expires_after(owner_.settings_.wish_timeout);
     wait_timer_.async_wait([weak = weak_from_this(), id = it.id](const error_code& ec) {
         const auto held = weak.lock();
-        if (!ec && held && held->phase_ == phase::waiting_for_load) {
+        if (!ec && held && held->phase_ == phase::asking_for_load) {
             held->on_load_refused(id);
         }
     });
@@ -219,13 +218,14 @@
 }
 
 void exchange::on_load_granted(const endpoint_id& engine, time_point ready_at) {
-    if (phase_ == phase::waiting_for_load && engine == endpoint_) {
+    const bool waits = phase_ == phase::asking_for_load || phase_ == phase::waiting_for_load;
+    if (waits && engine == endpoint_) {
         wait_until(ready_at, engine);
     }
 }
 
 void exchange::on_load_refused(const endpoint_id& engine) {
-    if (phase_ == phase::waiting_for_load && engine == endpoint_) {
+    if (phase_ == phase::asking_for_load && engine == endpoint_) {
         wait_timer_.cancel();
         no_loads_.insert(engine);
         find_endpoint();
@@ -233,33 +233,57 @@
 }
 
 void exchange::wait_until(time_point when, const endpoint_id& id) {
-    phase_ = phase::connecting;
-    const duration wait = std::max(duration::zero(), when - owner_.time_.now());
-    load_wait_ += wait;
-    wait_timer_.expires_after(wait);
+    phase_ = phase::waiting_for_load;
+    endpoint_ = id;
+    if (wait_began_ == time_point{}) {
+        wait_began_ = owner_.time_.now();
+    }
+    // The time may change when the order is given.
+    owner_.wait_for_load({id, facts_.target}, shared_from_this());
+    wait_timer_.expires_after(std::max(duration::zero(), when - owner_.time_.now()));
     wait_timer_.async_wait([weak = weak_from_this(), id](const error_code& ec) {
         const auto self = weak.lock();
-        if (!ec && self && self->phase_ == phase::connecting) {
+        if (!ec && self && self->phase_ == phase::waiting_for_load) {
             self->on_wait_over(id);
         }
     });
 }
 
 void exchange::on_wait_over(const endpoint_id& id) {
-    const auto view = owner_.adapters_.view(id, facts_.target, owner_.time_.now());
-    switch (view.state) {
-        case routing::adapter_state::loaded:
-            send_to(id);
-            break;
-        case routing::adapter_state::loading:
-            wait_until(view.ready_at, id);
-            break;
-        case routing::adapter_state::absent:
-            find_endpoint();
-            break;
+    const time_point now = owner_.time_.now();
+    const auto view = owner_.adapters_.view(id, facts_.target, now);
+    const bool is_late = view.state == routing::adapter_state::loading && view.ready_at <= now;
+    if (view.state == routing::adapter_state::loaded) {
+        send_to(id);
+    } else if (view.state == routing::adapter_state::loading && !is_late) {
+        wait_until(view.ready_at, id);
+    } else {
+        // Its order was not given in time, or it left again.
+        if (is_late) {
+            owner_.adapters_.on_missing(id, facts_.target, now);
+        }
+        find_endpoint();
     }
 }
 
+void exchange::hedge_if_silent() {
+    if (route_->kind != routing::request_kind::idempotent || service_->engine) {
+        return;
+    }
+    silence_timer_.expires_after(owner_.settings_.call_silence);
+    silence_timer_.async_wait([weak = weak_from_this(), send = sends_](const error_code& ec) {
+        const auto self = weak.lock();
+        const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send;
+        if (is_silent && self->may_run_again() && self->spend_retry()) {
+            self->owner_.directory_.on_call(self->endpoint_, routing::call_outcome::failed,
+                                            self->owner_.time_.now());
+            self->stop_call();
+            self->excluded_.insert(self->endpoint_);
+            self->find_endpoint();
+        }
+    });
+}
+
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     if (target == nullptr || target->draining) {
@@ -269,6 +293,9 @@
     }
     phase_ = phase::connecting;
     endpoint_ = id;
+    if (wait_began_ != time_point{}) {
+        load_wait_ = owner_.time_.now() - wait_began_;
+    }
     ++sends_;
     owner_.pool_.acquire(
         id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
@@ -325,6 +352,7 @@
     call.id = facts_.id.str();
     const auto self = shared_from_this();
     const auto held = connection_;
+    hedge_if_silent();
     held->call(std::move(call), *this);
 }
 
@@ -649,6 +677,7 @@
     note_call_ended();
     deadline_timer_.cancel();
     wait_timer_.cancel();
+    silence_timer_.cancel();
     const std::string_view account =
         account_ == nullptr ? std::string_view("-") : std::string_view(account_->id.str());
     const std::string_view route =
@@ -666,6 +695,7 @@
           service_ == nullptr ? std::string_view("-") : std::string_view(service_->id.str())},
          {"endpoint", endpoint_},
          {"adapter", facts_.target.adapter},
+         {"units", account_ == nullptr ? 0 : static_cast<std::uint64_t>(units())},
          {"configuration", configuration_ ? configuration_->version() : 0},
          {"sends", sends_},
          {"load_wait_ms", to_ms(load_wait_).count()},
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -37,7 +37,17 @@
     void on_load_refused(const endpoint_id& engine);
 
 private:
-    enum class phase { starting, waiting_for_load, connecting, sent, relaying, ended };
+    enum class phase {
+        starting,
+        /// The adapter's holder was asked for it.
+        asking_for_load,
+        /// The adapter is on its way.
+        waiting_for_load,
+        connecting,
+        sent,
+        relaying,
+        ended
+    };
 
     void on_head(const answer_head& head) override;
     void on_body(std::string_view bytes) override;
@@ -51,6 +61,7 @@
     void wait_for_load(const routing::endpoint_choice& it);
     void wait_until(time_point when, const endpoint_id& id);
     void on_wait_over(const endpoint_id& id);
+    void hedge_if_silent();
     void send_to(const endpoint_id& id);
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string request_bytes() const;
@@ -80,6 +91,7 @@
     const routing::service* service_ = nullptr;
     boost::asio::steady_timer deadline_timer_;
     boost::asio::steady_timer wait_timer_;
+    boost::asio::steady_timer silence_timer_;
     std::optional<time_point> deadline_;
     phase phase_ = phase::starting;
     endpoint_id endpoint_;
@@ -90,7 +102,6 @@
     endpoint_id used_at_;
     std::set<endpoint_id> excluded_;
     std::set<endpoint_id> no_loads_;
-    routing::model_choice waited_for_;
     unsigned sends_ = 0;
     /// Endpoints on which it may have run.
     unsigned runs_ = 0;
@@ -102,6 +113,7 @@
     std::optional<event_cutter> events_;
     std::uint64_t relayed_ = 0;
     unsigned status_ = 0;
+    time_point wait_began_{};
     time_point sent_at_{};
     duration first_event_{};
     duration load_wait_{};
--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -24,6 +24,8 @@
     /// While it loads: when it is expected to be usable.
     time_point ready_at{};
     std::uint64_t version = 0;
+    /// The engine has accepted the order; before that a load is only meant.
+    bool ordered = true;
 };
 
 /// Table of adapters by engine.
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -92,6 +92,8 @@
 struct wish_granted {
     duration ready_in{};
     std::uint64_t version = 0;
+    /// The engine has accepted the order already.
+    bool ordered = false;
 };
 
 /// Why a wish is refused.
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -49,6 +49,8 @@
     /// Time until it is usable, in milliseconds.
     std::uint32_t ready_in_ms = 0;
     std::uint64_t version = 0;
+    /// The engine has accepted the order already.
+    bool ordered = true;
 };
 
 /// The holder can't load the adapter now.
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -94,7 +94,7 @@
         return {};
     }
     adapter_view it = found->second.view;
-    if (it.state == adapter_state::loading && it.ready_at <= now) {
+    if (it.state == adapter_state::loading && it.ordered && it.ready_at <= now) {
         it.state = adapter_state::loaded;
     }
     return it;
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -177,7 +177,7 @@
     if (found != places_.end() && !found->second.leaving) {
         found->second.last_use = std::max(found->second.last_use, now);
         const duration left = found->second.ready_at - now;
-        return wish_granted{std::max(left, duration::zero()), found->second.version};
+        return wish_granted{std::max(left, duration::zero()), found->second.version, true};
     }
     if (models_.count(adapter.model) == 0) {
         return wish_refused{wish_obstacle::no_model};
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -82,8 +82,8 @@
                 return json::array({"w", w.engine.str(), to_json(w.adapter)});
             },
             [](const adapter_hint& h) {
-                return json::array(
-                    {"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms, h.version});
+                return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
+                                    h.version, h.ordered});
             },
             [](const load_refusal& r) {
                 return json::array({"r", r.engine.str(), to_json(r.adapter)});
@@ -105,8 +105,12 @@
         return load_wish{engine, read_choice(in.at(2))};
     }
     if (kind == "h") {
-        return adapter_hint{engine, read_choice(in.at(2)), in.at(3).get<bool>(),
-                            in.at(4).get<std::uint32_t>(), in.at(5).get<std::uint64_t>()};
+        return adapter_hint{engine,
+                            read_choice(in.at(2)),
+                            in.at(3).get<bool>(),
+                            in.at(4).get<std::uint32_t>(),
+                            in.at(5).get<std::uint64_t>(),
+                            in.at(6).get<bool>()};
     }
     if (kind == "r") {
         return load_refusal{engine, read_choice(in.at(2))};
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -336,7 +336,7 @@
         if (granted != nullptr) {
             data_path_.on_adapter(engine, adapter,
                                   {routing::adapter_state::loading, time_.now() + granted->ready_in,
-                                   granted->version});
+                                   granted->version, granted->ordered});
         }
         return granted != nullptr;
     }
@@ -437,7 +437,7 @@
                         it.from.vm,
                         routing::adapter_hint{wish.engine, wish.adapter, true,
                                               static_cast<std::uint32_t>(ms_of(granted->ready_in)),
-                                              granted->version});
+                                              granted->version, granted->ordered});
                 } else {
                     fleet_.send(it.from.vm, routing::load_refusal{wish.engine, wish.adapter});
                 }
@@ -452,7 +452,8 @@
                 routing::adapter_view view;
                 if (hint.held) {
                     view = {routing::adapter_state::loading,
-                            now + std::chrono::milliseconds(hint.ready_in_ms), hint.version};
+                            now + std::chrono::milliseconds(hint.ready_in_ms), hint.version,
+                            hint.ordered};
                 }
                 data_path_.on_adapter(hint.engine, hint.adapter, view);
             },
