--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -46,6 +46,10 @@
     duration old_version_cost = std::chrono::milliseconds(350);
     /// Slowing of all tokens by one more running request.
     duration batch_step = std::chrono::milliseconds(2);
+    /// Reading a prompt from this length on makes pauses in the streams that run beside it; each of
+    /// them counts as this much time.
+    std::uint32_t long_prompt_tokens = 12'000;
+    duration long_prompt_harm = std::chrono::milliseconds(60);
 };
 
 /// Where a daemon is.
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -106,6 +106,9 @@
         return wait + run * static_cast<int>(work.requests) / 2;
     }
     wait += settings_.batch_step * static_cast<int>(work.requests);
+    if (request.facts.prompt_tokens >= settings_.long_prompt_tokens) {
+        wait += settings_.long_prompt_harm * static_cast<int>(work.requests);
+    }
     wait += from_ms(static_cast<double>(work.unread_tokens) / settings_.read_tokens_per_ms);
     const std::uint64_t need = work.memory_tokens + request.facts.prompt_tokens;
     const std::uint64_t room = request.target.engine->memory_tokens;
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -144,6 +144,17 @@
     BOOST_TEST(choose()->unread_tokens == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_very_long_prompt_leaves_engines_with_running_streams_alone, fixture) {
+    hold("e1");
+    hold("e3");
+    for (request_number n = 1; n <= 5; ++n) {
+        work.start(n, endpoint_id("e1"), 0, 100);
+    }
+    BOOST_TEST(choose()->id.str() == "e1");
+    facts.prompt_tokens = 20'000;
+    BOOST_TEST(choose()->id.str() == "e3");
+}
+
 BOOST_FIXTURE_TEST_CASE(an_engine_without_the_base_model_is_never_chosen, fixture) {
     facts.target.model = "other";
     BOOST_TEST(!choose().has_value());
