--- a/libs/fleet/include/fleet/fleet_agent.h
+++ b/libs/fleet/include/fleet/fleet_agent.h
@@ -33,7 +33,7 @@
 
 /// Event: the platform's VM list was read.
 struct vm_list_read {
-    std::vector<platform::vm_entry> vms;
+    std::vector<object_api::vm_entry> vms;
 };
 
 /// Event: the incarnation was raised after a start without one.
@@ -63,7 +63,7 @@
 struct probe_answered {
     /// When the call was made.
     time_point sent;
-    platform::store_revision revision = 0;
+    object_api::store_revision revision = 0;
     /// The head changed, or the answer was not complete, or the watch began at revision 0.
     bool changed = false;
 };
@@ -100,7 +100,7 @@
 /// Action: watch the head since `since` without waiting. When there is no answer within `deadline`,
 /// report api_silent and use a fresh connection next time.
 struct probe_api {
-    platform::store_revision since = 0;
+    object_api::store_revision since = 0;
     duration deadline{0};
 };
 
@@ -131,7 +131,7 @@
 class fleet_agent {
 public:
     /// `incarnation` is 0 when the object API did not give one.
-    fleet_agent(platform::vm_entry self, incarnation_number incarnation, fleet_settings settings,
+    fleet_agent(object_api::vm_entry self, incarnation_number incarnation, fleet_settings settings,
                 time_point started);
 
     std::vector<action> handle(const event& it, time_point now);
@@ -193,7 +193,7 @@
     std::size_t next_introduction_ = 0;
     time_point introduction_due_;
     /// Revision of a probe whose head is still to be read.
-    platform::store_revision revision_ = 0;
+    object_api::store_revision revision_ = 0;
     bool head_wanted_ = false;
 };
 
--- a/libs/fleet/src/fleet_agent.cpp
+++ b/libs/fleet/src/fleet_agent.cpp
@@ -5,7 +5,7 @@
 
 namespace radishpulley::fleet {
 
-fleet_agent::fleet_agent(platform::vm_entry self, incarnation_number incarnation,
+fleet_agent::fleet_agent(object_api::vm_entry self, incarnation_number incarnation,
                          fleet_settings settings, time_point started)
     : settings_(settings),
       members_(self, incarnation, settings.membership),
@@ -103,7 +103,7 @@
 
 void fleet_agent::on(const head_answered& it, time_point now, actions& out) {
     // The revision is older than the head, so that a watch from it misses no change.
-    const platform::store_revision revision = head_wanted_ ? revision_ : 0;
+    const object_api::store_revision revision = head_wanted_ ? revision_ : 0;
     head_wanted_ = false;
     if (freshness_.api_answered(it.at.number, revision, it.sent)) {
         members_.hurry(now);
--- a/libs/fleet/tests/outage_tests.cpp
+++ b/libs/fleet/tests/outage_tests.cpp
@@ -218,7 +218,7 @@
     for (int i = 0; i < 9; ++i) {
         net.nodes().at(vm(i)).is_cut_from_api = true;
     }
-    platform::vm_entry entry = net.nodes().at(vm(0)).entry;
+    object_api::vm_entry entry = net.nodes().at(vm(0)).entry;
     entry.vm = vm_id("vm-new");
     net.add_vms({entry});
     net.nodes().at(entry.vm).is_cut_from_peers = true;
--- a/libs/fleet/tests/property_tests.cpp
+++ b/libs/fleet/tests/property_tests.cpp
@@ -113,7 +113,7 @@
             numbers.push_back(it->agent->in_force().at.number);
         }
         const auto held = net_.api().get(tickets::head_object);
-        const auto* found = std::get_if<platform::object>(&held);
+        const auto* found = std::get_if<object_api::object>(&held);
         seen_.settled(numbers,
                       found == nullptr ? tickets::head{} : tickets::parse_head(found->value));
     }
@@ -222,7 +222,7 @@
     // Another VM takes the place of one; the others learn of both when they read the list.
     void replace(node& old) {
         const vm_id gone = old.entry.vm;
-        platform::vm_entry entry = old.entry;
+        object_api::vm_entry entry = old.entry;
         entry.vm = vm_id("vm-r" + std::to_string(++replaced_));
         net_.vanish(gone);
         net_.unlist(gone);
--- a/libs/fleet_of_processes/include/fleet_of_processes/local_fleet.h
+++ b/libs/fleet_of_processes/include/fleet_of_processes/local_fleet.h
@@ -9,7 +9,7 @@
 
 #include "base/identifier.h"
 #include "http/client.h"
-#include "platform/vm_list.h"
+#include "object_api/vm_list.h"
 #include "standins/application_engine.h"
 #include "standins/child_process.h"
 #include "standins/model_engine.h"
@@ -19,7 +19,7 @@
 
 /// One entry VM.
 struct local_vm {
-    platform::vm_entry entry;
+    object_api::vm_entry entry;
     std::string callers;
     std::string administration;
     std::string settings_file;
--- a/libs/fleet_of_processes/src/local_fleet.cpp
+++ b/libs/fleet_of_processes/src/local_fleet.cpp
@@ -59,7 +59,7 @@
     write_file(settings_.folder + "/operator.token", operator_token);
     write_file(settings_.folder + "/fleet.secret", fleet_secret);
     write_file(settings_.folder + "/key.secret", key_secret);
-    std::vector<platform::vm_entry> list;
+    std::vector<object_api::vm_entry> list;
     for (std::size_t i = 0; i < settings_.vms; ++i) {
         local_vm it;
         it.entry.vm = vm_id("vm" + std::to_string(i));
--- a/libs/fleet_standins/include/fleet_standins/agent_network.h
+++ b/libs/fleet_standins/include/fleet_standins/agent_network.h
@@ -32,7 +32,7 @@
 
 /// One VM.
 struct node {
-    platform::vm_entry entry;
+    object_api::vm_entry entry;
     incarnation_number incarnation = 0;
     /// Empty while no process runs.
     std::unique_ptr<fleet::fleet_agent> agent;
@@ -57,7 +57,7 @@
     agent_network(fleet::fleet_settings fleet, network_settings network);
 
     /// Adds VMs and starts them; they see each other on the VM list at their next reading.
-    void add_vms(const std::vector<platform::vm_entry>& vms);
+    void add_vms(const std::vector<object_api::vm_entry>& vms);
     /// Starts a process on a VM, with the next incarnation when the API answers.
     void start(const vm_id& vm);
     /// Ends the process; its connections end and its port refuses new ones.
@@ -127,7 +127,7 @@
     tickets::ticket_store store_;
     std::mt19937_64 random_;
     std::map<vm_id, node> nodes_;
-    std::vector<platform::vm_entry> listed_;
+    std::vector<object_api::vm_entry> listed_;
     std::map<pair_of_vms, link> links_;
     std::multimap<time_point, std::function<void()>> queue_;
     std::function<void()> check_;
@@ -140,6 +140,6 @@
 };
 
 /// Returns `n` VMs spread evenly over `regions` with `zones` zones each.
-std::vector<platform::vm_entry> make_vms(std::size_t n, std::size_t regions, std::size_t zones);
+std::vector<object_api::vm_entry> make_vms(std::size_t n, std::size_t regions, std::size_t zones);
 
 }  // namespace radishpulley::fleet_standins
--- a/libs/fleet_standins/src/agent_network.cpp
+++ b/libs/fleet_standins/src/agent_network.cpp
@@ -31,12 +31,12 @@
     api_.set_down(down);
 }
 
-void agent_network::add_vms(const std::vector<platform::vm_entry>& vms) {
-    for (const platform::vm_entry& it : vms) {
+void agent_network::add_vms(const std::vector<object_api::vm_entry>& vms) {
+    for (const object_api::vm_entry& it : vms) {
         nodes_[it.vm].entry = it;
         listed_.push_back(it);
     }
-    for (const platform::vm_entry& it : vms) {
+    for (const object_api::vm_entry& it : vms) {
         start(it.vm);
     }
 }
@@ -117,7 +117,7 @@
 
 void agent_network::unlist(const vm_id& vm) {
     listed_.erase(std::remove_if(listed_.begin(), listed_.end(),
-                                 [&](const platform::vm_entry& entry) { return entry.vm == vm; }),
+                                 [&](const object_api::vm_entry& entry) { return entry.vm == vm; }),
                   listed_.end());
 }
 
@@ -299,10 +299,10 @@
     const time_point sent = now_;
     at(now_ + network_.api_delay, [=] {
         const bool heard = !nodes_.at(vm).is_cut_from_api;
-        const platform::watch_result result =
+        const object_api::watch_result result =
             heard ? api_.watch(tickets::head_object, call.since, duration(0))
-                  : platform::watch_result(platform::unreachable{});
-        const auto* answer = std::get_if<platform::watch_answer>(&result);
+                  : object_api::watch_result(object_api::unreachable{});
+        const auto* answer = std::get_if<object_api::watch_answer>(&result);
         if (answer == nullptr) {
             at(sent + call.deadline, [=] { deliver(vm, incarnation, fleet::api_silent{}); });
             return;
@@ -320,7 +320,7 @@
     at(now_ + network_.api_delay, [=] {
         const bool heard = !nodes_.at(vm).is_cut_from_api;
         const tickets::head_result result =
-            heard ? store_.load_head() : tickets::head_result(platform::unreachable{});
+            heard ? store_.load_head() : tickets::head_result(object_api::unreachable{});
         const auto* answer = std::get_if<tickets::head>(&result);
         if (answer == nullptr) {
             at(sent + fleet_.freshness.probe_deadline,
@@ -387,12 +387,12 @@
     return true;
 }
 
-std::vector<platform::vm_entry> make_vms(std::size_t n, std::size_t regions, std::size_t zones) {
-    std::vector<platform::vm_entry> vms;
+std::vector<object_api::vm_entry> make_vms(std::size_t n, std::size_t regions, std::size_t zones) {
+    std::vector<object_api::vm_entry> vms;
     for (std::size_t i = 0; i < n; ++i) {
         const std::size_t region = i % regions;
         const std::size_t zone = i / regions % zones;
-        platform::vm_entry it;
+        object_api::vm_entry it;
         it.vm = vm_id("vm-" + std::to_string(i));
         it.region = region_id("region-" + std::to_string(region));
         it.zone = zone_id("zone-" + std::to_string(region) + "-" + std::to_string(zone));
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -103,6 +103,8 @@
     void accept(link::socket socket);
     /// Closes callers' connections on which no request is.
     void close_idle_callers();
+    /// Forgets requests that no longer wait for a load.
+    void sweep();
     std::size_t caller_count() const { return callers_.size(); }
     std::size_t request_count() const { return requests_; }
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 constexpr unsigned status_misdirected = 421;
+constexpr unsigned first_failure = 400;
 // Logged for a request whose caller left; never sent.
 constexpr unsigned status_caller_left = 499;
 
@@ -182,6 +183,16 @@
     unread_tokens_ = choice->unread_tokens;
     read_work_ = choice->read_work;
     reserve_work(choice->id);
+    telemetry::log_event(severity::info, "request_placed",
+                         {{"request", facts_.id},
+                          {"endpoint", choice->id},
+                          {"adapter", facts_.target.adapter},
+                          {"needs_load", choice->needs_load},
+                          {"expected_ms", to_ms(choice->expected).count()},
+                          {"unread_tokens", choice->unread_tokens},
+                          {"refused_loads", no_loads_.size()},
+                          {"excluded", excluded_.size()},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
     if (choice->needs_load) {
         wait_for_load(*choice);
     } else if (choice->ready_at) {
@@ -455,6 +466,11 @@
 }
 
 void exchange::on_rejected(const answer_head& head) {
+    telemetry::log_event(severity::info, "request_not_run",
+                         {{"request", facts_.id},
+                          {"endpoint", endpoint_},
+                          {"status", head.status},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
     if (head.status == status_misdirected) {
         const routing::endpoint* known = owner_.directory_.find(endpoint_);
         if (!facts_.target.adapter.empty() && known != nullptr) {
@@ -527,6 +543,13 @@
     connection_.reset();
     const std::string_view reason =
         why == call_failure::malformed ? "malformed_answer" : "connection_broken";
+    telemetry::log_event(severity::warning, "call_failed",
+                         {{"request", facts_.id},
+                          {"endpoint", endpoint_},
+                          {"reason", reason},
+                          {"sent", why != call_failure::not_sent},
+                          {"relayed_bytes", relayed_},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
     if (rejected_) {
         retry("rejected");
         return;
@@ -684,8 +707,9 @@
         route_ == nullptr ? std::string_view("-") : std::string_view(route_->name);
     owner_.answers_.with({account, route, std::to_string(status)}).add();
     owner_.latencies_.with({account, route}).record(elapsed());
+    // Refusals and failures have a bound of their own, so that successes do not crowd them out.
     telemetry::log_event(
-        severity::info, "request_finished",
+        status < first_failure ? severity::info : severity::warning, "request_finished",
         {{"request", facts_.id},
          {"status", status},
          {"reason", reason},
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -84,6 +84,16 @@
     }
 }
 
+void gateway::sweep() {
+    for (auto it = load_waiters_.begin(); it != load_waiters_.end();) {
+        auto& waiters = it->second;
+        waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
+                                     [](const auto& waiter) { return waiter.expired(); }),
+                      waiters.end());
+        it = waiters.empty() ? load_waiters_.erase(it) : std::next(it);
+    }
+}
+
 requests::retry_budget& gateway::budget_of(const service_id& id) {
     const auto found = budgets_.find(id);
     if (found != budgets_.end()) {
--- a/libs/idempotency/include/idempotency/once_guard.h
+++ b/libs/idempotency/include/idempotency/once_guard.h
@@ -16,7 +16,7 @@
 #include "base/clock.h"
 #include "base/identifier.h"
 #include "idempotency/record.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::idempotency {
 
@@ -32,7 +32,7 @@
 struct run_permit {
     std::string name;
     record content;
-    platform::object_version version = 0;
+    object_api::object_version version = 0;
 };
 
 /// Why a call may not run.
@@ -80,7 +80,7 @@
 /// no lock is held meanwhile.
 class once_guard {
 public:
-    once_guard(platform::object_store& store, vm_incarnation self, guard_limits limits);
+    once_guard(object_api::object_store& store, vm_incarnation self, guard_limits limits);
 
     /// Asks to run a call. `epoch` comes from record_epochs.
     begin_result begin(const keyed_call& call, epoch_number epoch, time_point now);
@@ -115,7 +115,7 @@
     run_permit new_permit(const keyed_call& call, epoch_number epoch);
     bool take_call(time_point now);
     begin_result create(const run_permit& permit, time_point now);
-    begin_result judge(const run_permit& permit, const platform::object& found) const;
+    begin_result judge(const run_permit& permit, const object_api::object& found) const;
     void end(pending_end it, time_point now);
     end_result try_end(pending_end& it, time_point now);
     end_result try_finish(pending_end& it);
@@ -125,7 +125,7 @@
     void settle(pending_end it, end_result result);
     bool runs_here(const std::string& name) const;
 
-    platform::object_store& store_;
+    object_api::object_store& store_;
     const vm_incarnation self_;
     const guard_limits limits_;
     mutable std::mutex mutex_;
--- a/libs/idempotency/include/idempotency/record_epochs.h
+++ b/libs/idempotency/include/idempotency/record_epochs.h
@@ -10,7 +10,7 @@
 
 #include "base/clock.h"
 #include "idempotency/record.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::idempotency {
 
@@ -28,7 +28,7 @@
 /// Follows and moves the epoch. Safe to call from several threads.
 class record_epochs {
 public:
-    explicit record_epochs(platform::object_store& store) : store_(store) {}
+    explicit record_epochs(object_api::object_store& store) : store_(store) {}
 
     /// Reads the epoch and moves it when it is due. Call it every few minutes.
     void poll(time_point now);
@@ -40,14 +40,14 @@
 private:
     struct reading {
         epoch_number number = 0;
-        platform::object_version version = 0;
+        object_api::object_version version = 0;
         time_point first_seen;
         time_point last_seen;
     };
 
-    void take(epoch_number number, platform::object_version version, time_point now);
+    void take(epoch_number number, object_api::object_version version, time_point now);
 
-    platform::object_store& store_;
+    object_api::object_store& store_;
     mutable std::mutex mutex_;
     std::optional<reading> reading_;
 };
--- a/libs/idempotency/include/idempotency/record_sweeper.h
+++ b/libs/idempotency/include/idempotency/record_sweeper.h
@@ -9,7 +9,7 @@
 
 #include "base/identifier.h"
 #include "idempotency/record.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::idempotency {
 
@@ -30,7 +30,7 @@
 /// once. Not safe for concurrent calls.
 class record_sweeper {
 public:
-    explicit record_sweeper(platform::object_store& store) : store_(store) {}
+    explicit record_sweeper(object_api::object_store& store) : store_(store) {}
 
     /// Deletes what is expired at `current` with at most `max_calls` reads and deletions.
     sweep_report sweep(std::size_t shard, epoch_number current, std::size_t max_calls);
@@ -38,7 +38,7 @@
 private:
     struct known_record {
         epoch_number epoch = 0;
-        platform::object_version version = 0;
+        object_api::object_version version = 0;
     };
     using known_shard = std::map<std::string, known_record>;
 
@@ -47,7 +47,7 @@
     void sweep_one(const std::string& name, epoch_number current, known_shard& known,
                    sweep_report& report);
 
-    platform::object_store& store_;
+    object_api::object_store& store_;
     std::map<std::size_t, known_shard> known_;
 };
 
--- a/libs/idempotency/src/once_guard.cpp
+++ b/libs/idempotency/src/once_guard.cpp
@@ -8,7 +8,7 @@
 
 namespace radishpulley::idempotency {
 
-using namespace platform;
+using namespace object_api;
 
 namespace {
 
--- a/libs/idempotency/src/record_epochs.cpp
+++ b/libs/idempotency/src/record_epochs.cpp
@@ -7,7 +7,7 @@
 
 namespace radishpulley::idempotency {
 
-using namespace platform;
+using namespace object_api;
 
 namespace {
 
--- a/libs/idempotency/src/record_sweeper.cpp
+++ b/libs/idempotency/src/record_sweeper.cpp
@@ -10,7 +10,7 @@
 
 namespace radishpulley::idempotency {
 
-using namespace platform;
+using namespace object_api;
 
 namespace {
 
--- a/libs/keys/include/keys/freshness.h
+++ b/libs/keys/include/keys/freshness.h
@@ -18,7 +18,7 @@
 #include "base/clock.h"
 #include "base/identifier.h"
 #include "model/ticket.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::keys {
 
@@ -27,7 +27,7 @@
     /// Number of the head in that answer.
     model::ticket_number number = 0;
     /// Revision from which the next watch can start.
-    platform::store_revision revision = 0;
+    object_api::store_revision revision = 0;
     /// Time since the call was sent, at most.
     duration age{0};
 };
@@ -124,7 +124,7 @@
 
     /// A call of the object API was answered. `number` is the head's and `sent` when it was called.
     /// Returns true when neighbours should be told at once.
-    bool api_answered(model::ticket_number number, platform::store_revision revision,
+    bool api_answered(model::ticket_number number, object_api::store_revision revision,
                       time_point sent);
 
     /// A call of the object API was given up.
@@ -167,7 +167,7 @@
 
 private:
     struct known_evidence {
-        platform::store_revision revision = 0;
+        object_api::store_revision revision = 0;
         time_point heard;
     };
     struct known_hold {
--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -51,7 +51,7 @@
     return is_newer;
 }
 
-bool freshness::api_answered(model::ticket_number number, platform::store_revision revision,
+bool freshness::api_answered(model::ticket_number number, object_api::store_revision revision,
                              time_point sent) {
     api_failing_ = false;
     return take_evidence(number, {revision, sent});
--- a/libs/membership/include/membership/incarnation_store.h
+++ b/libs/membership/include/membership/incarnation_store.h
@@ -4,7 +4,7 @@
 #include <variant>
 
 #include "base/identifier.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::membership {
 
@@ -19,14 +19,14 @@
 /// Raises the counter `vms/<vm>`. Blocking.
 class incarnation_store {
 public:
-    explicit incarnation_store(platform::object_store& api) : api_(api) {}
+    explicit incarnation_store(object_api::object_store& api) : api_(api) {}
 
     /// Returns a number that no start of this VM had before. A lost answer costs a number, which is
     /// harmless. Two processes that start at once get different numbers.
     incarnation_result raise(const vm_id& vm);
 
 private:
-    platform::object_store& api_;
+    object_api::object_store& api_;
 };
 
 }  // namespace radishpulley::membership
--- a/libs/membership/include/membership/member_table.h
+++ b/libs/membership/include/membership/member_table.h
@@ -14,7 +14,7 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
-#include "platform/vm_list.h"
+#include "object_api/vm_list.h"
 
 namespace radishpulley::membership {
 
@@ -46,14 +46,14 @@
 
 /// One VM as this daemon sees it.
 struct member {
-    platform::vm_entry entry;
+    object_api::vm_entry entry;
     incarnation_number incarnation = 0;
     member_state state = member_state::listed;
 };
 
 /// Message: a VM that the sender knows of, so that a lagging VM list does not hide it.
 struct member_report {
-    platform::vm_entry entry;
+    object_api::vm_entry entry;
     incarnation_number incarnation = 0;
 };
 
@@ -106,12 +106,12 @@
 /// The table of one daemon. One thread at a time.
 class member_table {
 public:
-    member_table(platform::vm_entry self, incarnation_number incarnation,
+    member_table(object_api::vm_entry self, incarnation_number incarnation,
                  membership_settings settings = {});
 
     /// The platform's list was read. A VM that was on it before and no longer is has ended.
     /// Returns those VMs.
-    std::vector<vm_id> vm_list_read(gsl::span<const platform::vm_entry> vms, time_point now);
+    std::vector<vm_id> vm_list_read(gsl::span<const object_api::vm_entry> vms, time_point now);
 
     /// A peer told of VMs that it knows. Never removes one, nor brings back one that has ended.
     void members_heard(gsl::span<const member_report> reports, time_point now);
@@ -180,7 +180,7 @@
         std::map<std::uint64_t, time_point> tokens;
     };
 
-    peer& add(const platform::vm_entry& entry, incarnation_number incarnation, time_point now);
+    peer& add(const object_api::vm_entry& entry, incarnation_number incarnation, time_point now);
     void choose();
     bool is_wanted(const peer& it) const { return it.chosen || it.to_introduce; }
     void drop(peer& it, time_point now, std::vector<membership_action>& out);
@@ -189,7 +189,7 @@
     void send_due(peer& it, time_point now, std::vector<membership_action>& out);
     duration spread(const vm_id& other) const;
 
-    const platform::vm_entry self_;
+    const object_api::vm_entry self_;
     incarnation_number incarnation_;
     const membership_settings settings_;
     std::map<vm_id, peer> peers_;
--- a/libs/membership/src/incarnation_store.cpp
+++ b/libs/membership/src/incarnation_store.cpp
@@ -19,15 +19,15 @@
 incarnation_result incarnation_store::raise(const vm_id& vm) {
     const std::string name = "vms/" + vm.str();
     for (int n = 0; n < max_attempts; ++n) {
-        const platform::get_result read = api_.get(name);
-        if (std::holds_alternative<platform::unreachable>(read)) {
+        const object_api::get_result read = api_.get(name);
+        if (std::holds_alternative<object_api::unreachable>(read)) {
             continue;
         }
-        const auto* held = std::get_if<platform::object>(&read);
+        const auto* held = std::get_if<object_api::object>(&read);
         const incarnation_number next = held == nullptr ? 1 : parse_number(held->value) + 1;
-        const platform::object_version version = held == nullptr ? 0 : held->version;
-        const platform::put_result result = api_.put(name, std::to_string(next), version);
-        if (std::holds_alternative<platform::stored>(result)) {
+        const object_api::object_version version = held == nullptr ? 0 : held->version;
+        const object_api::put_result result = api_.put(name, std::to_string(next), version);
+        if (std::holds_alternative<object_api::stored>(result)) {
             return vm_incarnation{vm, next};
         }
     }
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-member_table::member_table(platform::vm_entry self, incarnation_number incarnation,
+member_table::member_table(object_api::vm_entry self, incarnation_number incarnation,
                            membership_settings settings)
     : self_(std::move(self)), incarnation_(incarnation), settings_(settings) {}
 
@@ -24,7 +24,7 @@
     return settings_.reconnect_spread * (stable_hash(self_.vm.str() + other.str()) % steps) / steps;
 }
 
-member_table::peer& member_table::add(const platform::vm_entry& entry,
+member_table::peer& member_table::add(const object_api::vm_entry& entry,
                                       incarnation_number incarnation, time_point now) {
     peer& it = peers_[entry.vm];
     member& known = it.known;
@@ -43,11 +43,11 @@
     return it;
 }
 
-std::vector<vm_id> member_table::vm_list_read(gsl::span<const platform::vm_entry> vms,
+std::vector<vm_id> member_table::vm_list_read(gsl::span<const object_api::vm_entry> vms,
                                               time_point now) {
     roster_known_ = true;
     std::set<vm_id> present;
-    for (const platform::vm_entry& entry : vms) {
+    for (const object_api::vm_entry& entry : vms) {
         present.insert(entry.vm);
         ended_.erase(entry.vm);
         if (entry.vm == self_.vm) {
@@ -92,7 +92,7 @@
 }
 
 void member_table::choose() {
-    std::vector<platform::vm_entry> vms = {self_};
+    std::vector<object_api::vm_entry> vms = {self_};
     for (const auto& it : peers_) {
         vms.push_back(it.second.known.entry);
     }
@@ -243,7 +243,7 @@
     std::vector<member> all;
     for (const auto& it : peers_) {
         all.push_back(it.second.known);
-        if (it.second.known.entry.state == platform::vm_state::leaving) {
+        if (it.second.known.entry.state == object_api::vm_state::leaving) {
             all.back().state = member_state::leaving;
         }
     }
--- a/libs/membership/src/neighbours.cpp
+++ b/libs/membership/src/neighbours.cpp
@@ -8,7 +8,7 @@
 namespace radishpulley::membership {
 namespace {
 
-using platform::vm_entry;
+using object_api::vm_entry;
 
 std::uint64_t weight(const vm_id& chooser, const vm_id& candidate) {
     return stable_hash(chooser.str() + "/" + candidate.str());
--- a/libs/membership/tests/membership_tests.cpp
+++ b/libs/membership/tests/membership_tests.cpp
@@ -12,7 +12,7 @@
 using namespace radishpulley;
 using namespace radishpulley::membership;
 using namespace std::chrono_literals;
-using radishpulley::platform::vm_entry;
+using radishpulley::object_api::vm_entry;
 using radishpulley::standins::memory_object_store;
 using radishpulley::standins::store_fault;
 
@@ -24,7 +24,7 @@
     const int zone = n % zones;
     return {vm_id("vm-" + std::to_string(n)), zone_id("zone-" + std::to_string(zone)),
             region_id("region-" + std::to_string(zone % 2)), "ws://10.0.0.1:" + std::to_string(n),
-            platform::vm_state::live};
+            object_api::vm_state::live};
 }
 
 std::vector<vm_entry> make_vms(int n) {
--- a/libs/platform/include/platform/http_object_store.h
+++ b/libs/object_api/include/object_api/http_object_store.h
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "http/client.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 
 /// Client of one object API address. Safe to call from several threads at once.
 class http_object_store final : public object_store {
@@ -35,4 +35,4 @@
     http::client updates_;
 };
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/platform/include/platform/http_vm_list.h
+++ b/libs/object_api/include/object_api/http_vm_list.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "http/client.h"
-#include "platform/vm_list.h"
+#include "object_api/vm_list.h"
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 
 /// Client of one VM list address. Safe to call from several threads at once.
 class http_vm_list final : public vm_list {
@@ -21,4 +21,4 @@
     http::client client_;
 };
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/platform/include/platform/object_store.h
+++ b/libs/object_api/include/object_api/object_store.h
@@ -12,7 +12,7 @@
 
 #include "base/clock.h"
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 
 /// Version of one object: 0 while it does not exist, and higher after every update.
 using object_version = std::uint64_t;
@@ -87,4 +87,4 @@
     virtual watch_result watch(std::string_view prefix, store_revision since, duration wait) = 0;
 };
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/platform/include/platform/vm_list.h
+++ b/libs/object_api/include/object_api/vm_list.h
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "base/identifier.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 
 /// Whether the platform means to keep a VM.
 enum class vm_state { live, leaving };
@@ -34,4 +34,4 @@
     virtual vm_list_result read() = 0;
 };
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/platform/src/http_object_store.cpp
+++ b/libs/object_api/src/http_object_store.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_object_store.h"
+#include "object_api/http_object_store.h"
 
 #include <charconv>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 namespace {
 
 using nlohmann::json;
@@ -129,4 +129,4 @@
     return parse_watch(*answer);
 }
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/platform/src/http_vm_list.cpp
+++ b/libs/object_api/src/http_vm_list.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_vm_list.h"
+#include "object_api/http_vm_list.h"
 
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 namespace {
 
 using nlohmann::json;
@@ -42,4 +42,4 @@
     }
 }
 
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
--- a/libs/ownership/include/ownership/holding.h
+++ b/libs/ownership/include/ownership/holding.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/identifier.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::ownership {
 
@@ -35,7 +35,7 @@
 /// One object of the table as it was read.
 struct shard {
     shard_index index = 0;
-    platform::object_version version = 0;
+    object_api::object_version version = 0;
     std::vector<holding> holdings;
 };
 
--- a/libs/ownership/include/ownership/ownership_policy.h
+++ b/libs/ownership/include/ownership/ownership_policy.h
@@ -25,7 +25,7 @@
     holding_id id;
     replacement rule = replacement::on_certain_end;
     /// VMs that are near it and come first; where none of them can hold it, any may.
-    std::set<vm_id> near;
+    std::set<vm_id> near = {};
 };
 
 /// Limits of the policy.
@@ -90,7 +90,7 @@
 
 private:
     struct shard_copy {
-        platform::object_version version = 0;
+        object_api::object_version version = 0;
         std::map<holding_id, holding> holdings;
     };
 
--- a/libs/ownership/include/ownership/ownership_store.h
+++ b/libs/ownership/include/ownership/ownership_store.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <variant>
 
+#include "object_api/object_store.h"
 #include "ownership/ownership_policy.h"
-#include "platform/object_store.h"
 
 namespace radishpulley::ownership {
 
@@ -27,13 +27,13 @@
 std::optional<shard> applied(const shard& copy, const shard_update& update);
 
 using commit_result = std::variant<committed, superseded, undecided>;
-using read_result = std::variant<shard, platform::unreachable>;
+using read_result = std::variant<shard, object_api::unreachable>;
 
 /// The table's objects, named `<prefix><index>`. Safe to call from several threads at once.
 class ownership_store {
 public:
     /// `store` must outlive this object.
-    explicit ownership_store(platform::object_store& store, std::string prefix = "ownership/");
+    explicit ownership_store(object_api::object_store& store, std::string prefix = "ownership/");
 
     /// Reads one shard; an object that does not exist is an empty shard of version 0.
     /// Throws invalid_input where the stored text cannot be read.
@@ -46,7 +46,7 @@
 private:
     std::string name_of(shard_index index) const;
 
-    platform::object_store& store_;
+    object_api::object_store& store_;
     std::string prefix_;
 };
 
--- a/libs/ownership/include/ownership/vm_knowledge.h
+++ b/libs/ownership/include/ownership/vm_knowledge.h
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
-#include "platform/vm_list.h"
+#include "object_api/vm_list.h"
 
 namespace radishpulley::ownership {
 
@@ -31,7 +31,7 @@
     vm_knowledge(vm_incarnation self, vm_knowledge_settings settings);
 
     /// Takes a list that the platform answered.
-    void on_list(gsl::span<const platform::vm_entry> entries, time_point now);
+    void on_list(gsl::span<const object_api::vm_entry> entries, time_point now);
     /// Takes any proof that `who` ran at `now`: a message, or an entry that it wrote itself.
     void on_heard(const vm_incarnation& who, time_point now);
     /// Takes a reference to `who` that does not prove that it runs, such as a table entry.
--- a/libs/ownership/src/ownership_store.cpp
+++ b/libs/ownership/src/ownership_store.cpp
@@ -70,7 +70,7 @@
     return with(std::move(next), update);
 }
 
-ownership_store::ownership_store(platform::object_store& store, std::string prefix)
+ownership_store::ownership_store(object_api::object_store& store, std::string prefix)
     : store_(store), prefix_(std::move(prefix)) {}
 
 std::string ownership_store::name_of(shard_index index) const {
@@ -78,13 +78,13 @@
 }
 
 read_result ownership_store::read(shard_index index) {
-    const platform::get_result result = store_.get(name_of(index));
-    if (std::holds_alternative<platform::unreachable>(result)) {
-        return platform::unreachable{};
+    const object_api::get_result result = store_.get(name_of(index));
+    if (std::holds_alternative<object_api::unreachable>(result)) {
+        return object_api::unreachable{};
     }
     shard copy;
     copy.index = index;
-    if (const auto* it = std::get_if<platform::object>(&result)) {
+    if (const auto* it = std::get_if<object_api::object>(&result)) {
         copy.version = it->version;
         copy.holdings = decode(it->value);
     }
@@ -94,7 +94,7 @@
 commit_result ownership_store::commit(const shard_update& update) {
     for (int attempt = 0; attempt < max_attempts; ++attempt) {
         read_result answer = read(update.index);
-        if (std::holds_alternative<platform::unreachable>(answer)) {
+        if (std::holds_alternative<object_api::unreachable>(answer)) {
             return undecided{};
         }
         shard copy = std::get<shard>(std::move(answer));
@@ -107,9 +107,9 @@
                 break;
         }
         shard next = with(copy, update);
-        const platform::put_result result =
+        const object_api::put_result result =
             store_.put(name_of(update.index), encode(next.holdings), copy.version);
-        if (const auto* it = std::get_if<platform::stored>(&result)) {
+        if (const auto* it = std::get_if<object_api::stored>(&result)) {
             next.version = it->version;
             return committed{std::move(next)};
         }
--- a/libs/ownership/src/vm_knowledge.cpp
+++ b/libs/ownership/src/vm_knowledge.cpp
@@ -28,16 +28,16 @@
     return record;
 }
 
-void vm_knowledge::on_list(gsl::span<const platform::vm_entry> entries, time_point now) {
+void vm_knowledge::on_list(gsl::span<const object_api::vm_entry> entries, time_point now) {
     has_list_ = true;
     last_list_ = now;
     for (auto& [vm, record] : records_) {
         record.listed = false;
     }
-    for (const platform::vm_entry& entry : entries) {
+    for (const object_api::vm_entry& entry : entries) {
         vm_record& record = record_of({entry.vm, 0}, now);
         record.listed = true;
-        record.live = entry.state == platform::vm_state::live;
+        record.live = entry.state == object_api::vm_state::live;
         record.missing_since = time_point::max();
     }
     for (auto& [vm, record] : records_) {
--- a/libs/ownership/tests/ownership_tests.cpp
+++ b/libs/ownership/tests/ownership_tests.cpp
@@ -21,10 +21,10 @@
 const holding_id engine("engine/e1");
 constexpr shard_index one_shard = 1;
 
-std::vector<platform::vm_entry> list_of(const std::vector<vm_incarnation>& vms) {
-    std::vector<platform::vm_entry> result;
+std::vector<object_api::vm_entry> list_of(const std::vector<vm_incarnation>& vms) {
+    std::vector<object_api::vm_entry> result;
     for (const vm_incarnation& it : vms) {
-        result.push_back({it.vm, zone_id("z"), region_id("r"), "", platform::vm_state::live});
+        result.push_back({it.vm, zone_id("z"), region_id("r"), "", object_api::vm_state::live});
     }
     return result;
 }
--- a/libs/quota/include/quota/slot_registry.h
+++ b/libs/quota/include/quota/slot_registry.h
@@ -3,7 +3,7 @@
 
 #include <string_view>
 
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 #include "quota/slot_table.h"
 
 namespace radishpulley::quota {
@@ -29,7 +29,7 @@
 class slot_registry {
 public:
     /// `slot_count` counts only when no table is stored yet.
-    slot_registry(platform::object_store& store, std::size_t slot_count);
+    slot_registry(object_api::object_store& store, std::size_t slot_count);
 
     /// Reads the table.
     registry_outcome refresh();
@@ -48,10 +48,10 @@
     template <typename Change>
     registry_outcome update(Change change);
 
-    platform::object_store& store_;
+    object_api::object_store& store_;
     std::size_t slot_count_;
     slot_table table_;
-    platform::object_version version_ = 0;
+    object_api::object_version version_ = 0;
 };
 
 }  // namespace radishpulley::quota
--- a/libs/quota/src/slot_registry.cpp
+++ b/libs/quota/src/slot_registry.cpp
@@ -8,15 +8,15 @@
 
 }  // namespace
 
-slot_registry::slot_registry(platform::object_store& store, std::size_t slot_count)
+slot_registry::slot_registry(object_api::object_store& store, std::size_t slot_count)
     : store_(store), slot_count_(slot_count) {}
 
 registry_outcome slot_registry::refresh() {
-    const platform::get_result result = store_.get(slot_table_name);
-    if (std::holds_alternative<platform::unreachable>(result)) {
+    const object_api::get_result result = store_.get(slot_table_name);
+    if (std::holds_alternative<object_api::unreachable>(result)) {
         return registry_outcome::unreachable;
     }
-    if (const auto* it = std::get_if<platform::object>(&result)) {
+    if (const auto* it = std::get_if<object_api::object>(&result)) {
         table_ = parse_slot_table(it->value);
         version_ = it->version;
     } else {
@@ -36,8 +36,8 @@
         if (next == table_) {
             return registry_outcome::current;
         }
-        const platform::put_result result = store_.put(slot_table_name, to_text(next), version_);
-        if (const auto* it = std::get_if<platform::stored>(&result)) {
+        const object_api::put_result result = store_.put(slot_table_name, to_text(next), version_);
+        if (const auto* it = std::get_if<object_api::stored>(&result)) {
             table_ = next;
             version_ = it->version;
             return registry_outcome::current;
--- a/libs/standins/include/standins/late_object_store.h
+++ b/libs/standins/include/standins/late_object_store.h
@@ -7,14 +7,14 @@
 #include <utility>
 #include <vector>
 
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::standins {
 
 /// Passes calls on to another store, which must outlive it. Not safe for concurrent calls.
-class late_object_store final : public platform::object_store {
+class late_object_store final : public object_api::object_store {
 public:
-    explicit late_object_store(platform::object_store& inner) : inner_(inner) {}
+    explicit late_object_store(object_api::object_store& inner) : inner_(inner) {}
 
     /// The next `n` updates get no answer and wait for deliver().
     void hold_updates(std::size_t n) { to_hold_ = n; }
@@ -29,26 +29,27 @@
         }
     }
 
-    platform::get_result get(std::string_view name) override { return inner_.get(name); }
-    platform::put_result put(std::string_view name, std::string_view value,
-                             platform::object_version expected) override {
+    object_api::get_result get(std::string_view name) override { return inner_.get(name); }
+    object_api::put_result put(std::string_view name, std::string_view value,
+                               object_api::object_version expected) override {
         return update([this, name = std::string(name), value = std::string(value), expected] {
             return inner_.put(name, value, expected);
         });
     }
-    platform::put_result remove(std::string_view name, platform::object_version expected) override {
+    object_api::put_result remove(std::string_view name,
+                                  object_api::object_version expected) override {
         return update(
             [this, name = std::string(name), expected] { return inner_.remove(name, expected); });
     }
-    platform::list_result list(std::string_view prefix) override { return inner_.list(prefix); }
-    platform::watch_result watch(std::string_view prefix, platform::store_revision since,
-                                 duration wait) override {
+    object_api::list_result list(std::string_view prefix) override { return inner_.list(prefix); }
+    object_api::watch_result watch(std::string_view prefix, object_api::store_revision since,
+                                   duration wait) override {
         return inner_.watch(prefix, since, wait);
     }
 
 private:
     template <typename Update>
-    platform::put_result update(Update apply) {
+    object_api::put_result update(Update apply) {
         if (to_hold_ == 0) {
             if (doubled_) {
                 apply();
@@ -57,10 +58,10 @@
         }
         --to_hold_;
         held_.push_back([apply] { apply(); });
-        return platform::outcome_unknown{};
+        return object_api::outcome_unknown{};
     }
 
-    platform::object_store& inner_;
+    object_api::object_store& inner_;
     std::size_t to_hold_ = 0;
     bool doubled_ = false;
     std::vector<std::function<void()>> held_;
--- a/libs/standins/include/standins/memory_object_store.h
+++ b/libs/standins/include/standins/memory_object_store.h
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <string>
 
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 
 namespace radishpulley::standins {
 
@@ -30,17 +30,18 @@
 
 /// Implements object_store. Watches return at once when `wait_for_real` is false, so that tests
 /// with a virtual clock do not block.
-class memory_object_store final : public platform::object_store {
+class memory_object_store final : public object_api::object_store {
 public:
     explicit memory_object_store(bool wait_for_real = false) : wait_for_real_(wait_for_real) {}
 
-    platform::get_result get(std::string_view name) override;
-    platform::put_result put(std::string_view name, std::string_view value,
-                             platform::object_version expected) override;
-    platform::put_result remove(std::string_view name, platform::object_version expected) override;
-    platform::list_result list(std::string_view prefix) override;
-    platform::watch_result watch(std::string_view prefix, platform::store_revision since,
-                                 duration wait) override;
+    object_api::get_result get(std::string_view name) override;
+    object_api::put_result put(std::string_view name, std::string_view value,
+                               object_api::object_version expected) override;
+    object_api::put_result remove(std::string_view name,
+                                  object_api::object_version expected) override;
+    object_api::list_result list(std::string_view prefix) override;
+    object_api::watch_result watch(std::string_view prefix, object_api::store_revision since,
+                                   duration wait) override;
 
     /// While down, every call is lost.
     void set_down(bool down);
@@ -54,24 +55,24 @@
 
 private:
     struct change {
-        platform::store_revision revision = 0;
+        object_api::store_revision revision = 0;
         std::string name;
     };
 
     store_fault next_fault();
     template <typename Update>
-    platform::put_result update(Update apply);
+    object_api::put_result update(Update apply);
     void record(std::string_view name);
-    platform::watch_answer changes_since(std::string_view prefix,
-                                         platform::store_revision since) const;
+    object_api::watch_answer changes_since(std::string_view prefix,
+                                           object_api::store_revision since) const;
 
     const bool wait_for_real_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, platform::object, std::less<>> objects_;
+    std::map<std::string, object_api::object, std::less<>> objects_;
     std::deque<change> changes_;
-    platform::store_revision revision_ = 1;
-    platform::store_revision forgotten_ = 0;
+    object_api::store_revision revision_ = 1;
+    object_api::store_revision forgotten_ = 0;
     std::deque<store_fault> faults_;
     std::function<void()> before_update_;
     bool down_ = false;
--- a/libs/standins/include/standins/platform_server.h
+++ b/libs/standins/include/standins/platform_server.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "http/server.h"
-#include "platform/vm_list.h"
+#include "object_api/vm_list.h"
 #include "standins/memory_object_store.h"
 
 namespace radishpulley::standins {
@@ -21,7 +21,7 @@
     const std::string& address() const;
     memory_object_store& store();
     /// Replaces the VM list; calls see it from now on.
-    void set_vms(std::vector<platform::vm_entry> vms);
+    void set_vms(std::vector<object_api::vm_entry> vms);
 
 private:
     struct details;
--- a/libs/standins/src/memory_object_store.cpp
+++ b/libs/standins/src/memory_object_store.cpp
@@ -4,7 +4,7 @@
 
 namespace radishpulley::standins {
 
-using namespace platform;
+using namespace object_api;
 
 namespace {
 
--- a/libs/standins/src/platform_server.cpp
+++ b/libs/standins/src/platform_server.cpp
@@ -13,7 +13,7 @@
 namespace radishpulley::standins {
 namespace {
 
-using namespace platform;
+using namespace object_api;
 using http::request;
 using http::response;
 using nlohmann::json;
--- a/libs/standins/tests/memory_object_store_tests.cpp
+++ b/libs/standins/tests/memory_object_store_tests.cpp
@@ -3,7 +3,7 @@
 #include "standins/memory_object_store.h"
 
 using namespace radishpulley;
-using namespace radishpulley::platform;
+using namespace radishpulley::object_api;
 using radishpulley::standins::memory_object_store;
 using radishpulley::standins::store_fault;
 
--- a/libs/standins/tests/object_store_contract_tests.cpp
+++ b/libs/standins/tests/object_store_contract_tests.cpp
@@ -6,12 +6,12 @@
 #include <memory>
 
 #include "http/free_port.h"
-#include "platform/http_object_store.h"
-#include "platform/http_vm_list.h"
+#include "object_api/http_object_store.h"
+#include "object_api/http_vm_list.h"
 #include "standins/platform_server.h"
 
 using namespace radishpulley;
-using namespace radishpulley::platform;
+using namespace radishpulley::object_api;
 using namespace radishpulley::standins;
 using namespace std::chrono_literals;
 
--- a/libs/telemetry/include/telemetry/event_log.h
+++ b/libs/telemetry/include/telemetry/event_log.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -24,6 +25,9 @@
 /// Where lines go.
 enum class log_target { standard_error, standard_output };
 
+/// Most lines a second of one severity; what is beyond is counted and left out.
+constexpr std::size_t max_lines_per_second = 400;
+
 /// Longest value of a field; the rest is cut off and replaced by `...`.
 constexpr std::size_t max_field_length = 1024;
 
@@ -69,6 +73,31 @@
 /// Starts glog for this process: whole lines to `target`, nothing below `lowest`.
 void start_log(const char* program, severity lowest, log_target target);
 
+/// Bounds the lines of one severity. Thread-safe.
+class line_budget {
+public:
+    explicit line_budget(std::size_t lines_per_second) : lines_per_second_(lines_per_second) {}
+
+    /// Result of taking a line.
+    struct verdict {
+        bool allowed = false;
+        /// Lines left out before this one, to be told now.
+        std::uint64_t left_out = 0;
+    };
+
+    verdict take(time_point now);
+
+private:
+    std::size_t lines_per_second_;
+    std::mutex mutex_;
+    time_point second_began_{};
+    std::size_t lines_ = 0;
+    std::uint64_t left_out_ = 0;
+};
+
+/// Starts to drop lines instead of waiting where standard output can't take them.
+void never_wait_for_output();
+
 /// Writes one event. Never throws; a line that cannot be built is dropped.
 void log_event(severity level, std::string_view event,
                std::initializer_list<field> fields) noexcept;
--- a/libs/telemetry/src/event_log.cpp
+++ b/libs/telemetry/src/event_log.cpp
@@ -1,5 +1,8 @@
 #include "telemetry/event_log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <glog/logging.h>
 
 #include <array>
@@ -92,6 +95,13 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
+line_budget& budget_of(severity level) {
+    static std::array<line_budget, 3> budgets{line_budget(max_lines_per_second),
+                                              line_budget(max_lines_per_second),
+                                              line_budget(max_lines_per_second)};
+    return budgets.at(static_cast<std::size_t>(level));
+}
+
 google::LogSeverity glog_severity(severity level) {
     constexpr std::array<google::LogSeverity, 3> levels = {google::GLOG_INFO, google::GLOG_WARNING,
                                                            google::GLOG_ERROR};
@@ -100,6 +110,29 @@
 
 }  // namespace
 
+line_budget::verdict line_budget::take(time_point now) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (now - second_began_ >= std::chrono::seconds(1)) {
+        second_began_ = now;
+        lines_ = 0;
+    }
+    if (lines_ >= lines_per_second_) {
+        ++left_out_;
+        return {};
+    }
+    ++lines_;
+    verdict out{true, left_out_};
+    left_out_ = 0;
+    return out;
+}
+
+void never_wait_for_output() {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
 void field_value::append_to(std::string& line) const {
     std::visit(value_appender{line}, value_);
 }
@@ -120,7 +153,14 @@
         if (glog_severity(level) < FLAGS_minloglevel) {
             return;
         }
-        const std::string line = format_event(event, fields);
+        const auto verdict = budget_of(level).take(std::chrono::steady_clock::now());
+        if (!verdict.allowed) {
+            return;
+        }
+        std::string line = format_event(event, fields);
+        if (verdict.left_out > 0) {
+            line += " lines_left_out=" + std::to_string(verdict.left_out);
+        }
         google::LogMessage(__FILE__, __LINE__, glog_severity(level)).stream()
             << "time=" << present_time() << " level=" << level_name(level) << ' ' << line;
     } catch (...) {
--- a/libs/telemetry/tests/event_log_tests.cpp
+++ b/libs/telemetry/tests/event_log_tests.cpp
@@ -71,3 +71,17 @@
     BOOST_TEST(line.compare(0, 5, "time=") == 0, line);
     BOOST_TEST(line.find("Z level=warning event=shown cause=\"a\\nb\"") != std::string::npos, line);
 }
+
+BOOST_AUTO_TEST_CASE(lines_beyond_the_bound_are_counted) {
+    line_budget budget(3);
+    const radishpulley::time_point start{std::chrono::hours(1)};
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(budget.take(start).allowed);
+    }
+    BOOST_TEST(!budget.take(start).allowed);
+    BOOST_TEST(!budget.take(start + std::chrono::milliseconds(999)).allowed);
+    const auto next = budget.take(start + std::chrono::seconds(1));
+    BOOST_TEST(next.allowed);
+    BOOST_TEST(next.left_out == 2U);
+    BOOST_TEST(budget.take(start + std::chrono::seconds(1)).left_out == 0U);
+}
--- a/libs/tickets/include/tickets/ticket_store.h
+++ b/libs/tickets/include/tickets/ticket_store.h
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/findings.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 #include "tickets/head.h"
 
 namespace radishpulley::tickets {
@@ -46,9 +46,9 @@
     std::variant<accepted, accepted_before, refused_as_older, refused_as_different,
                  refused_with_findings, not_accepted, acceptance_unknown>;
 
-using load_result = std::variant<committed_configuration, platform::unreachable>;
-using head_result = std::variant<head, platform::unreachable>;
-using shard_result = std::variant<std::string, platform::not_found, platform::unreachable>;
+using load_result = std::variant<committed_configuration, object_api::unreachable>;
+using head_result = std::variant<head, object_api::unreachable>;
+using shard_result = std::variant<std::string, object_api::not_found, object_api::unreachable>;
 
 /// How long a call may take.
 struct ticket_store_settings {
@@ -68,7 +68,7 @@
 public:
     using pause_function = std::function<void(duration)>;
 
-    ticket_store(platform::object_store& api, const clock& time, pause_function pause,
+    ticket_store(object_api::object_store& api, const clock& time, pause_function pause,
                  ticket_store_settings settings = {});
 
     /// Accepts one ticket. `known` saves the reads of the shards that it shares with the head.
@@ -89,7 +89,7 @@
 
 private:
     struct versioned_head;
-    using read_result = std::variant<versioned_head, platform::unreachable>;
+    using read_result = std::variant<versioned_head, object_api::unreachable>;
 
     read_result read_head();
     load_result complete(const head& at, const committed_configuration& known, time_point until);
@@ -98,7 +98,7 @@
     bool write_shard(std::string_view name, std::string_view text, time_point until);
     bool wait_before(time_point until);
 
-    platform::object_store& api_;
+    object_api::object_store& api_;
     const clock& clock_;
     pause_function pause_;
     const ticket_store_settings settings_;
--- a/libs/tickets/src/ticket_store.cpp
+++ b/libs/tickets/src/ticket_store.cpp
@@ -10,13 +10,13 @@
 
 namespace radishpulley::tickets {
 
-using platform::conflict;
-using platform::not_found;
-using platform::object;
-using platform::object_version;
-using platform::outcome_unknown;
-using platform::stored;
-using platform::unreachable;
+using object_api::conflict;
+using object_api::not_found;
+using object_api::object;
+using object_api::object_version;
+using object_api::outcome_unknown;
+using object_api::stored;
+using object_api::unreachable;
 
 struct ticket_store::versioned_head {
     head at;
@@ -50,7 +50,7 @@
         if (held == before.value.shard_at(i)) {
             continue;
         }
-        if (model::to_text(*held).size() > platform::max_value_size) {
+        if (model::to_text(*held).size() > object_api::max_value_size) {
             found.add("shards/" + std::to_string(i), "would be larger than one object may be");
         }
     }
@@ -74,7 +74,7 @@
 
 }  // namespace
 
-ticket_store::ticket_store(platform::object_store& api, const clock& time, pause_function pause,
+ticket_store::ticket_store(object_api::object_store& api, const clock& time, pause_function pause,
                            ticket_store_settings settings)
     : api_(api), clock_(time), pause_(std::move(pause)), settings_(settings) {}
 
@@ -87,7 +87,7 @@
 }
 
 ticket_store::read_result ticket_store::read_head() {
-    const platform::get_result result = api_.get(head_object);
+    const object_api::get_result result = api_.get(head_object);
     if (const auto* held = std::get_if<object>(&result)) {
         return versioned_head{parse_head(held->value), held->version};
     }
@@ -148,7 +148,7 @@
         if (!write_shards(base, after, until)) {
             return give_up();
         }
-        const platform::put_result result =
+        const object_api::put_result result =
             api_.put(head_object, to_text(after.at), current->version);
         if (std::holds_alternative<stored>(result)) {
             return accepted{std::move(after)};
@@ -167,7 +167,7 @@
 
 bool ticket_store::write_shard(std::string_view name, std::string_view text, time_point until) {
     for (;;) {
-        const platform::put_result result = api_.put(name, text, 0);
+        const object_api::put_result result = api_.put(name, text, 0);
         // The digest in the name says that an object which is there already has this text.
         if (!std::holds_alternative<outcome_unknown>(result)) {
             return true;
@@ -194,7 +194,7 @@
 }
 
 shard_result ticket_store::load_shard(std::size_t i, const shard_name& name) {
-    const platform::get_result result = api_.get(object_name(i, name));
+    const object_api::get_result result = api_.get(object_name(i, name));
     if (const auto* held = std::get_if<object>(&result)) {
         return held->value;
     }
@@ -257,7 +257,7 @@
 std::size_t ticket_store::remove_unused_shards(std::size_t limit) {
     const read_result read = read_head();
     const auto* current = std::get_if<versioned_head>(&read);
-    const platform::list_result listed = api_.list(shard_prefix);
+    const object_api::list_result listed = api_.list(shard_prefix);
     const auto* names = std::get_if<std::vector<std::string>>(&listed);
     if (current == nullptr || names == nullptr) {
         return 0;
@@ -272,9 +272,9 @@
         if (removed == limit || used.count(name) != 0 || !writer || *writer > current->at.number) {
             continue;
         }
-        const platform::get_result held = api_.get(name);
+        const object_api::get_result held = api_.get(name);
         if (const auto* found = std::get_if<object>(&held)) {
-            const platform::put_result result = api_.remove(name, found->version);
+            const object_api::put_result result = api_.remove(name, found->version);
             removed += std::holds_alternative<stored>(result) ? 1 : 0;
         }
     }
--- a/libs/tickets/tests/ticket_store_tests.cpp
+++ b/libs/tickets/tests/ticket_store_tests.cpp
@@ -100,7 +100,7 @@
     const committed_configuration known = accept(account_ticket(1, "a"));
     api.set_down(true);
     BOOST_TEST(std::holds_alternative<not_accepted>(store.accept(account_ticket(2, "b"))));
-    BOOST_TEST(std::holds_alternative<platform::unreachable>(store.load()));
+    BOOST_TEST(std::holds_alternative<object_api::unreachable>(store.load()));
     api.set_down(false);
     // The head's update takes effect, and then nothing is answered any more.
     std::deque<store_fault> faults = {store_fault::none, store_fault::none,
--- a/libs/wire/src/fleet_messages.cpp
+++ b/libs/wire/src/fleet_messages.cpp
@@ -26,9 +26,9 @@
 
 }  // namespace nlohmann
 
-namespace radishpulley::platform {
+namespace radishpulley::object_api {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(vm_entry, vm, zone, region, peer_address, state)
-}  // namespace radishpulley::platform
+}  // namespace radishpulley::object_api
 
 namespace radishpulley::membership {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(heartbeat, from, token, echoed, leaving, wanted)
--- a/radishpulley/cli/main.cpp
+++ b/radishpulley/cli/main.cpp
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,6 +14,7 @@
 #include <absl/time/time.h>
 
 #include "cli/commands.h"
+#include "cli/explain.h"
 #include "http/client.h"
 
 ABSL_FLAG(std::vector<std::string>, servers, {"http://127.0.0.1:8081"},
@@ -37,6 +39,29 @@
     return token;
 }
 
+// Runs `explain ID [FILE...]`; without files it reads standard input.
+cli::exit_code explain(const std::vector<std::string>& words) {
+    if (words.size() < 2) {
+        std::cerr << "usage: radishpulley explain ID [FILE...]\n";
+        return cli::exit_code::usage;
+    }
+    std::stringstream all;
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        std::ifstream in(words[i]);
+        if (!in) {
+            std::cerr << words[i] << " can't be read\n";
+            return cli::exit_code::usage;
+        }
+        all << in.rdbuf() << '\n';
+    }
+    std::istream& log = words.size() == 2 ? std::cin : all;
+    if (!cli::explain_request(words[1], log, std::cout)) {
+        std::cerr << "no line is about request " << words[1] << "\n";
+        return cli::exit_code::refused;
+    }
+    return cli::exit_code::done;
+}
+
 http::response call_first(const http::request& it) {
     for (const std::string& address : absl::GetFlag(FLAGS_servers)) {
         const http::client client(address, call_timeout, http::connection_reuse::one_per_call);
@@ -57,6 +82,9 @@
     absl::SetFlagsUsageConfig(config);
     const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
     const std::vector<std::string> words(rest.begin() + 1, rest.end());
+    if (!words.empty() && words.front() == "explain") {
+        return static_cast<int>(explain(words));
+    }
     http::set_library_threads(library_threads);
     const std::string form = absl::GetFlag(FLAGS_output);
     if (form != "table" && form != "json") {
--- a/radishpulley/cli/src/commands.cpp
+++ b/radishpulley/cli/src/commands.cpp
@@ -316,6 +316,7 @@
 Looking
   show KIND [NAME]         services, client_accounts, keys, adapters, adapter_versions, endpoints
   status                   the VM asked: its members, holdings and configuration
+  explain ID [FILE...]     tell from logs what became of a request, and why
   check FILE               check a ticket's form without sending it
   check-settings FILE      check a daemon's settings file
 
--- a/radishpulley/daemon/include/daemon/fleet_runtime.h
+++ b/radishpulley/daemon/include/daemon/fleet_runtime.h
@@ -15,7 +15,7 @@
 #include "daemon/worker_pool.h"
 #include "fleet/fleet_agent.h"
 #include "keys/key_authenticator.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 #include "tickets/ticket_store.h"
 
 namespace radishpulley::daemon {
@@ -35,9 +35,9 @@
     using listener = std::function<void(std::shared_ptr<const configuration_view>)>;
 
     /// `probes` is the object API with the short deadline of fleet::probe_api; `api` takes commits.
-    fleet_runtime(platform::vm_entry self, incarnation_number incarnation,
+    fleet_runtime(object_api::vm_entry self, incarnation_number incarnation,
                   fleet::fleet_settings settings, std::string key_secret, const clock& time,
-                  platform::object_store& api, platform::object_store& probes, message_bus& bus,
+                  object_api::object_store& api, object_api::object_store& probes, message_bus& bus,
                   worker_pool& workers);
 
     /// Calls `it` after each new configuration.
@@ -68,7 +68,7 @@
     void put_in_force(const tickets::put_in_force& it);
 
     const clock& clock_;
-    platform::object_store& probes_;
+    object_api::object_store& probes_;
     message_bus& bus_;
     worker_pool& workers_;
     tickets::ticket_store store_;
--- a/radishpulley/daemon/include/daemon/placement_runtime.h
+++ b/radishpulley/daemon/include/daemon/placement_runtime.h
@@ -36,14 +36,14 @@
     using outcome_handler = std::function<void(const placement_outcome&)>;
 
     placement_runtime(vm_incarnation self, zone_id zone, region_id region, duration longest_request,
-                      const clock& time, platform::object_store& api, message_bus& bus,
+                      const clock& time, object_api::object_store& api, message_bus& bus,
                       worker_pool& workers);
 
     /// Starts the timers.
     void start();
 
     void configure(const model::configuration& now);
-    void on_vms(const std::vector<platform::vm_entry>& vms);
+    void on_vms(const std::vector<object_api::vm_entry>& vms);
     /// A daemon showed that it runs.
     void on_heard(const vm_incarnation& who);
     void on_message(const placement::message& it);
@@ -125,11 +125,11 @@
     const clock& clock_;
     message_bus& bus_;
     worker_pool& workers_;
-    platform::object_store& api_;
+    object_api::object_store& api_;
     ownership::ownership_store store_;
     // Serializes reads and writes of the ownership table; taken before mutex_.
     std::mutex ownership_mutex_;
-    platform::store_revision ownership_revision_ = 0;
+    object_api::store_revision ownership_revision_ = 0;
 
     mutable std::mutex mutex_;
     ownership::ownership_policy policy_;
--- a/radishpulley/daemon/include/daemon/quota_runtime.h
+++ b/radishpulley/daemon/include/daemon/quota_runtime.h
@@ -10,7 +10,7 @@
 #include "daemon/message_bus.h"
 #include "daemon/worker_pool.h"
 #include "model/configuration.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 #include "quota/quota_node.h"
 #include "quota/slot_registry.h"
 
@@ -21,7 +21,7 @@
 public:
     using decision_handler = std::function<void(const quota::admission_decision&)>;
 
-    quota_runtime(vm_incarnation self, const clock& time, platform::object_store& api,
+    quota_runtime(vm_incarnation self, const clock& time, object_api::object_store& api,
                   message_bus& bus, worker_pool& workers);
 
     /// Starts the timers.
@@ -29,7 +29,7 @@
 
     void configure(const model::configuration& now);
     /// The platform's list was read, or an incarnation was heard of.
-    void on_vms(const std::vector<platform::vm_entry>& vms);
+    void on_vms(const std::vector<object_api::vm_entry>& vms);
     void on_incarnation(const vm_incarnation& it);
     void on_message(const vm_incarnation& from, const quota::quota_message& it);
 
--- a/radishpulley/daemon/src/daemon.cpp
+++ b/radishpulley/daemon/src/daemon.cpp
@@ -16,9 +16,9 @@
 #include "daemon/request_session.h"
 #include "idempotency/record_sweeper.h"
 #include "membership/incarnation_store.h"
+#include "object_api/http_object_store.h"
+#include "object_api/http_vm_list.h"
 #include "peer/websocket_transport.h"
-#include "platform/http_object_store.h"
-#include "platform/http_vm_list.h"
 #include "requests/shutdown_sequence.h"
 #include "telemetry/event_log.h"
 
@@ -63,7 +63,7 @@
 
 // A VM's start without an incarnation could act in the name of an earlier start, so this waits
 // until the object API gives one.
-vm_incarnation raise_incarnation(platform::object_store& api, const vm_id& vm) {
+vm_incarnation raise_incarnation(object_api::object_store& api, const vm_id& vm) {
     membership::incarnation_store store(api);
     for (;;) {
         const auto result = store.raise(vm);
@@ -86,8 +86,8 @@
         .build();
 }
 
-platform::vm_entry own_entry(const settings::settings& with) {
-    platform::vm_entry it;
+object_api::vm_entry own_entry(const settings::settings& with) {
+    object_api::vm_entry it;
     it.vm = with.vm.id;
     it.zone = with.vm.availability_zone;
     it.region = with.vm.region;
@@ -146,9 +146,9 @@
 struct daemon::details {
     const settings::settings settings;
     const system_clock time;
-    platform::http_object_store api;
-    platform::http_object_store probes;
-    platform::http_vm_list vm_list;
+    object_api::http_object_store api;
+    object_api::http_object_store probes;
+    object_api::http_vm_list vm_list;
     const vm_incarnation self;
     const std::string key_secret;
     telemetry::registry registry;
@@ -285,8 +285,8 @@
 }
 
 void daemon::details::read_vm_list() {
-    const platform::vm_list_result result = vm_list.read();
-    const auto* vms = std::get_if<std::vector<platform::vm_entry>>(&result);
+    const object_api::vm_list_result result = vm_list.read();
+    const auto* vms = std::get_if<std::vector<object_api::vm_entry>>(&result);
     if (vms == nullptr) {
         return;
     }
--- a/radishpulley/daemon/src/fleet_runtime.cpp
+++ b/radishpulley/daemon/src/fleet_runtime.cpp
@@ -16,7 +16,7 @@
 constexpr duration clean_up_delay = std::chrono::seconds(10);
 constexpr std::size_t clean_up_limit = 32;
 
-bool touches_head(const platform::watch_answer& it, platform::store_revision since) {
+bool touches_head(const object_api::watch_answer& it, object_api::store_revision since) {
     if (since == 0 || !it.complete) {
         return true;
     }
@@ -30,10 +30,11 @@
 
 }  // namespace
 
-fleet_runtime::fleet_runtime(platform::vm_entry self, incarnation_number incarnation,
+fleet_runtime::fleet_runtime(object_api::vm_entry self, incarnation_number incarnation,
                              fleet::fleet_settings settings, std::string key_secret,
-                             const clock& time, platform::object_store& api,
-                             platform::object_store& probes, message_bus& bus, worker_pool& workers)
+                             const clock& time, object_api::object_store& api,
+                             object_api::object_store& probes, message_bus& bus,
+                             worker_pool& workers)
     : clock_(time),
       probes_(probes),
       bus_(bus),
@@ -74,7 +75,7 @@
     workers_.post([this, since = it.since] {
         const time_point sent = clock_.now();
         const auto result = probes_.watch(tickets::head_object, since, duration(0));
-        if (const auto* answer = std::get_if<platform::watch_answer>(&result)) {
+        if (const auto* answer = std::get_if<object_api::watch_answer>(&result)) {
             handle(fleet::probe_answered{sent, answer->revision, touches_head(*answer, since)});
         } else {
             handle(fleet::api_silent{});
--- a/radishpulley/daemon/src/placement_holdings.cpp
+++ b/radishpulley/daemon/src/placement_holdings.cpp
@@ -26,7 +26,7 @@
 void placement_runtime::poll_ownership() {
     const std::lock_guard<std::mutex> one_at_a_time(ownership_mutex_);
     const auto result = api_.watch(ownership_prefix, ownership_revision_, duration(0));
-    const auto* answer = std::get_if<platform::watch_answer>(&result);
+    const auto* answer = std::get_if<object_api::watch_answer>(&result);
     if (answer == nullptr) {
         return;
     }
--- a/radishpulley/daemon/src/placement_runtime.cpp
+++ b/radishpulley/daemon/src/placement_runtime.cpp
@@ -44,7 +44,7 @@
 
 placement_runtime::placement_runtime(vm_incarnation self, zone_id zone, region_id region,
                                      duration longest_request, const clock& time,
-                                     platform::object_store& api, message_bus& bus,
+                                     object_api::object_store& api, message_bus& bus,
                                      worker_pool& workers)
     : self_(self),
       longest_request_(longest_request),
@@ -140,7 +140,7 @@
     }
 }
 
-void placement_runtime::on_vms(const std::vector<platform::vm_entry>& vms) {
+void placement_runtime::on_vms(const std::vector<object_api::vm_entry>& vms) {
     const std::lock_guard<std::mutex> lock(mutex_);
     vms_.on_list(vms, clock_.now());
 }
--- a/radishpulley/daemon/src/quota_runtime.cpp
+++ b/radishpulley/daemon/src/quota_runtime.cpp
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-quota_runtime::quota_runtime(vm_incarnation self, const clock& time, platform::object_store& api,
+quota_runtime::quota_runtime(vm_incarnation self, const clock& time, object_api::object_store& api,
                              message_bus& bus, worker_pool& workers)
     : self_(self),
       clock_(time),
@@ -42,14 +42,14 @@
     carry_out(node_.set_limits(limits, clock_.now()));
 }
 
-void quota_runtime::on_vms(const std::vector<platform::vm_entry>& vms) {
+void quota_runtime::on_vms(const std::vector<object_api::vm_entry>& vms) {
     const std::lock_guard<std::mutex> lock(mutex_);
     fleet_.live.clear();
     fleet_.listed.clear();
-    for (const platform::vm_entry& it : vms) {
+    for (const object_api::vm_entry& it : vms) {
         fleet_.listed.insert(it.vm);
         fleet_.seen.insert(it.vm);
-        if (it.state == platform::vm_state::live) {
+        if (it.state == object_api::vm_state::live) {
             fleet_.live.insert(it.vm);
         }
     }
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -52,6 +52,7 @@
     /// This start of this VM; nothing while it is not registered.
     const std::optional<vm_incarnation>& self() const { return self_; }
     ownership::vm_knowledge* knowledge() { return knowledge_ ? &*knowledge_ : nullptr; }
+    std::uint64_t hints_dropped() const { return socket_.dropped(); }
     /// VMs of an availability zone.
     std::set<vm_id> vms_in(const zone_id& zone) const;
     /// VMs that serve callers now, this one included.
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -38,6 +38,8 @@
     void on_endpoint_removed(const endpoint_id& id);
     void on_version(const routing::model_choice& adapter, std::uint64_t version);
     void on_hint(const routing::hint_message& it);
+    /// Engines that this VM orders.
+    std::size_t engines_held() const { return kept_.size(); }
     /// Gives up all engines: this VM is leaving.
     void leave();
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -148,6 +148,10 @@
     }
 
 private:
+    telemetry::gauge& add_gauge(std::string_view name, std::string_view help) {
+        return metrics_.add_gauges(name, help, {}).with({});
+    }
+
     void wait_for_signal() {
         signals_.async_wait([this](const boost::system::error_code& ec, int signal) {
             if (ec) {
@@ -291,6 +295,25 @@
         }
     }
 
+    void set_gauges() {
+        const auto& configuration = data_path_.configuration();
+        configuration_version_.set(configuration ? static_cast<double>(configuration->version())
+                                                 : 0);
+        endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
+        engines_held_.set(static_cast<double>(loads_.engines_held()));
+        vms_serving_.set(static_cast<double>(fleet_.serving(time_.now())));
+        store_calls_.set(static_cast<double>(store_.calls()));
+        connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
+        hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
+        set_age("configuration", configuration_);
+        set_age("endpoints", endpoints_);
+        set_age("versions", versions_);
+    }
+
+    void set_age(std::string_view what, const gateway::collection_follower& it) {
+        ages_.with({what}).set(std::chrono::duration<double>(it.age()).count());
+    }
+
     void tell_presence_soon() {
         if (presence_due_) {
             return;
@@ -321,6 +344,8 @@
             note_endpoint_gone(id);
         }
         data_path_.pool().sweep();
+        data_path_.sweep();
+        set_gauges();
         data_path_.set_fleet_size(fleet_.serving(now));
         tell_presence();
         if (stop_began_ && may_end(now)) {
@@ -359,6 +384,19 @@
     boost::asio::steady_timer presence_timer_;
     bool presence_due_ = false;
     telemetry::registry metrics_;
+    telemetry::gauge& configuration_version_ =
+        add_gauge("configuration_version", "Version of the configuration in force.");
+    telemetry::gauge& endpoints_known_ = add_gauge("endpoints", "Endpoints known.");
+    telemetry::gauge& engines_held_ = add_gauge("engines_held", "Engines ordered by this VM.");
+    telemetry::gauge& vms_serving_ = add_gauge("vms_serving", "VMs that serve callers.");
+    telemetry::gauge& store_calls_ =
+        add_gauge("store_calls", "Calls to the store since the start.");
+    telemetry::gauge& connections_made_ =
+        add_gauge("endpoint_connections", "Connections made to endpoints since the start.");
+    telemetry::gauge& hints_dropped_ =
+        add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
+    telemetry::gauge_family& ages_ = metrics_.add_gauges(
+        "belief_age_seconds", "Time since the store last confirmed what is known.", {"what"});
     platform_adapter::wire_header_codec codec_;
     gateway::gateway data_path_;
     platform_adapter::wire_object_collections store_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -106,9 +106,9 @@
     if (!knowledge_) {
         return;
     }
-    std::vector<platform::vm_entry> list;
+    std::vector<object_api::vm_entry> list;
     for (const auto& [vm, it] : peers_) {
-        list.push_back({vm, it.zone, it.region, it.address, platform::vm_state::live});
+        list.push_back({vm, it.zone, it.region, it.address, object_api::vm_state::live});
     }
     knowledge_->on_list(list, time_.now());
 }
--- a/tools/faults/src/entry_vm.h
+++ b/tools/faults/src/entry_vm.h
@@ -14,7 +14,7 @@
 #include "fake_endpoint.h"
 #include "history.h"
 #include "idempotency/once_guard.h"
-#include "platform/object_store.h"
+#include "object_api/object_store.h"
 #include "requests/admission_queue.h"
 #include "requests/connection_monitor.h"
 #include "requests/endpoint_gate.h"
@@ -43,7 +43,7 @@
     scheduler& events;
     history& seen;
     fake_endpoints& endpoints;
-    platform::object_store& store;
+    object_api::object_store& store;
     std::mt19937_64& random;
     std::vector<std::string>& trace;
     step_listener on_step;
--- a/tools/measure_fleet/measure_fleet.cpp
+++ b/tools/measure_fleet/measure_fleet.cpp
@@ -84,9 +84,9 @@
     double core_share = 0;
 };
 
-hops measure_hops(const std::vector<platform::vm_entry>& vms) {
+hops measure_hops(const std::vector<object_api::vm_entry>& vms) {
     std::map<vm_id, std::set<vm_id>> edges;
-    for (const platform::vm_entry& it : vms) {
+    for (const object_api::vm_entry& it : vms) {
         for (const vm_id& other : membership::neighbours(it.vm, vms)) {
             edges[it.vm].insert(other);
             edges[other].insert(it.vm);
@@ -95,7 +95,7 @@
     hops result;
     double sum = 0;
     double degrees = 0;
-    for (const platform::vm_entry& from : vms) {
+    for (const object_api::vm_entry& from : vms) {
         std::map<vm_id, std::size_t> distance = {{from.vm, 0}};
         std::deque<vm_id> open = {from.vm};
         while (!open.empty()) {
@@ -322,7 +322,7 @@
         result_.per_change_without_relay = minus(count(), before, changes);
     }
 
-    const std::vector<platform::vm_entry> vms_;
+    const std::vector<object_api::vm_entry> vms_;
     agent_network net_;
     row result_;
     model::ticket_number number_ = 0;
--- a/tools/requests_measure/main.cpp
+++ b/tools/requests_measure/main.cpp
@@ -62,7 +62,7 @@
     const auto first = store.counts();
     for (int i = 0; i < calls; ++i) {
         const auto name = idempotency::record_name(client_account_id("a"), std::to_string(i));
-        finished_bytes += std::get<platform::object>(store.get(name)).value.size();
+        finished_bytes += std::get<object_api::object>(store.get(name)).value.size();
     }
     const auto before_repeats = store.counts();
     for (int i = 0; i < calls; ++i) {
