--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -105,6 +105,8 @@
     void accept(link::socket socket);
     /// Closes callers' connections on which no request is.
     void close_idle_callers();
+    /// Closes all callers' connections and ends their requests. Call it before the broker ends.
+    void close_callers();
     /// Forgets requests that no longer wait for a load.
     void sweep();
     std::size_t caller_count() const { return callers_.size(); }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -123,6 +123,13 @@
     }
 }
 
+void gateway::close_callers() {
+    const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    for (const auto& it : all) {
+        it->close();
+    }
+}
+
 caller_service::limits gateway::caller_limits() const {
     caller_service::limits out;
     if (configuration_) {
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -231,6 +231,24 @@
     run_until([&] { return paths().request_count() == 0; });
 }
 
+// The requests' ends are told while there is somebody to tell: a daemon that ended with requests
+// under way crashed.
+BOOST_FIXTURE_TEST_CASE(closing_all_callers_ends_their_requests, world) {
+    with_engines = true;
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
+    routing::endpoint entry = *paths().directory().find(endpoint_id("e1"));
+    entry.models = {{"m", 1, {{"a", 1}}}};
+    paths().on_endpoint(entry);
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1", "X-Model: m/a\r\n"));
+    run_until([&] { return engine.requests.size() == 1; });
+    paths().close_callers();
+    BOOST_TEST(paths().request_count() == 0U);
+    BOOST_TEST(paths().caller_count() == 0U);
+    BOOST_TEST(broker().ended == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stream_goes_on_elsewhere_after_its_last_whole_event, world) {
     configure();
     std::vector<std::string> heads;
--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -23,6 +23,11 @@
         routing::request_facts out;
         out.id = request_id(find_header(headers, "X-Id"));
         out.key = std::string(find_header(headers, "X-Key"));
+        const std::string_view target = find_header(headers, "X-Model");
+        if (!target.empty()) {
+            out.target.model = std::string(target.substr(0, target.find('/')));
+            out.target.adapter = std::string(target.substr(target.find('/') + 1));
+        }
         const std::string_view deadline = find_header(headers, "X-Deadline");
         if (!deadline.empty()) {
             out.deadline = std::chrono::milliseconds(std::stoi(std::string(deadline)));
@@ -52,7 +57,8 @@
     bool wish(const endpoint_id&, const routing::model_choice&) override { return false; }
     void note_use(const endpoint_id&, const routing::model_choice&) override {}
     void note_large_work() override {}
-    void note_end(const endpoint_id&, const routing::model_choice&) override {}
+    void note_end(const endpoint_id&, const routing::model_choice&) override { ++ended; }
+    int ended = 0;
     void note_missing(const endpoint_id&, const routing::model_choice&) override {}
 };
 
@@ -181,6 +187,8 @@
         return endpoints_.back();
     }
 
+    bool with_engines = false;
+
     void configure(double rate = 0) {
         routing::configuration_content content;
         content.version = 1;
@@ -200,6 +208,9 @@
         content.routes[3].open = true;
         routing::service service;
         service.id = service_id("s");
+        if (with_engines) {
+            service.engine.emplace();
+        }
         content.services = {service};
         routing::client_account account;
         account.id = client_account_id("acme");
@@ -239,6 +250,7 @@
     }
 
     gateway& paths() { return paths_; }
+    const no_broker& broker() const { return broker_; }
 
     boost::asio::io_context loop;
     boot_clock time;
--- a/radishpulley/daemon/main.cpp
+++ b/radishpulley/daemon/main.cpp
@@ -78,6 +78,8 @@
         "  radishpulleyd --edge --settings=FILE    serve a platform's entry VM");
     absl::ParseCommandLine(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    // A terminal that goes away must not end the daemon; on a platform it means changed settings.
+    std::signal(SIGHUP, SIG_IGN);
     if (absl::GetFlag(FLAGS_edge)) {
         try {
             return run_edge(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_check));
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -144,7 +144,10 @@
         loads_.start();
         housekeep();
         loop_.run();
-        telemetry::log_event(severity::info, "stopped", {{"vm", with_.vm}});
+        const std::size_t left = data_path_.request_count();
+        data_path_.close_callers();
+        telemetry::log_event(severity::info, "stopped",
+                             {{"vm", with_.vm}, {"requests_left", left}});
     }
 
 private:
