--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -332,16 +332,11 @@
     const bool left = target == nullptr || target->draining;
     if (!connection || left) {
         owner_.work_.finish(number_);
-        excluded_.insert(endpoint_);
         if (!connection) {
             owner_.directory_.on_call(endpoint_, routing::call_outcome::unreachable,
                                       owner_.time_.now());
         }
-        if (sends_ >= owner_.settings_.most_sends) {
-            refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
-        } else {
-            find_endpoint();
-        }
+        try_elsewhere();
         return;
     }
     if (time_left() < owner_.settings_.least_time_left) {
@@ -571,12 +566,7 @@
                               owner_.time_.now());
     if (why == call_failure::not_sent) {
         may_have_run_ = --runs_ > 0;
-        excluded_.insert(endpoint_);
-        if (sends_ < owner_.settings_.most_sends) {
-            find_endpoint();
-        } else {
-            refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
-        }
+        try_elsewhere();
         return;
     }
     if (head_sent_ && !events_) {
@@ -598,6 +588,15 @@
     }
 }
 
+void exchange::try_elsewhere() {
+    excluded_.insert(endpoint_);
+    if (sends_ < owner_.settings_.most_sends) {
+        find_endpoint();
+    } else {
+        refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
+    }
+}
+
 bool exchange::may_run_again() const {
     return route_->repeatable() && runs_ < std::max(1U, route_->max_attempts) &&
            sends_ < owner_.settings_.most_sends && time_left() > owner_.settings_.least_time_left;
@@ -616,8 +615,6 @@
         find_endpoint();
     } else if (head_sent_) {
         cut(why);
-    } else if (may_have_run_) {
-        refuse({status_bad_gateway, why, std::nullopt});
     } else {
         refuse({status_unavailable, why, usual_retry_after});
     }
@@ -652,8 +649,13 @@
     }
 }
 
-void exchange::refuse(const refusal& it) {
+void exchange::refuse(const refusal& wanted) {
     const auto self = shared_from_this();
+    refusal it = wanted;
+    if (it.status == status_unavailable && may_have_run_) {
+        // "Unavailable" promises that the request has not run.
+        it = {status_bad_gateway, wanted.reason, std::nullopt};
+    }
     if (phase_ == phase::ended || out_ == nullptr) {
         return;
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -67,6 +67,8 @@
     std::string request_bytes() const;
     void on_rejected(const answer_head& head);
     void relay_head(const answer_head& head);
+    /// Sends it to another endpoint, or refuses it after too many.
+    void try_elsewhere();
     bool may_run_again() const;
     bool spend_retry();
     void retry(std::string_view why);
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -152,6 +152,13 @@
     BOOST_TEST(second.requests.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_request_that_may_have_run_is_never_said_not_to_have_run, world) {
+    configure();
+    add_endpoint("e1", [](const std::string&, peer& it) { it.reset(); });
+    // It may be repeated, but there is nowhere else to go.
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("}")), " 502 "));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_that_was_not_run_may_go_elsewhere, world) {
     configure();
     int calls = 0;
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "base/findings.h"
+#include "details/parse_table.h"
 
 // NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 #include <toml++/toml.h>
@@ -92,18 +93,6 @@
     findings& found_;
 };
 
-toml::table parse_table(std::string_view text, const std::string& file_name) {
-    try {
-        return toml::parse(text);
-    } catch (const toml::parse_error& e) {
-        const toml::source_position at = e.source().begin;
-        findings found;
-        found.add(file_name + ":" + std::to_string(at.line) + ":" + std::to_string(at.column),
-                  e.description());
-        throw invalid_input(found);
-    }
-}
-
 constexpr double longest_grace_s = 3'600;
 constexpr double most_retries = 1'000'000;
 constexpr double most_units = 1e12;
@@ -111,7 +100,7 @@
 }  // namespace
 
 edge_settings parse_edge_settings(std::string_view text, std::string_view file_name) {
-    const toml::table root = parse_table(text, std::string(file_name));
+    const toml::table root = detail::parse_table(text, std::string(file_name));
     findings found;
     edge_reader in(root, std::string(file_name), found);
     edge_settings out;
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -6,6 +6,7 @@
 
 #include "details/address_text.h"
 #include "details/duration_text.h"
+#include "details/parse_table.h"
 #include "details/setting_fields.h"
 #include "details/toml_reader.h"
 
@@ -91,22 +92,10 @@
     check_durations(it, in);
 }
 
-toml::table parse_table(std::string_view text, const std::string& file_name) {
-    try {
-        return toml::parse(text);
-    } catch (const toml::parse_error& e) {
-        const toml::source_position at = e.source().begin;
-        findings found;
-        found.add(file_name + ":" + std::to_string(at.line) + ":" + std::to_string(at.column),
-                  e.description());
-        throw invalid_input(found);
-    }
-}
-
 }  // namespace
 
 settings parse_settings(std::string_view text, std::string_view file_name) {
-    const toml::table root = parse_table(text, std::string(file_name));
+    const toml::table root = detail::parse_table(text, std::string(file_name));
     findings found;
     settings it;
     detail::toml_reader in(root, std::string(file_name), found);
