A request that was not run is not charged to its account

Cause: found by reading: the refund of the limiter had no caller, so each refusal after the limit's check took units, and the caller's next try paid again.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -164,6 +164,7 @@
             refuse({status_too_many, "over_limit", it->retry_after});
             return false;
         }
+        charged_ = units();
     }
     return true;
 }
@@ -649,6 +650,13 @@
     }
 }
 
+void exchange::refund() {
+    if (charged_ > 0 && !may_have_run_) {
+        owner_.limiter_.refund(account_->id, charged_);
+        charged_ = 0;
+    }
+}
+
 void exchange::refuse(const refusal& wanted) {
     const auto self = shared_from_this();
     refusal it = wanted;
@@ -663,6 +671,7 @@
         cut(it.reason);
         return;
     }
+    refund();
     finish(it.status, it.reason);
     caller_answer head;
     head.status = it.status;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -81,6 +81,8 @@
     duration elapsed() const;
     duration time_left() const;
     double units() const;
+    /// Gives back what was charged for a request that has not run.
+    void refund();
 
     gateway& owner_;
     caller_request request_;
@@ -105,6 +107,8 @@
     std::set<endpoint_id> excluded_;
     std::set<endpoint_id> no_loads_;
     unsigned sends_ = 0;
+    /// Units that were charged to the account.
+    double charged_ = 0;
     /// Endpoints on which it may have run.
     unsigned runs_ = 0;
     bool may_have_run_ = false;
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -182,6 +182,17 @@
     BOOST_TEST(contains(got, "Retry-After: "));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_request_that_was_not_run_is_not_charged, world) {
+    // One request a second: a second one is admitted only if the first was not charged.
+    configure(1);
+    BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("}")), " 503 "));
+    BOOST_TEST(contains(ask(request("GET /again/x", "r2"), until("}")), " 503 "));
+    add_endpoint("e1",
+                 [](const std::string&, peer& it) { it.send(answer("200 OK", "r3", "done")); });
+    BOOST_TEST(contains(ask(request("GET /again/x", "r3"), until("done")), " 200 "));
+    BOOST_TEST(contains(ask(request("GET /again/x", "r4"), until("}")), " 429 "));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_failure_of_the_endpoint_passes_unchanged, world) {
     configure();
     add_endpoint("e1",
