--- a/libs/http/src/free_port.cpp
+++ b/libs/http/src/free_port.cpp
@@ -1,16 +1,45 @@
 #include "http/free_port.h"
 
+#include <unistd.h>
+
+#include <atomic>
+#include <stdexcept>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 namespace radishpulley::http {
+namespace {
 
-std::uint16_t free_port() {
+// Below the range from which systems take the ports of outgoing connections, which could take a
+// port between its choice here and its use.
+constexpr std::uint32_t first_port = 20'000;
+constexpr std::uint32_t port_count = 12'000;
+// Ports that one process walks through before it meets those of the next.
+constexpr std::uint32_t ports_per_process = 64;
+
+bool is_free(std::uint16_t port) {
     using boost::asio::ip::tcp;
     boost::asio::io_context context;
-    const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-    const tcp::acceptor acceptor(context, any);
-    return acceptor.local_endpoint().port();
+    tcp::acceptor acceptor(context);
+    boost::system::error_code ec;
+    acceptor.open(tcp::v4(), ec);
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, ec);
+    return !ec;
+}
+
+}  // namespace
+
+std::uint16_t free_port() {
+    static std::atomic<std::uint32_t> next{static_cast<std::uint32_t>(getpid()) *
+                                           ports_per_process};
+    for (std::uint32_t i = 0; i < port_count; ++i) {
+        const auto port = static_cast<std::uint16_t>(first_port + next++ % port_count);
+        if (is_free(port)) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no port of 127.0.0.1 is free");
 }
 
 std::string free_address() {
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -178,4 +178,16 @@
     BOOST_TEST(closing.requests == 2);
 }
 
+// A port that the system gives to outgoing connections may be taken before its server listens.
+BOOST_AUTO_TEST_CASE(free_ports_are_never_those_of_outgoing_connections) {
+    constexpr int first_outgoing_port = 32'768;
+    int before = 0;
+    for (int i = 0; i < 100; ++i) {
+        const int port = free_port();
+        BOOST_TEST(port < first_outgoing_port);
+        BOOST_TEST(port != before);
+        before = port;
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
