Second reading: one way to start either daemon, one lookup of an engine's capacity, derived state, unused queries

Found by reading the whole change: main.cpp had its error handling twice; load_coordinator looked up an engine's service twice, configured its policy a second time and kept a flag that nobody read; exchange kept in a flag what its count of runs tells; two queries of libs/routing had no caller. Behaviour is the same.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -348,7 +348,6 @@
     phase_ = phase::sent;
     rejected_ = false;
     discard_answer_ = false;
-    may_have_run_ = true;
     ++runs_;
     sent_at_ = owner_.time_.now();
     connection_ = std::move(connection);
@@ -415,7 +414,7 @@
         rejected_ = true;
         discard_answer_ = true;
         status_ = head.status;
-        may_have_run_ = --runs_ > 0;
+        --runs_;
         owner_.directory_.on_call(endpoint_, routing::call_outcome::answered, owner_.time_.now());
         on_rejected(head);
         return;
@@ -566,7 +565,7 @@
                                                              : routing::call_outcome::unreachable,
                               owner_.time_.now());
     if (why == call_failure::not_sent) {
-        may_have_run_ = --runs_ > 0;
+        --runs_;
         try_elsewhere();
         return;
     }
@@ -639,7 +638,7 @@
 
 void exchange::on_deadline() {
     const auto self = shared_from_this();
-    const bool was_sent = may_have_run_;
+    const bool was_sent = may_have_run();
     stop_call();
     if (head_sent_) {
         cut("deadline");
@@ -651,7 +650,7 @@
 }
 
 void exchange::refund() {
-    if (charged_ > 0 && !may_have_run_) {
+    if (charged_ > 0 && !may_have_run()) {
         owner_.limiter_.refund(account_->id, charged_);
         charged_ = 0;
     }
@@ -660,7 +659,7 @@
 void exchange::refuse(const refusal& wanted) {
     const auto self = shared_from_this();
     refusal it = wanted;
-    if (it.status == status_unavailable && may_have_run_) {
+    if (it.status == status_unavailable && may_have_run()) {
         // "Unavailable" promises that the request has not run.
         it = {status_bad_gateway, wanted.reason, std::nullopt};
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -69,6 +69,7 @@
     void relay_head(const answer_head& head);
     /// Sends it to another endpoint, or refuses it after too many.
     void try_elsewhere();
+    bool may_have_run() const { return runs_ > 0; }
     bool may_run_again() const;
     bool spend_retry();
     void retry(std::string_view why);
@@ -111,7 +112,6 @@
     double charged_ = 0;
     /// Endpoints on which it may have run.
     unsigned runs_ = 0;
-    bool may_have_run_ = false;
     bool head_sent_ = false;
     bool rejected_ = false;
     bool discard_answer_ = false;
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -62,8 +62,6 @@
     void set_fleet_size(std::size_t vms);
     /// Takes the demand that another VM sees.
     void on_peer(const vm_id& peer, demand_by_account demand, time_point now);
-    /// The VM has left for good.
-    void forget_peer(const vm_id& peer);
 
     /// Charges a request of `units` to its account.
     admission admit(const client_account_id& account, double units, time_point now);
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -68,8 +68,6 @@
     std::vector<const endpoint*> usable(const service_id& service) const;
     /// Whether calls failed of late, so that others go first.
     bool avoided(const endpoint_id& id, time_point now) const;
-    /// Share of the recent calls that failed, from 0 to 1; old calls lose their weight.
-    double failure_share(const endpoint_id& id, time_point now) const;
     /// All endpoints.
     std::vector<const endpoint*> all() const;
 
@@ -84,6 +82,7 @@
         time_point failures_at{};
     };
 
+    /// Share of the recent calls that failed, from 0 to 1; old calls lose their weight.
     double failures_of(const record& it, time_point now) const;
 
     directory_settings settings_;
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -51,10 +51,6 @@
     peers_[peer] = {std::move(demand), now};
 }
 
-void account_limiter::forget_peer(const vm_id& peer) {
-    peers_.erase(peer);
-}
-
 double account_limiter::decayed_demand(const bucket& it, time_point now) const {
     return it.demand *
            std::exp(-seconds_of(now - it.demand_at) / seconds_of(settings_.demand_window));
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -140,11 +140,6 @@
                                        failures_of(found->second, now) > settings_.most_failures);
 }
 
-double endpoint_directory::failure_share(const endpoint_id& id, time_point now) const {
-    const auto found = records_.find(id);
-    return found == records_.end() ? 0 : failures_of(found->second, now);
-}
-
 double endpoint_directory::failures_of(const record& it, time_point now) const {
     const double half_lives =
         std::chrono::duration<double>(now - it.failures_at) / settings_.failure_half_life;
--- a/radishpulley/daemon/main.cpp
+++ b/radishpulley/daemon/main.cpp
@@ -55,6 +55,21 @@
     return status;
 }
 
+int run_own_interface(const std::string& path, bool only_check) {
+    // Blocked before any thread starts, so that only the waiting thread gets them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const settings::settings with = settings::load_settings(path);
+    if (only_check) {
+        std::puts("the settings are valid");
+        return 0;
+    }
+    return run(with, signals);
+}
+
 int run_edge(const std::string& path, bool only_check) {
     const settings::edge_settings with = settings::load_edge_settings(path);
     if (only_check) {
@@ -80,30 +95,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     // A terminal that goes away must not end the daemon; on a platform it means changed settings.
     std::signal(SIGHUP, SIG_IGN);
-    if (absl::GetFlag(FLAGS_edge)) {
-        try {
-            return run_edge(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_check));
-        } catch (const invalid_input& e) {
-            std::fputs(e.what(), stderr);
-            return exit_bad_settings;
-        } catch (const std::exception& e) {
-            std::fprintf(stderr, "radishpulleyd: %s\n", e.what());
-            return exit_failed;
-        }
-    }
-    // Blocked before any thread starts, so that only the waiting thread gets them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    const bool only_check = absl::GetFlag(FLAGS_check);
     try {
-        const settings::settings with = settings::load_settings(absl::GetFlag(FLAGS_settings));
-        if (absl::GetFlag(FLAGS_check)) {
-            std::puts("the settings are valid");
-            return 0;
-        }
-        return run(with, signals);
+        return absl::GetFlag(FLAGS_edge) ? run_edge(path, only_check)
+                                         : run_own_interface(path, only_check);
     } catch (const invalid_input& e) {
         std::fputs(e.what(), stderr);
         return exit_bad_settings;
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -61,6 +61,8 @@
     void on_shard_object(const gateway::stored_object& it);
     void take_shard(const ownership::shard& it);
     void ensure_policy();
+    /// Returns what a model engine's service has room for, or null for other endpoints.
+    const routing::engine_capacity* capacity_of(const routing::endpoint& it) const;
     void configure_policy();
     void plan(time_point now);
     void commit(const ownership::shard_update& update);
@@ -85,7 +87,6 @@
     gateway::collection_follower follower_;
     boost::asio::steady_timer tick_timer_;
     bool has_list_ = false;
-    bool leaving_ = false;
     std::optional<ownership::ownership_policy> policy_;
     std::optional<ownership::holder_guard> guard_;
     std::map<ownership::shard_index, ownership::shard> shards_;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -151,7 +151,6 @@
     for (const auto& [index, it] : shards_) {
         take_shard(it);
     }
-    configure_policy();
 }
 
 void load_coordinator::on_shard_object(const gateway::stored_object& it) {
@@ -186,16 +185,17 @@
     update_keepers();
 }
 
+const routing::engine_capacity* load_coordinator::capacity_of(const routing::endpoint& it) const {
+    const auto& configuration = data_path_.configuration();
+    const routing::service* service =
+        configuration ? configuration->find_service(it.service) : nullptr;
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
 void load_coordinator::configure_policy() {
-    if (!policy_) {
-        return;
-    }
     std::vector<ownership::holding_spec> specs;
     for (const routing::endpoint* it : data_path_.directory().all()) {
-        const auto& configuration = data_path_.configuration();
-        const routing::service* service =
-            configuration ? configuration->find_service(it->service) : nullptr;
-        if (service != nullptr && service->engine) {
+        if (capacity_of(*it) != nullptr) {
             specs.push_back({holding_of(it->id),
                              endpoints_check_fencing_ ? ownership::replacement::on_suspicion
                                                       : ownership::replacement::on_certain_end,
@@ -274,11 +274,9 @@
         settings.full_speed_loads, static_cast<std::size_t>(full_speed_loads_per_engine *
                                                             static_cast<double>(endpoints.size())));
     for (const routing::endpoint* it : endpoints) {
-        const auto& configuration = data_path_.configuration();
-        const routing::service* service =
-            configuration ? configuration->find_service(it->service) : nullptr;
+        const routing::engine_capacity* capacity = capacity_of(*it);
         const bool holds = guard_ && guard_->may_act(holding_of(it->id), now).has_value();
-        if (!holds || service == nullptr || !service->engine || it->draining) {
+        if (!holds || capacity == nullptr || it->draining) {
             kept_.erase(it->id);
             continue;
         }
@@ -286,9 +284,7 @@
             continue;
         }
         auto& kept =
-            kept_
-                .emplace(it->id,
-                         kept_engine{routing::engine_keeper(it->id, *service->engine, settings)})
+            kept_.emplace(it->id, kept_engine{routing::engine_keeper(it->id, *capacity, settings)})
                 .first->second;
         kept.keeper.on_entry(*it);
         for (const auto& [adapter, version] : versions_) {
@@ -552,7 +548,6 @@
 }
 
 void load_coordinator::leave() {
-    leaving_ = true;
     if (policy_) {
         policy_->leave();
         hand_over(time_.now());
