--- a/build.sh
+++ b/build.sh
@@ -16,6 +16,8 @@
             with a number: the cost of that many daemons without requests
   measure   build, then print the measurements of the decisions; arguments go to each
   faults    build, then run the fault matrix; arguments go to it
+  bench-day play a day of the users' bench, which must be beside this repository:
+            SITE DAY [arguments], such as sastro-linen quiet-1 --no-cpu
   format    rewrite all sources with clang-format
   check     check format and lint without changing anything
   clean     remove out/
@@ -72,6 +74,17 @@
     return "$status"
 }
 
+bench_day() {
+    local kit=../given/kit/more/system
+    if [[ ! -x "$kit/bin/fleetbench" ]]; then
+        echo "not run: the users' bench is not beside this repository" >&2
+        return 3
+    fi
+    local site=${1:?site} day=${2:?day}
+    shift 2
+    "$kit/bin/fleetbench" run "$kit/sites/$site.toml" "$day" --jobs 3 --why "build.sh bench-day" "$@"
+}
+
 check() {
     sources | xargs clang-format --dry-run --Werror
     configure
@@ -94,6 +107,7 @@
         build
         "$build_dir/tools/faults/faults" "$@"
         ;;
+    bench-day) shift && bench_day "$@" ;;
     format) sources | xargs clang-format -i ;;
     check) check ;;
     clean) rm -rf out ;;
