--- a/build.sh
+++ b/build.sh
@@ -16,8 +16,7 @@
             with a number: the cost of that many daemons without requests
   measure   build, then print the measurements of the decisions; arguments go to each
   faults    build, then run the fault matrix; arguments go to it
-  bench-day play a day of the users' bench, which must be beside this repository:
-            SITE DAY [arguments], such as sastro-linen quiet-1 --no-cpu
+  bench-day play a day of the users' bench, which USERS_BENCH names: SITE-FILE DAY [arguments]
   format    rewrite all sources with clang-format
   check     check format and lint without changing anything
   clean     remove out/
@@ -75,14 +74,13 @@
 }
 
 bench_day() {
-    local kit=../given/kit/more/system
-    if [[ ! -x "$kit/bin/fleetbench" ]]; then
-        echo "not run: the users' bench is not beside this repository" >&2
+    if [[ ! -x "${USERS_BENCH:-}" ]]; then
+        echo "not run: USERS_BENCH must name the users' bench" >&2
         return 3
     fi
-    local site=${1:?site} day=${2:?day}
+    local site=${1:?site file} day=${2:?day}
     shift 2
-    "$kit/bin/fleetbench" run "$kit/sites/$site.toml" "$day" --jobs 3 --why "build.sh bench-day" "$@"
+    "$USERS_BENCH" run "$site" "$day" --jobs 3 --why "build.sh bench-day" "$@"
 }
 
 check() {
--- /dev/null
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -0,0 +1,231 @@
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "edge/fleet_member.h"
+#include "edge/load_coordinator.h"
+#include "memory_collections.h"
+
+namespace radishpulley::edge::testing {
+namespace {
+
+using routing::model_choice;
+
+const endpoint_id engine("e1");
+const model_choice plans{"m", "plans"};
+
+// No caller sends anything in these tests.
+class no_headers final : public gateway::header_codec {
+public:
+    routing::request_facts read_request(const gateway::header_list&) const override { return {}; }
+    bool is_forwarded(std::string_view) const override { return true; }
+    void append_statement(const gateway::endpoint_statement&, std::string&) const override {}
+    gateway::answer_facts read_answer(unsigned, const gateway::header_list&) const override {
+        return {};
+    }
+    std::string_view id_header() const override { return "X-Id"; }
+};
+
+// Engines that accept every order, and remember who gave it.
+class fake_engines final : public gateway::engine_port {
+public:
+    explicit fake_engines(boost::asio::io_context& loop) : loop_(loop) {}
+
+    void give(const routing::endpoint&, const routing::engine_order& order,
+              const gateway::order_authority& by,
+              std::function<void(routing::order_outcome)> done) override {
+        holders.push_back(by);
+        orders.push_back(order);
+        boost::asio::post(loop_, [this, done = std::move(done)] { done(outcome); });
+    }
+    void ask(const routing::endpoint&,
+             std::function<void(std::optional<routing::engine_report>)> done) override {
+        boost::asio::post(loop_, [done = std::move(done)] {
+            routing::engine_report out;
+            out.models = {{"m", 1, {}}};
+            done(out);
+        });
+    }
+
+    std::vector<routing::engine_order> orders;
+    std::vector<gateway::order_authority> holders;
+    routing::order_outcome outcome = routing::order_outcome::accepted;
+
+private:
+    boost::asio::io_context& loop_;
+};
+
+std::string free_udp_address(boost::asio::io_context& loop) {
+    boost::asio::ip::udp::socket probe(loop, {boost::asio::ip::address_v4::loopback(), 0});
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+// One daemon without callers.
+struct node {
+    node(boost::asio::io_context& loop, memory_collections& store, fake_engines& engines,
+         const std::string& name)
+        : paths(loop, time, codec, metrics, {}),
+          member(loop, time, store, settings(loop, name),
+                 [this](const routing::hint_message& it) {
+                     ++hints;
+                     loads.on_hint(it);
+                 }),
+          loads(loop, time, store, engines, member, paths, true) {
+        paths.set_broker(loads);
+        routing::configuration_content content;
+        content.version = 1;
+        routing::service service;
+        service.id = service_id("s");
+        service.engine.emplace();
+        service.engine->max_adapters = 4;
+        service.engine->models = {{"m", 0, 0, std::chrono::milliseconds(10)}};
+        content.services = {service};
+        paths.on_configuration(std::make_shared<routing::configuration>(content));
+        routing::endpoint entry;
+        entry.id = engine;
+        entry.service = service.id;
+        entry.models = {{"m", 1, {}}};
+        paths.on_endpoint(entry);
+        member.start();
+        loads.start();
+    }
+
+    static member_settings settings(boost::asio::io_context& loop, const std::string& name) {
+        member_settings out;
+        out.vm = vm_id(name);
+        out.address = free_udp_address(loop);
+        return out;
+    }
+
+    boot_clock time;
+    no_headers codec;
+    telemetry::registry metrics;
+    gateway::gateway paths;
+    int hints = 0;
+    fleet_member member;
+    load_coordinator loads;
+};
+
+struct fixture {
+    fixture() : store(loop), engines(loop) {}
+
+    node& add(const std::string& name) {
+        nodes.push_back(std::make_unique<node>(loop, store, engines, name));
+        return *nodes.back();
+    }
+
+    // Runs the loop until `done`; daemons that are there tell each other that they live.
+    void run_until(const std::function<bool()>& done) {
+        constexpr int most_steps = 3'000;
+        for (int i = 0; i < most_steps && !done(); ++i) {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(3));
+            for (const auto& it : nodes) {
+                it->member.broadcast(routing::presence{});
+            }
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    node* holder() {
+        for (const auto& it : nodes) {
+            if (it->loads.engines_held() == 1) {
+                return it.get();
+            }
+        }
+        return nullptr;
+    }
+
+    boost::asio::io_context loop;
+    memory_collections store;
+    fake_engines engines;
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_tests)
+
+BOOST_FIXTURE_TEST_CASE(daemons_register_and_hear_each_other, fixture) {
+    node& a = add("a");
+    node& b = add("b");
+    run_until([&] { return a.hints > 0 && b.hints > 0; });
+    BOOST_TEST(a.member.self()->incarnation == 1U);
+    BOOST_TEST(a.member.serving(a.time.now()) == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_daemon_that_starts_again_has_a_higher_incarnation, fixture) {
+    add("a");
+    run_until([&] { return nodes[0]->member.self().has_value(); });
+    nodes.clear();
+    add("a");
+    run_until([&] { return nodes[0]->member.self().has_value(); });
+    BOOST_TEST(nodes[0]->member.self()->incarnation == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(one_of_them_holds_the_engine_and_loads_for_the_other, fixture) {
+    add("a");
+    add("b");
+    run_until([&] { return holder() != nullptr && nodes[0]->hints > 0 && nodes[1]->hints > 0; });
+    node& other = holder() == nodes[0].get() ? *nodes[1] : *nodes[0];
+    run_until([&] { return other.loads.wish(engine, plans); });
+    run_until([&] {
+        return other.paths.adapters().view(engine, plans, other.time.now()).state ==
+               routing::adapter_state::loaded;
+    });
+    BOOST_REQUIRE(!engines.orders.empty());
+    BOOST_TEST(engines.orders.back().target.adapter == "plans");
+    BOOST_TEST(engines.holders.back().holder == holder()->member.self()->vm.str());
+    BOOST_TEST(engines.holders.back().fencing_number >= 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_holder_whose_number_is_old_gives_no_more_orders, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    engines.outcome = routing::order_outcome::superseded;
+    BOOST_TEST(a.loads.wish(engine, plans));
+    run_until([&] { return !engines.orders.empty() && a.loads.engines_held() == 0; });
+    const std::size_t given = engines.orders.size();
+    BOOST_TEST(!a.loads.wish(engine, plans));
+    for (int i = 0; i < 100; ++i) {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(3));
+    }
+    BOOST_TEST(engines.orders.size() == given);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leaving_daemon_hands_its_engine_over, fixture) {
+    add("a");
+    add("b");
+    run_until([&] { return holder() != nullptr && nodes[0]->hints > 0 && nodes[1]->hints > 0; });
+    node* first = holder();
+    first->loads.leave();
+    BOOST_TEST(first->loads.engines_held() == 0U);
+    run_until([&] { return holder() != nullptr && holder() != first; });
+}
+
+BOOST_FIXTURE_TEST_CASE(holders_go_on_while_the_store_is_away, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    store.away = true;
+    run_until([&] { return a.loads.wish(engine, plans); });
+    run_until([&] { return !engines.orders.empty(); });
+    BOOST_TEST(a.loads.engines_held() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_daemon_that_can_not_register_holds_nothing, fixture) {
+    store.away = true;
+    node& a = add("a");
+    for (int i = 0; i < 100; ++i) {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(3));
+    }
+    BOOST_TEST(!a.member.self().has_value());
+    BOOST_TEST(!a.loads.wish(engine, plans));
+    store.away = false;
+    run_until([&] { return a.loads.engines_held() == 1; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::edge::testing
