Rate limits: ask for tokens when they are expected; fair shares hold through lost exchanges

Cause of the first: while requests wait, all slots were asked every 120 ms whatever had accrued, so the slots and the daemon together held up to 22 tokens while requests of 10 were refused. Ruled out by a trace: refusals at the door without a look at the slots (all wrongful ones had 15 to 19 tokens known), and the need of the whole queue as the measure (332 wrongful ones: it is never covered). Now the next question goes out when the first request in line is expected to be covered. A slot counts as silent by the age of its oldest unanswered question, because questions may now follow within 20 ms.

Cause of the second: while no shares came for 40 s, a daemon applied its old part to a demand that grew with its own queue. Shares older than 3 s now apply to the usual demand of the time when they were made.

--- a/libs/fairness/include/fairness/fair_queue.h
+++ b/libs/fairness/include/fairness/fair_queue.h
@@ -23,6 +23,9 @@
     /// Age after which shares from the fleet no longer count; then accounts only take turns by
     /// weight.
     duration shares_lifetime = std::chrono::seconds(60);
+    /// Age from which shares are applied to the demand that they were made for, because what waits
+    /// here grows while nobody balances it.
+    duration shares_fresh_for = std::chrono::seconds(3);
     /// Running time that an account may use ahead of its share, in request-seconds.
     double burst = 1;
 };
@@ -102,6 +105,8 @@
         // Request-seconds that may be used; negative after a long request.
         double credit = 0;
         time_point updated_at{};
+        // Average of the requests here whenever shares came.
+        double usual_demand = 0;
         // Average running time of finished requests, in seconds.
         double usual_time = 0;
     };
--- a/libs/fairness/src/fair_queue.cpp
+++ b/libs/fairness/src/fair_queue.cpp
@@ -32,7 +32,11 @@
 double fair_queue::share_of(const client_account_id& account, const account_queue& it,
                             time_point now) const {
     const double demand = static_cast<double>(it.waiting.size() + it.running);
-    return is_limited(account, now) ? shares_.at(account) * demand : demand;
+    if (!is_limited(account, now)) {
+        return demand;
+    }
+    const bool is_fresh = now - *shares_at_ <= policy_.shares_fresh_for;
+    return shares_.at(account) * (is_fresh ? demand : std::min(demand, it.usual_demand));
 }
 
 void fair_queue::update(const client_account_id& account, account_queue& it, time_point now) {
@@ -142,6 +146,8 @@
 void fair_queue::set_shares(const fair_ratios& shares, time_point now) {
     for (auto& [account, it] : accounts_) {
         update(account, it, now);
+        const auto demand = static_cast<double>(it.waiting.size() + it.running);
+        it.usual_demand += newest_part * (demand - it.usual_demand);
     }
     shares_ = shares;
     shares_at_ = now;
--- a/libs/quota/src/details/account_pool.cpp
+++ b/libs/quota/src/details/account_pool.cpp
@@ -15,6 +15,7 @@
 constexpr duration spare_pause = std::chrono::milliseconds(300);
 constexpr token_amount least_spare_requests = 2;
 constexpr token_amount size_smoothing = 8;
+constexpr duration least_round_gap = std::chrono::milliseconds(20);
 constexpr duration least_spare_interval = std::chrono::milliseconds(20);
 // Spare tokens of one daemon are at most this part of what the slots are expected to hold.
 constexpr token_amount spare_part = 16;
@@ -334,13 +335,18 @@
     if (is_answered || now < round_until_) {
         return is_answered;
     }
+    note_silence(now);
+    return true;
+}
+
+void account_pool::note_silence(time_point now) {
     for (const auto& [slot, number] : collection_) {
         const auto it = loans_.find(number);
-        if (it != loans_.end() && !it->second.answered) {
+        if (it != loans_.end() && !it->second.answered &&
+            now - it->second.asked_at >= context_.policy.round_wait) {
             views_[slot].silent_until = now + silence;
         }
     }
-    return true;
 }
 
 void account_pool::begin_collection(time_point now) {
@@ -360,7 +366,6 @@
         begin_collection(now);
         if (shortage_ && now - shortage_at_ < context_.policy.admission_wait) {
             round_ = collecting::all_slots;
-            round_until_ = now + context_.policy.round_wait * 2;
             ask_all(missing, now, out);
             return;
         }
@@ -373,13 +378,27 @@
         ask_fullest(missing, now, out);
     } else if (round_ == collecting::known_slots && round_is_over(now)) {
         round_ = collecting::all_slots;
-        round_until_ = now + context_.policy.round_wait;
-        ask_all(missing, now, out);
-    } else if (round_ == collecting::all_slots && now >= round_until_) {
-        round_is_over(now);
-        round_until_ = now + context_.policy.round_wait * 2;
         ask_all(missing, now, out);
+    } else if (round_ == collecting::all_slots) {
+        const duration longest = context_.policy.round_wait * 2;
+        const token_amount first = queue_.front().size + debt_ - available(now);
+        round_until_ = std::clamp(expected_at(first, now), all_asked_at_ + least_round_gap,
+                                  all_asked_at_ + longest);
+        if (now >= round_until_) {
+            note_silence(now);
+            ask_all(missing, now, out);
+        }
+    }
+}
+
+time_point account_pool::expected_at(token_amount missing, time_point now) const {
+    token_amount known = 0;
+    for (std::size_t i = 0; i < views_.size(); ++i) {
+        known += expected_balance(static_cast<slot_number>(i), now);
     }
+    const duration wait = time_to_add(std::max<token_amount>(0, missing - known), limits_.rate);
+    return wait < context_.policy.admission_wait ? now + wait
+                                                 : now + context_.policy.admission_wait;
 }
 
 // Takes from the fullest slots down to a common level: a slot that stays full while others are
@@ -417,6 +436,8 @@
 }
 
 void account_pool::ask_all(token_amount need, time_point now, quota_output& out) {
+    all_asked_at_ = now;
+    round_until_ = now + context_.policy.round_wait * 2;
     for (const slot_number slot : slots_by_balance(now)) {
         ask({slot, need}, true, now, out);
     }
@@ -431,6 +452,7 @@
     if (is_usable) {
         loan& it = existing->second;
         it.wanted = std::max(it.wanted, it.granted + need.amount);
+        it.asked_at = it.answered ? now : it.asked_at;
         it.answered = false;
         send_request(existing->first, it, recall, now, out);
         return;
@@ -441,6 +463,7 @@
     it.fence = context_.table.slots[need.slot].fence;
     it.owner = *context_.table.slots[need.slot].owner;
     it.requested_at = now;
+    it.asked_at = now;
     it.ends_at = now + context_.policy.loan_lifetime;
     it.wanted = need.amount;
     send_request(number, it, recall, now, out);
--- a/libs/quota/src/details/account_pool.h
+++ b/libs/quota/src/details/account_pool.h
@@ -64,6 +64,8 @@
         token_amount reported_spent = 0;
         token_amount reported_refunded = 0;
         time_point reported_at{};
+        // When the first request that is not answered yet was sent.
+        time_point asked_at{};
         // Charged to requests that are not settled.
         token_amount unsettled = 0;
         bool answered = false;
@@ -122,6 +124,9 @@
     void ask_all(token_amount need, time_point now, quota_output& out);
     void end_collection(time_point now, quota_output& out);
     bool round_is_over(time_point now);
+    void note_silence(time_point now);
+    /// When the slots are expected to hold `missing`, by what is known of them.
+    time_point expected_at(token_amount missing, time_point now) const;
     void ask(const slot_need& need, bool recall, time_point now, quota_output& out);
     void send_request(loan_number number, loan& it, bool recall, time_point now,
                       quota_output& out) const;
@@ -156,6 +161,7 @@
 
     collecting round_ = collecting::idle;
     time_point round_until_{};
+    time_point all_asked_at_{};
     std::uint64_t priority_ = 0;
     std::map<slot_number, loan_number> collection_;
     std::optional<loan_number> spare_loan_;
