Outage: a hold travels once over a connection, and names of VMs are packed

Cause: both sides of a connection told each other of nearly every hold at once, and each hold named its VM in full. A peer that opened the connection is now told after 2 s, by when it has told of the hold itself; names are packed by the bytes that they share.

--- a/libs/fleet/src/fleet_agent.cpp
+++ b/libs/fleet/src/fleet_agent.cpp
@@ -77,7 +77,7 @@
     update_peers(now, out);
     if (proof.sent_after) {
         freshness_.known_by(from);
-        bool is_urgent = freshness_.peer_holds(from, it.holds, *proof.sent_after);
+        bool is_urgent = freshness_.peer_holds(from, it.holds, *proof.sent_after, now);
         if (it.evidence) {
             is_urgent = freshness_.peer_evidence(*it.evidence, *proof.sent_after) || is_urgent;
         }
@@ -205,7 +205,9 @@
     it.evidence = freshness_.evidence(now);
     // Without an echo the peer cannot bound the age of a hold, so holds wait for one.
     if (beat.echoed != 0) {
-        it.holds = freshness_.hold_news(to, known.holds, now);
+        const duration patience =
+            members_.is_chosen(to) ? duration(0) : settings_.freshness.hold_patience;
+        it.holds = freshness_.hold_news(to, known.holds, now - patience, now);
     }
     if (members_.is_neighbour(to)) {
         it.numbers = rollout_.news(known.numbers);
--- a/libs/keys/include/keys/freshness.h
+++ b/libs/keys/include/keys/freshness.h
@@ -70,6 +70,9 @@
     duration hold_refresh = std::chrono::seconds(13);
     /// Ages of holds are rounded up to this, so that many VMs share one report.
     duration hold_age_step = std::chrono::milliseconds(500);
+    /// Age from which the news of a hold also goes to peers that opened the connection themselves:
+    /// nearly always they have told of the hold by then.
+    duration hold_patience = std::chrono::milliseconds(2000);
 };
 
 /// The copy is fresh.
@@ -133,7 +136,8 @@
     /// A peer's reports. `proven` is when the token was sent that the peer's message echoes.
     /// They return true when neighbours should be told at once.
     bool peer_evidence(const evidence_report& it, time_point proven);
-    bool peer_holds(const vm_id& peer, gsl::span<const hold_report> reports, time_point proven);
+    bool peer_holds(const vm_id& peer, gsl::span<const hold_report> reports, time_point proven,
+                    time_point now);
 
     /// A connection to the peer port of `vm` was refused at `at`. It counts as a hold when nothing
     /// that the VM accepted before it ended can be unknown: it had given a hold, or the object API
@@ -160,8 +164,10 @@
 
     /// What to tell a peer about the object API; nothing when it was never heard.
     std::optional<evidence_report> evidence(time_point now) const;
-    /// Holds that changed after `told` and did not come from `peer`; moves `told` to now.
-    std::vector<hold_report> hold_news(const vm_id& peer, position& told, time_point now) const;
+    /// Holds that changed after `told`, and not after `until`, and did not come from `peer`; moves
+    /// `told` past them.
+    std::vector<hold_report> hold_news(const vm_id& peer, position& told, time_point until,
+                                       time_point now) const;
     /// VMs that are to be told of this one by a short connection.
     std::vector<vm_id> unaware() const;
 
@@ -179,6 +185,7 @@
         /// Value of `given` when neighbours were last to be told.
         time_point announced;
         position changed = 0;
+        time_point changed_at;
     };
 
     // Refused connections to one VM, each within the hold time of the one before.
@@ -190,7 +197,7 @@
     bool is_fresh(model::ticket_number in_force, time_point now) const;
     bool holds(const vm_id& vm, model::ticket_number in_force, time_point now) const;
     bool take_evidence(model::ticket_number number, known_evidence it);
-    bool take_hold(const vm_id& vm, known_hold it);
+    bool take_hold(const vm_id& vm, known_hold it, time_point now);
     std::optional<time_point> last_heard() const;
     duration own_spread() const;
 
--- a/libs/keys/src/freshness.cpp
+++ b/libs/keys/src/freshness.cpp
@@ -66,7 +66,7 @@
     return take_evidence(it.number, {it.revision, proven - it.age});
 }
 
-bool freshness::take_hold(const vm_id& vm, known_hold it) {
+bool freshness::take_hold(const vm_id& vm, known_hold it, time_point now) {
     known_hold& held = holds_[vm];
     const bool is_new = held.changed == 0;
     const bool is_known = !is_new && held.reason == it.reason && held.number == it.number &&
@@ -88,12 +88,13 @@
         held.sources = std::move(it.sources);
         held.announced = it.given;
         held.changed = ++last_;
+        held.changed_at = now;
     }
     return is_urgent;
 }
 
 bool freshness::peer_holds(const vm_id& peer, gsl::span<const hold_report> reports,
-                           time_point proven) {
+                           time_point proven, time_point now) {
     bool is_urgent = false;
     for (const hold_report& report : reports) {
         for (const vm_id& vm : report.vms) {
@@ -105,7 +106,7 @@
             hold.number = report.number;
             hold.given = proven - report.age;
             hold.sources = {peer};
-            is_urgent = take_hold(vm, hold) || is_urgent;
+            is_urgent = take_hold(vm, hold, now) || is_urgent;
         }
     }
     return is_urgent;
@@ -124,12 +125,12 @@
     const auto held = holds_.find(vm);
     if (held != holds_.end() && at - held->second.given < settings_.hold_time) {
         gone.number = held->second.number;
-        take_hold(vm, gone);
+        take_hold(vm, gone, at);
         return;
     }
     if (!evidence_.empty() && evidence_.rbegin()->second.heard >= seen.first) {
         gone.number = evidence_.rbegin()->first;
-        take_hold(vm, gone);
+        take_hold(vm, gone, at);
     }
 }
 
@@ -167,7 +168,7 @@
     known_hold own;
     own.number = in_force;
     own.given = now;
-    take_hold(self_.vm, own);
+    take_hold(self_.vm, own, now);
 }
 
 duration freshness::until_probe(time_point now) const {
@@ -256,14 +257,19 @@
     return evidence_report{number, it.revision, now - it.heard};
 }
 
-std::vector<hold_report> freshness::hold_news(const vm_id& peer, position& told,
+std::vector<hold_report> freshness::hold_news(const vm_id& peer, position& told, time_point until,
                                               time_point now) const {
     if (told == last_) {
         return {};
     }
     std::map<std::tuple<hold_reason, model::ticket_number, duration>, hold_report> groups;
     const duration step = settings_.hold_age_step;
+    position newest = told;
     for (const auto& [vm, held] : holds_) {
+        if (held.changed_at > until) {
+            continue;
+        }
+        newest = std::max(newest, held.changed);
         const duration age = now - held.given;
         const bool is_known_there =
             std::find(held.sources.begin(), held.sources.end(), peer) != held.sources.end();
@@ -277,7 +283,7 @@
         group.age = rounded;
         group.vms.push_back(vm);
     }
-    told = last_;
+    told = newest;
     std::vector<hold_report> reports;
     for (auto& it : groups) {
         reports.push_back(std::move(it.second));
--- a/libs/keys/tests/freshness_tests.cpp
+++ b/libs/keys/tests/freshness_tests.cpp
@@ -58,7 +58,7 @@
 BOOST_AUTO_TEST_CASE(holds_serve_only_who_has_all_that_was_accepted_before_them) {
     rule.api_answered(3, 10, start);
     const time_point later = start + 10s;
-    rule.peer_holds(peer, hold(4), later);
+    rule.peer_holds(peer, hold(4), later, later);
     BOOST_TEST(!serves(3, later));
     BOOST_TEST(serves(4, later));
     BOOST_TEST(serves(4, later + settings.hold_time - 1ms));
@@ -67,7 +67,7 @@
 
 BOOST_AUTO_TEST_CASE(one_vm_without_a_hold_is_enough_to_refuse) {
     rule.set_roster({own, peer, vm_id("c")});
-    rule.peer_holds(peer, hold(0), start);
+    rule.peer_holds(peer, hold(0), start, start);
     const serving_decision decision = rule.serving(0, start + 1s);
     const std::vector<vm_id> missing = {vm_id("c")};
     BOOST_TEST(std::get<refuse_keyed>(decision).missing == missing,
@@ -86,7 +86,7 @@
     BOOST_TEST(serves(1, ended + 10s));
     freshness other({own, 1}, settings, start);
     other.set_roster({own, peer});
-    other.peer_holds(peer, hold(1), start);
+    other.peer_holds(peer, hold(1), start, start);
     other.process_gone(peer, start + settings.hold_time - 1ms);
     const auto decision = other.serving(1, start + settings.hold_time + 10s);
     BOOST_TEST(std::holds_alternative<serve_on_holds>(decision));
@@ -108,8 +108,22 @@
     BOOST_TEST(!commits(1, free - 1ms));
     BOOST_TEST(commits(1, free));
     freshness::position told = 0;
-    BOOST_TEST(rule.hold_news(peer, told, ready + 3s).size() == 1);
-    BOOST_TEST(rule.hold_news(peer, told, ready + 3s).empty());
+    BOOST_TEST(rule.hold_news(peer, told, ready + 3s, ready + 3s).size() == 1);
+    BOOST_TEST(rule.hold_news(peer, told, ready + 3s, ready + 3s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_hold_that_a_peer_told_meanwhile_is_not_told_back_to_it) {
+    const vm_id opener("c");
+    rule.set_roster({own, peer, opener});
+    rule.peer_holds(peer, hold(1), start, start);
+    freshness::position told = 0;
+    const time_point patient = start + settings.hold_patience;
+    BOOST_TEST(rule.hold_news(opener, told, patient - 1ms - settings.hold_patience, patient - 1ms)
+                   .empty());
+    rule.peer_holds(opener, hold(1), start, start + 500ms);
+    BOOST_TEST(rule.hold_news(opener, told, start, patient).empty());
+    freshness::position other = 0;
+    BOOST_TEST(rule.hold_news(vm_id("d"), other, start, patient).size() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_vm_that_some_do_not_know_commits_nothing) {
--- a/libs/membership/include/membership/member_table.h
+++ b/libs/membership/include/membership/member_table.h
@@ -156,6 +156,8 @@
     /// True when one of the two sides has the other among its neighbours; false on a connection
     /// that only introduces a VM.
     bool is_neighbour(const vm_id& vm) const;
+    /// True when this daemon opens the connection to the peer, not only the peer to it.
+    bool is_chosen(const vm_id& vm) const;
     /// VMs to which this one opens connections.
     std::vector<vm_id> chosen() const;
 
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -294,6 +294,11 @@
     return it != peers_.end() && (it->second.chosen || it->second.wanted_by_peer);
 }
 
+bool member_table::is_chosen(const vm_id& vm) const {
+    const auto it = peers_.find(vm);
+    return it != peers_.end() && it->second.chosen;
+}
+
 std::vector<vm_id> member_table::chosen() const {
     std::vector<vm_id> vms;
     for (const auto& [vm, it] : peers_) {
--- a/libs/wire/src/fleet_messages.cpp
+++ b/libs/wire/src/fleet_messages.cpp
@@ -1,6 +1,7 @@
 #include "base/findings.h"
 #include "details/common.h"
 #include "wire/messages.h"
+#include "wire/name_list.h"
 
 namespace nlohmann {
 
@@ -37,7 +38,22 @@
 
 namespace radishpulley::keys {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(evidence_report, number, revision, age)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hold_report, reason, number, age, vms)
+
+void to_json(nlohmann::json& out, const hold_report& it) {
+    out = {{"reason", it.reason}, {"number", it.number}, {"age", it.age}};
+    out["vms"] = nlohmann::json::binary(wire::pack_names(it.vms));
+}
+
+void from_json(const nlohmann::json& in, hold_report& it) {
+    it.reason = in.value("reason", it.reason);
+    it.number = in.value("number", it.number);
+    it.age = in.value("age", it.age);
+    if (in.contains("vms")) {
+        const std::vector<std::uint8_t>& packed = in["vms"].get_binary();
+        it.vms = wire::unpack_names(packed);
+    }
+}
+
 }  // namespace radishpulley::keys
 
 namespace radishpulley::tickets {
--- a/libs/wire/tests/wire_tests.cpp
+++ b/libs/wire/tests/wire_tests.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/findings.h"
 #include "wire/messages.h"
+#include "wire/name_list.h"
 
 using namespace radishpulley;
 
@@ -58,6 +60,25 @@
     check_round_trip(fleet::message(tickets::ticket_message(reply)), wire::decode_fleet);
 }
 
+BOOST_AUTO_TEST_CASE(names_that_resemble_each_other_take_little_room) {
+    std::vector<vm_id> names = {vm_id(""), vm_id(std::string(300, 'x'))};
+    for (int i = 0; i < 380; ++i) {
+        names.emplace_back("vm-" + std::to_string(i));
+    }
+    const auto packed = wire::pack_names(names);
+    std::sort(names.begin(), names.end());
+    BOOST_TEST((wire::unpack_names(packed) == names));
+    BOOST_TEST(packed.size() < 380 * 4 + 310);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_names_are_refused) {
+    const std::vector<std::vector<std::uint8_t>> wrong = {
+        {0}, {0, 2, 'a'}, {1, 0}, {0, 1, 'a', 2, 0}, {0x80, 0x80, 0x80, 0x80, 1}};
+    for (const auto& it : wrong) {
+        BOOST_CHECK_THROW(wire::unpack_names(it), invalid_input);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unknown_fields_are_skipped_and_unknown_kinds_refused) {
     nlohmann::json body = wire::encode(quota::quota_message(quota::loan_rejected{}));
     body["v"]["later"] = 1;
--- a/tools/measure_fleet/message_size.cpp
+++ b/tools/measure_fleet/message_size.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "wire/name_list.h"
+
 namespace radishpulley::measure {
 namespace {
 
@@ -19,12 +21,8 @@
         value["a"] = {it.evidence->number, it.evidence->revision, milliseconds(it.evidence->age)};
     }
     for (const keys::hold_report& held : it.holds) {
-        json vms = json::array();
-        for (const vm_id& vm : held.vms) {
-            vms.push_back(vm.str());
-        }
-        value["h"].push_back(
-            {int(held.reason), held.number, milliseconds(held.age), std::move(vms)});
+        value["h"].push_back({int(held.reason), held.number, milliseconds(held.age),
+                              json::binary(wire::pack_names(held.vms))});
     }
     for (const tickets::in_force_report& held : it.numbers) {
         value["f"].push_back({held.vm.vm.str(), held.vm.incarnation, held.number});
