Large fleets: presence paced by size and distance, watches that may lag, fewer calls to the store

Changes: VMs of other regions are told less often the larger the fleet is, and what they said counts for longer (presence_schedule); the watch of the endpoints may lag, which the store answers at a tenth of the price; the other watches wait longer, and are renewed when the endpoints' watch found the store lost and regained or a peer has a newer configuration; changes of holders come in groups; ownership is configured when VMs or engines changed instead of every 100 ms.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,10 +17,13 @@
 
 /// Pace of a follower.
 struct follower_settings {
-    /// Longest wait of one watch; also bounds the time for which a silent connection is trusted.
+    /// Longest wait of one watch. A connection that went silent is found out after it, or by
+    /// `renew`.
     std::chrono::milliseconds watch_wait{4'000};
     /// Pause after changes before the next watch, so that changes come in groups.
     std::chrono::milliseconds pause{0};
+    /// Of the watches; the list is always the newest.
+    read_freshness freshness = read_freshness::newest;
     std::chrono::milliseconds first_retry{100};
     std::chrono::milliseconds longest_retry{1'000};
 };
@@ -43,6 +47,9 @@
     collection_follower& operator=(const collection_follower&) = delete;
 
     void start();
+    /// Gives up the watch under way and begins a new one: something showed that its connection may
+    /// be dead. Does nothing where the last watch is younger than the longest retry delay.
+    void renew();
     /// Time since the store last answered; the copy is at least as new as that.
     duration age() const;
     bool has_list() const { return has_list_; }
@@ -53,6 +60,8 @@
     void watch();
     void on_list(const list_result& result);
     void on_changes(const changes_result& result);
+    std::chrono::milliseconds pause_after(const object_changes& it) const;
+    void watch_after(std::chrono::milliseconds pause);
     void note_answer();
     void fail(read_failure why);
     void after(std::chrono::milliseconds wait, void (collection_follower::*next)());
@@ -64,6 +73,10 @@
     follower_settings settings_;
     follower_events events_;
     std::chrono::milliseconds retry_;
+    /// Counts the watches; an answer to one that was given up is of no use.
+    std::uint64_t watch_number_ = 0;
+    bool is_watching_ = false;
+    time_point watch_began_{};
     store_revision revision_ = 0;
     bool has_list_ = false;
     bool reachable_ = true;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -121,7 +121,9 @@
     routing::endpoint_directory& directory() { return directory_; }
     routing::adapter_table& adapters() { return adapters_; }
     routing::account_limiter& limiter() { return limiter_; }
+    const routing::account_limiter& limiter() const { return limiter_; }
     routing::work_table& work() { return work_; }
+    const routing::work_table& work() const { return work_; }
     endpoint_pool& pool() { return pool_; }
 
 private:
--- a/libs/gateway/include/gateway/object_collections.h
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -44,6 +44,14 @@
     store_revision revision = 0;
 };
 
+/// How new an answer has to be.
+enum class read_freshness {
+    /// As of the moment of the answer.
+    newest,
+    /// May lag behind by seconds, and is cheaper for the store.
+    may_lag
+};
+
 /// Why a read has no result.
 enum class read_failure {
     /// No answer, or the store is busy.
@@ -77,9 +85,10 @@
 public:
     virtual ~object_collections() = default;
     virtual void list(const std::string& kind, std::function<void(list_result)> done) = 0;
-    /// Waits for a change after `since`, at most for `wait`.
+    /// Waits for a change after `since`, at most for `wait`. An answer that lags may be of an
+    /// earlier revision than `since`.
     virtual void watch(const std::string& kind, store_revision since,
-                       std::chrono::milliseconds wait,
+                       std::chrono::milliseconds wait, read_freshness freshness,
                        std::function<void(changes_result)> done) = 0;
     /// Creates an object that does not exist.
     virtual void create(const std::string& kind, const std::string& name,
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -72,14 +72,24 @@
 }
 
 void collection_follower::watch() {
-    store_.watch(kind_, revision_, settings_.watch_wait,
-                 [this, alive = alive_](const changes_result& it) {
-                     if (*alive) {
+    const std::uint64_t number = ++watch_number_;
+    is_watching_ = true;
+    watch_began_ = time_.now();
+    store_.watch(kind_, revision_, settings_.watch_wait, settings_.freshness,
+                 [this, number, alive = alive_](const changes_result& it) {
+                     if (*alive && number == watch_number_) {
+                         is_watching_ = false;
                          on_changes(it);
                      }
                  });
 }
 
+void collection_follower::renew() {
+    if (is_watching_ && time_.now() - watch_began_ >= settings_.longest_retry) {
+        watch();
+    }
+}
+
 void collection_follower::note_answer() {
     answered_at_ = time_.now();
     retry_ = settings_.first_retry;
@@ -109,18 +119,29 @@
                               for (const object_change* each : newest_of_each(it.changes)) {
                                   events_.on_change(*each);
                               }
-                              const bool pauses =
-                                  !it.changes.empty() && settings_.pause.count() > 0;
-                              if (pauses) {
-                                  after(settings_.pause, &collection_follower::watch);
-                              } else {
-                                  watch();
-                              }
+                              watch_after(pause_after(it));
                           },
                           [this](read_failure why) { fail(why); }},
                result);
 }
 
+std::chrono::milliseconds collection_follower::pause_after(const object_changes& it) const {
+    if (!it.changes.empty()) {
+        return settings_.pause;
+    }
+    // A store that answers without waiting is not asked again at once.
+    const bool waited = time_.now() - watch_began_ >= settings_.first_retry;
+    return waited ? std::chrono::milliseconds(0) : settings_.first_retry;
+}
+
+void collection_follower::watch_after(std::chrono::milliseconds pause) {
+    if (pause.count() > 0) {
+        after(pause, &collection_follower::watch);
+    } else {
+        watch();
+    }
+}
+
 void collection_follower::fail(read_failure why) {
     if (why == read_failure::history_gone) {
         telemetry::log_event(telemetry::severity::info, "store_history_gone",
--- a/libs/ownership/include/ownership/vm_knowledge.h
+++ b/libs/ownership/include/ownership/vm_knowledge.h
@@ -34,6 +34,8 @@
     void on_list(gsl::span<const object_api::vm_entry> entries, time_point now);
     /// Takes any proof that `who` ran at `now`: a message, or an entry that it wrote itself.
     void on_heard(const vm_incarnation& who, time_point now);
+    /// Sets the silence after which `vm` is suspected, where it differs from the settings'.
+    void set_suspicion(const vm_id& vm, duration silence);
     /// Takes a reference to `who` that does not prove that it runs, such as a table entry.
     void on_mentioned(const vm_incarnation& who, time_point now);
     /// Takes the VM's own word that it is shutting down; the list may say so much later.
@@ -61,6 +63,7 @@
         bool listed = false;
         bool live = false;
         bool leaving = false;
+        duration suspicion{};
         /// First list without it since it was listed or heard.
         time_point missing_since = time_point::max();
     };
--- a/libs/ownership/src/vm_knowledge.cpp
+++ b/libs/ownership/src/vm_knowledge.cpp
@@ -8,6 +8,7 @@
 vm_knowledge::vm_knowledge(vm_incarnation self, vm_knowledge_settings settings)
     : self_(std::move(self)), settings_(settings) {
     vm_record& own = records_[self_.vm];
+    own.suspicion = settings_.suspicion;
     own.incarnation = self_.incarnation;
     own.was_heard = true;
 }
@@ -17,6 +18,7 @@
     vm_record& record = it->second;
     if (added) {
         record.heard = now;
+        record.suspicion = settings_.suspicion;
     }
     if (who.incarnation > record.incarnation) {
         record.incarnation = who.incarnation;
@@ -59,6 +61,13 @@
     }
 }
 
+void vm_knowledge::set_suspicion(const vm_id& vm, duration silence) {
+    const auto it = records_.find(vm);
+    if (it != records_.end()) {
+        it->second.suspicion = silence;
+    }
+}
+
 void vm_knowledge::on_mentioned(const vm_incarnation& who, time_point now) {
     record_of(who, now);
 }
@@ -98,7 +107,8 @@
     if (it == records_.end()) {
         return false;
     }
-    return who.incarnation < it->second.incarnation || now - it->second.heard > settings_.suspicion;
+    return who.incarnation < it->second.incarnation ||
+           now - it->second.heard > it->second.suspicion;
 }
 
 bool vm_knowledge::alone(time_point now) const {
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -21,8 +21,6 @@
 struct limiter_settings {
     /// Time over which demand is averaged.
     duration demand_window = std::chrono::seconds(2);
-    /// Age from which a silent peer's demand no longer counts.
-    duration peer_lifetime = std::chrono::seconds(10);
     /// Demand that all VMs together are taken to have at least, as a part of the account's rate; it
     /// makes sure that a VM's first requests find a share.
     double least_demand = 0.14;
@@ -60,8 +58,8 @@
     void configure(const std::vector<client_account>& accounts, time_point now);
     /// Sets how many VMs serve callers, this one included.
     void set_fleet_size(std::size_t vms);
-    /// Takes the demand that another VM sees.
-    void on_peer(const vm_id& peer, demand_by_account demand, time_point now);
+    /// Takes the demand that another VM sees; it counts for `lifetime`.
+    void on_peer(const vm_id& peer, demand_by_account demand, time_point now, duration lifetime);
 
     /// Charges a request of `units` to its account.
     admission admit(const client_account_id& account, double units, time_point now);
@@ -87,7 +85,7 @@
     };
     struct peer_demand {
         demand_by_account demand;
-        time_point heard{};
+        time_point ends_at{};
     };
 
     double decayed_demand(const bucket& it, time_point now) const;
--- a/libs/routing/include/routing/work_table.h
+++ b/libs/routing/include/routing/work_table.h
@@ -36,17 +36,14 @@
 /// Adds up the work by endpoint.
 class work_table {
 public:
-    /// `peer_lifetime`: age from which a peer's statement no longer counts.
-    explicit work_table(duration peer_lifetime = std::chrono::seconds(2));
-
     /// A request goes to an endpoint.
     void start(request_number number, const endpoint_id& to, std::uint32_t unread_tokens,
                std::uint32_t memory_tokens);
     /// The endpoint has read the request's prompt.
     void on_prompt_read(request_number number);
     void finish(request_number number);
-    /// Takes what another daemon has under way.
-    void on_peer(const vm_id& peer, work_by_endpoint work, time_point now);
+    /// Takes what another daemon has under way; it counts for `lifetime`.
+    void on_peer(const vm_id& peer, work_by_endpoint work, time_point now, duration lifetime);
 
     /// Work of this daemon.
     const work_by_endpoint& own() const { return own_; }
@@ -61,10 +58,9 @@
     };
     struct peer_work {
         work_by_endpoint work;
-        time_point heard{};
+        time_point ends_at{};
     };
 
-    duration peer_lifetime_;
     std::unordered_map<request_number, running> running_;
     work_by_endpoint own_;
     std::map<vm_id, peer_work> peers_;
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -47,8 +47,9 @@
     fleet_size_ = std::max<std::size_t>(1, vms);
 }
 
-void account_limiter::on_peer(const vm_id& peer, demand_by_account demand, time_point now) {
-    peers_[peer] = {std::move(demand), now};
+void account_limiter::on_peer(const vm_id& peer, demand_by_account demand, time_point now,
+                              duration lifetime) {
+    peers_[peer] = {std::move(demand), now + lifetime};
 }
 
 double account_limiter::decayed_demand(const bucket& it, time_point now) const {
@@ -67,7 +68,7 @@
     double all = own;
     std::size_t heard = 1;
     for (const auto& [vm, peer] : peers_) {
-        if (now - peer.heard > settings_.peer_lifetime) {
+        if (now > peer.ends_at) {
             continue;
         }
         ++heard;
--- a/libs/routing/src/work_table.cpp
+++ b/libs/routing/src/work_table.cpp
@@ -2,8 +2,6 @@
 
 namespace radishpulley::routing {
 
-work_table::work_table(duration peer_lifetime) : peer_lifetime_(peer_lifetime) {}
-
 void work_table::start(request_number number, const endpoint_id& to, std::uint32_t unread_tokens,
                        std::uint32_t memory_tokens) {
     finish(number);
@@ -35,8 +33,9 @@
     running_.erase(found);
 }
 
-void work_table::on_peer(const vm_id& peer, work_by_endpoint work, time_point now) {
-    peers_[peer] = {std::move(work), now};
+void work_table::on_peer(const vm_id& peer, work_by_endpoint work, time_point now,
+                         duration lifetime) {
+    peers_[peer] = {std::move(work), now + lifetime};
 }
 
 endpoint_work work_table::total(const endpoint_id& id, time_point now) const {
@@ -46,7 +45,7 @@
         sum += own->second;
     }
     for (const auto& [vm, peer] : peers_) {
-        if (now - peer.heard > peer_lifetime_) {
+        if (now > peer.ends_at) {
             continue;
         }
         const auto found = peer.work.find(id);
--- a/libs/routing/tests/account_limiter_tests.cpp
+++ b/libs/routing/tests/account_limiter_tests.cpp
@@ -27,6 +27,8 @@
     return std::holds_alternative<admitted>(it);
 }
 
+constexpr duration statement_lifetime = std::chrono::seconds(10);
+
 // A fleet whose VMs tell each other their demand every 400 ms.
 struct fleet {
     explicit fleet(std::size_t n, double rate, double burst, limiter_settings settings = {}) {
@@ -41,8 +43,8 @@
         for (std::size_t from = 0; from < vms.size(); ++from) {
             for (std::size_t to = 0; to < vms.size(); ++to) {
                 if (from != to) {
-                    vms[to]->on_peer(vm_id("v" + std::to_string(from)), vms[from]->demand(now),
-                                     now);
+                    vms[to]->on_peer(vm_id("v" + std::to_string(from)), vms[from]->demand(now), now,
+                                     statement_lifetime);
                 }
             }
         }
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -78,7 +78,7 @@
     work_table it;
     it.start(1, engine, 1'000, 1'500);
     it.start(2, engine, 200, 300);
-    it.on_peer(vm_id("v"), {{engine, {3, 50, 60}}}, start);
+    it.on_peer(vm_id("v"), {{engine, {3, 50, 60}}}, start, std::chrono::seconds(2));
     BOOST_TEST(it.total(engine, start).requests == 5U);
     BOOST_TEST(it.total(engine, start).unread_tokens == 1'250U);
     it.on_prompt_read(1);
@@ -88,7 +88,8 @@
     it.finish(1);
     it.finish(2);
     BOOST_TEST(it.own().empty());
-    // A peer that fell silent no longer counts.
+    // A peer that fell silent counts until its statement ends.
+    BOOST_TEST(it.total(engine, start + seconds(2)).requests == 3U);
     BOOST_TEST(it.total(engine, start + seconds(3)).requests == 0U);
 }
 
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -1,6 +1,7 @@
 /// This daemon as one of the fleet: its entry in the store, the others' entries, and the hints.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include "gateway/object_collections.h"
 #include "ownership/vm_knowledge.h"
 #include "routing/hints.h"
+#include "routing/presence_schedule.h"
 
 namespace radishpulley::edge {
 
@@ -44,15 +46,25 @@
                  hint_handler on_hint);
 
     void start();
+    /// Asks the store again for the VMs, because its answers may have been lost.
+    void renew() { follower_.renew(); }
     /// Sends a hint to one VM; false where its address is not known.
     bool send(const vm_id& to, const routing::hint& it);
     /// Sends a hint to all VMs that are heard.
     void broadcast(const routing::hint& it);
+    /// Tells those VMs whose turn it is what this one has under way.
+    void tell(const routing::presence& it);
+    /// Tells the VMs of this region at once, and in a small fleet all.
+    void tell_near(const routing::presence& it);
+    /// Time for which a statement of another VM counts, at least `least`.
+    duration lifetime_of(const vm_id& vm, duration least) const;
 
     /// This start of this VM; nothing while it is not registered.
     const std::optional<vm_incarnation>& self() const { return self_; }
     ownership::vm_knowledge* knowledge() { return knowledge_ ? &*knowledge_ : nullptr; }
     std::uint64_t hints_dropped() const { return socket_.dropped(); }
+    /// Counts the changes of the VMs known.
+    std::uint64_t changes() const { return changes_; }
     /// VMs of an availability zone.
     std::set<vm_id> vms_in(const zone_id& zone) const;
     /// VMs that serve callers now, this one included.
@@ -66,15 +78,23 @@
         incarnation_number incarnation = 0;
         bool leaving = false;
         time_point heard = time_point::min();
+        /// When it is next to be told of this VM.
+        time_point due = time_point::min();
         gateway::store_revision revision = 0;
     };
 
+    routing::peer_distance distance_of(const peer& it) const;
+    /// A VM that was heard is silent, or one that was never heard had the time to answer.
+    bool is_silent(const peer& it, time_point now) const;
+    void set_pace();
     void on_list(const gateway::object_list& it);
     void on_object(const gateway::stored_object& it);
     void on_removed(const std::string& name);
     void tell_knowledge();
     void register_self();
     void on_registered(const gateway::write_result& result, incarnation_number incarnation);
+    template <typename Wanted>
+    void send_where(const routing::hint& it, Wanted wanted);
     void read_secret();
     void create_secret();
     void on_hint(const routing::hint_message& it);
@@ -92,6 +112,8 @@
     std::optional<vm_incarnation> self_;
     std::optional<ownership::vm_knowledge> knowledge_;
     std::map<vm_id, peer> peers_;
+    std::uint64_t changes_ = 0;
+    routing::presence_schedule schedule_;
     time_point started_;
 };
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -2,6 +2,7 @@
 /// daemon holds, and passes wishes on to the holders of the others.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,8 @@
     ~load_coordinator() override;
 
     void start();
+    /// Asks the store again for the holders, because its answers may have been lost.
+    void renew() { follower_.renew(); }
     /// Takes an engine's entry in the directory, after the data path took it.
     void on_endpoint(const routing::endpoint& it);
     void on_endpoint_removed(const endpoint_id& id);
@@ -87,6 +90,10 @@
     gateway::collection_follower follower_;
     boost::asio::steady_timer tick_timer_;
     bool has_list_ = false;
+    /// What the policy was last configured from.
+    bool engines_changed_ = true;
+    std::uint64_t known_fleet_ = 0;
+    std::uint64_t known_configuration_ = 0;
     std::optional<ownership::ownership_policy> policy_;
     std::optional<ownership::holder_guard> guard_;
     std::map<ownership::shard_index, ownership::shard> shards_;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -26,14 +26,18 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-constexpr gateway::follower_settings configuration_pace{std::chrono::milliseconds(4'000)};
+constexpr gateway::follower_settings configuration_pace{std::chrono::milliseconds(10'000)};
 constexpr gateway::follower_settings endpoints_pace{std::chrono::milliseconds(4'000),
-                                                    std::chrono::milliseconds(500)};
-constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(4'000),
+                                                    std::chrono::milliseconds(500),
+                                                    gateway::read_freshness::may_lag};
+constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(10'000),
                                                    std::chrono::milliseconds(200)};
 constexpr std::chrono::milliseconds housekeeping_interval{400};
 // Delay by which statements about several long prompts are joined.
 constexpr std::chrono::milliseconds presence_delay{10};
+// Time for which a peer's statements count: of its work at endpoints, of its accounts' demand.
+constexpr duration least_work_lifetime = std::chrono::seconds(2);
+constexpr duration least_demand_lifetime = std::chrono::seconds(10);
 // Time after SIGTERM in which the platform's balancer may still send new connections.
 constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
 // Part of the shutdown's grace that is left unused.
@@ -101,6 +105,7 @@
                       [this](bool reachable) {
                           if (reachable) {
                               data_path_.directory().on_store_returned(time_.now());
+                              renew_watches();
                           }
                       }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind, versions_pace,
@@ -179,7 +184,7 @@
             {{"requests", data_path_.request_count()}, {"callers", data_path_.caller_count()}});
         data_path_.begin_stop();
         loads_.leave();
-        tell_presence();
+        fleet_.broadcast(presence());
     }
 
     status_answer readiness() const {
@@ -187,6 +192,14 @@
         return {ready ? status_ok : status_unavailable, ""};
     }
 
+    // The endpoints' watch is the shortest and so the first to find the store lost and regained.
+    void renew_watches() {
+        configuration_.renew();
+        versions_.renew();
+        fleet_.renew();
+        loads_.renew();
+    }
+
     void on_configuration(const gateway::stored_object& it) {
         if (it.name != platform_adapter::configuration_name) {
             return;
@@ -291,8 +304,15 @@
 
     void on_hint(const routing::hint_message& it) {
         if (const auto* state = std::get_if<routing::presence>(&it.body)) {
-            data_path_.work().on_peer(it.from.vm, state->work, time_.now());
-            data_path_.limiter().on_peer(it.from.vm, state->demand, time_.now());
+            const auto& known = data_path_.configuration();
+            if (known && known->version() < state->configuration_version) {
+                configuration_.renew();
+            }
+            const time_point now = time_.now();
+            const duration work_lifetime = fleet_.lifetime_of(it.from.vm, least_work_lifetime);
+            const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, least_demand_lifetime);
+            data_path_.work().on_peer(it.from.vm, state->work, now, work_lifetime);
+            data_path_.limiter().on_peer(it.from.vm, state->demand, now, demand_lifetime);
         } else {
             loads_.on_hint(it);
         }
@@ -324,21 +344,21 @@
         presence_due_ = true;
         presence_timer_.expires_after(presence_delay);
         presence_timer_.async_wait([this](const boost::system::error_code& ec) {
+            presence_due_ = false;
             if (!ec) {
-                tell_presence();
+                fleet_.tell_near(presence());
             }
         });
     }
 
-    void tell_presence() {
-        presence_due_ = false;
+    routing::presence presence() const {
         routing::presence state;
         state.configuration_version =
             data_path_.configuration() ? data_path_.configuration()->version() : 0;
         state.leaving = stop_began_.has_value();
         state.work = data_path_.work().own();
         state.demand = data_path_.limiter().demand(time_.now());
-        fleet_.broadcast(state);
+        return state;
     }
 
     void housekeep() {
@@ -350,7 +370,7 @@
         data_path_.sweep();
         set_gauges();
         data_path_.set_fleet_size(fleet_.serving(now));
-        tell_presence();
+        fleet_.tell(presence());
         if (stop_began_ && may_end(now)) {
             loop_.stop();
             return;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -20,9 +20,12 @@
 constexpr const char* hints_secret = "hints";
 constexpr std::size_t secret_bytes = 32;
 constexpr std::chrono::milliseconds retry_delay{500};
+// Ticks of the caller's timer come a little early or late.
+constexpr std::chrono::milliseconds due_tolerance{100};
 
 constexpr gateway::follower_settings vms_pace{std::chrono::milliseconds(15'000),
-                                              std::chrono::milliseconds(300)};
+                                              std::chrono::milliseconds(300),
+                                              gateway::read_freshness::may_lag};
 
 json parse_contents(const gateway::stored_object& it) {
     return json::parse(it.contents, nullptr, false);
@@ -102,7 +105,28 @@
     peers_.erase(vm_id(name));
 }
 
+routing::peer_distance fleet_member::distance_of(const peer& it) const {
+    return it.region == settings_.region ? routing::peer_distance::near
+                                         : routing::peer_distance::far;
+}
+
+void fleet_member::set_pace() {
+    const auto near = std::count_if(peers_.begin(), peers_.end(), [this](const auto& it) {
+        return distance_of(it.second) == routing::peer_distance::near;
+    });
+    schedule_.set_fleet(static_cast<std::size_t>(near), peers_.size());
+}
+
+duration fleet_member::lifetime_of(const vm_id& vm, duration least) const {
+    const auto known = peers_.find(vm);
+    const auto distance =
+        known == peers_.end() ? routing::peer_distance::far : distance_of(known->second);
+    return schedule_.lifetime(distance, least);
+}
+
 void fleet_member::tell_knowledge() {
+    ++changes_;
+    set_pace();
     if (!knowledge_) {
         return;
     }
@@ -111,6 +135,9 @@
         list.push_back({vm, it.zone, it.region, it.address, object_api::vm_state::live});
     }
     knowledge_->on_list(list, time_.now());
+    for (const auto& it : peers_) {
+        knowledge_->set_suspicion(it.first, lifetime_of(it.first, settings_.suspicion));
+    }
 }
 
 void fleet_member::register_self() {
@@ -226,18 +253,41 @@
     return true;
 }
 
+bool fleet_member::is_silent(const peer& it, time_point now) const {
+    // VMs that were never heard may just not have heard of this one yet.
+    const time_point since = it.heard != time_point::min() ? it.heard : started_;
+    return now - since > schedule_.lifetime(distance_of(it), settings_.serving_memory) * 3;
+}
+
 void fleet_member::broadcast(const routing::hint& it) {
+    send_where(it, [](const peer&) { return true; });
+}
+
+void fleet_member::tell(const routing::presence& it) {
+    const time_point now = time_.now();
+    send_where(it, [&](peer& to) {
+        if (now < to.due) {
+            return false;
+        }
+        to.due = now + schedule_.interval(distance_of(to)) - due_tolerance;
+        return true;
+    });
+}
+
+void fleet_member::tell_near(const routing::presence& it) {
+    const duration near = schedule_.interval(routing::peer_distance::near);
+    send_where(it, [&](peer& to) { return schedule_.interval(distance_of(to)) <= near; });
+}
+
+template <typename Wanted>
+void fleet_member::send_where(const routing::hint& it, Wanted wanted) {
     if (!self_ || !socket_.has_secret()) {
         return;
     }
     const std::string datagram = socket_.seal({*self_, it});
     const time_point now = time_.now();
-    for (const auto& [vm, peer] : peers_) {
-        // VMs that were never heard may just not have heard of this one yet.
-        const bool silent = peer.heard != time_point::min()
-                                ? now - peer.heard > settings_.serving_memory * 3
-                                : now - started_ > settings_.serving_memory * 3;
-        if (vm != settings_.vm && !silent) {
+    for (auto& [vm, peer] : peers_) {
+        if (vm != settings_.vm && !is_silent(peer, now) && wanted(peer)) {
             socket_.send(peer.address, datagram);
         }
     }
@@ -258,7 +308,8 @@
     for (const auto& [vm, peer] : peers_) {
         const bool starting = now - started_ < settings_.serving_memory;
         const bool heard =
-            peer.heard != time_point::min() && now - peer.heard < settings_.serving_memory;
+            peer.heard != time_point::min() &&
+            now - peer.heard < schedule_.lifetime(distance_of(peer), settings_.serving_memory);
         if (vm != settings_.vm && !peer.leaving && (heard || starting)) {
             ++n;
         }
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr duration flush_interval = std::chrono::milliseconds(400);
 constexpr gateway::follower_settings holders_pace{std::chrono::milliseconds(10'000),
-                                                  std::chrono::milliseconds(0)};
+                                                  std::chrono::milliseconds(500)};
 
 ownership::holding_id holding_of(const endpoint_id& engine) {
     return ownership::holding_id("engine/" + engine.str());
@@ -193,6 +193,14 @@
 }
 
 void load_coordinator::configure_policy() {
+    const auto& configuration = data_path_.configuration();
+    const std::uint64_t version = configuration ? configuration->version() : 0;
+    if (!engines_changed_ && fleet_.changes() == known_fleet_ && version == known_configuration_) {
+        return;
+    }
+    engines_changed_ = false;
+    known_fleet_ = fleet_.changes();
+    known_configuration_ = version;
     std::vector<ownership::holding_spec> specs;
     for (const routing::endpoint* it : data_path_.directory().all()) {
         if (capacity_of(*it) != nullptr) {
@@ -295,6 +303,7 @@
 }
 
 void load_coordinator::on_endpoint(const routing::endpoint& it) {
+    engines_changed_ = true;
     const auto kept = kept_.find(it.id);
     if (kept != kept_.end()) {
         kept->second.keeper.on_entry(it);
@@ -303,6 +312,7 @@
 }
 
 void load_coordinator::on_endpoint_removed(const endpoint_id& id) {
+    engines_changed_ = true;
     kept_.erase(id);
 }
 
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -154,6 +154,23 @@
     BOOST_TEST(a.member.serving(a.time.now()) == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_peer_is_told_once_an_interval_and_at_once_where_it_is_near, fixture) {
+    node& a = add("a");
+    node& b = add("b");
+    run_until([&] { return a.hints > 0 && b.hints > 0; });
+    // What was broadcast is in the socket already.
+    loop.restart();
+    loop.poll();
+    const int before = b.hints;
+    a.member.tell(routing::presence{});
+    a.member.tell(routing::presence{});
+    a.member.tell_near(routing::presence{});
+    a.member.send(vm_id("b"), routing::load_refusal{engine, plans});
+    loop.restart();
+    loop.poll();
+    BOOST_TEST(b.hints == before + 3);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_daemon_that_starts_again_has_a_higher_incarnation, fixture) {
     add("a");
     run_until([&] { return nodes[0]->member.self().has_value(); });
