Rate limits: a daemon that can't reach slot owners gets idle slots through the store

Cause: a VM that is cut off from its peers had only its own slots, 2 of 16, whatever came to it, although both sides reach the store. Weighed: relaying loans through the store (a write a loan) and letting the cut-off VM take slots (two lenders). Now a daemon that refuses because owners are silent puts a wish into the slot table; an owner from which nobody borrowed for a second stops lending the slot, gives it away with the next fencing number, and lends again only after a table that certainly follows its write. A write without an answer leaves the table open until its version moves. The daemon reads the table every 2 s instead of 5.

--- a/libs/quota/include/quota/quota_node.h
+++ b/libs/quota/include/quota/quota_node.h
@@ -1,6 +1,9 @@
 /// Both sides of the token loans on one daemon.
 #pragma once
 
+#include <optional>
+#include <set>
+
 #include "quota/borrower.h"
 #include "quota/slot_owner.h"
 
@@ -32,6 +35,11 @@
     /// Stops lending and returns loans; then release the slots through slot_registry.
     quota_output stop(time_point now);
 
+    /// Whether requests were refused of late because owners of slots are out of reach.
+    bool is_cut_off(time_point now) const;
+    /// Stops lending idle slots and returns them, for daemons that wish for some.
+    std::set<slot_number> retire_idle(time_point now) { return owner_.retire_idle(now); }
+
     /// Moment of the next call of advance().
     time_point next_event() const;
     const slot_owner& owner() const { return owner_; }
@@ -43,6 +51,7 @@
     vm_incarnation self_;
     slot_owner owner_;
     borrower borrower_;
+    std::optional<time_point> unreachable_at_;
 };
 
 }  // namespace radishpulley::quota
--- a/libs/quota/include/quota/slot_owner.h
+++ b/libs/quota/include/quota/slot_owner.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 #include "quota/messages.h"
 #include "quota/quota_policy.h"
@@ -49,6 +50,10 @@
     /// `time_point::max()` while there is nothing to lend.
     time_point next_event() const;
 
+    /// Stops lending the slots from which no other daemon has borrowed of late, so that they can be
+    /// handed over, and returns them. The next `set_table` resumes those that are still owned.
+    std::set<slot_number> retire_idle(time_point now);
+
     /// Lends nothing any more, as a stopping daemon does before it releases its slots.
     void stop();
 
--- a/libs/quota/include/quota/slot_registry.h
+++ b/libs/quota/include/quota/slot_registry.h
@@ -1,6 +1,7 @@
 /// The slot table in the platform's object API.
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 #include "object_api/object_store.h"
@@ -52,6 +53,8 @@
     std::size_t slot_count_;
     slot_table table_;
     object_api::object_version version_ = 0;
+    /// Version on which a write without an answer depends; it may still take effect there.
+    std::optional<object_api::object_version> unanswered_;
 };
 
 }  // namespace radishpulley::quota
--- a/libs/quota/src/quota_node.cpp
+++ b/libs/quota/src/quota_node.cpp
@@ -25,6 +25,14 @@
                     decisions.end());
 }
 
+bool tells_of_silent_owners(const admission_decision& it) {
+    const auto* refusal = std::get_if<refused>(&it);
+    return refusal != nullptr && refusal->reason == refusal_reason::slots_unreachable;
+}
+
+// Time for which a refusal shows that owners are out of reach.
+constexpr duration cut_off_memory = std::chrono::seconds(2);
+
 }  // namespace
 
 quota_node::quota_node(vm_incarnation self, quota_policy policy)
@@ -51,6 +59,9 @@
         pending = std::move(next);
     }
     drop_overtaken(result.decisions);
+    if (std::any_of(result.decisions.begin(), result.decisions.end(), tells_of_silent_owners)) {
+        unreachable_at_ = now;
+    }
     return result;
 }
 
@@ -96,6 +107,10 @@
     return deliver(std::move(out), now);
 }
 
+bool quota_node::is_cut_off(time_point now) const {
+    return unreachable_at_ && now - *unreachable_at_ < cut_off_memory;
+}
+
 void quota_node::drop_loans() {
     borrower_.drop_loans();
 }
--- a/libs/quota/src/slot_owner.cpp
+++ b/libs/quota/src/slot_owner.cpp
@@ -14,6 +14,8 @@
     slot_number number = 0;
     fence_number fence = 0;
     time_point ready_at{};
+    time_point lent_at{};
+    bool is_retired = false;
     std::map<client_account_id, slot_bucket> buckets;
 
     // A slot that never had another owner has lent nothing yet, so its buckets start full.
@@ -30,6 +32,9 @@
 
 constexpr int wakes_per_pause_limit = 4;
 
+// Time without a request for tokens after which a slot is idle.
+constexpr duration idle_time = std::chrono::seconds(1);
+
 duration ready_in(time_point ready_at, time_point now) {
     return std::max(duration::zero(), duration(ready_at - now));
 }
@@ -51,9 +56,9 @@
 
 slot_owner::owned_slot* slot_owner::find_slot(slot_number slot, fence_number fence) const {
     const auto it = slots_.find(slot);
-    const bool may_lend = !stopped_ && !needs_table_;
-    return may_lend && it != slots_.end() && it->second->fence == fence ? it->second.get()
-                                                                        : nullptr;
+    const bool is_owned = it != slots_.end() && it->second->fence == fence;
+    const bool may_lend = !stopped_ && !needs_table_ && is_owned && !it->second->is_retired;
+    return may_lend ? it->second.get() : nullptr;
 }
 
 void slot_owner::add_bucket(owned_slot& slot, const client_account_id& account,
@@ -95,6 +100,7 @@
 void slot_owner::set_entry(slot_number number, const slot_entry& entry, time_point now) {
     const auto it = slots_.find(number);
     if (it != slots_.end() && entry.fence <= it->second->fence) {
+        it->second->is_retired = false;
         return;
     }
     slots_.erase(number);
@@ -106,6 +112,7 @@
     slot->fence = entry.fence;
     slot->ready_at =
         slot->is_first_owner() ? now : now + policy_.loan_lifetime + policy_.drift_margin;
+    slot->lent_at = slot->ready_at;
     for (const auto& [account, whole] : limits_) {
         add_bucket(*slot, account, whole, now);
     }
@@ -152,6 +159,7 @@
         return {{from, loan_rejected{message.key}}};
     }
     const loan_reference loan{from, message.key.loan};
+    slot->lent_at = std::max(slot->lent_at, now);
     slot_bucket& bucket = slot->buckets.at(message.key.account);
     std::vector<loan_reference> granted = bucket.request(loan, message, now);
     if (std::find(granted.begin(), granted.end(), loan) == granted.end()) {
@@ -185,6 +193,9 @@
         return out;
     }
     for (auto& [number, slot] : slots_) {
+        if (slot->is_retired) {
+            continue;
+        }
         for (auto& [account, bucket] : slot->buckets) {
             answer(*slot, account, bucket.advance(now), now, out);
         }
@@ -207,6 +218,17 @@
     return last_run_ + policy_.pause_limit / wakes_per_pause_limit;
 }
 
+std::set<slot_number> slot_owner::retire_idle(time_point now) {
+    std::set<slot_number> retired;
+    for (auto& [number, slot] : slots_) {
+        slot->is_retired = slot->is_retired || now - slot->lent_at >= idle_time;
+        if (slot->is_retired) {
+            retired.insert(number);
+        }
+    }
+    return retired;
+}
+
 void slot_owner::stop() {
     stopped_ = true;
 }
--- a/libs/quota/src/slot_table.cpp
+++ b/libs/quota/src/slot_table.cpp
@@ -1,5 +1,8 @@
 #include "quota/slot_table.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <nlohmann/json.hpp>
 
 #include "base/digest.h"
@@ -10,15 +13,25 @@
 
 using nlohmann::json;
 
+json to_json(const vm_incarnation& it) {
+    return {{"vm", it.vm.str()}, {"incarnation", it.incarnation}};
+}
+
 json to_json(const slot_entry& it) {
-    json value = {{"fence", it.fence}};
-    if (it.owner) {
-        value["vm"] = it.owner->vm.str();
-        value["incarnation"] = it.owner->incarnation;
-    }
+    json value = it.owner ? to_json(*it.owner) : json::object();
+    value["fence"] = it.fence;
     return value;
 }
 
+bool is_incarnation(const json& value) {
+    return value.is_object() && value.contains("vm") && value["vm"].is_string() &&
+           value.contains("incarnation") && value["incarnation"].is_number_unsigned();
+}
+
+vm_incarnation read_incarnation(const json& value) {
+    return {vm_id(value["vm"].get<std::string>()), value["incarnation"].get<incarnation_number>()};
+}
+
 slot_entry parse_entry(const json& value, const std::string& place, findings& found) {
     slot_entry it;
     if (!value.is_object() || !value.contains("fence") || !value["fence"].is_number_unsigned()) {
@@ -29,16 +42,26 @@
     if (!value.contains("vm")) {
         return it;
     }
-    if (!value["vm"].is_string() || !value.contains("incarnation") ||
-        !value["incarnation"].is_number_unsigned()) {
+    if (!is_incarnation(value)) {
         found.add(place, "must name its owner by a vm and an unsigned incarnation");
         return it;
     }
-    it.owner = vm_incarnation{vm_id(value["vm"].get<std::string>()),
-                              value["incarnation"].get<incarnation_number>()};
+    it.owner = read_incarnation(value);
     return it;
 }
 
+std::set<vm_incarnation> parse_wishes(const json& value, findings& found) {
+    std::set<vm_incarnation> wishes;
+    for (const json& it : value) {
+        if (is_incarnation(it)) {
+            wishes.insert(read_incarnation(it));
+        } else {
+            found.add("wishes", "must name daemons by a vm and an unsigned incarnation");
+        }
+    }
+    return wishes;
+}
+
 bool is_free(const slot_entry& it, const fleet_view& fleet) {
     return !it.owner || is_certainly_dead(*it.owner, fleet);
 }
@@ -50,7 +73,11 @@
     for (const slot_entry& entry : it.slots) {
         slots.push_back(to_json(entry));
     }
-    return json{{"slots", slots}}.dump();
+    json out = {{"slots", slots}};
+    for (const vm_incarnation& wish : it.wishes) {
+        out["wishes"].push_back(to_json(wish));
+    }
+    return out.dump();
 }
 
 slot_table parse_slot_table(std::string_view text) {
@@ -66,6 +93,7 @@
         const std::string place = "slots[" + std::to_string(it.slots.size()) + "]";
         it.slots.push_back(parse_entry(entry, place, found));
     }
+    it.wishes = parse_wishes(value.value("wishes", json::array()), found);
     if (!found.empty()) {
         throw invalid_input(std::move(found));
     }
@@ -95,8 +123,39 @@
     return best;
 }
 
+namespace {
+
+void update_wishes(std::set<vm_incarnation>& wishes, const fleet_view& fleet) {
+    for (auto it = wishes.begin(); it != wishes.end();) {
+        const bool is_over = it->vm == fleet.self.vm || is_certainly_dead(*it, fleet);
+        it = is_over ? wishes.erase(it) : std::next(it);
+    }
+    if (fleet.is_cut_off) {
+        wishes.insert(fleet.self);
+    }
+}
+
+// Gives this daemon's retired slots to those that wish for some, by turns.
+void hand_over_retired(slot_table& table, const fleet_view& fleet) {
+    std::vector<vm_incarnation> takers(table.wishes.begin(), table.wishes.end());
+    takers.erase(std::remove(takers.begin(), takers.end(), fleet.self), takers.end());
+    if (takers.empty()) {
+        return;
+    }
+    for (const slot_number slot : fleet.retired) {
+        slot_entry& entry = table.slots.at(slot);
+        if (entry.owner == fleet.self) {
+            entry = {takers[slot % takers.size()], entry.fence + 1};
+        }
+    }
+}
+
+}  // namespace
+
 slot_table claim_slots(const slot_table& now, const fleet_view& fleet) {
     slot_table next = now;
+    update_wishes(next.wishes, fleet);
+    hand_over_retired(next, fleet);
     for (std::size_t i = 0; i < next.slots.size(); ++i) {
         slot_entry& entry = next.slots[i];
         if (!is_free(entry, fleet)) {
@@ -111,6 +170,7 @@
 
 slot_table release_slots(const slot_table& now, const vm_incarnation& self) {
     slot_table next = now;
+    next.wishes.erase(self);
     for (slot_entry& it : next.slots) {
         if (it.owner == self) {
             it = {std::nullopt, it.fence + 1};
--- a/libs/quota/tests/slot_registry_tests.cpp
+++ b/libs/quota/tests/slot_registry_tests.cpp
@@ -92,6 +92,71 @@
                slot_count);
 }
 
+BOOST_AUTO_TEST_CASE(retired_slots_go_to_a_daemon_that_is_cut_off) {
+    memory_object_store store;
+    slot_registry owner(store, slot_count);
+    owner.claim(fleet_of(vm("a"), {vm_id("a")}));
+    slot_registry taker(store, slot_count);
+    fleet_view cut_off = fleet_of(vm("b"), all);
+    cut_off.is_cut_off = true;
+    taker.claim(cut_off);
+    BOOST_TEST(owned_by(taker.table(), vm("b")) == 0);
+    BOOST_CHECK(parse_slot_table(to_text(taker.table())) == taker.table());
+    fleet_view idle = fleet_of(vm("a"), all);
+    idle.retired = {0, 5};
+    BOOST_CHECK(owner.claim(idle) == registry_outcome::current);
+    BOOST_TEST(owned_by(owner.table(), vm("b")) == 2);
+    BOOST_TEST(owner.table().slots[5].fence == 2);
+    taker.claim(fleet_of(vm("b"), all));
+    BOOST_TEST(taker.table().wishes.empty());
+    owner.claim(idle);
+    BOOST_TEST(owned_by(owner.table(), vm("b")) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_retired_slot_lends_again_only_by_a_table) {
+    const client_account_id account("sastro");
+    const time_point start{std::chrono::hours(1)};
+    slot_owner owner(vm("a"), quota_policy());
+    owner.set_limits({{account, {to_amount(10), to_amount(100)}}}, start);
+    owner.set_table({{slot_entry{vm("a"), 1}}, {}}, start);
+    loan_request request;
+    request.key = {0, 1, account, 1};
+    request.wanted = to_amount(1);
+    request.lifetime = quota_policy().loan_lifetime;
+    const auto is_lent = [&](time_point now) {
+        ++request.key.loan;
+        const outgoing_messages out = owner.receive(vm("b"), request, now);
+        return std::holds_alternative<loan_grant>(out.front().message);
+    };
+    BOOST_TEST(is_lent(start));
+    BOOST_TEST(owner.retire_idle(start + std::chrono::milliseconds(999)).empty());
+    const time_point idle = start + std::chrono::seconds(1);
+    BOOST_TEST(owner.retire_idle(idle).size() == 1U);
+    BOOST_TEST(!is_lent(idle));
+    owner.set_table({{slot_entry{vm("a"), 1}}, {}}, idle);
+    BOOST_TEST(is_lent(idle));
+}
+
+BOOST_AUTO_TEST_CASE(a_write_without_an_answer_keeps_the_table_open) {
+    memory_object_store store;
+    slot_registry registry(store, slot_count);
+    registry.claim(fleet_of(vm("a"), {vm_id("a")}));
+    fleet_view idle = fleet_of(vm("a"), all);
+    idle.is_cut_off = true;
+    // The write may still take effect, so "nothing to change" is no certain answer.
+    using fault = store_fault;
+    store.inject({fault::none, fault::lost_call, fault::none, fault::lost_call, fault::none,
+                  fault::lost_call, fault::none, fault::lost_call});
+    BOOST_CHECK(registry.claim(idle) != registry_outcome::current);
+    idle.is_cut_off = false;
+    BOOST_CHECK(registry.claim(idle) == registry_outcome::unknown);
+    slot_registry other(store, slot_count);
+    fleet_view wish = fleet_of(vm("b"), all);
+    wish.is_cut_off = true;
+    other.claim(wish);
+    BOOST_CHECK(registry.claim(idle) == registry_outcome::current);
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_was_paused_or_replaced_lends_nothing) {
     const client_account_id account("sastro");
     const time_point start{std::chrono::hours(1)};
--- a/libs/quota_trial/src/trial_fleet.cpp
+++ b/libs/quota_trial/src/trial_fleet.cpp
@@ -76,7 +76,12 @@
 }
 
 fleet_view trial_fleet::view_of(const member& it) const {
-    return {it.self, listed_, listed_, seen_, known_incarnations_};
+    fleet_view view{it.self, listed_, listed_, seen_, known_incarnations_, false, {}};
+    view.is_cut_off = it.node->is_cut_off(local_time(it));
+    if (!it.registry->table().wishes.empty()) {
+        view.retired = it.node->retire_idle(local_time(it));
+    }
+    return view;
 }
 
 void trial_fleet::look_at_table(std::size_t vm, incarnation_number incarnation) {
--- a/radishpulley/daemon/src/quota_runtime.cpp
+++ b/radishpulley/daemon/src/quota_runtime.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t slots_of_the_fleet = 16;
-constexpr duration claim_interval = std::chrono::seconds(5);
+constexpr duration claim_interval = std::chrono::seconds(2);
 constexpr duration advance_interval = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -120,9 +120,13 @@
             return;
         }
         fleet = fleet_;
-    }
-    if (fleet.listed.empty()) {
-        return;
+        if (fleet.listed.empty()) {
+            return;
+        }
+        fleet.is_cut_off = node_.is_cut_off(clock_.now());
+        if (!registry_.table().wishes.empty()) {
+            fleet.retired = node_.retire_idle(clock_.now());
+        }
     }
     if (registry_.claim(fleet) != quota::registry_outcome::current) {
         return;
