--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -88,6 +88,8 @@
     void on_configuration(routing::configuration_ptr it);
     /// Sets how many VMs serve callers.
     void set_fleet_size(std::size_t vms);
+    /// Takes new settings for the requests that follow.
+    void reconfigure(gateway_settings settings);
     /// Takes an endpoint's entry.
     void on_endpoint(const routing::endpoint& it);
     void on_endpoint_removed(const endpoint_id& id);
--- /dev/null
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -0,0 +1,225 @@
+// The part of a request's life from the endpoint's answer on: relaying, failures, repeats.
+#include "exchange.h"
+#include "exchange_constants.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::gateway {
+namespace {
+
+using telemetry::severity;
+
+}  // namespace
+
+void exchange::on_head(const answer_head& head) {
+    const auto self = shared_from_this();
+    const answer_facts said = owner_.codec_.read_answer(head.status, head.headers);
+    if (said.not_run) {
+        rejected_ = true;
+        discard_answer_ = true;
+        status_ = head.status;
+        --runs_;
+        owner_.directory_.on_call(endpoint_, routing::call_outcome::answered, owner_.time_.now());
+        on_rejected(head);
+        return;
+    }
+    const bool is_success = head.status / 100 == 2;
+    const bool foreign =
+        is_success && (!said.is_signed || !find_header(head.headers, "content-encoding").empty());
+    if (foreign) {
+        stop_call();
+        on_failure(call_failure::malformed);
+        return;
+    }
+    const bool failed = head.status >= 500;
+    owner_.directory_.on_call(
+        endpoint_, failed ? routing::call_outcome::failed : routing::call_outcome::answered,
+        owner_.time_.now());
+    if (head_sent_) {
+        // A resumed stream keeps the head of its first endpoint.
+        if (!is_success) {
+            cut("resume_failed");
+            return;
+        }
+        phase_ = phase::relaying;
+        return;
+    }
+    if (failed && may_run_again() && spend_retry()) {
+        excluded_.insert(endpoint_);
+        discard_answer_ = true;
+        status_ = head.status;
+        return;
+    }
+    relay_head(head);
+}
+
+void exchange::relay_head(const answer_head& head) {
+    phase_ = phase::relaying;
+    head_sent_ = true;
+    status_ = head.status;
+    caller_answer out;
+    out.status = head.status;
+    out.reason = head.reason;
+    out.headers = end_to_end_headers(head.headers);
+    out.length = head.length;
+    if (route_->resumable && head.status / 100 == 2) {
+        events_.emplace();
+        // A resumed stream has another length than its first endpoint stated.
+        out.length.reset();
+    }
+    out_->send_head(out);
+}
+
+void exchange::on_rejected(const answer_head& head) {
+    telemetry::log_event(severity::info, "request_not_run",
+                         {{"request", facts_.id},
+                          {"endpoint", endpoint_},
+                          {"status", head.status},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
+    if (head.status == status_misdirected) {
+        const routing::endpoint* known = owner_.directory_.find(endpoint_);
+        if (!facts_.target.adapter.empty() && known != nullptr) {
+            owner_.adapters_.on_missing(endpoint_, facts_.target, owner_.time_.now());
+            owner_.broker_->note_missing(endpoint_, facts_.target);
+        } else {
+            excluded_.insert(endpoint_);
+        }
+    }
+}
+
+void exchange::on_body(std::string_view bytes) {
+    if (discard_answer_ || phase_ != phase::relaying) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (first_body_) {
+        first_body_ = false;
+        first_event_ = elapsed();
+        owner_.work_.on_prompt_read(number_);
+    }
+    relayed_ += bytes.size();
+    if (events_) {
+        const std::string ready = events_->take(bytes);
+        if (!ready.empty()) {
+            out_->send_body(ready);
+        }
+    } else {
+        out_->send_body(bytes);
+    }
+    if (connection_ && out_ != nullptr && out_->unsent() > owner_.settings_.most_unsent) {
+        connection_->set_paused(true);
+    }
+}
+
+void exchange::on_caller_ready() {
+    if (connection_) {
+        const auto held = connection_;
+        held->set_paused(false);
+    }
+}
+
+void exchange::on_done() {
+    const auto self = shared_from_this();
+    note_call_ended();
+    owner_.pool_.release(endpoint_, std::move(connection_));
+    connection_.reset();
+    if (rejected_) {
+        retry("rejected");
+        return;
+    }
+    if (discard_answer_) {
+        find_endpoint();
+        return;
+    }
+    if (events_ && !events_->rest().empty()) {
+        out_->send_body(events_->rest());
+    }
+    finish(status_, "answered");
+    if (out_ != nullptr) {
+        answer_writer* out = out_;
+        out_ = nullptr;
+        out->send_end();
+    }
+}
+
+void exchange::on_failure(call_failure why) {
+    const auto self = shared_from_this();
+    note_call_ended();
+    connection_.reset();
+    const std::string_view reason =
+        why == call_failure::malformed ? "malformed_answer" : "connection_broken";
+    telemetry::log_event(severity::warning, "call_failed",
+                         {{"request", facts_.id},
+                          {"endpoint", endpoint_},
+                          {"reason", reason},
+                          {"sent", why != call_failure::not_sent},
+                          {"relayed_bytes", relayed_},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
+    if (rejected_) {
+        retry("rejected");
+        return;
+    }
+    if (discard_answer_) {
+        find_endpoint();
+        return;
+    }
+    owner_.directory_.on_call(endpoint_,
+                              why == call_failure::malformed ? routing::call_outcome::failed
+                                                             : routing::call_outcome::unreachable,
+                              owner_.time_.now());
+    if (why == call_failure::not_sent) {
+        --runs_;
+        try_elsewhere();
+        return;
+    }
+    if (head_sent_ && !events_) {
+        cut(reason);
+        return;
+    }
+    if (events_) {
+        events_->drop_rest();
+    }
+    excluded_.insert(endpoint_);
+    if (may_run_again() && spend_retry()) {
+        find_endpoint();
+        return;
+    }
+    if (head_sent_) {
+        cut(reason);
+    } else {
+        refuse({status_bad_gateway, reason, std::nullopt});
+    }
+}
+
+void exchange::try_elsewhere() {
+    excluded_.insert(endpoint_);
+    if (sends_ < owner_.settings_.most_sends) {
+        find_endpoint();
+    } else {
+        refuse({status_unavailable, "endpoints_unreachable", usual_retry_after});
+    }
+}
+
+bool exchange::may_run_again() const {
+    return route_->repeatable() && runs_ < std::max(1U, route_->max_attempts) &&
+           sends_ < owner_.settings_.most_sends && time_left() > owner_.settings_.least_time_left;
+}
+
+bool exchange::spend_retry() {
+    return owner_.budget_of(service_->id).try_spend(facts_.id, sends_).has_value();
+}
+
+void exchange::retry(std::string_view why) {
+    if (status_ == status_unavailable || facts_.target.adapter.empty()) {
+        excluded_.insert(endpoint_);
+    }
+    const bool allowed = sends_ < owner_.settings_.most_sends && spend_retry();
+    if (allowed) {
+        find_endpoint();
+    } else if (head_sent_) {
+        cut(why);
+    } else {
+        refuse({status_unavailable, why, usual_retry_after});
+    }
+}
+
+}  // namespace radishpulley::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -0,0 +1,259 @@
+// The part of a request's life up to its sending: choice of an endpoint, wait for its adapter.
+#include <algorithm>
+
+#include "base/overloaded.h"
+#include "exchange.h"
+#include "exchange_constants.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::gateway {
+namespace {
+
+using boost::system::error_code;
+using routing::milliseconds;
+using telemetry::severity;
+
+// Age from which a replaced adapter version is no longer asked for.
+constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
+
+}  // namespace
+
+void exchange::find_endpoint() {
+    owner_.work_.finish(number_);
+    const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_};
+    const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
+    if (!choice) {
+        refuse({status_unavailable, "no_endpoint", usual_retry_after});
+        return;
+    }
+    if (choice->expected > time_left()) {
+        refuse({status_unavailable, "would_be_late", usual_retry_after});
+        return;
+    }
+    unread_tokens_ = choice->unread_tokens;
+    read_work_ = choice->read_work;
+    reserve_work(choice->id);
+    telemetry::log_event(severity::info, "request_placed",
+                         {{"request", facts_.id},
+                          {"endpoint", choice->id},
+                          {"adapter", facts_.target.adapter},
+                          {"needs_load", choice->needs_load},
+                          {"expected_ms", to_ms(choice->expected).count()},
+                          {"unread_tokens", choice->unread_tokens},
+                          {"refused_loads", no_loads_.size()},
+                          {"excluded", excluded_.size()},
+                          {"elapsed_ms", to_ms(elapsed()).count()}});
+    if (choice->needs_load) {
+        wait_for_load(*choice);
+    } else if (choice->ready_at) {
+        wait_until(*choice->ready_at, choice->id);
+    } else {
+        send_to(choice->id);
+    }
+}
+
+void exchange::reserve_work(const endpoint_id& id) {
+    const std::uint32_t memory =
+        facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
+    owner_.work_.start(number_, id, read_work_, memory);
+    if (read_work_ > owner_.settings_.large_read) {
+        owner_.broker_->note_large_work();
+    }
+}
+
+void exchange::wait_for_load(const routing::endpoint_choice& it) {
+    phase_ = phase::asking_for_load;
+    endpoint_ = it.id;
+    const auto self = shared_from_this();
+    owner_.wait_for_load({it.id, facts_.target}, self);
+    wait_timer_.expires_after(owner_.settings_.wish_timeout);
+    wait_timer_.async_wait([weak = weak_from_this(), id = it.id](const error_code& ec) {
+        const auto held = weak.lock();
+        if (!ec && held && held->phase_ == phase::asking_for_load) {
+            held->on_load_refused(id);
+        }
+    });
+    if (!owner_.broker_->wish(it.id, facts_.target)) {
+        on_load_refused(it.id);
+    }
+}
+
+void exchange::on_load_granted(const endpoint_id& engine, time_point ready_at) {
+    const bool waits = phase_ == phase::asking_for_load || phase_ == phase::waiting_for_load;
+    if (!waits || engine != endpoint_) {
+        return;
+    }
+    const duration wait = ready_at - owner_.time_.now();
+    if (wait > std::min<duration>(owner_.settings_.longest_load_wait, time_left())) {
+        no_loads_.insert(engine);
+        find_endpoint();
+    } else {
+        wait_until(ready_at, engine);
+    }
+}
+
+void exchange::on_load_refused(const endpoint_id& engine) {
+    if (phase_ == phase::asking_for_load && engine == endpoint_) {
+        wait_timer_.cancel();
+        no_loads_.insert(engine);
+        find_endpoint();
+    }
+}
+
+void exchange::wait_until(time_point when, const endpoint_id& id) {
+    phase_ = phase::waiting_for_load;
+    endpoint_ = id;
+    if (wait_began_ == time_point{}) {
+        wait_began_ = owner_.time_.now();
+    }
+    // The time may change when the order is given.
+    owner_.wait_for_load({id, facts_.target}, shared_from_this());
+    wait_timer_.expires_after(std::max(duration::zero(), when - owner_.time_.now()));
+    wait_timer_.async_wait([weak = weak_from_this(), id](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ == phase::waiting_for_load) {
+            self->on_wait_over(id);
+        }
+    });
+}
+
+void exchange::on_wait_over(const endpoint_id& id) {
+    const time_point now = owner_.time_.now();
+    const auto view = owner_.adapters_.view(id, facts_.target, now);
+    const bool is_late = view.state == routing::adapter_state::loading && view.ready_at <= now;
+    if (view.state == routing::adapter_state::loaded) {
+        send_to(id);
+    } else if (view.state == routing::adapter_state::loading && !is_late) {
+        wait_until(view.ready_at, id);
+    } else {
+        // Its order was not given in time, or it left again.
+        if (is_late) {
+            owner_.adapters_.on_missing(id, facts_.target, now);
+        }
+        find_endpoint();
+    }
+}
+
+void exchange::hedge_if_silent() {
+    if (route_->kind != routing::request_kind::idempotent || service_->engine) {
+        return;
+    }
+    silence_timer_.expires_after(owner_.settings_.call_silence);
+    silence_timer_.async_wait([weak = weak_from_this(), send = sends_](const error_code& ec) {
+        const auto self = weak.lock();
+        const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send;
+        if (is_silent && self->may_run_again() && self->spend_retry()) {
+            self->owner_.directory_.on_call(self->endpoint_, routing::call_outcome::failed,
+                                            self->owner_.time_.now());
+            self->stop_call();
+            self->excluded_.insert(self->endpoint_);
+            self->find_endpoint();
+        }
+    });
+}
+
+void exchange::send_to(const endpoint_id& id) {
+    const routing::endpoint* target = owner_.directory_.find(id);
+    if (target == nullptr || target->draining) {
+        excluded_.insert(id);
+        find_endpoint();
+        return;
+    }
+    phase_ = phase::connecting;
+    endpoint_ = id;
+    if (wait_began_ != time_point{}) {
+        load_wait_ = owner_.time_.now() - wait_began_;
+    }
+    ++sends_;
+    owner_.pool_.acquire(
+        id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
+            const auto self = weak.lock();
+            const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
+            if (wanted) {
+                self->on_connected(std::move(it));
+            } else if (self && it) {
+                self->owner_.pool_.release(id, std::move(it));
+            }
+        });
+}
+
+void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
+    const routing::endpoint* target = owner_.directory_.find(endpoint_);
+    const bool left = target == nullptr || target->draining;
+    if (!connection || left) {
+        owner_.work_.finish(number_);
+        if (!connection) {
+            owner_.directory_.on_call(endpoint_, routing::call_outcome::unreachable,
+                                      owner_.time_.now());
+        }
+        try_elsewhere();
+        return;
+    }
+    if (time_left() < owner_.settings_.least_time_left) {
+        owner_.pool_.release(endpoint_, std::move(connection));
+        on_deadline();
+        return;
+    }
+    phase_ = phase::sent;
+    rejected_ = false;
+    discard_answer_ = false;
+    ++runs_;
+    sent_at_ = owner_.time_.now();
+    connection_ = std::move(connection);
+    if (service_->engine) {
+        owner_.prompts_.on_read(endpoint_, facts_, sent_at_);
+        if (!facts_.target.adapter.empty()) {
+            used_at_ = endpoint_;
+            owner_.broker_->note_use(endpoint_, facts_.target);
+        }
+    }
+    call_request call;
+    call.bytes = request_bytes();
+    call.is_head = request_.method == "HEAD";
+    call.id_header = std::string(owner_.codec_.id_header());
+    call.id = facts_.id.str();
+    const auto self = shared_from_this();
+    const auto held = connection_;
+    hedge_if_silent();
+    held->call(std::move(call), *this);
+}
+
+std::string exchange::request_bytes() const {
+    std::string out = request_.method + " " + request_.target + " HTTP/1.1\r\n";
+    for (const header& it : end_to_end_headers(request_.headers)) {
+        const bool is_expect = same_name(it.name, "expect");
+        if (!is_expect && owner_.codec_.is_forwarded(it.name)) {
+            append_header(out, it.name, it.value);
+        }
+    }
+    endpoint_statement said;
+    said.expected = endpoint_;
+    if (account_ != nullptr) {
+        said.account = account_->id;
+    }
+    said.time_left = std::max(milliseconds(1), to_ms(time_left()));
+    if (service_->engine) {
+        said.priority =
+            account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
+        const std::uint64_t newest = owner_.adapters_.newest_version(facts_.target);
+        const duration age = owner_.time_.now() - owner_.adapters_.announced_at(facts_.target);
+        if (newest != 0 && age > version_enforced_after) {
+            said.adapter_version = newest;
+        }
+    }
+    said.last_event = facts_.last_event;
+    if (events_ && !events_->last_id().empty()) {
+        said.last_event = events_->last_id();
+    }
+    owner_.codec_.append_statement(said, out);
+    const bool has_body = !request_.body.empty() || request_.method == "POST" ||
+                          request_.method == "PUT" || request_.method == "PATCH";
+    if (has_body) {
+        append_header(out, "Content-Length", std::to_string(request_.body.size()));
+    }
+    out += "\r\n";
+    out += request_.body;
+    return out;
+}
+
+}  // namespace radishpulley::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -32,6 +32,17 @@
     limiter_.set_fleet_size(vms);
 }
 
+void gateway::reconfigure(gateway_settings settings) {
+    const bool same_retries = settings.retry_ratio == settings_.retry_ratio &&
+                              settings.retry_reserve == settings_.retry_reserve;
+    if (!same_retries) {
+        budgets_.clear();
+    }
+    settings_ = std::move(settings);
+    chooser_.set_location(settings_.where);
+    limiter_.set_reserve(settings_.limiter.reserve);
+}
+
 void gateway::on_endpoint(const routing::endpoint& it) {
     const auto change = directory_.on_entry(it, time_.now());
     if (change == routing::directory_change::none) {
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -58,6 +58,8 @@
     void configure(const std::vector<client_account>& accounts, time_point now);
     /// Sets how many VMs serve callers, this one included.
     void set_fleet_size(std::size_t vms);
+    /// Sets what all VMs together may overdraw.
+    void set_reserve(double units) { settings_.reserve = units; }
     /// Takes the demand that another VM sees; it counts for `lifetime`.
     void on_peer(const vm_id& peer, demand_by_account demand, time_point now, duration lifetime);
 
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -84,8 +84,6 @@
 /// A service whose endpoints run requests.
 struct service {
     service_id id;
-    /// Connections that one endpoint accepts from all VMs together; 0 means unknown.
-    std::uint32_t max_connections = 0;
     /// Present for services of model engines.
     std::optional<engine_capacity> engine;
 };
--- a/libs/routing/include/routing/endpoint.h
+++ b/libs/routing/include/routing/endpoint.h
@@ -32,8 +32,6 @@
     std::string address;
     zone_id zone;
     bool draining = false;
-    /// Time until it is gone, from the moment of the entry.
-    std::optional<std::chrono::milliseconds> leaves_in;
     std::uint32_t slots = 1;
     /// Counts the entries that it wrote since its start.
     std::uint64_t heartbeat = 0;
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -95,6 +95,7 @@
     /// Returns the best endpoint, or nothing where the service has none to offer.
     std::optional<endpoint_choice> choose(const choice_request& request, time_point now) const;
 
+    void set_location(location where) { where_ = std::move(where); }
     const choice_settings& settings() const { return settings_; }
 
 private:
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "base/clock.h"
 #include "base/identifier.h"
@@ -19,6 +20,14 @@
     /// Datagrams of the other daemons.
     std::string peers;
     std::string metrics;
+
+    friend bool operator==(const edge_listen_settings& a, const edge_listen_settings& b) {
+        return std::tie(a.callers, a.readiness, a.peers, a.metrics) ==
+               std::tie(b.callers, b.readiness, b.peers, b.metrics);
+    }
+    friend bool operator!=(const edge_listen_settings& a, const edge_listen_settings& b) {
+        return !(a == b);
+    }
 };
 
 /// The platform's store.
--- a/radishpulley/cli/main.cpp
+++ b/radishpulley/cli/main.cpp
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -15,6 +16,7 @@
 
 #include "cli/commands.h"
 #include "cli/explain.h"
+#include "cli/losses.h"
 #include "http/client.h"
 
 ABSL_FLAG(std::vector<std::string>, servers, {"http://127.0.0.1:8081"},
@@ -39,29 +41,56 @@
     return token;
 }
 
-// Runs `explain ID [FILE...]`; without files it reads standard input.
-cli::exit_code explain(const std::vector<std::string>& words) {
-    if (words.size() < 2) {
-        std::cerr << "usage: radishpulley explain ID [FILE...]\n";
-        return cli::exit_code::usage;
-    }
+// Reads the files from `words[first]` on one after the other, or standard input where there are
+// none; empty where one can't be read.
+std::optional<std::stringstream> read_log(const std::vector<std::string>& words,
+                                          std::size_t first) {
     std::stringstream all;
-    for (std::size_t i = 2; i < words.size(); ++i) {
+    if (words.size() <= first) {
+        all << std::cin.rdbuf();
+        return all;
+    }
+    for (std::size_t i = first; i < words.size(); ++i) {
         std::ifstream in(words[i]);
         if (!in) {
             std::cerr << words[i] << " can't be read\n";
-            return cli::exit_code::usage;
+            return std::nullopt;
         }
         all << in.rdbuf() << '\n';
     }
-    std::istream& log = words.size() == 2 ? std::cin : all;
-    if (!cli::explain_request(words[1], log, std::cout)) {
+    return all;
+}
+
+// Runs `explain ID [FILE...]`.
+cli::exit_code explain(const std::vector<std::string>& words) {
+    if (words.size() < 2) {
+        std::cerr << "usage: radishpulley explain ID [FILE...]\n";
+        return cli::exit_code::usage;
+    }
+    auto log = read_log(words, 2);
+    if (!log) {
+        return cli::exit_code::usage;
+    }
+    if (!cli::explain_request(words[1], *log, std::cout)) {
         std::cerr << "no line is about request " << words[1] << "\n";
         return cli::exit_code::refused;
     }
     return cli::exit_code::done;
 }
 
+// Runs `losses [FILE...]`.
+cli::exit_code losses(const std::vector<std::string>& words) {
+    auto log = read_log(words, 1);
+    if (!log) {
+        return cli::exit_code::usage;
+    }
+    if (!cli::print_losses(*log, std::cout)) {
+        std::cerr << "no request ended in these logs\n";
+        return cli::exit_code::refused;
+    }
+    return cli::exit_code::done;
+}
+
 http::response call_first(const http::request& it) {
     for (const std::string& address : absl::GetFlag(FLAGS_servers)) {
         const http::client client(address, call_timeout, http::connection_reuse::one_per_call);
@@ -85,6 +114,9 @@
     if (!words.empty() && words.front() == "explain") {
         return static_cast<int>(explain(words));
     }
+    if (!words.empty() && words.front() == "losses") {
+        return static_cast<int>(losses(words));
+    }
     http::set_library_threads(library_threads);
     const std::string form = absl::GetFlag(FLAGS_output);
     if (form != "table" && form != "json") {
--- a/radishpulley/cli/src/commands.cpp
+++ b/radishpulley/cli/src/commands.cpp
@@ -317,6 +317,7 @@
   show KIND [NAME]         services, client_accounts, keys, adapters, adapter_versions, endpoints
   status                   the VM asked: its members, holdings and configuration
   explain ID [FILE...]     tell from logs what became of a request, and why
+  losses [FILE...]         add up from logs where requests are late, refused or failed
   check FILE               check a ticket's form without sending it
   check-settings FILE      check a daemon's settings file
 
--- a/radishpulley/daemon/main.cpp
+++ b/radishpulley/daemon/main.cpp
@@ -79,7 +79,7 @@
     telemetry::start_log("radishpulleyd", telemetry::severity::info,
                          telemetry::log_target::standard_output);
     telemetry::never_wait_for_output();
-    edge::edge_daemon(with).run();
+    edge::edge_daemon(with, path).run();
     return 0;
 }
 
--- a/radishpulley/edge/include/edge/edge_daemon.h
+++ b/radishpulley/edge/include/edge/edge_daemon.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "settings/edge_settings.h"
 
@@ -13,8 +14,11 @@
 /// Runs until SIGTERM or SIGINT, then finishes what is under way.
 class edge_daemon {
 public:
-    /// Throws boost::system::system_error where an address can't be bound.
-    explicit edge_daemon(const settings::edge_settings& with);
+    /// `settings_path`: the file that `with` was read from; what changes there while the daemon
+    /// runs holds without a restart, but for the VM's identity and the addresses to listen on.
+    /// Empty where there is no file. Throws boost::system::system_error where an address can't be
+    /// bound.
+    explicit edge_daemon(const settings::edge_settings& with, std::string settings_path = {});
     ~edge_daemon();
     edge_daemon(const edge_daemon&) = delete;
     edge_daemon& operator=(const edge_daemon&) = delete;
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -21,6 +21,7 @@
 #include "ownership/holder_guard.h"
 #include "ownership/ownership_policy.h"
 #include "routing/engine_keeper.h"
+#include "routing/use_table.h"
 
 namespace radishpulley::edge {
 
@@ -41,6 +42,10 @@
     void on_endpoint_removed(const endpoint_id& id);
     void on_version(const routing::model_choice& adapter, std::uint64_t version);
     void on_hint(const routing::hint_message& it);
+    void set_endpoints_check_fencing(bool they_do) {
+        endpoints_check_fencing_ = they_do;
+        engines_changed_ = true;
+    }
     /// Engines that this VM orders.
     std::size_t engines_held() const { return kept_.size(); }
     /// Gives up all engines: this VM is leaving.
@@ -77,7 +82,10 @@
     void give(const endpoint_id& engine, const routing::engine_order& order,
               ownership::fencing_number fence);
     void tell(const endpoint_id& engine, const routing::adapter_change& change);
+    /// Tells the holders of uses at their engines.
     void flush_uses();
+    void tell_uses(const endpoint_id& engine);
+    std::optional<vm_id> holder_of(const endpoint_id& engine) const;
     routing::wish_answer ask_keeper(const endpoint_id& engine,
                                     const routing::model_choice& adapter);
 
@@ -100,18 +108,7 @@
     std::set<ownership::shard_index> being_written_;
     std::map<endpoint_id, kept_engine> kept_;
     std::map<routing::model_choice, std::uint64_t> versions_;
-    /// Requests of this daemon at one engine.
-    struct engine_use {
-        std::vector<routing::model_choice> sent;
-        std::map<routing::model_choice, std::size_t> running;
-        /// What the holder was last told to be running.
-        std::set<routing::model_choice> told;
-
-        std::vector<routing::model_choice> running_list() const;
-    };
-    void tell_uses(const endpoint_id& engine, engine_use& use);
-
-    std::map<endpoint_id, engine_use> uses_;
+    routing::use_table uses_;
     std::function<void()> on_large_work_ = [] {};
     time_point flushed_at_{};
 };
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -15,6 +15,7 @@
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
 #include "platform_adapter/wire_object_collections.h"
+#include "settings_file.h"
 #include "status_server.h"
 #include "telemetry/event_log.h"
 
@@ -33,6 +34,7 @@
 constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(10'000),
                                                    std::chrono::milliseconds(200)};
 constexpr std::chrono::milliseconds housekeeping_interval{400};
+constexpr duration settings_check_interval = std::chrono::seconds(2);
 // Delay by which statements about several long prompts are joined.
 constexpr std::chrono::milliseconds presence_delay{10};
 // Time for which a peer's statements count: of its work at endpoints, of its accounts' demand.
@@ -68,8 +70,9 @@
 
 class edge_daemon::state {
 public:
-    explicit state(const settings::edge_settings& with)
+    state(const settings::edge_settings& with, std::string settings_path)
         : with_(with),
+          settings_file_(std::move(settings_path)),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           timer_(loop_),
           presence_timer_(loop_),
@@ -166,7 +169,7 @@
                 return;
             }
             if (signal == SIGHUP) {
-                telemetry::log_event(severity::info, "reload", {{"vm", with_.vm}});
+                reload();
             } else {
                 begin_stop();
             }
@@ -174,6 +177,30 @@
         });
     }
 
+    // The platform may change the file without a signal.
+    void reload() {
+        settings_checked_ = time_.now();
+        const auto next = settings_file_.poll();
+        if (!next) {
+            return;
+        }
+        const bool needs_restart = next->vm != with_.vm ||
+                                   next->availability_zone != with_.availability_zone ||
+                                   next->listen != with_.listen;
+        with_.regions = next->regions;
+        with_.store = next->store;
+        with_.bounds = next->bounds;
+        store_.set_address(with_.store.address);
+        loads_.set_endpoints_check_fencing(with_.bounds.endpoints_check_fencing);
+        data_path_.reconfigure(data_path_settings(with_));
+        telemetry::log_event(severity::info, "reload",
+                             {{"vm", with_.vm},
+                              {"store", with_.store.address},
+                              {"retry_reserve", with_.bounds.retry_reserve},
+                              {"limit_reserve", with_.bounds.limit_reserve},
+                              {"needs_restart", needs_restart}});
+    }
+
     void begin_stop() {
         if (stop_began_) {
             return;
@@ -368,6 +395,9 @@
         }
         data_path_.pool().sweep();
         data_path_.sweep();
+        if (now - settings_checked_ >= settings_check_interval) {
+            reload();
+        }
         set_gauges();
         data_path_.set_fleet_size(fleet_.serving(now));
         fleet_.tell(presence());
@@ -399,7 +429,9 @@
         return data_path_.request_count() == 0 && data_path_.caller_count() == 0;
     }
 
-    const settings::edge_settings with_;
+    settings::edge_settings with_;
+    settings_file settings_file_;
+    time_point settings_checked_{};
     boot_clock time_;
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
@@ -437,8 +469,8 @@
     std::optional<time_point> stop_began_;
 };
 
-edge_daemon::edge_daemon(const settings::edge_settings& with)
-    : state_(std::make_unique<state>(with)) {}
+edge_daemon::edge_daemon(const settings::edge_settings& with, std::string settings_path)
+    : state_(std::make_unique<state>(with, std::move(settings_path))) {}
 
 edge_daemon::~edge_daemon() = default;
 
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -10,6 +10,7 @@
 namespace radishpulley::edge {
 namespace {
 
+using routing::model_choice;
 using telemetry::severity;
 
 constexpr const char* holders_kind = "engine-holders";
@@ -316,7 +317,7 @@
     kept_.erase(id);
 }
 
-void load_coordinator::on_version(const routing::model_choice& adapter, std::uint64_t version) {
+void load_coordinator::on_version(const model_choice& adapter, std::uint64_t version) {
     versions_[adapter] = std::max(versions_[adapter], version);
     for (auto& [id, it] : kept_) {
         it.keeper.on_version(adapter, version);
@@ -324,7 +325,7 @@
 }
 
 routing::wish_answer load_coordinator::ask_keeper(const endpoint_id& engine,
-                                                  const routing::model_choice& adapter) {
+                                                  const model_choice& adapter) {
     const auto kept = kept_.find(engine);
     if (kept == kept_.end()) {
         return routing::wish_refused{routing::wish_obstacle::no_model};
@@ -344,7 +345,7 @@
     return answer;
 }
 
-bool load_coordinator::wish(const endpoint_id& engine, const routing::model_choice& adapter) {
+bool load_coordinator::wish(const endpoint_id& engine, const model_choice& adapter) {
     if (kept_.count(engine) != 0) {
         const auto answer = ask_keeper(engine, adapter);
         const auto* granted = std::get_if<routing::wish_granted>(&answer);
@@ -360,74 +361,57 @@
            fleet_.send(holding->holder.vm, routing::load_wish{engine, adapter});
 }
 
-void load_coordinator::note_use(const endpoint_id& engine, const routing::model_choice& adapter) {
-    engine_use& use = uses_[engine];
-    ++use.running[adapter];
+void load_coordinator::note_use(const endpoint_id& engine, const model_choice& adapter) {
+    const bool is_unknown = uses_.start(engine, adapter);
     const auto kept = kept_.find(engine);
     if (kept != kept_.end()) {
         kept->second.keeper.on_use(adapter, time_.now());
-        kept->second.keeper.on_running(fleet_.self()->vm, use.running_list(), time_.now());
-        return;
-    }
-    use.sent.push_back(adapter);
-    // The holder must know of it before it frees the adapter's place.
-    if (use.told.count(adapter) == 0) {
-        tell_uses(engine, use);
+        kept->second.keeper.on_running(fleet_.self()->vm, uses_.running(engine), time_.now());
+    } else if (is_unknown) {
+        tell_uses(engine);
     }
 }
 
-void load_coordinator::tell_uses(const endpoint_id& engine, engine_use& use) {
-    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
-    const std::vector<routing::model_choice> running = use.running_list();
-    if (holding && !holding->vacant()) {
-        fleet_.send(holding->holder.vm,
-                    routing::adapter_uses{engine, std::move(use.sent), running});
+void load_coordinator::tell_uses(const endpoint_id& engine) {
+    const routing::adapter_uses said = uses_.take_statement(engine);
+    if (const auto holder = holder_of(engine)) {
+        fleet_.send(*holder, said);
     }
-    use.sent.clear();
-    use.told = {running.begin(), running.end()};
 }
 
-void load_coordinator::note_end(const endpoint_id& engine, const routing::model_choice& adapter) {
-    engine_use& use = uses_[engine];
-    const auto found = use.running.find(adapter);
-    if (found != use.running.end() && --found->second == 0) {
-        use.running.erase(found);
-    }
+void load_coordinator::note_end(const endpoint_id& engine, const model_choice& adapter) {
+    uses_.end(engine, adapter);
 }
 
-std::vector<routing::model_choice> load_coordinator::engine_use::running_list() const {
-    std::vector<routing::model_choice> out;
-    for (const auto& [adapter, count] : running) {
-        out.push_back(adapter);
+std::optional<vm_id> load_coordinator::holder_of(const endpoint_id& engine) const {
+    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
+    if (!holding || holding->vacant()) {
+        return std::nullopt;
     }
-    return out;
+    return holding->holder.vm;
 }
 
-void load_coordinator::note_missing(const endpoint_id& engine,
-                                    const routing::model_choice& adapter) {
+void load_coordinator::note_missing(const endpoint_id& engine, const model_choice& adapter) {
     const auto kept = kept_.find(engine);
     if (kept != kept_.end()) {
         kept->second.keeper.on_doubt(time_.now());
         return;
     }
-    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
-    if (holding && !holding->vacant()) {
-        fleet_.send(holding->holder.vm, routing::adapter_hint{engine, adapter, false, 0, 0});
+    if (const auto holder = holder_of(engine)) {
+        fleet_.send(*holder, routing::adapter_hint{engine, adapter, false, 0, 0});
     }
 }
 
 void load_coordinator::flush_uses() {
-    for (auto it = uses_.begin(); it != uses_.end();) {
-        auto& [engine, use] = *it;
+    for (const endpoint_id& engine : uses_.engines()) {
         const auto kept = kept_.find(engine);
-        if (kept != kept_.end()) {
-            kept->second.keeper.on_running(fleet_.self()->vm, use.running_list(), time_.now());
-            use.sent.clear();
-            use.told.clear();
-        } else if (!use.sent.empty() || !use.running.empty() || !use.told.empty()) {
-            tell_uses(engine, use);
+        if (kept == kept_.end()) {
+            tell_uses(engine);
+            continue;
         }
-        it = use.running.empty() && use.told.empty() ? uses_.erase(it) : std::next(it);
+        const routing::adapter_uses said = uses_.take_statement(engine);
+        kept->second.keeper.on_running(fleet_.self()->vm, said.running, time_.now());
+        uses_.forget_told(engine);
     }
 }
 
@@ -439,7 +423,7 @@
             [&](const routing::adapter_uses& uses) {
                 const auto kept = kept_.find(uses.engine);
                 if (kept != kept_.end()) {
-                    for (const routing::model_choice& each : uses.sent) {
+                    for (const model_choice& each : uses.sent) {
                         kept->second.keeper.on_use(each, now);
                     }
                     kept->second.keeper.on_running(it.from.vm, uses.running, now);
