Log lines are written whole or not at all

Each line goes out with one write now, which a pipe takes whole or not at all; dropped lines are counted in the next one.

--- a/libs/telemetry/include/telemetry/event_log.h
+++ b/libs/telemetry/include/telemetry/event_log.h
@@ -95,7 +95,7 @@
     std::uint64_t left_out_ = 0;
 };
 
-/// Starts to drop lines instead of waiting where standard output can't take them.
+/// Starts to drop whole lines instead of waiting where standard output can't take them.
 void never_wait_for_output();
 
 /// Writes one event. Never throws; a line that cannot be built is dropped.
--- a/libs/telemetry/src/event_log.cpp
+++ b/libs/telemetry/src/event_log.cpp
@@ -6,9 +6,12 @@
 #include <glog/logging.h>
 
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <ctime>
 
+#include "telemetry/line_writer.h"
+
 namespace radishpulley::telemetry {
 namespace {
 
@@ -95,6 +98,31 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
+// Standard output's own buffer would tear lines where the output takes only a part of them.
+class output_sink final : public google::LogSink {
+public:
+    using google::LogSink::send;
+
+    void send(google::LogSeverity /*severity*/, const char* /*full_filename*/,
+              const char* /*base_filename*/, int /*line*/, const google::LogMessageTime& /*time*/,
+              const char* message, std::size_t size) override {
+        writer_.write({message, size});
+    }
+
+    std::uint64_t take_dropped() { return writer_.take_dropped(); }
+
+private:
+    line_writer writer_{STDOUT_FILENO};
+};
+
+output_sink& output() {
+    static output_sink it;
+    return it;
+}
+
+// Set where lines go to standard output.
+std::atomic<bool> writes_to_output{false};
+
 line_budget& budget_of(severity level) {
     static std::array<line_budget, 3> budgets{line_budget(max_lines_per_second),
                                               line_budget(max_lines_per_second),
@@ -139,7 +167,7 @@
 
 void start_log(const char* program, severity lowest, log_target target) {
     FLAGS_logtostderr = target == log_target::standard_error;
-    FLAGS_logtostdout = target == log_target::standard_output;
+    writes_to_output = target == log_target::standard_output;
     FLAGS_minloglevel = glog_severity(lowest);
     FLAGS_log_prefix = false;
     if (!google::IsGoogleLoggingInitialized()) {
@@ -158,10 +186,12 @@
             return;
         }
         std::string line = format_event(event, fields);
-        if (verdict.left_out > 0) {
-            line += " lines_left_out=" + std::to_string(verdict.left_out);
+        const std::uint64_t left_out = verdict.left_out + output().take_dropped();
+        if (left_out > 0) {
+            line += " lines_left_out=" + std::to_string(left_out);
         }
-        google::LogMessage(__FILE__, __LINE__, glog_severity(level)).stream()
+        google::LogSink* const sink = writes_to_output ? &output() : nullptr;
+        google::LogMessage(__FILE__, __LINE__, glog_severity(level), sink, sink == nullptr).stream()
             << "time=" << present_time() << " level=" << level_name(level) << ' ' << line;
     } catch (...) {
         // Logging must not turn a working request into a failed one.
