Callers that do not read share a bounded part of memory

Cause: each caller's unsent answer was bounded (262 KB), their sum was not: 600 callers that read nothing could take all of a 160 MB VM. The bound of 16 MB is divided among the requests under way now.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -92,6 +92,8 @@
 
     void start();
     /// Whether a request is being read or worked on.
+    /// Answer bytes that the caller has not taken yet.
+    std::size_t unsent() const override { return link_->unsent(); }
     bool is_busy() const;
     /// Closes at once.
     void close();
@@ -107,7 +109,6 @@
     void send_body(std::string_view bytes) override;
     void send_end() override;
     void cut() override;
-    std::size_t unsent() const override { return link_->unsent(); }
 
     void begin_request();
     void parse();
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -48,6 +48,10 @@
     unsigned most_sends = 4;
     /// Answer bytes that wait for a slow caller before the endpoint is no longer read.
     std::size_t most_unsent = 262'144;
+    /// The same over all callers, divided among the requests under way.
+    std::size_t most_unsent_total = 16'000'000;
+    /// What each caller may have unsent, however many there are.
+    std::size_t least_unsent = 8'192;
     /// Request bodies that may be held at once, over all callers.
     std::size_t most_body_bytes = 48'000'000;
     /// Reading work, in tokens, from which other daemons are told of it at once.
@@ -113,6 +117,10 @@
     void sweep();
     std::size_t caller_count() const { return callers_.size(); }
     std::size_t request_count() const { return requests_; }
+    /// Answer bytes that wait for callers to read.
+    std::size_t unsent_bytes() const;
+    /// Answer bytes that may wait for one caller now.
+    std::size_t unsent_limit() const;
 
     caller_service::limits caller_limits() const override;
     std::shared_ptr<request_work> start(caller_request request, answer_writer& out) override;
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -105,7 +105,7 @@
     } else {
         out_->send_body(bytes);
     }
-    if (connection_ && out_ != nullptr && out_->unsent() > owner_.settings_.most_unsent) {
+    if (connection_ && out_ != nullptr && out_->unsent() > owner_.unsent_limit()) {
         connection_->set_paused(true);
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -141,6 +141,19 @@
     }
 }
 
+std::size_t gateway::unsent_bytes() const {
+    std::size_t sum = 0;
+    for (const auto& it : callers_) {
+        sum += it->unsent();
+    }
+    return sum;
+}
+
+std::size_t gateway::unsent_limit() const {
+    const std::size_t share = settings_.most_unsent_total / std::max<std::size_t>(1, requests_);
+    return std::clamp(share, settings_.least_unsent, settings_.most_unsent);
+}
+
 caller_service::limits gateway::caller_limits() const {
     caller_service::limits out;
     if (configuration_) {
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -249,6 +249,33 @@
     run_until([&] { return paths().request_count() == 0; });
 }
 
+BOOST_FIXTURE_TEST_CASE(callers_that_do_not_read_take_a_bounded_part_of_memory, world) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string&, peer& to) {
+        to.send("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 999999999\r\n\r\n");
+    });
+    constexpr std::size_t caller_count = 8;
+    constexpr int rounds = 300;
+    std::vector<std::shared_ptr<peer>> callers;
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        callers.push_back(connect_without_reading());
+        callers.back()->send(request("GET /again/x", "r"));
+    }
+    run_until([&] { return engine.requests.size() == caller_count; });
+    const std::string piece(65'536, 'x');
+    for (int i = 0; i < rounds; ++i) {
+        for (const auto& it : engine.connections) {
+            it->send_some(piece);
+        }
+        loop.restart();
+        loop.poll();
+    }
+    // The sockets took what they could; one more read may lie beyond each caller's part.
+    BOOST_TEST(paths().unsent_bytes() > 0U);
+    BOOST_TEST(paths().unsent_bytes() < 200'000U + caller_count * 65'536U);
+    BOOST_TEST(paths().request_count() == caller_count);
+}
+
 // The requests' ends are told while there is somebody to tell: a daemon that ended with requests
 // under way crashed.
 BOOST_FIXTURE_TEST_CASE(closing_all_callers_ends_their_requests, world) {
--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -72,6 +72,12 @@
         boost::system::error_code ignored;
         boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
     }
+    /// Sends as much as the connection takes now.
+    void send_some(const std::string& bytes) {
+        boost::system::error_code ignored;
+        socket_.non_blocking(true);
+        socket_.write_some(boost::asio::buffer(bytes), ignored);
+    }
     /// Closes in order.
     void close() {
         boost::system::error_code ignored;
@@ -224,13 +230,18 @@
     }
 
     std::shared_ptr<peer> connect() {
-        tcp::socket socket(loop);
-        socket.connect(acceptor_.local_endpoint());
-        auto it = std::make_shared<peer>(std::move(socket));
+        auto it = connect_without_reading();
         it->start();
         return it;
     }
 
+    /// A caller that never reads what it gets.
+    std::shared_ptr<peer> connect_without_reading() {
+        tcp::socket socket(loop);
+        socket.connect(acceptor_.local_endpoint());
+        return std::make_shared<peer>(std::move(socket));
+    }
+
     /// Sends one request on a new connection and returns all that comes back until `done`.
     std::string ask(const std::string& request, const std::function<bool(const peer&)>& done) {
         const auto caller = connect();
@@ -261,6 +272,7 @@
     static gateway_settings settings() {
         gateway_settings out;
         out.retry_reserve = 100;
+        out.most_unsent_total = 200'000;
         return out;
     }
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -354,6 +354,7 @@
         vms_serving_.set(static_cast<double>(fleet_.serving(time_.now())));
         store_calls_.set(static_cast<double>(store_.calls()));
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
+        unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
         set_age("configuration", configuration_);
         set_age("endpoints", endpoints_);
@@ -448,6 +449,8 @@
         add_gauge("store_calls", "Calls to the store since the start.");
     telemetry::gauge& connections_made_ =
         add_gauge("endpoint_connections", "Connections made to endpoints since the start.");
+    telemetry::gauge& unsent_bytes_ =
+        add_gauge("unsent_bytes", "Answer bytes that wait for callers to read.");
     telemetry::gauge& hints_dropped_ =
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
