--- a/libs/routing/include/routing/work_table.h
+++ b/libs/routing/include/routing/work_table.h
@@ -26,6 +26,12 @@
         memory_tokens += it.memory_tokens;
         return *this;
     }
+    endpoint_work& operator-=(const endpoint_work& it) {
+        requests -= it.requests;
+        unread_tokens -= it.unread_tokens;
+        memory_tokens -= it.memory_tokens;
+        return *this;
+    }
 };
 
 using work_by_endpoint = std::map<endpoint_id, endpoint_work>;
@@ -45,10 +51,13 @@
     /// Takes what another daemon has under way; it counts for `lifetime`.
     void on_peer(const vm_id& peer, work_by_endpoint work, time_point now, duration lifetime);
 
+    /// Drops the statements whose lifetime is over.
+    void sweep(time_point now);
+
     /// Work of this daemon.
     const work_by_endpoint& own() const { return own_; }
     /// Work of all daemons at one endpoint.
-    endpoint_work total(const endpoint_id& id, time_point now) const;
+    endpoint_work total(const endpoint_id& id) const;
 
 private:
     struct running {
@@ -61,9 +70,13 @@
         time_point ends_at{};
     };
 
+    void take_back(const work_by_endpoint& work);
+
     std::unordered_map<request_number, running> running_;
     work_by_endpoint own_;
     std::map<vm_id, peer_work> peers_;
+    /// Sum of the peers' work, so that a choice costs no pass over the fleet.
+    std::unordered_map<endpoint_id, endpoint_work> others_;
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -94,7 +94,7 @@
 
 duration endpoint_chooser::place_wait(const endpoint& it, const choice_request& request,
                                       time_point now) const {
-    const endpoint_work work = work_.total(it.id, now);
+    const endpoint_work work = work_.total(it.id);
     const bool is_engine = request.target.engine.has_value();
     const duration run = is_engine ? settings_.usual_run : settings_.usual_call;
     duration wait = duration::zero();
--- a/libs/routing/src/work_table.cpp
+++ b/libs/routing/src/work_table.cpp
@@ -1,5 +1,7 @@
 #include "routing/work_table.h"
 
+#include <iterator>
+
 namespace radishpulley::routing {
 
 void work_table::start(request_number number, const endpoint_id& to, std::uint32_t unread_tokens,
@@ -33,25 +35,50 @@
     running_.erase(found);
 }
 
+void work_table::take_back(const work_by_endpoint& work) {
+    for (const auto& [id, it] : work) {
+        const auto found = others_.find(id);
+        found->second -= it;
+        if (found->second.requests == 0) {
+            others_.erase(found);
+        }
+    }
+}
+
 void work_table::on_peer(const vm_id& peer, work_by_endpoint work, time_point now,
                          duration lifetime) {
-    peers_[peer] = {std::move(work), now + lifetime};
+    peer_work& known = peers_[peer];
+    take_back(known.work);
+    // Work without requests would leave entries that nobody takes back.
+    for (auto it = work.begin(); it != work.end();) {
+        it = it->second.requests == 0 ? work.erase(it) : std::next(it);
+    }
+    known = {std::move(work), now + lifetime};
+    for (const auto& [id, it] : known.work) {
+        others_[id] += it;
+    }
 }
 
-endpoint_work work_table::total(const endpoint_id& id, time_point now) const {
+void work_table::sweep(time_point now) {
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        if (now > it->second.ends_at) {
+            take_back(it->second.work);
+            it = peers_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+endpoint_work work_table::total(const endpoint_id& id) const {
     endpoint_work sum;
     const auto own = own_.find(id);
     if (own != own_.end()) {
         sum += own->second;
     }
-    for (const auto& [vm, peer] : peers_) {
-        if (now > peer.ends_at) {
-            continue;
-        }
-        const auto found = peer.work.find(id);
-        if (found != peer.work.end()) {
-            sum += found->second;
-        }
+    const auto others = others_.find(id);
+    if (others != others_.end()) {
+        sum += others->second;
     }
     return sum;
 }
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -79,26 +79,44 @@
     it.start(1, engine, 1'000, 1'500);
     it.start(2, engine, 200, 300);
     it.on_peer(vm_id("v"), {{engine, {3, 50, 60}}}, start, std::chrono::seconds(2));
-    BOOST_TEST(it.total(engine, start).requests == 5U);
-    BOOST_TEST(it.total(engine, start).unread_tokens == 1'250U);
+    BOOST_TEST(it.total(engine).requests == 5U);
+    BOOST_TEST(it.total(engine).unread_tokens == 1'250U);
     it.on_prompt_read(1);
     it.on_prompt_read(1);
-    BOOST_TEST(it.total(engine, start).unread_tokens == 250U);
+    BOOST_TEST(it.total(engine).unread_tokens == 250U);
     it.finish(1);
     it.finish(1);
     it.finish(2);
     BOOST_TEST(it.own().empty());
     // A peer that fell silent counts until its statement ends.
-    BOOST_TEST(it.total(engine, start + seconds(2)).requests == 3U);
-    BOOST_TEST(it.total(engine, start + seconds(3)).requests == 0U);
+    it.sweep(start + seconds(2));
+    BOOST_TEST(it.total(engine).requests == 3U);
+    it.sweep(start + seconds(3));
+    BOOST_TEST(it.total(engine).requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_peers_statement_replaces_the_one_before) {
+    work_table it;
+    const vm_id peer("v");
+    const vm_id other("w");
+    it.on_peer(peer, {{engine, {3, 50, 60}}, {endpoint_id("f"), {0, 0, 0}}}, start, seconds(2));
+    it.on_peer(other, {{engine, {1, 10, 20}}}, start, seconds(9));
+    BOOST_TEST(it.total(engine).requests == 4U);
+    it.on_peer(peer, {{endpoint_id("f"), {2, 5, 6}}}, start + seconds(1), seconds(2));
+    BOOST_TEST(it.total(engine).requests == 1U);
+    BOOST_TEST(it.total(engine).unread_tokens == 10U);
+    BOOST_TEST(it.total(endpoint_id("f")).memory_tokens == 6U);
+    it.sweep(start + seconds(4));
+    BOOST_TEST(it.total(endpoint_id("f")).requests == 0U);
+    BOOST_TEST(it.total(engine).requests == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_request_that_moves_on_counts_once) {
     work_table it;
     it.start(1, engine, 1'000, 1'500);
     it.start(1, endpoint_id("f"), 900, 1'400);
-    BOOST_TEST(it.total(engine, start).requests == 0U);
-    BOOST_TEST(it.total(endpoint_id("f"), start).unread_tokens == 900U);
+    BOOST_TEST(it.total(engine).requests == 0U);
+    BOOST_TEST(it.total(endpoint_id("f")).unread_tokens == 900U);
 }
 
 BOOST_AUTO_TEST_CASE(only_leading_parts_for_the_same_adapter_are_kept) {
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -100,6 +100,8 @@
     bool has_list_ = false;
     /// What the policy was last configured from.
     bool engines_changed_ = true;
+    bool keepers_changed_ = true;
+    time_point keepers_updated_{};
     std::uint64_t known_fleet_ = 0;
     std::uint64_t known_configuration_ = 0;
     std::optional<ownership::ownership_policy> policy_;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -396,6 +396,7 @@
         }
         data_path_.pool().sweep();
         data_path_.sweep();
+        data_path_.work().sweep(now);
         if (now - settings_checked_ >= settings_check_interval) {
             reload();
         }
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -22,6 +22,8 @@
 constexpr double full_speed_loads_per_engine = 0.35;
 constexpr duration pause_limit = std::chrono::milliseconds(1'500);
 constexpr std::chrono::milliseconds tick_interval{100};
+// Engines are looked over for what the guard allows now even where nothing changed.
+constexpr duration keepers_interval = std::chrono::milliseconds(500);
 constexpr duration flush_interval = std::chrono::milliseconds(400);
 constexpr gateway::follower_settings holders_pace{std::chrono::milliseconds(10'000),
                                                   std::chrono::milliseconds(500)};
@@ -116,7 +118,9 @@
         guard_->on_running(now);
         plan(now);
         hand_over(now);
-        update_keepers();
+        if (keepers_changed_ || now - keepers_updated_ >= keepers_interval) {
+            update_keepers();
+        }
     }
     if (now - flushed_at_ >= flush_interval) {
         flushed_at_ = now;
@@ -200,6 +204,7 @@
         return;
     }
     engines_changed_ = false;
+    keepers_changed_ = true;
     known_fleet_ = fleet_.changes();
     known_configuration_ = version;
     std::vector<ownership::holding_spec> specs;
@@ -271,12 +276,15 @@
 void load_coordinator::hand_over(time_point now) {
     for (const ownership::holding_id& id : policy_->to_hand_over(*fleet_.knowledge(), now)) {
         guard_->stop(id);
+        keepers_changed_ = true;
         commit(policy_->vacate(id));
     }
 }
 
 void load_coordinator::update_keepers() {
     const time_point now = time_.now();
+    keepers_changed_ = false;
+    keepers_updated_ = now;
     const std::vector<const routing::endpoint*> endpoints = data_path_.directory().all();
     routing::keeper_settings settings;
     settings.full_speed_loads = std::max(
@@ -305,6 +313,7 @@
 
 void load_coordinator::on_endpoint(const routing::endpoint& it) {
     engines_changed_ = true;
+    keepers_changed_ = true;
     const auto kept = kept_.find(it.id);
     if (kept != kept_.end()) {
         kept->second.keeper.on_entry(it);
