--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -252,7 +252,8 @@
 BOOST_FIXTURE_TEST_CASE(callers_that_do_not_read_take_a_bounded_part_of_memory, world) {
     configure();
     auto& engine = add_endpoint("e1", [](const std::string&, peer& to) {
-        to.send("HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 999999999\r\n\r\n");
+        to.send(
+            "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 999999999\r\n\r\n");
     });
     constexpr std::size_t caller_count = 8;
     constexpr int rounds = 300;
--- /dev/null
+++ b/libs/quota/src/details/account_pool_collecting.cpp
@@ -0,0 +1,252 @@
+// Tokens for requests that wait, and spare ones: which slots are asked for how much.
+#include "details/account_pool.h"
+
+#include <algorithm>
+#include <string>
+
+#include "base/digest.h"
+
+namespace radishpulley::quota::detail {
+namespace {
+
+constexpr duration silence = std::chrono::seconds(1);
+constexpr token_amount least_spare_requests = 2;
+constexpr duration least_round_gap = std::chrono::milliseconds(20);
+constexpr duration least_spare_interval = std::chrono::milliseconds(20);
+
+// Spare tokens of one daemon are at most this part of what the slots are expected to hold.
+constexpr token_amount spare_part = 16;
+
+// Smallest part of a slot's burst that is worth a message.
+constexpr token_amount least_parts_of_slot = 36;
+
+constexpr int search_steps = 48;
+
+token_amount product(token_amount rate, duration elapsed) {
+    return static_cast<token_amount>(static_cast<__int128>(rate) * elapsed.count() / 1'000'000'000);
+}
+
+}  // namespace
+
+// Collecting tokens for requests that wait.
+
+bool account_pool::round_is_over(time_point now) {
+    bool is_answered = true;
+    for (const auto& [slot, number] : collection_) {
+        const auto it = loans_.find(number);
+        if (it != loans_.end() && !it->second.answered) {
+            is_answered = false;
+        }
+    }
+    if (is_answered || now < round_until_) {
+        return is_answered;
+    }
+    note_silence(now);
+    return true;
+}
+
+void account_pool::note_silence(time_point now) {
+    for (const auto& [slot, number] : collection_) {
+        const auto it = loans_.find(number);
+        if (it != loans_.end() && !it->second.answered &&
+            now - it->second.asked_at >= context_.policy.round_wait) {
+            views_[slot].silent_until = now + silence;
+        }
+    }
+}
+
+void account_pool::begin_collection(time_point now) {
+    collection_.clear();
+    priority_ =
+        stable_hash(context_.self.vm.str() + "/" + std::to_string(context_.self.incarnation) + "/" +
+                    std::to_string(queue_.front().number));
+    round_until_ = now;
+}
+
+void account_pool::collect(time_point now, quota_output& out) {
+    const token_amount missing = std::min(queued(), limits_.burst) - available(now);
+    if (missing <= 0 || context_.table.slots.empty()) {
+        return;
+    }
+    if (round_ == collecting::idle) {
+        begin_collection(now);
+        if (shortage_ && now - shortage_at_ < context_.policy.admission_wait) {
+            round_ = collecting::all_slots;
+            ask_all(missing, now, out);
+            return;
+        }
+        round_ = collecting::likely_slots;
+        round_until_ = now + context_.policy.round_wait;
+        ask_fullest(missing + spare_target(now) / 2, now, out);
+    } else if (round_ == collecting::likely_slots && round_is_over(now)) {
+        round_ = collecting::known_slots;
+        round_until_ = now + context_.policy.round_wait;
+        ask_fullest(missing, now, out);
+    } else if (round_ == collecting::known_slots && round_is_over(now)) {
+        round_ = collecting::all_slots;
+        ask_all(missing, now, out);
+    } else if (round_ == collecting::all_slots) {
+        const duration longest = context_.policy.round_wait * 2;
+        const token_amount first = queue_.front().size + debt_ - available(now);
+        round_until_ = std::clamp(expected_at(first, now), all_asked_at_ + least_round_gap,
+                                  all_asked_at_ + longest);
+        if (now >= round_until_) {
+            note_silence(now);
+            ask_all(missing, now, out);
+        }
+    }
+}
+
+time_point account_pool::expected_at(token_amount missing, time_point now) const {
+    token_amount known = 0;
+    for (std::size_t i = 0; i < views_.size(); ++i) {
+        known += expected_balance(static_cast<slot_number>(i), now);
+    }
+    const duration wait = time_to_add(std::max<token_amount>(0, missing - known), limits_.rate);
+    return wait < context_.policy.admission_wait ? now + wait
+                                                 : now + context_.policy.admission_wait;
+}
+
+// Takes from the fullest slots down to a common level: a slot that stays full while others are
+// short adds no tokens.
+void account_pool::ask_fullest(token_amount need, time_point now, quota_output& out) {
+    const std::vector<slot_number> slots = slots_by_balance(now);
+    const auto above = [&](token_amount level) {
+        token_amount sum = 0;
+        for (const slot_number slot : slots) {
+            sum += std::max<token_amount>(0, expected_balance(slot, now) - level);
+        }
+        return sum;
+    };
+    token_amount low = 0;
+    token_amount high = limits_.burst;
+    for (int i = 0; i < search_steps && low < high; ++i) {
+        const token_amount middle = low + (high - low) / 2;
+        if (above(middle) > need) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    token_amount missing = need;
+    for (const slot_number slot : slots) {
+        const token_amount balance = expected_balance(slot, now);
+        const token_amount least = share_burst(slot) / least_parts_of_slot + 1;
+        const token_amount wanted = std::min(balance, std::max(least, balance - high + 1));
+        const token_amount amount = std::min(missing, wanted);
+        if (amount > 0) {
+            ask({slot, amount}, false, now, out);
+            missing -= amount;
+        }
+    }
+}
+
+void account_pool::ask_all(token_amount need, time_point now, quota_output& out) {
+    all_asked_at_ = now;
+    round_until_ = now + context_.policy.round_wait * 2;
+    for (const slot_number slot : slots_by_balance(now)) {
+        ask({slot, need}, true, now, out);
+    }
+}
+
+void account_pool::ask(const slot_need& need, bool recall, time_point now, quota_output& out) {
+    const auto known = collection_.find(need.slot);
+    const auto existing = known == collection_.end() ? loans_.end() : loans_.find(known->second);
+    const bool is_usable = existing != loans_.end() && !existing->second.closed &&
+                           existing->second.fence == context_.table.slots[need.slot].fence &&
+                           now - existing->second.requested_at < context_.policy.admission_wait;
+    if (is_usable) {
+        loan& it = existing->second;
+        it.wanted = std::max(it.wanted, it.granted + need.amount);
+        it.asked_at = it.answered ? now : it.asked_at;
+        it.answered = false;
+        send_request(existing->first, it, recall, now, out);
+        return;
+    }
+    const loan_number number = ++context_.last_loan;
+    loan it;
+    it.slot = need.slot;
+    it.fence = context_.table.slots[need.slot].fence;
+    it.owner = *context_.table.slots[need.slot].owner;
+    it.requested_at = now;
+    it.asked_at = now;
+    it.ends_at = now + context_.policy.loan_lifetime;
+    it.wanted = need.amount;
+    send_request(number, it, recall, now, out);
+    loans_.emplace(number, it);
+    collection_[need.slot] = number;
+}
+
+void account_pool::send_request(loan_number number, loan& it, bool recall, time_point now,
+                                quota_output& out) const {
+    loan_request message;
+    message.key = {it.slot, it.fence, account_, number};
+    message.wanted = it.wanted;
+    message.lifetime = context_.policy.loan_lifetime;
+    message.priority = priority_;
+    message.recall = recall;
+    if (!queue_.empty()) {
+        message.wait = std::max(duration::zero(), duration(queue_.back().deadline - now));
+    }
+    out.messages.push_back({it.owner, message});
+}
+
+void account_pool::end_collection(time_point now, quota_output& out) {
+    if (round_ == collecting::idle) {
+        return;
+    }
+    round_ = collecting::idle;
+    for (const auto& [slot, number] : collection_) {
+        const auto it = loans_.find(number);
+        if (it != loans_.end() && it->second.granted < it->second.wanted) {
+            it->second.closed = true;
+            report(number, it->second, now, out);
+        }
+    }
+    collection_.clear();
+}
+
+// Spare tokens, kept so that small requests need no message.
+
+token_amount account_pool::spare_target(time_point now) const {
+    if (now < no_spare_until_) {
+        return 0;
+    }
+    token_amount expected = 0;
+    for (std::size_t i = 0; i < views_.size(); ++i) {
+        expected += expected_balance(static_cast<slot_number>(i), now);
+    }
+    const token_amount target =
+        std::min(product(demand_.rate(now), context_.policy.prefetch), expected / spare_part);
+    // Fewer tokens than a few requests need would only lie idle here.
+    return target < usual_size_ * least_spare_requests ? 0 : target;
+}
+
+void account_pool::top_up(time_point now, quota_output& out) {
+    const token_amount target = spare_target(now);
+    const token_amount held = available(now) - debt_;
+    if (target <= 0 || held >= target / 2 || context_.table.slots.empty()) {
+        return;
+    }
+    if (spare_loan_ && now < spare_asked_at_ + least_spare_interval) {
+        return;
+    }
+    const auto pending = loans_.find(spare_loan_.value_or(0));
+    if (pending != loans_.end() && !pending->second.answered) {
+        if (now < spare_asked_at_ + context_.policy.round_wait) {
+            return;
+        }
+        views_[pending->second.slot].silent_until = now + silence;
+    }
+    const std::vector<slot_number> slots = slots_by_balance(now);
+    if (slots.empty() || views_[slots.front()].silent_until > now ||
+        expected_balance(slots.front(), now) <= 0) {
+        return;
+    }
+    ask_fullest(target - held, now, out);
+    spare_loan_ = context_.last_loan;
+    spare_asked_at_ = now;
+    collection_.clear();
+}
+
+}  // namespace radishpulley::quota::detail
--- a/libs/routing/tests/presence_schedule_tests.cpp
+++ b/libs/routing/tests/presence_schedule_tests.cpp
@@ -17,8 +17,9 @@
     const auto per_second = [&](peer_distance distance) {
         return 1 / std::chrono::duration<double>(it.interval(distance)).count();
     };
-    const auto near = static_cast<double>(vms / regions - 1);
-    const auto far = static_cast<double>(vms - vms / regions);
+    const std::size_t in_region = vms / regions;
+    const auto near = static_cast<double>(in_region - 1);
+    const auto far = static_cast<double>(vms - in_region);
     return near * per_second(peer_distance::near) + far * per_second(peer_distance::far);
 }
 
