Rate limits: retired slots are lent again where the store could not be read

Found in the reading of the diff: an owner that had stopped lending idle slots for a hand-over kept them so while the store was away, although nothing had been written.

--- a/libs/quota/include/quota/quota_node.h
+++ b/libs/quota/include/quota/quota_node.h
@@ -40,6 +40,9 @@
     /// Stops lending idle slots and returns them, for daemons that wish for some.
     std::set<slot_number> retire_idle(time_point now) { return owner_.retire_idle(now); }
 
+    /// Lends retired slots again, because it is certain that none was handed over.
+    void resume_retired() { owner_.resume_retired(); }
+
     /// Moment of the next call of advance().
     time_point next_event() const;
     const slot_owner& owner() const { return owner_; }
--- a/libs/quota/include/quota/slot_owner.h
+++ b/libs/quota/include/quota/slot_owner.h
@@ -53,6 +53,8 @@
     /// Stops lending the slots from which no other daemon has borrowed of late, so that they can be
     /// handed over, and returns them. The next `set_table` resumes those that are still owned.
     std::set<slot_number> retire_idle(time_point now);
+    /// Lends retired slots again, because it is certain that none was handed over.
+    void resume_retired();
 
     /// Lends nothing any more, as a stopping daemon does before it releases its slots.
     void stop();
--- a/libs/quota/include/quota/slot_registry.h
+++ b/libs/quota/include/quota/slot_registry.h
@@ -42,6 +42,9 @@
     /// Releases all slots of `self`. Call it only after the daemon stopped lending for good.
     registry_outcome release(const vm_incarnation& self);
 
+    /// False while a write without an answer may still take effect.
+    bool is_settled() const { return !unanswered_; }
+
     /// Last table read or written; without slots before the first success.
     const slot_table& table() const { return table_; }
 
--- a/libs/quota/src/slot_owner.cpp
+++ b/libs/quota/src/slot_owner.cpp
@@ -229,6 +229,12 @@
     return retired;
 }
 
+void slot_owner::resume_retired() {
+    for (auto& [number, slot] : slots_) {
+        slot->is_retired = false;
+    }
+}
+
 void slot_owner::stop() {
     stopped_ = true;
 }
--- a/libs/quota/tests/slot_registry_tests.cpp
+++ b/libs/quota/tests/slot_registry_tests.cpp
@@ -135,6 +135,11 @@
     BOOST_TEST(!is_lent(idle));
     owner.set_table({{slot_entry{vm("a"), 1}}, {}}, idle);
     BOOST_TEST(is_lent(idle));
+    // Nothing was written while the store was out of reach.
+    owner.retire_idle(idle + std::chrono::seconds(1));
+    BOOST_TEST(!is_lent(idle + std::chrono::seconds(1)));
+    owner.resume_retired();
+    BOOST_TEST(is_lent(idle + std::chrono::seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(a_write_without_an_answer_keeps_the_table_open) {
@@ -148,6 +153,7 @@
     store.inject({fault::none, fault::lost_call, fault::none, fault::lost_call, fault::none,
                   fault::lost_call, fault::none, fault::lost_call});
     BOOST_CHECK(registry.claim(idle) != registry_outcome::current);
+    BOOST_TEST(!registry.is_settled());
     idle.is_cut_off = false;
     BOOST_CHECK(registry.claim(idle) == registry_outcome::unknown);
     slot_registry other(store, slot_count);
@@ -155,6 +161,7 @@
     wish.is_cut_off = true;
     other.claim(wish);
     BOOST_CHECK(registry.claim(idle) == registry_outcome::current);
+    BOOST_TEST(registry.is_settled());
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_that_was_paused_or_replaced_lends_nothing) {
--- a/libs/quota_trial/src/trial_fleet.cpp
+++ b/libs/quota_trial/src/trial_fleet.cpp
@@ -93,10 +93,13 @@
     if (it.is_cut_from_store || it.paused_until > now_) {
         return;
     }
-    if (it.registry->claim(view_of(it)) == registry_outcome::current) {
+    const registry_outcome outcome = it.registry->claim(view_of(it));
+    if (outcome == registry_outcome::current) {
         run_member(vm, [this](member& m) {
             return m.node->set_table(m.registry->table(), local_time(m));
         });
+    } else if (outcome == registry_outcome::unreachable && it.registry->is_settled()) {
+        it.node->resume_retired();
     }
 }
 
--- a/radishpulley/daemon/src/quota_runtime.cpp
+++ b/radishpulley/daemon/src/quota_runtime.cpp
@@ -128,10 +128,14 @@
             fleet.retired = node_.retire_idle(clock_.now());
         }
     }
-    if (registry_.claim(fleet) != quota::registry_outcome::current) {
+    const quota::registry_outcome outcome = registry_.claim(fleet);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (outcome == quota::registry_outcome::unreachable && registry_.is_settled()) {
+        node_.resume_retired();
+    }
+    if (outcome != quota::registry_outcome::current) {
         return;
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
     carry_out(node_.set_table(registry_.table(), clock_.now()));
 }
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -42,6 +42,8 @@
     void on_endpoint_removed(const endpoint_id& id);
     void on_version(const routing::model_choice& adapter, std::uint64_t version);
     void on_hint(const routing::hint_message& it);
+    /// Sets whether engines refuse orders with an old fencing number, so that a suspected holder
+    /// can be replaced.
     void set_endpoints_check_fencing(bool they_do) {
         endpoints_check_fencing_ = they_do;
         engines_changed_ = true;
@@ -98,12 +100,13 @@
     gateway::collection_follower follower_;
     boost::asio::steady_timer tick_timer_;
     bool has_list_ = false;
-    /// What the policy was last configured from.
+    /// Whether engines changed since the policy was configured, and what it was configured from.
     bool engines_changed_ = true;
-    bool keepers_changed_ = true;
-    time_point keepers_updated_{};
     std::uint64_t known_fleet_ = 0;
     std::uint64_t known_configuration_ = 0;
+    /// Whether something changed that decides which engines this VM orders.
+    bool keepers_changed_ = true;
+    time_point keepers_updated_{};
     std::optional<ownership::ownership_policy> policy_;
     std::optional<ownership::holder_guard> guard_;
     std::map<ownership::shard_index, ownership::shard> shards_;
