--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -4,26 +4,22 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include "gateway/http_status.h"
+
 namespace radishpulley::gateway {
 namespace {
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr unsigned bad_request = 400;
-constexpr unsigned request_timeout = 408;
-constexpr unsigned too_large = 413;
-constexpr unsigned headers_too_large = 431;
-constexpr unsigned no_content = 204;
-constexpr unsigned not_modified = 304;
 // Longest line end and chunk header that may stand before the limits apply.
 constexpr std::uint32_t header_slack = 64;
 
 unsigned status_of(const error_code& ec) {
     if (ec == http::error::header_limit) {
-        return headers_too_large;
+        return status_headers_too_large;
     }
-    return ec == http::error::body_limit ? too_large : bad_request;
+    return ec == http::error::body_limit ? status_too_large : status_bad_request;
 }
 
 }  // namespace
@@ -95,7 +91,7 @@
         return;
     }
     if (reading_request_) {
-        refuse(request_timeout, "the request took too long to arrive");
+        refuse(status_request_timeout, "the request took too long to arrive");
     } else {
         link_->finish();
         ended();
@@ -186,7 +182,7 @@
     if (service_.is_stopping()) {
         keep_alive_ = false;
     }
-    no_body_ = is_head_ || head.status == no_content || head.status == not_modified;
+    no_body_ = is_head_ || head.status == status_no_content || head.status == status_not_modified;
     chunked_ = !head.length && !no_body_ && is_http11_;
     if (!head.length && !no_body_ && !is_http11_) {
         keep_alive_ = false;
@@ -199,7 +195,7 @@
     for (const header& it : head.headers) {
         append_header(out, it.name, it.value);
     }
-    if (head.length && head.status != no_content) {
+    if (head.length && head.status != status_no_content) {
         append_header(out, "Content-Length", std::to_string(*head.length));
     } else if (chunked_) {
         append_header(out, "Transfer-Encoding", "chunked");
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -67,6 +67,9 @@
     std::string request_bytes() const;
     void on_rejected(const answer_head& head);
     void relay_head(const answer_head& head);
+    /// Where the call that ended brought no answer for the caller, sends the request again or
+    /// refuses it; returns whether that was so.
+    bool send_again_if_discarded();
     /// Sends it to another endpoint, or refuses it after too many.
     void try_elsewhere();
     bool may_have_run() const { return runs_ > 0; }
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -117,17 +117,24 @@
     }
 }
 
-void exchange::on_done() {
-    const auto self = shared_from_this();
-    note_call_ended();
-    owner_.pool_.release(endpoint_, std::move(connection_));
-    connection_.reset();
+bool exchange::send_again_if_discarded() {
     if (rejected_) {
         retry("rejected");
-        return;
+        return true;
     }
     if (discard_answer_) {
         find_endpoint();
+        return true;
+    }
+    return false;
+}
+
+void exchange::on_done() {
+    const auto self = shared_from_this();
+    note_call_ended();
+    owner_.pool_.release(endpoint_, std::move(connection_));
+    connection_.reset();
+    if (send_again_if_discarded()) {
         return;
     }
     if (events_ && !events_->rest().empty()) {
@@ -154,12 +161,7 @@
                           {"sent", why != call_failure::not_sent},
                           {"relayed_bytes", relayed_},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
-    if (rejected_) {
-        retry("rejected");
-        return;
-    }
-    if (discard_answer_) {
-        find_endpoint();
+    if (send_again_if_discarded()) {
         return;
     }
     owner_.directory_.on_call(endpoint_,
--- a/libs/quota/tests/slot_registry_tests.cpp
+++ b/libs/quota/tests/slot_registry_tests.cpp
@@ -32,6 +32,33 @@
     return n;
 }
 
+const time_point start{std::chrono::hours(1)};
+
+// The owner of the only slot, from which `b` borrows.
+struct lending_owner {
+    explicit lending_owner(token_amount wanted) : owner(vm("a"), quota_policy()) {
+        const client_account_id account("sastro");
+        owner.set_limits({{account, {to_amount(10), to_amount(100)}}}, start);
+        owner.set_table(table(), start);
+        request.key = {0, 1, account, 1};
+        request.wanted = wanted;
+        request.lifetime = quota_policy().loan_lifetime;
+    }
+
+    static slot_table table() { return {{slot_entry{vm("a"), 1}}, {}}; }
+
+    // Whether a new loan is granted now.
+    bool is_lent(time_point now) {
+        ++request.key.loan;
+        const outgoing_messages out = owner.receive(vm("b"), request, now);
+        const auto* grant = std::get_if<loan_grant>(&out.front().message);
+        return grant != nullptr && grant->granted > 0;
+    }
+
+    slot_owner owner;
+    loan_request request;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(slot_registry_suite)
@@ -114,32 +141,19 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_retired_slot_lends_again_only_by_a_table) {
-    const client_account_id account("sastro");
-    const time_point start{std::chrono::hours(1)};
-    slot_owner owner(vm("a"), quota_policy());
-    owner.set_limits({{account, {to_amount(10), to_amount(100)}}}, start);
-    owner.set_table({{slot_entry{vm("a"), 1}}, {}}, start);
-    loan_request request;
-    request.key = {0, 1, account, 1};
-    request.wanted = to_amount(1);
-    request.lifetime = quota_policy().loan_lifetime;
-    const auto is_lent = [&](time_point now) {
-        ++request.key.loan;
-        const outgoing_messages out = owner.receive(vm("b"), request, now);
-        return std::holds_alternative<loan_grant>(out.front().message);
-    };
-    BOOST_TEST(is_lent(start));
-    BOOST_TEST(owner.retire_idle(start + std::chrono::milliseconds(999)).empty());
+    lending_owner it(to_amount(1));
+    BOOST_TEST(it.is_lent(start));
+    BOOST_TEST(it.owner.retire_idle(start + std::chrono::milliseconds(999)).empty());
     const time_point idle = start + std::chrono::seconds(1);
-    BOOST_TEST(owner.retire_idle(idle).size() == 1U);
-    BOOST_TEST(!is_lent(idle));
-    owner.set_table({{slot_entry{vm("a"), 1}}, {}}, idle);
-    BOOST_TEST(is_lent(idle));
+    BOOST_TEST(it.owner.retire_idle(idle).size() == 1U);
+    BOOST_TEST(!it.is_lent(idle));
+    it.owner.set_table(lending_owner::table(), idle);
+    BOOST_TEST(it.is_lent(idle));
     // Nothing was written while the store was out of reach.
-    owner.retire_idle(idle + std::chrono::seconds(1));
-    BOOST_TEST(!is_lent(idle + std::chrono::seconds(1)));
-    owner.resume_retired();
-    BOOST_TEST(is_lent(idle + std::chrono::seconds(1)));
+    it.owner.retire_idle(idle + std::chrono::seconds(1));
+    BOOST_TEST(!it.is_lent(idle + std::chrono::seconds(1)));
+    it.owner.resume_retired();
+    BOOST_TEST(it.is_lent(idle + std::chrono::seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(a_write_without_an_answer_keeps_the_table_open) {
@@ -165,37 +179,23 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_that_was_paused_or_replaced_lends_nothing) {
-    const client_account_id account("sastro");
-    const time_point start{std::chrono::hours(1)};
-    slot_owner owner(vm("a"), quota_policy());
-    owner.set_limits({{account, {to_amount(10), to_amount(100)}}}, start);
-    owner.set_table({{slot_entry{vm("a"), 1}}}, start);
-    loan_request request;
-    request.key = {0, 1, account, 1};
-    request.wanted = to_amount(10);
-    request.lifetime = quota_policy().loan_lifetime;
-    const auto is_lent = [&](time_point now) {
-        ++request.key.loan;
-        const outgoing_messages out = owner.receive(vm("b"), request, now);
-        const auto* it = std::get_if<loan_grant>(&out.front().message);
-        return it != nullptr && it->granted > 0;
-    };
-    BOOST_TEST(is_lent(start));
+    lending_owner it(to_amount(10));
+    BOOST_TEST(it.is_lent(start));
     const time_point later = start + std::chrono::minutes(1);
-    BOOST_TEST(!is_lent(later));
-    BOOST_TEST(owner.needs_table());
-    owner.set_table({{slot_entry{vm("a"), 1}}}, later);
-    BOOST_TEST(is_lent(later));
+    BOOST_TEST(!it.is_lent(later));
+    BOOST_TEST(it.owner.needs_table());
+    it.owner.set_table(lending_owner::table(), later);
+    BOOST_TEST(it.is_lent(later));
     // A table read earlier than the one in force changes nothing.
-    owner.set_table({{slot_entry{vm("c"), 0}}}, later);
-    BOOST_TEST(is_lent(later));
-    owner.set_table({{slot_entry{vm("c"), 2}}}, later);
-    BOOST_TEST(!is_lent(later));
+    it.owner.set_table({{slot_entry{vm("c"), 0}}}, later);
+    BOOST_TEST(it.is_lent(later));
+    it.owner.set_table({{slot_entry{vm("c"), 2}}}, later);
+    BOOST_TEST(!it.is_lent(later));
     // Won back, it starts empty and lends after the loans of its predecessor have ended.
-    owner.set_table({{slot_entry{vm("a"), 3}}}, later);
-    request.key.fence = 3;
-    BOOST_TEST(!is_lent(later + quota_policy().loan_lifetime));
-    BOOST_TEST(is_lent(later + quota_policy().loan_lifetime + std::chrono::seconds(1)));
+    it.owner.set_table({{slot_entry{vm("a"), 3}}}, later);
+    it.request.key.fence = 3;
+    BOOST_TEST(!it.is_lent(later + quota_policy().loan_lifetime));
+    BOOST_TEST(it.is_lent(later + quota_policy().loan_lifetime + std::chrono::seconds(1)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/routing/tests/account_limiter_tests.cpp
+++ b/libs/routing/tests/account_limiter_tests.cpp
@@ -53,6 +53,23 @@
     std::vector<std::unique_ptr<account_limiter>> vms;
 };
 
+// Sends 50,000 units a second to the first `busy` VMs by turns until `end_ms`, and returns how many
+// requests were refused after the first 4 s.
+int refused_late(fleet& all, int end_ms, int busy) {
+    int refused = 0;
+    for (int ms = 0; ms < end_ms; ms += 10) {
+        const time_point now = start + milliseconds(ms);
+        if (ms % 400 == 0) {
+            all.exchange(now);
+        }
+        const bool late = ms > 4'000;
+        if (!is_admitted(all.vms[ms / 10 % busy]->admit(acme, 500, now)) && late) {
+            ++refused;
+        }
+    }
+    return refused;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(account_limiter_tests)
@@ -109,35 +126,12 @@
 
 BOOST_AUTO_TEST_CASE(demand_within_the_limit_is_admitted_though_it_comes_to_one_vm) {
     fleet all(7, 80'000, 80'000);
-    int refused = 0;
-    for (int ms = 0; ms < 20'000; ms += 10) {
-        const time_point now = start + milliseconds(ms);
-        if (ms % 400 == 0) {
-            all.exchange(now);
-        }
-        // 50,000 a second, all at the first VM.
-        const bool late = ms > 4'000;
-        if (!is_admitted(all.vms[0]->admit(acme, 500, now)) && late) {
-            ++refused;
-        }
-    }
-    BOOST_TEST(refused == 0);
+    BOOST_TEST(refused_late(all, 20'000, 1) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(many_idle_vms_do_not_take_the_shares_of_the_busy_ones) {
     fleet all(88, 80'000, 80'000);
-    int refused = 0;
-    for (int ms = 0; ms < 8'000; ms += 10) {
-        const time_point now = start + milliseconds(ms);
-        if (ms % 400 == 0) {
-            all.exchange(now);
-        }
-        const bool late = ms > 4'000;
-        if (!is_admitted(all.vms[ms / 10 % 4]->admit(acme, 500, now)) && late) {
-            ++refused;
-        }
-    }
-    BOOST_TEST(refused == 0);
+    BOOST_TEST(refused_late(all, 8'000, 4) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(short_calls_pass_while_long_prompts_are_over_the_limit) {
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -1,11 +1,11 @@
 #include "settings/edge_settings.h"
 
 #include <charconv>
-#include <fstream>
 #include <sstream>
 
 #include "base/findings.h"
 #include "details/parse_table.h"
+#include "settings/read_file.h"
 
 // NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor)
 #include <toml++/toml.h>
@@ -126,15 +126,13 @@
 }
 
 edge_settings load_edge_settings(const std::string& path) {
-    std::ifstream in(path);
-    std::stringstream text;
-    text << in.rdbuf();
-    if (!in) {
+    const auto text = read_file(path);
+    if (!text) {
         findings found;
         found.add(path, "can't be read");
         throw invalid_input(found);
     }
-    return parse_edge_settings(text.str(), path);
+    return parse_edge_settings(*text, path);
 }
 
 }  // namespace radishpulley::settings
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -1,7 +1,6 @@
 #include "settings/settings.h"
 
 #include <array>
-#include <fstream>
 #include <sstream>
 
 #include "details/address_text.h"
@@ -9,6 +8,7 @@
 #include "details/parse_table.h"
 #include "details/setting_fields.h"
 #include "details/toml_reader.h"
+#include "settings/read_file.h"
 
 namespace radishpulley::settings {
 namespace {
@@ -109,15 +109,13 @@
 }
 
 settings load_settings(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    std::ostringstream text;
-    text << in.rdbuf();
-    if (!in) {
+    const auto text = read_file(path);
+    if (!text) {
         findings found;
         found.add(path, "cannot be read");
         throw invalid_input(found);
     }
-    return parse_settings(text.str(), path);
+    return parse_settings(*text, path);
 }
 
 std::vector<setting_entry> list_settings(const settings& it) {
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -87,7 +87,7 @@
     /// Tells the holders of uses at their engines.
     void flush_uses();
     void tell_uses(const endpoint_id& engine);
-    std::optional<vm_id> holder_of(const endpoint_id& engine) const;
+    std::optional<vm_incarnation> holder_of(const endpoint_id& engine) const;
     routing::wish_answer ask_keeper(const endpoint_id& engine,
                                     const routing::model_choice& adapter);
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -1,6 +1,8 @@
 #include "edge/edge_daemon.h"
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -11,6 +13,7 @@
 #include "edge/load_coordinator.h"
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
+#include "gateway/http_status.h"
 #include "platform_adapter/decoders.h"
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
@@ -24,9 +27,6 @@
 
 using telemetry::severity;
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unavailable = 503;
-
 constexpr gateway::follower_settings configuration_pace{std::chrono::milliseconds(10'000)};
 constexpr gateway::follower_settings endpoints_pace{std::chrono::milliseconds(4'000),
                                                     std::chrono::milliseconds(500),
@@ -66,6 +66,19 @@
     return out;
 }
 
+// Events of a follower to whose owner removals mean nothing.
+gateway::follower_events for_each_object(std::function<void(const gateway::stored_object&)> take) {
+    return {[take](const gateway::object_list& it) {
+                std::for_each(it.objects.begin(), it.objects.end(), take);
+            },
+            [take](const gateway::object_change& it) {
+                if (!it.removed) {
+                    take(it.object);
+                }
+            },
+            [](bool) {}};
+}
+
 }  // namespace
 
 class edge_daemon::state {
@@ -85,17 +98,7 @@
                  with.bounds.endpoints_check_fencing),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_pace,
-                         {[this](const gateway::object_list& it) {
-                              for (const auto& object : it.objects) {
-                                  on_configuration(object);
-                              }
-                          },
-                          [this](const gateway::object_change& it) {
-                              if (!it.removed) {
-                                  on_configuration(it.object);
-                              }
-                          },
-                          [](bool) {}}),
+                         for_each_object([this](const auto& it) { on_configuration(it); })),
           endpoints_(loop_, time_, store_, platform_adapter::endpoints_kind, endpoints_pace,
                      {[this](const gateway::object_list& it) { on_endpoints(it); },
                       [this](const gateway::object_change& it) {
@@ -112,21 +115,11 @@
                           }
                       }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind, versions_pace,
-                    {[this](const gateway::object_list& it) {
-                         for (const auto& object : it.objects) {
-                             on_version(object);
-                         }
-                     },
-                     [this](const gateway::object_change& it) {
-                         if (!it.removed) {
-                             on_version(it.object);
-                         }
-                     },
-                     [](bool) {}}),
+                    for_each_object([this](const auto& it) { on_version(it); })),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
                           [this] {
-                              return status_answer{status_ok, metrics_.to_text()};
+                              return status_answer{gateway::status_ok, metrics_.to_text()};
                           }),
           callers_(loop_, with.listen.callers,
                    [this](auto socket) { data_path_.accept(std::move(socket)); }),
@@ -216,7 +209,7 @@
 
     status_answer readiness() const {
         const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list();
-        return {ready ? status_ok : status_unavailable, ""};
+        return {ready ? gateway::status_ok : gateway::status_unavailable, ""};
     }
 
     // The endpoints' watch is the shortest and so the first to find the store lost and regained.
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -365,9 +365,9 @@
         }
         return granted != nullptr;
     }
-    const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
-    return holding && !holding->vacant() && holding->holder != *fleet_.self() &&
-           fleet_.send(holding->holder.vm, routing::load_wish{engine, adapter});
+    const auto holder = holder_of(engine);
+    return holder && *holder != *fleet_.self() &&
+           fleet_.send(holder->vm, routing::load_wish{engine, adapter});
 }
 
 void load_coordinator::note_use(const endpoint_id& engine, const model_choice& adapter) {
@@ -384,7 +384,7 @@
 void load_coordinator::tell_uses(const endpoint_id& engine) {
     const routing::adapter_uses said = uses_.take_statement(engine);
     if (const auto holder = holder_of(engine)) {
-        fleet_.send(*holder, said);
+        fleet_.send(holder->vm, said);
     }
 }
 
@@ -392,12 +392,12 @@
     uses_.end(engine, adapter);
 }
 
-std::optional<vm_id> load_coordinator::holder_of(const endpoint_id& engine) const {
+std::optional<vm_incarnation> load_coordinator::holder_of(const endpoint_id& engine) const {
     const auto holding = policy_ ? policy_->find(holding_of(engine)) : std::nullopt;
     if (!holding || holding->vacant()) {
         return std::nullopt;
     }
-    return holding->holder.vm;
+    return holding->holder;
 }
 
 void load_coordinator::note_missing(const endpoint_id& engine, const model_choice& adapter) {
@@ -407,7 +407,7 @@
         return;
     }
     if (const auto holder = holder_of(engine)) {
-        fleet_.send(*holder, routing::adapter_hint{engine, adapter, false, 0, 0});
+        fleet_.send(holder->vm, routing::adapter_hint{engine, adapter, false, 0, 0});
     }
 }
 
--- a/radishpulley/edge/src/settings_file.cpp
+++ b/radishpulley/edge/src/settings_file.cpp
@@ -1,24 +1,16 @@
 #include "settings_file.h"
 
-#include <fstream>
-#include <sstream>
-
 #include "base/findings.h"
+#include "settings/read_file.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::edge {
 
-settings_file::settings_file(std::string path) : path_(std::move(path)), text_(read()) {}
-
-std::string settings_file::read() const {
-    std::ifstream in(path_);
-    std::stringstream text;
-    text << in.rdbuf();
-    return in ? text.str() : std::string();
-}
+settings_file::settings_file(std::string path)
+    : path_(std::move(path)), text_(settings::read_file(path_).value_or("")) {}
 
 std::optional<settings::edge_settings> settings_file::poll() {
-    std::string text = read();
+    std::string text = settings::read_file(path_).value_or("");
     // A file that is being replaced may be missing or empty for a moment.
     if (path_.empty() || text.empty() || text == text_) {
         return std::nullopt;
--- a/radishpulley/edge/src/settings_file.h
+++ b/radishpulley/edge/src/settings_file.h
@@ -19,8 +19,6 @@
     std::optional<settings::edge_settings> poll();
 
 private:
-    std::string read() const;
-
     std::string path_;
     std::string text_;
 };
