Refusals tell the age of the configuration, failed store calls how they failed

The incident's record could not tell the hypotheses apart: request_finished named the version that refused a route but not since when the store had confirmed it, and store_call_failed neither whether the time had run out nor whether the connection was a kept one. Both say it now; a watch that is begun anew has a line.

--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -75,6 +75,8 @@
 
     /// Whether another call may be sent on it.
     bool reusable() const;
+    /// Whole answers that came on it.
+    std::size_t answers() const { return answers_; }
     /// Moment of the last answer's end.
     time_point idle_since() const { return idle_since_; }
     /// Time for which the endpoint keeps an idle connection.
@@ -101,6 +103,7 @@
     bool discarding_ = false;
     bool paused_ = false;
     bool spoilt_ = false;
+    std::size_t answers_ = 0;
     time_point idle_since_;
     std::chrono::milliseconds keep_alive_{4'000};
 };
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -90,6 +90,10 @@
 
     /// Puts a configuration in force.
     void on_configuration(routing::configuration_ptr it);
+    /// Sets what tells the time since the store last confirmed the configuration.
+    void set_configuration_age(std::function<duration()> age) {
+        configuration_age_ = std::move(age);
+    }
     /// Sets how many VMs serve callers.
     void set_fleet_size(std::size_t vms);
     /// Takes new settings for the requests that follow.
@@ -149,6 +153,7 @@
     gateway_settings settings_;
     load_broker* broker_ = nullptr;
     routing::configuration_ptr configuration_;
+    std::function<duration()> configuration_age_ = [] { return duration::zero(); };
     routing::endpoint_directory directory_;
     routing::adapter_table adapters_;
     routing::prompt_memory prompts_;
--- a/libs/gateway/include/gateway/simple_call.h
+++ b/libs/gateway/include/gateway/simple_call.h
@@ -17,7 +17,16 @@
     std::string body;
 };
 
-using simple_result = std::variant<simple_answer, call_failure>;
+/// A call without an answer.
+struct failed_call {
+    call_failure why = call_failure::broken;
+    /// Its time ran out, in contrast to a connection that ended.
+    bool timed_out = false;
+    /// Its connection had answered a call before.
+    bool on_kept_connection = false;
+};
+
+using simple_result = std::variant<simple_answer, failed_call>;
 
 /// One call.
 struct simple_request {
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -86,6 +86,11 @@
 
 void collection_follower::renew() {
     if (is_watching_ && time_.now() - watch_began_ >= settings_.longest_retry) {
+        telemetry::log_event(telemetry::severity::info, "store_watch_renewed",
+                             {{"kind", kind_},
+                              {"revision", revision_},
+                              {"waited", time_.now() - watch_began_},
+                              {"age", age()}});
         watch();
     }
 }
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -168,6 +168,7 @@
     }
     call_handler* handler = handler_;
     handler_ = nullptr;
+    ++answers_;
     idle_since_ = time_.now();
     const bool has_more = link_->input().size() > 0;
     if (has_more || link_->unsent() > 0) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -271,6 +271,7 @@
          {"adapter", facts_.target.adapter},
          {"units", account_ == nullptr ? 0 : static_cast<std::uint64_t>(units())},
          {"configuration", configuration_ ? configuration_->version() : 0},
+         {"configuration_age_ms", to_ms(owner_.configuration_age_()).count()},
          {"sends", sends_},
          {"load_wait_ms", to_ms(load_wait_).count()},
          {"sent_after_ms",
--- a/libs/gateway/src/simple_call.cpp
+++ b/libs/gateway/src/simple_call.cpp
@@ -20,7 +20,7 @@
         timer_.expires_after(request_.timeout);
         timer_.async_wait([self](const boost::system::error_code& ec) {
             if (!ec) {
-                self->end(call_failure::broken);
+                self->fail(call_failure::broken, true);
             }
         });
         pool_.acquire(id_, address, [self, address](std::shared_ptr<endpoint_link> it) {
@@ -34,7 +34,7 @@
             return;
         }
         if (!it) {
-            end(call_failure::not_sent);
+            fail(call_failure::not_sent);
             return;
         }
         connection_ = std::move(it);
@@ -65,7 +65,7 @@
     void on_body(std::string_view bytes) override {
         answer_.body.append(bytes);
         if (answer_.body.size() > request_.most_body) {
-            end(call_failure::malformed);
+            fail(call_failure::malformed);
         }
     }
 
@@ -75,9 +75,10 @@
         end(std::move(answer_));
     }
 
-    void on_failure(call_failure why) override {
-        connection_.reset();
-        end(why);
+    void on_failure(call_failure why) override { fail(why); }
+
+    void fail(call_failure why, bool timed_out = false) {
+        end(failed_call{why, timed_out, connection_ && connection_->answers() > 0});
     }
 
     void end(simple_result result) {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -128,6 +128,7 @@
           metrics_port_(loop_, with.listen.metrics,
                         [this](auto socket) { metrics_server_.accept(std::move(socket)); }) {
         data_path_.set_broker(loads_);
+        data_path_.set_configuration_age([this] { return configuration_.age(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
     }
 
