Configuration: a watch whose connection went silent is found within the platform's bound

What callers saw: 404 on routes that an acknowledged configuration had added, for up to 11 s, when the connections of all VMs to the store went silent without a reset. Cause: the watch of the configuration waited 10 s and its connection counted as silent 1.5 s later. While it waits, silence and 'nothing changed' look the same; the only other news were peers' datagrams, and all peers were as blind. Class: the liveness of a connection judged by the longest wait on it, with no relation to the bound that the knowledge has to meet. Change: pace_within works the wait out from the bound that the platform states (configApplyMs, in the settings as configuration_apply_ms), so that the silence is found, a new watch begun and answered within it: 1.3 s + 0.5 s for 2.5 s. The store's answer has 0.5 s beyond the wait in place of 1.5 s.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -17,17 +17,22 @@
 
 /// Pace of a follower.
 struct follower_settings {
-    /// Longest wait of one watch. A connection that went silent is found out after it, or by
-    /// `renew`.
+    /// Longest wait of one watch.
     std::chrono::milliseconds watch_wait{4'000};
     /// Pause after changes before the next watch, so that changes come in groups.
     std::chrono::milliseconds pause{0};
     /// Of the watches; the list is always the newest.
     read_freshness freshness = read_freshness::newest;
+    /// Time beyond a watch's wait after which its connection counts as silent.
+    std::chrono::milliseconds patience{1'500};
     std::chrono::milliseconds first_retry{100};
     std::chrono::milliseconds longest_retry{1'000};
 };
 
+/// Returns `with`, waiting so briefly that a change is known within `bound` of its moment, even
+/// where the connection of the watch under way went silent just before it.
+follower_settings pace_within(duration bound, follower_settings with);
+
 /// What a follower tells.
 struct follower_events {
     /// The whole collection, at first and after a gap.
--- a/libs/gateway/include/gateway/object_collections.h
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -52,6 +52,15 @@
     may_lag
 };
 
+/// How long a watch may take.
+struct watch_terms {
+    /// Longest time for which the store waits for a change.
+    std::chrono::milliseconds wait{4'000};
+    /// Time beyond it after which the connection counts as silent.
+    std::chrono::milliseconds patience{1'500};
+    read_freshness freshness = read_freshness::newest;
+};
+
 /// Why a read has no result.
 enum class read_failure {
     /// No answer, or the store is busy.
@@ -85,10 +94,9 @@
 public:
     virtual ~object_collections() = default;
     virtual void list(const std::string& kind, std::function<void(list_result)> done) = 0;
-    /// Waits for a change after `since`, at most for `wait`. An answer that lags may be of an
-    /// earlier revision than `since`.
-    virtual void watch(const std::string& kind, store_revision since,
-                       std::chrono::milliseconds wait, read_freshness freshness,
+    /// Waits for a change after `since`. An answer that lags may be of an earlier revision than
+    /// `since`.
+    virtual void watch(const std::string& kind, store_revision since, const watch_terms& terms,
                        std::function<void(changes_result)> done) = 0;
     /// Creates an object that does not exist.
     virtual void create(const std::string& kind, const std::string& name,
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -27,8 +27,23 @@
     return out;
 }
 
+// Processing and timers that fire late.
+constexpr std::chrono::milliseconds pace_reserve{100};
+constexpr std::chrono::milliseconds least_watch_wait{200};
+constexpr std::chrono::milliseconds longest_watch_wait{10'000};
+
 }  // namespace
 
+follower_settings pace_within(duration bound, follower_settings with) {
+    // The watch is given up after its wait and patience; the next one is answered within patience.
+    const std::chrono::milliseconds after_the_wait =
+        with.patience + with.first_retry + with.patience + with.pause + pace_reserve;
+    with.watch_wait =
+        std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(bound) - after_the_wait,
+                   least_watch_wait, longest_watch_wait);
+    return with;
+}
+
 collection_follower::collection_follower(boost::asio::io_context& loop, const clock& time,
                                          object_collections& store, std::string kind,
                                          follower_settings settings, follower_events events)
@@ -75,7 +90,7 @@
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
     watch_began_ = time_.now();
-    store_.watch(kind_, revision_, settings_.watch_wait, settings_.freshness,
+    store_.watch(kind_, revision_, {settings_.watch_wait, settings_.patience, settings_.freshness},
                  [this, number, alive = alive_](const changes_result& it) {
                      if (*alive && number == watch_number_) {
                          is_watching_ = false;
--- /dev/null
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -0,0 +1,36 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/collection_follower.h"
+#include "scripted_store.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(collection_follower_tests)
+
+// Guards against a change that stays unknown for the whole wait of a watch whose connection went
+// silent: callers of an added route got 404 for up to 11 s.
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_found_and_replaced_within_the_bound) {
+    for (const milliseconds bound : {milliseconds(2'500), milliseconds(4'000)}) {
+        follower_settings with;
+        with.patience = milliseconds(500);
+        const follower_settings pace = pace_within(bound, with);
+        const milliseconds found = pace.watch_wait + pace.patience;
+        BOOST_TEST((found + pace.first_retry + pace.patience + pace.pause <= bound));
+        BOOST_TEST((pace.watch_wait >= milliseconds(1'000)));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_watch_says_when_its_connection_counts_as_silent, scripted_fixture) {
+    start(1);
+    BOOST_TEST((store.watches.back().terms.wait == settings.watch_wait));
+    BOOST_TEST((store.watches.back().terms.patience == settings.patience));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -45,6 +45,8 @@
     double retry_reserve = 50;
     /// Units by which all VMs together may overdraw an account's limit for a while.
     double limit_reserve = 0;
+    /// Time from the acknowledgement of a configuration until it has to be in force.
+    duration configuration_apply = std::chrono::milliseconds(2'500);
     /// Whether endpoints refuse orders with an old fencing number.
     bool endpoints_check_fencing = false;
 };
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -13,6 +13,8 @@
 namespace radishpulley::settings {
 namespace {
 
+constexpr double longest_bound_ms = 3'600'000;
+
 class edge_reader {
 public:
     edge_reader(const toml::table& root, std::string file_name, findings& found)
@@ -52,6 +54,15 @@
         return *value;
     }
 
+    /// A time in milliseconds that need not be stated.
+    duration milliseconds_or(std::string_view name, duration otherwise) {
+        if (!root_.at_path(name)) {
+            return otherwise;
+        }
+        return std::chrono::milliseconds(
+            static_cast<std::int64_t>(number(name, 1, longest_bound_ms)));
+    }
+
     bool flag(std::string_view name) {
         const auto value = root_.at_path(name).value_exact<bool>();
         if (!value) {
@@ -118,6 +129,8 @@
     out.bounds.retry_ratio = in.number("bounds.retry_ratio", 0, 1);
     out.bounds.retry_reserve = in.number("bounds.retry_reserve", 0, most_retries);
     out.bounds.limit_reserve = in.number("bounds.limit_reserve", 0, most_units);
+    out.bounds.configuration_apply =
+        in.milliseconds_or("bounds.configuration_apply_ms", out.bounds.configuration_apply);
     out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
     if (!found.empty()) {
         throw invalid_input(found);
--- a/libs/settings/tests/edge_settings_tests.cpp
+++ b/libs/settings/tests/edge_settings_tests.cpp
@@ -63,6 +63,17 @@
     BOOST_CHECK_THROW(parse_edge_settings("vm = [", "f.toml"), invalid_input);
 }
 
+BOOST_AUTO_TEST_CASE(bounds_that_a_platform_does_not_state_have_defaults) {
+    using std::chrono::milliseconds;
+    const std::string text = whole;
+    BOOST_TEST(
+        (parse_edge_settings(text, "f.toml").bounds.configuration_apply == milliseconds(2'500)));
+    BOOST_TEST((parse_edge_settings(text + "configuration_apply_ms = 4000\n", "f.toml")
+                    .bounds.configuration_apply == milliseconds(4'000)));
+    BOOST_CHECK_THROW(parse_edge_settings(text + "configuration_apply_ms = 0\n", "f.toml"),
+                      invalid_input);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::settings
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -27,7 +27,6 @@
 
 using telemetry::severity;
 
-constexpr gateway::follower_settings configuration_pace{std::chrono::milliseconds(10'000)};
 constexpr gateway::follower_settings endpoints_pace{std::chrono::milliseconds(4'000),
                                                     std::chrono::milliseconds(500),
                                                     gateway::read_freshness::may_lag};
@@ -57,6 +56,15 @@
     return out;
 }
 
+// Time beyond a watch's wait in which the store answers, over slow links too.
+constexpr std::chrono::milliseconds answer_patience{500};
+
+gateway::follower_settings configuration_pace(const settings::edge_bounds_settings& bounds) {
+    gateway::follower_settings out;
+    out.patience = answer_patience;
+    return gateway::pace_within(bounds.configuration_apply, out);
+}
+
 member_settings member_settings_of(const settings::edge_settings& with) {
     member_settings out;
     out.vm = with.vm;
@@ -97,7 +105,7 @@
           loads_(loop_, time_, store_, engines_, fleet_, data_path_,
                  with.bounds.endpoints_check_fencing),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
-                         configuration_pace,
+                         configuration_pace(with.bounds),
                          for_each_object([this](const auto& it) { on_configuration(it); })),
           endpoints_(loop_, time_, store_, platform_adapter::endpoints_kind, endpoints_pace,
                      {[this](const gateway::object_list& it) { on_endpoints(it); },
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -37,8 +37,8 @@
         });
     }
 
-    void watch(const std::string& kind, gateway::store_revision since, std::chrono::milliseconds,
-               gateway::read_freshness /*freshness*/,
+    void watch(const std::string& kind, gateway::store_revision since,
+               const gateway::watch_terms& /*terms*/,
                std::function<void(gateway::changes_result)> done) override {
         // A short wait, so that the loop does not spin.
         auto timer = std::make_shared<boost::asio::steady_timer>(loop_, watch_pause);
--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -63,7 +63,7 @@
         << "\"\npeers = \"" << it.peers << "\"\nmetrics = \"" << it.metrics
         << "\"\n[store]\naddress = \"" << it.way_to_store->address()
         << "\"\n[bounds]\nshutdown_grace_s = 8\nretry_ratio = 0.2\nretry_reserve = "
-        << retry_reserve << "\nlimit_reserve = 0\nendpoints_check_fencing = true\n";
+        << retry_reserve << "\nlimit_reserve = 0\nconfiguration_apply_ms = 2500\nendpoints_check_fencing = true\n";
     if (!out.flush()) {
         throw std::runtime_error("cannot write the settings of " + it.name);
     }
