Shutdown: the last answer is sent before the process ends

What callers saw: after a SIGTERM, a request that an endpoint had run ended with a closed connection (LOST around planned work). Cause: a connection that closes after its answer leaves the gateway's set at once, while the body still waits for the head's write to complete. With no caller and no request left the loop was stopped and the body stayed in memory. Change: the gateway keeps such connections until the operating system has their bytes, and the daemon waits for them within its grace. Evidence: gateway_tests/a_stopping_daemon_has_sent_its_last_answer_before_it_may_end fails without the condition (the caller has the head alone). Ruled out: the close of idle connections (the request was on a busy one), the grace (2.8 of 8 s).

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -91,9 +91,11 @@
     caller_link& operator=(const caller_link&) = delete;
 
     void start();
-    /// Whether a request is being read or worked on.
     /// Answer bytes that the caller has not taken yet.
     std::size_t unsent() const override { return link_->unsent(); }
+    /// Whether what was written is still on its way to the operating system.
+    bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
+    /// Whether a request is being read or worked on.
     bool is_busy() const;
     /// Closes at once.
     void close();
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -117,10 +117,12 @@
     void close_idle_callers();
     /// Closes all callers' connections and ends their requests. Call it before the broker ends.
     void close_callers();
-    /// Forgets requests that no longer wait for a load.
+    /// Forgets requests that no longer wait for a load and connections that have ended.
     void sweep();
     std::size_t caller_count() const { return callers_.size(); }
     std::size_t request_count() const { return requests_; }
+    /// Whether answers of connections that were closed after them are still being sent.
+    bool is_sending_last_answers() const;
     /// Answer bytes that wait for callers to read.
     std::size_t unsent_bytes() const;
     /// Answer bytes that may wait for one caller now.
@@ -163,6 +165,8 @@
     endpoint_pool pool_;
     std::map<service_id, requests::retry_budget> budgets_;
     std::set<std::shared_ptr<caller_link>> callers_;
+    /// Connections that end when their last answer is sent.
+    std::vector<std::shared_ptr<caller_link>> finishing_;
     std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
     telemetry::counter_family& answers_;
     telemetry::histogram_family& latencies_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -96,6 +96,9 @@
 }
 
 void gateway::sweep() {
+    finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
+                                    [](const auto& it) { return !it->is_sending(); }),
+                     finishing_.end());
     for (auto it = load_waiters_.begin(); it != load_waiters_.end();) {
         auto& waiters = it->second;
         waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
@@ -141,11 +144,19 @@
     }
 }
 
+bool gateway::is_sending_last_answers() const {
+    return std::any_of(finishing_.begin(), finishing_.end(),
+                       [](const auto& it) { return it->is_sending(); });
+}
+
 std::size_t gateway::unsent_bytes() const {
     std::size_t sum = 0;
     for (const auto& it : callers_) {
         sum += it->unsent();
     }
+    for (const auto& it : finishing_) {
+        sum += it->is_sending() ? it->unsent() : 0;
+    }
     return sum;
 }
 
@@ -171,6 +182,9 @@
 
 void gateway::on_closed(const std::shared_ptr<caller_link>& it) {
     callers_.erase(it);
+    if (it->is_sending()) {
+        finishing_.push_back(it);
+    }
 }
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -348,6 +348,26 @@
     BOOST_TEST(ends_with(caller->received, "half"));
 }
 
+// Guards against a daemon that ends between the head and the body of its last answer: the caller's
+// request had run and its answer was cut.
+BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_has_sent_its_last_answer_before_it_may_end, world) {
+    configure();
+    add_endpoint("e1",
+                 [](const std::string&, peer& it) { it.send(answer("200 OK", "r1", "done")); });
+    paths().begin_stop();
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return paths().request_count() == 1; });
+    run_until([&] {
+        return paths().request_count() == 0 && paths().caller_count() == 0 &&
+               !paths().is_sending_last_answers();
+    });
+    // What the daemon's end would close is not read any more, but what was sent arrives.
+    paths().close_callers();
+    loop.stop();
+    BOOST_TEST(ends_with(caller->receive_rest(), "done"));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_announces_the_end_of_connections, world) {
     configure();
     add_endpoint("e1",
--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -78,6 +78,18 @@
         socket_.non_blocking(true);
         socket_.write_some(boost::asio::buffer(bytes), ignored);
     }
+    /// Reads up to the connection's end without the loop; returns all that ever came.
+    std::string receive_rest() {
+        boost::system::error_code ec;
+        socket_.cancel(ec);
+        socket_.non_blocking(true);
+        std::array<char, 4096> buf{};
+        for (std::size_t n = 1; n > 0;) {
+            n = socket_.read_some(boost::asio::buffer(buf), ec);
+            received.append(buf.data(), n);
+        }
+        return received;
+    }
     /// Closes in order.
     void close() {
         boost::system::error_code ignored;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -430,7 +430,8 @@
         if (since >= with_.bounds.shutdown_grace / 2) {
             data_path_.refuse_requests();
         }
-        return data_path_.request_count() == 0 && data_path_.caller_count() == 0;
+        return data_path_.request_count() == 0 && data_path_.caller_count() == 0 &&
+               !data_path_.is_sending_last_answers();
     }
 
     settings::edge_settings with_;
