Followers: the first watch after a failure asks at once whether the store answers

Cause: the watch after a failure waited for a change like any other, so that 'answers again' was known after its wait. Change: the first watch after a failure waits 1 ms. Evidence: collection_follower_tests/a_store_that_answers_again_is_noticed_at_once fails before.

--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds pace_reserve{100};
 constexpr std::chrono::milliseconds least_watch_wait{200};
 constexpr std::chrono::milliseconds longest_watch_wait{10'000};
+// Of the first watch after a failure: it asks whether the store answers.
+constexpr std::chrono::milliseconds probe_wait{1};
 
 }  // namespace
 
@@ -90,7 +92,8 @@
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
     watch_began_ = time_.now();
-    store_.watch(kind_, revision_, {settings_.watch_wait, settings_.patience, settings_.freshness},
+    const auto wait = reachable_ ? settings_.watch_wait : probe_wait;
+    store_.watch(kind_, revision_, {wait, settings_.patience, settings_.freshness},
                  [this, number, alive = alive_](const changes_result& it) {
                      if (*alive && number == watch_number_) {
                          is_watching_ = false;
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -31,6 +31,20 @@
     BOOST_TEST((store.watches.back().terms.patience == settings.patience));
 }
 
+// Guards against a store that counts as lost for the whole wait of the watch after it: the other
+// followers were asked to begin anew only then.
+BOOST_FIXTURE_TEST_CASE(a_store_that_answers_again_is_noticed_at_once, scripted_fixture) {
+    start(1);
+    store.watches.back().done(read_failure::unavailable);
+    BOOST_TEST((reachable == std::vector<bool>{false}));
+    run_until_watches(2);
+    BOOST_TEST((store.watches.back().terms.wait <= milliseconds(1)));
+    store.watches.back().done(object_changes{{}, 1});
+    BOOST_TEST((reachable == std::vector<bool>{false, true}));
+    run_until_watches(3);
+    BOOST_TEST((store.watches.back().terms.wait == settings.watch_wait));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
