Followers: a renewed watch does not silence the one before

A peer's datagram with a newer version makes a daemon ask again; its own watch, about to tell the change, was given up for one on a connection that may be dead. Cause: the answer of every watch but the newest was thrown away, though each watch from the same revision says the same. Change: the first answer of several watches counts; only the newest one's failure does. Evidence: collection_follower_tests/a_renewed_watch_does_not_silence_the_one_before fails before.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -52,8 +52,9 @@
     collection_follower& operator=(const collection_follower&) = delete;
 
     void start();
-    /// Gives up the watch under way and begins a new one: something showed that its connection may
-    /// be dead. Does nothing where the last watch is younger than the longest retry delay.
+    /// Begins a new watch beside the one under way: something showed that its connection may be
+    /// dead. The first answer of them counts. Does nothing where the last watch is younger than the
+    /// longest retry delay.
     void renew();
     /// Time since the store last answered; the copy is at least as new as that.
     duration age() const;
@@ -64,6 +65,7 @@
     void list();
     void watch();
     void on_list(const list_result& result);
+    void on_watch_end(std::uint64_t number, const changes_result& result);
     void on_changes(const changes_result& result);
     std::chrono::milliseconds pause_after(const object_changes& it) const;
     void watch_after(std::chrono::milliseconds pause);
@@ -78,8 +80,10 @@
     follower_settings settings_;
     follower_events events_;
     std::chrono::milliseconds retry_;
-    /// Counts the watches; an answer to one that was given up is of no use.
+    /// Counts the watches.
     std::uint64_t watch_number_ = 0;
+    /// The newest watch when one was answered; answers to older ones are of no use.
+    std::uint64_t answered_number_ = 0;
     bool is_watching_ = false;
     time_point watch_began_{};
     store_revision revision_ = 0;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -95,13 +95,24 @@
     const auto wait = reachable_ ? settings_.watch_wait : probe_wait;
     store_.watch(kind_, revision_, {wait, settings_.patience, settings_.freshness},
                  [this, number, alive = alive_](const changes_result& it) {
-                     if (*alive && number == watch_number_) {
-                         is_watching_ = false;
-                         on_changes(it);
+                     if (*alive) {
+                         on_watch_end(number, it);
                      }
                  });
 }
 
+void collection_follower::on_watch_end(std::uint64_t number, const changes_result& result) {
+    const bool is_answer = std::holds_alternative<object_changes>(result);
+    // Of several watches the first answer counts, and only the newest one's failure.
+    const bool counts = is_answer ? number > answered_number_ : number == watch_number_;
+    if (!counts || !is_watching_) {
+        return;
+    }
+    is_watching_ = false;
+    answered_number_ = watch_number_;
+    on_changes(result);
+}
+
 void collection_follower::renew() {
     if (is_watching_ && time_.now() - watch_began_ >= settings_.longest_retry) {
         telemetry::log_event(telemetry::severity::info, "store_watch_renewed",
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -45,6 +45,34 @@
     BOOST_TEST((store.watches.back().terms.wait == settings.watch_wait));
 }
 
+// Guards against a change that is lost because a renewal, on a connection that is dead, took the
+// place of a watch that was about to tell it.
+BOOST_FIXTURE_TEST_CASE(a_renewed_watch_does_not_silence_the_one_before, scripted_fixture) {
+    start(1);
+    time.advance(settings.longest_retry);
+    follower.renew();
+    BOOST_REQUIRE(store.watches.size() == 2U);
+    tell(0, 2, "new");
+    BOOST_TEST((told == std::vector<std::string>{"new"}));
+    // What the other one says was told already.
+    run_until_watches(3);
+    tell(1, 2, "new");
+    store.watches[1].done(read_failure::unavailable);
+    BOOST_TEST(told.size() == 1U);
+    BOOST_TEST(reachable.empty());
+    BOOST_TEST(store.watches.back().since == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_failure_of_a_watch_that_was_renewed_does_not_count, scripted_fixture) {
+    start(1);
+    time.advance(settings.longest_retry);
+    follower.renew();
+    store.watches[0].done(read_failure::unavailable);
+    BOOST_TEST(reachable.empty());
+    tell(1, 2, "new");
+    BOOST_TEST((told == std::vector<std::string>{"new"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
