Store's client: all collections begin anew once the store answers after a silence

Cause: only the endpoints' follower told the others, after its own failure and the answer of its next watch. Class as before: what one connection shows holds for all to that place. Change: the client notes a call that timed out and tells when a later call is answered; the daemon then begins every watch anew. A refused call tells nothing of connections and renews nothing. Evidence: store_tests/a_store_that_answers_after_a_silence_is_told_once.

--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -119,7 +119,6 @@
                       [this](bool reachable) {
                           if (reachable) {
                               data_path_.directory().on_store_returned(time_.now());
-                              renew_watches();
                           }
                       }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind, versions_pace,
@@ -135,6 +134,7 @@
                           [this](auto socket) { readiness_.accept(std::move(socket)); }),
           metrics_port_(loop_, with.listen.metrics,
                         [this](auto socket) { metrics_server_.accept(std::move(socket)); }) {
+        store_.set_on_answering_again([this] { renew_watches(); });
         data_path_.set_broker(loads_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
@@ -221,9 +221,9 @@
         return {ready ? gateway::status_ok : gateway::status_unavailable, ""};
     }
 
-    // The endpoints' watch is the shortest and so the first to find the store lost and regained.
     void renew_watches() {
         configuration_.renew();
+        endpoints_.renew();
         versions_.renew();
         fleet_.renew();
         loads_.renew();
