Gateway: an unknown route or key is denied only on fresh knowledge

What callers saw: 404 on added routes (CONFIG) and proper requests turned away as if they were wrong (DENIED), from daemons that had not heard the store for up to 11.6 s. Cause: a denial says that no configuration in force allows the request, and was said on knowledge of any age. Callers do not come back after 404 and 401, though another VM would have served them. Class: a claim about the present made from a copy without a look at its age. Change: beyond the age that a live watch can have (its wait and the answer's patience: 1.8 s where the platform asks for 2.5 s) the answer is 503 configuration_stale with Retry-After 0.5 s: not run, and true. What is known to be allowed is served as before. Evidence: gateway_tests/unknown_routes_and_keys_are_denied_only_on_fresh_knowledge fails before (404 and 401 at any age). Ruled out: refusing known routes on old knowledge too; an outage of the store must not stop service.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -56,6 +56,9 @@
     std::size_t most_body_bytes = 48'000'000;
     /// Reading work, in tokens, from which other daemons are told of it at once.
     std::uint32_t large_read = 3'000;
+    /// Age of the configuration up to which an unknown route or key counts as one that does not
+    /// exist. Beyond it a newer version may have it.
+    duration denial_age = duration::max();
     /// Time left to a caller below which a request is not worth sending.
     std::chrono::milliseconds least_time_left{15};
 };
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -84,7 +84,7 @@
     }
     route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
     if (route_ == nullptr) {
-        refuse({status_not_found, "no_route", std::nullopt});
+        deny(status_not_found, "no_route");
         return;
     }
     if (facts_.id.empty()) {
@@ -114,11 +114,19 @@
     find_endpoint();
 }
 
+void exchange::deny(unsigned status, std::string_view reason) {
+    if (owner_.configuration_age_() > owner_.settings_.denial_age) {
+        refuse({status_unavailable, "configuration_stale", start_retry_after});
+    } else {
+        refuse({status, reason, std::nullopt});
+    }
+}
+
 bool exchange::admit() {
     if (configuration_->needs_keys()) {
         account_ = configuration_->find_account(facts_.key);
         if (account_ == nullptr && !route_->open) {
-            refuse({status_unauthorized, "unknown_key", std::nullopt});
+            deny(status_unauthorized, "unknown_key");
             return false;
         }
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -54,6 +54,8 @@
     void on_done() override;
     void on_failure(call_failure why) override;
 
+    /// Refuses for a reason that a newer configuration may have taken away.
+    void deny(unsigned status, std::string_view reason);
     bool admit();
     void find_endpoint();
     /// Counts this request among the endpoint's work, also while it waits for an adapter.
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -368,6 +368,27 @@
     BOOST_TEST(ends_with(caller->receive_rest(), "done"));
 }
 
+// Guards against a daemon that is cut off and denies what a newer configuration has: callers do not
+// come back after 404 and 401, elsewhere they would have been served.
+BOOST_FIXTURE_TEST_CASE(unknown_routes_and_keys_are_denied_only_on_fresh_knowledge, world) {
+    configure();
+    gateway_settings with;
+    with.denial_age = std::chrono::milliseconds(1'800);
+    paths().reconfigure(with);
+    const std::string no_route = request("GET /added/x", "r1");
+    const std::string no_key = "GET /again/x HTTP/1.1\r\nHost: h\r\nX-Id: r2\r\nX-Key: new\r\n\r\n";
+    duration age = std::chrono::milliseconds(1'800);
+    paths().set_configuration_age([&] { return age; });
+    BOOST_TEST(contains(ask(no_route, until("no_route")), " 404 "));
+    BOOST_TEST(contains(ask(no_key, until("unknown_key")), " 401 "));
+    age += std::chrono::milliseconds(1);
+    for (const std::string& it : {no_route, no_key}) {
+        const std::string got = ask(it, until("configuration_stale"));
+        BOOST_TEST(contains(got, " 503 "));
+        BOOST_TEST(contains(got, "Retry-After: 0.500"));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_announces_the_end_of_connections, world) {
     configure();
     add_endpoint("e1",
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -47,15 +47,6 @@
 // The rest of the reserve covers requests that are larger than what is left of it.
 constexpr double limit_margin = 0.4;
 
-gateway::gateway_settings data_path_settings(const settings::edge_settings& with) {
-    gateway::gateway_settings out;
-    out.where = {with.availability_zone, with.region, with.regions};
-    out.retry_ratio = with.bounds.retry_ratio * retry_margin;
-    out.retry_reserve = with.bounds.retry_reserve * retry_margin;
-    out.limiter.reserve = with.bounds.limit_reserve * limit_margin;
-    return out;
-}
-
 // Time beyond a watch's wait in which the store answers, over slow links too.
 constexpr std::chrono::milliseconds answer_patience{500};
 
@@ -65,6 +56,17 @@
     return gateway::pace_within(bounds.configuration_apply, out);
 }
 
+gateway::gateway_settings data_path_settings(const settings::edge_settings& with) {
+    gateway::gateway_settings out;
+    out.where = {with.availability_zone, with.region, with.regions};
+    out.retry_ratio = with.bounds.retry_ratio * retry_margin;
+    out.retry_reserve = with.bounds.retry_reserve * retry_margin;
+    out.limiter.reserve = with.bounds.limit_reserve * limit_margin;
+    const gateway::follower_settings pace = configuration_pace(with.bounds);
+    out.denial_age = pace.watch_wait + pace.patience;
+    return out;
+}
+
 member_settings member_settings_of(const settings::edge_settings& with) {
     member_settings out;
     out.vm = with.vm;
