Versions of adapters: heard late, they are enforced as from the interruption

Cause: the watch of versions could be silent for 11.5 s, and a version counted as announced when it was heard; older ones are no longer asked for 3 s after that. Change: the watch is paced by the platform's bound (version_ms). A change that is told after a failure or a doubt may be as old as the time since the answer before, and the version counts from then. Evidence: collection_follower_tests/a_change_heard_after_an_interruption_may_be_as_old_as_it (the query is new).

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -58,6 +58,9 @@
     void renew();
     /// Time since the store last answered; the copy is at least as new as that.
     duration age() const;
+    /// Time for which a change that is told now may have been there already: none while a watch
+    /// waited for it, else the time since the store had answered before.
+    duration gap() const { return gap_; }
     bool has_list() const { return has_list_; }
     store_revision revision() const { return revision_; }
 
@@ -90,6 +93,9 @@
     bool has_list_ = false;
     bool reachable_ = true;
     time_point answered_at_;
+    /// Whether a watch has failed or was doubted since the last answer.
+    bool was_interrupted_ = false;
+    duration gap_{0};
     /// Callbacks that outlive the follower see that it is gone.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -120,11 +120,14 @@
                               {"revision", revision_},
                               {"waited", time_.now() - watch_began_},
                               {"age", age()}});
+        was_interrupted_ = true;
         watch();
     }
 }
 
 void collection_follower::note_answer() {
+    gap_ = was_interrupted_ ? age() : duration::zero();
+    was_interrupted_ = false;
     answered_at_ = time_.now();
     retry_ = settings_.first_retry;
     if (!reachable_) {
@@ -177,6 +180,7 @@
 }
 
 void collection_follower::fail(read_failure why) {
+    was_interrupted_ = has_list_;
     if (why == read_failure::history_gone) {
         telemetry::log_event(telemetry::severity::info, "store_history_gone",
                              {{"kind", kind_}, {"revision", revision_}});
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -73,6 +73,32 @@
     BOOST_TEST((told == std::vector<std::string>{"new"}));
 }
 
+// Guards against an adapter's version that counts as new when it is heard late: requests went on to
+// be run on the older one for the usual time from then.
+BOOST_FIXTURE_TEST_CASE(a_change_heard_after_an_interruption_may_be_as_old_as_it,
+                        scripted_fixture) {
+    start(1);
+    time.advance(milliseconds(700));
+    tell(0, 2, "at once");
+    BOOST_TEST((follower.gap() == duration::zero()));
+    run_until_watches(2);
+    time.advance(milliseconds(3'000));
+    store.watches[1].done(read_failure::unavailable);
+    run_until_watches(3);
+    time.advance(milliseconds(400));
+    tell(2, 3, "late");
+    BOOST_TEST((follower.gap() == milliseconds(3'400)));
+    run_until_watches(4);
+    tell(3, 4, "at once");
+    BOOST_TEST((follower.gap() == duration::zero()));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_start_has_no_gap, scripted_fixture) {
+    time.advance(milliseconds(3'000));
+    start(1);
+    BOOST_TEST((follower.gap() == duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -49,6 +49,8 @@
     duration configuration_apply = std::chrono::milliseconds(2'500);
     /// Time from the acknowledgement that an endpoint is leaving until it gets no new requests.
     duration endpoint_drain = std::chrono::milliseconds(2'500);
+    /// Time from the announcement of an adapter's version until no older one is used.
+    duration version_apply = std::chrono::milliseconds(5'000);
     /// Whether endpoints refuse orders with an old fencing number.
     bool endpoints_check_fencing = false;
 };
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -132,6 +132,7 @@
     out.bounds.configuration_apply =
         in.milliseconds_or("bounds.configuration_apply_ms", out.bounds.configuration_apply);
     out.bounds.endpoint_drain = in.milliseconds_or("bounds.drain_ms", out.bounds.endpoint_drain);
+    out.bounds.version_apply = in.milliseconds_or("bounds.version_ms", out.bounds.version_apply);
     out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
     if (!found.empty()) {
         throw invalid_input(found);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -27,8 +27,6 @@
 
 using telemetry::severity;
 
-constexpr gateway::follower_settings versions_pace{std::chrono::milliseconds(10'000),
-                                                   std::chrono::milliseconds(200)};
 constexpr std::chrono::milliseconds housekeeping_interval{400};
 constexpr duration settings_check_interval = std::chrono::seconds(2);
 // Delay by which statements about several long prompts are joined.
@@ -46,8 +44,9 @@
 
 // Time beyond a watch's wait in which the store answers, over slow links too.
 constexpr std::chrono::milliseconds answer_patience{500};
-// Pause by which changes of many endpoints come together.
+// Pauses by which changes of many endpoints or versions come together.
 constexpr std::chrono::milliseconds endpoints_pause{300};
+constexpr std::chrono::milliseconds versions_pause{200};
 
 gateway::follower_settings pace_within(duration bound, std::chrono::milliseconds pause) {
     gateway::follower_settings out;
@@ -128,7 +127,8 @@
                               data_path_.directory().on_store_returned(time_.now());
                           }
                       }}),
-          versions_(loop_, time_, store_, platform_adapter::versions_kind, versions_pace,
+          versions_(loop_, time_, store_, platform_adapter::versions_kind,
+                    pace_within(with.bounds.version_apply, versions_pause),
                     for_each_object([this](const auto& it) { on_version(it); })),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
@@ -325,7 +325,8 @@
     void on_version(const gateway::stored_object& it) {
         try {
             const auto said = platform_adapter::decode_version(it.contents);
-            data_path_.adapters().on_version(said.adapter, said.version, time_.now());
+            data_path_.adapters().on_version(said.adapter, said.version,
+                                             time_.now() - versions_.gap());
             loads_.on_version(said.adapter, said.version);
             telemetry::log_event(severity::info, "adapter_version",
                                  {{"model", said.adapter.model},
