Repeats: after a silent or broken kept connection a request takes a new one

A repeat took the kept connection to the next endpoint, which had gone silent at the same moment, and with all endpoints tried the request failed. Change: a kept connection that says nothing or breaks takes the others to its endpoint with it, and what that request is sent on next is a new connection. Evidence: gateway_tests/a_repeat_after_a_silent_kept_connection_takes_a_new_one fails before (502).

--- a/libs/gateway/include/gateway/endpoint_pool.h
+++ b/libs/gateway/include/gateway/endpoint_pool.h
@@ -31,10 +31,14 @@
 
     /// Finds a kept connection or makes one.
     void acquire(const endpoint_id& id, const std::string& address, callback done);
+    /// Makes a connection, whatever is kept.
+    void connect(const std::string& address, callback done);
     /// Takes a connection back after a call.
     void release(const endpoint_id& id, std::shared_ptr<endpoint_link> it);
     /// Closes what is kept for an endpoint that left.
     void drop(const endpoint_id& id);
+    /// Closes all that is kept: something between the ends may have lost track of it.
+    void drop_all() { idle_.clear(); }
     /// Closes connections that are too old to be used.
     void sweep();
     /// Connections made since the start.
--- a/libs/gateway/src/endpoint_pool.cpp
+++ b/libs/gateway/src/endpoint_pool.cpp
@@ -41,6 +41,10 @@
             return;
         }
     }
+    connect(address, std::move(done));
+}
+
+void endpoint_pool::connect(const std::string& address, callback done) {
     boost::asio::ip::tcp::endpoint to;
     try {
         to = parse_address(address);
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -64,6 +64,8 @@
     void wait_until(time_point when, const endpoint_id& id);
     void on_wait_over(const endpoint_id& id);
     void hedge_if_silent();
+    /// Notes that the call's connection said nothing or broke, before it is given up.
+    void doubt_connection();
     void send_to(const endpoint_id& id);
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string request_bytes() const;
@@ -111,6 +113,8 @@
     /// Engine that was told of a use of the adapter.
     endpoint_id used_at_;
     std::set<endpoint_id> excluded_;
+    /// A kept connection failed this request, so that others may too.
+    bool distrusts_kept_ = false;
     std::set<endpoint_id> no_loads_;
     unsigned sends_ = 0;
     /// Units that were charged to the account.
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -151,6 +151,7 @@
 void exchange::on_failure(call_failure why) {
     const auto self = shared_from_this();
     note_call_ended();
+    doubt_connection();
     connection_.reset();
     const std::string_view reason =
         why == call_failure::malformed ? "malformed_answer" : "connection_broken";
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -143,6 +143,7 @@
         const auto self = weak.lock();
         const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send;
         if (is_silent && self->may_run_again() && self->spend_retry()) {
+            self->doubt_connection();
             self->owner_.directory_.on_call(self->endpoint_, routing::call_outcome::failed,
                                             self->owner_.time_.now());
             self->stop_call();
@@ -152,6 +153,13 @@
     });
 }
 
+void exchange::doubt_connection() {
+    if (connection_ && connection_->answers() > 0) {
+        owner_.pool_.drop(endpoint_);
+        distrusts_kept_ = true;
+    }
+}
+
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     if (target == nullptr || target->draining) {
@@ -165,16 +173,20 @@
         load_wait_ = owner_.time_.now() - wait_began_;
     }
     ++sends_;
-    owner_.pool_.acquire(
-        id, target->address, [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
-            const auto self = weak.lock();
-            const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
-            if (wanted) {
-                self->on_connected(std::move(it));
-            } else if (self && it) {
-                self->owner_.pool_.release(id, std::move(it));
-            }
-        });
+    auto on_connection = [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
+        const auto self = weak.lock();
+        const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
+        if (wanted) {
+            self->on_connected(std::move(it));
+        } else if (self && it) {
+            self->owner_.pool_.release(id, std::move(it));
+        }
+    };
+    if (distrusts_kept_) {
+        owner_.pool_.connect(target->address, std::move(on_connection));
+    } else {
+        owner_.pool_.acquire(id, target->address, std::move(on_connection));
+    }
 }
 
 void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -389,6 +389,39 @@
     }
 }
 
+// Guards against a repeat that goes onto another connection which went silent with the first:
+// idempotent requests ended with 502 though every endpoint answered on new connections.
+BOOST_FIXTURE_TEST_CASE(a_repeat_after_a_silent_kept_connection_takes_a_new_one, world) {
+    configure();
+    bool silent = false;
+    std::set<const peer*> kept;
+    for (const char* id : {"e1", "e2"}) {
+        add_endpoint(id, [&](const std::string& asked, peer& it) {
+            if (silent && kept.count(&it) != 0) {
+                return;
+            }
+            kept.insert(&it);
+            const std::size_t at = asked.find("X-Id: ") + 6;
+            it.send(answer("200 OK", asked.substr(at, 2), "done"));
+        });
+    }
+    // Requests at once, so that each endpoint has kept connections.
+    std::vector<std::shared_ptr<peer>> callers;
+    for (const char* id : {"a1", "a2", "a3", "a4"}) {
+        callers.push_back(connect());
+        callers.back()->send(request("GET /again/x", id));
+    }
+    run_until([&] {
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const auto& it) { return contains(it->received, "done"); });
+    });
+    BOOST_REQUIRE(paths().pool().connections_made() >= 3U);
+    silent = true;
+    const std::string got = ask(request("GET /again/x", "r1"),
+                                [](const peer& it) { return contains(it.received, "\r\n\r\n"); });
+    BOOST_TEST(contains(got, " 200 "));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_announces_the_end_of_connections, world) {
     configure();
     add_endpoint("e1",
