Silences: kept connections to endpoints go with those to the store; refusals at a start name their request

Two small changes of the same look at the record. What callers saw: calls that may run once, without an answer (504) on connections that had gone silent unseen; and in the incident's record a 503 no_configuration with an empty id. Cause: idle connections to endpoints were trusted after the store's had shown a silence; the head was read after the check for a configuration. Change: when the store answers again after a call that timed out, what is kept to endpoints is dropped. The id is read first. Evidence: gateway_tests/after_a_known_silence_requests_go_on_new_connections (the query is new) and a_daemon_without_a_configuration_names_the_request_it_refuses (fails before).

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -73,11 +73,11 @@
 }
 
 void exchange::start() {
+    facts_ = owner_.codec_.read_request(request_.headers);
     if (!configuration_) {
         refuse({status_unavailable, "no_configuration", start_retry_after});
         return;
     }
-    facts_ = owner_.codec_.read_request(request_.headers);
     if (owner_.refusing_) {
         refuse({status_unavailable, "stopping", stop_retry_after});
         return;
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -422,6 +422,29 @@
     BOOST_TEST(contains(got, " 200 "));
 }
 
+// Guards against requests that may run once and are lost on connections which went silent unseen,
+// after the silence of another connection has shown it.
+BOOST_FIXTURE_TEST_CASE(after_a_known_silence_requests_go_on_new_connections, world) {
+    configure();
+    add_endpoint("e1", [](const std::string& asked, peer& it) {
+        it.send(answer("200 OK", asked.substr(asked.find("X-Id: ") + 6, 2), "done"));
+    });
+    BOOST_TEST(ends_with(ask(request("POST /once/x", "r1"), until("done")), "done"));
+    BOOST_TEST(ends_with(ask(request("POST /once/x", "r2"), until("done")), "done"));
+    BOOST_TEST(paths().pool().connections_made() == 1U);
+    paths().pool().drop_all();
+    BOOST_TEST(ends_with(ask(request("POST /once/x", "r3"), until("done")), "done"));
+    BOOST_TEST(paths().pool().connections_made() == 2U);
+}
+
+// Guards against a refusal at the start that names no request, so that nobody can trace it.
+BOOST_FIXTURE_TEST_CASE(a_daemon_without_a_configuration_names_the_request_it_refuses, world) {
+    const std::string got = ask(request("GET /again/x", "r1"), until("no_configuration"));
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(contains(got, "X-Id: r1\r\n"));
+    BOOST_TEST(contains(got, "Retry-After: "));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_announces_the_end_of_connections, world) {
     configure();
     add_endpoint("e1",
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -141,7 +141,11 @@
                           [this](auto socket) { readiness_.accept(std::move(socket)); }),
           metrics_port_(loop_, with.listen.metrics,
                         [this](auto socket) { metrics_server_.accept(std::move(socket)); }) {
-        store_.set_on_answering_again([this] { renew_watches(); });
+        store_.set_on_answering_again([this] {
+            renew_watches();
+            // What forgot connections to the store may have forgotten those to endpoints.
+            data_path_.pool().drop_all();
+        });
         data_path_.set_broker(loads_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
