--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(unsigned, seconds, 30, "Time with faults in each run.");
 ABSL_FLAG(unsigned, vms, 6, "Daemons.");
 ABSL_FLAG(unsigned, callers, 3, "Connections of callers to each daemon.");
+ABSL_FLAG(unsigned, pause_ms, 25, "Pause of a caller between two requests.");
 ABSL_FLAG(unsigned, busy, 0, "Threads that keep cores busy meanwhile.");
 ABSL_FLAG(std::string, mix, "all", "Faults: all, silences, signals, store or directory.");
 ABSL_FLAG(std::string, logs, "", "Folder for the daemons' logs; a temporary one by default.");
@@ -72,6 +73,7 @@
     with.fleet.folder = new_folder(seed);
     with.fleet.vms = absl::GetFlag(FLAGS_vms);
     with.callers_per_vm = absl::GetFlag(FLAGS_callers);
+    with.pause_between_requests = std::chrono::milliseconds(absl::GetFlag(FLAGS_pause_ms));
     with.length = std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
     with.mix = mix;
     with.seed = seed;
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -26,7 +26,6 @@
 
 constexpr seconds start_limit{20};
 constexpr milliseconds check_after_recovery{3'000};
-constexpr milliseconds pause_between_requests{25};
 constexpr milliseconds least_change_gap{200};
 constexpr milliseconds most_change_gap{1'500};
 constexpr milliseconds storm_gap{40};
@@ -249,7 +248,7 @@
         for (std::size_t i = 0; i < settings_.callers_per_vm; ++i) {
             auto request = std::make_shared<sent_request>();
             callers_.push_back(std::make_unique<probe_caller>(
-                loop_, time_, vm.callers, pause_between_requests,
+                loop_, time_, vm.callers, settings_.pause_between_requests,
                 [this, &vm, request] { return next_request(vm, *request); },
                 [this, request](const call_end& end) { on_end(*request, end); }));
             callers_.back()->start();
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -31,6 +31,7 @@
     /// Time with faults; start and recovery come on top.
     std::chrono::seconds length{30};
     std::size_t callers_per_vm = 3;
+    std::chrono::milliseconds pause_between_requests{25};
 };
 
 /// What the checks found.
