Directory: one call without an answer is no outage of the store

What endpoints saw: after a silence of all connections, requests at endpoints whose entries had been taken away, up to 3.6 s after the acknowledgement (DRAIN; 2.5 s asked). Cause: when the directory's follower was answered again, entries that were missing kept two seconds to return, as they may after an outage of the store. But the store had been well; only a connection had gone silent. Change: an outage is several calls in a row without a result; a silent connection costs one, since the next call is on a new connection. An outage long enough for entries to lapse (three heartbeats) makes at least two.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -40,6 +40,9 @@
     std::function<void(const object_change&)> on_change;
     /// The store answered after it had not, or failed after it had answered.
     std::function<void(bool reachable)> on_reachable;
+    /// The store answered after it had been away: after several calls without a result. One such
+    /// call alone may have lost its connection while the store was well.
+    std::function<void()> on_outage_over = [] {};
 };
 
 /// Follows one collection until it is destroyed.
@@ -92,6 +95,7 @@
     store_revision revision_ = 0;
     bool has_list_ = false;
     bool reachable_ = true;
+    unsigned failures_in_a_row_ = 0;
     time_point answered_at_;
     /// Whether a watch has failed or was doubted since the last answer.
     bool was_interrupted_ = false;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/overloaded.h"
@@ -33,6 +34,7 @@
 constexpr std::chrono::milliseconds longest_watch_wait{10'000};
 // Of the first watch after a failure: it asks whether the store answers.
 constexpr std::chrono::milliseconds probe_wait{1};
+constexpr unsigned failures_of_an_outage = 2;
 
 }  // namespace
 
@@ -130,11 +132,16 @@
     was_interrupted_ = false;
     answered_at_ = time_.now();
     retry_ = settings_.first_retry;
+    const unsigned failures = std::exchange(failures_in_a_row_, 0);
     if (!reachable_) {
         reachable_ = true;
-        telemetry::log_event(telemetry::severity::info, "store_regained", {{"kind", kind_}});
+        telemetry::log_event(telemetry::severity::info, "store_regained",
+                             {{"kind", kind_}, {"failures", failures}, {"gap", gap_}});
         events_.on_reachable(true);
     }
+    if (failures >= failures_of_an_outage) {
+        events_.on_outage_over();
+    }
 }
 
 void collection_follower::on_list(const list_result& result) {
@@ -188,6 +195,7 @@
         list();
         return;
     }
+    ++failures_in_a_row_;
     if (reachable_) {
         reachable_ = false;
         telemetry::log_event(telemetry::severity::warning, "store_lost",
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -93,6 +93,24 @@
     BOOST_TEST((follower.gap() == duration::zero()));
 }
 
+// Guards against a connection's silence that counts as an outage of the store: endpoints whose
+// entries were taken away then were used for the time that lapsed entries have to return.
+BOOST_FIXTURE_TEST_CASE(one_call_without_an_answer_is_no_outage_of_the_store, scripted_fixture) {
+    start(1);
+    store.watches[0].done(read_failure::unavailable);
+    run_until_watches(2);
+    store.watches[1].done(object_changes{{}, 1});
+    BOOST_TEST((reachable == std::vector<bool>{false, true}));
+    BOOST_TEST(outages == 0);
+    run_until_watches(3);
+    store.watches[2].done(read_failure::unavailable);
+    run_until_watches(4);
+    store.watches[3].done(read_failure::unavailable);
+    run_until_watches(5);
+    store.watches[4].done(object_changes{{}, 1});
+    BOOST_TEST(outages == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_start_has_no_gap, scripted_fixture) {
     time.advance(milliseconds(3'000));
     start(1);
--- a/libs/gateway/tests/scripted_store.h
+++ b/libs/gateway/tests/scripted_store.h
@@ -71,6 +71,7 @@
     follower_settings settings;
     std::vector<std::string> told;
     std::vector<bool> reachable;
+    int outages = 0;
     collection_follower follower{
         loop,
         time,
@@ -79,7 +80,7 @@
         settings,
         {[](const object_list&) {},
          [this](const object_change& it) { told.push_back(it.object.contents); },
-         [this](bool it) { reachable.push_back(it); }}};
+         [this](bool it) { reachable.push_back(it); }, [this] { ++outages; }}};
 };
 
 }  // namespace radishpulley::gateway::testing
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -112,21 +112,18 @@
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_pace(with.bounds),
                          for_each_object([this](const auto& it) { on_configuration(it); })),
-          endpoints_(loop_, time_, store_, platform_adapter::endpoints_kind,
-                     pace_within(with.bounds.endpoint_drain, endpoints_pause),
-                     {[this](const gateway::object_list& it) { on_endpoints(it); },
-                      [this](const gateway::object_change& it) {
-                          if (it.removed) {
-                              on_endpoint_removed(endpoint_id(it.object.name));
-                          } else {
-                              on_endpoint(it.object);
-                          }
-                      },
-                      [this](bool reachable) {
-                          if (reachable) {
-                              data_path_.directory().on_store_returned(time_.now());
-                          }
-                      }}),
+          endpoints_(
+              loop_, time_, store_, platform_adapter::endpoints_kind,
+              pace_within(with.bounds.endpoint_drain, endpoints_pause),
+              {[this](const gateway::object_list& it) { on_endpoints(it); },
+               [this](const gateway::object_change& it) {
+                   if (it.removed) {
+                       on_endpoint_removed(endpoint_id(it.object.name));
+                   } else {
+                       on_endpoint(it.object);
+                   }
+               },
+               [](bool) {}, [this] { data_path_.directory().on_store_returned(time_.now()); }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind,
                     pace_within(with.bounds.version_apply, versions_pause),
                     for_each_object([this](const auto& it) { on_version(it); })),
--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -34,7 +34,7 @@
             it.standin = std::make_unique<service_standin>(loop, time, id, service, runs_);
             it.way = std::make_unique<loopback_proxy>(loop, it.standin->endpoint());
             it.zone = zone_of(n);
-            set_draining(it, false);
+            announce(it);
             endpoints_.push_back(std::move(it));
         }
     }
@@ -126,10 +126,19 @@
     }
 }
 
-void edge_fleet::set_draining(edge_endpoint& it, bool draining) {
-    store_.put("servers", it.standin->id(),
-               it.standin->entry(it.way->address(), it.zone, draining));
-    it.draining_since = draining ? std::optional<time_point>(time_.now()) : std::nullopt;
+void edge_fleet::announce(edge_endpoint& it) {
+    store_.put("servers", it.standin->id(), it.standin->entry(it.way->address(), it.zone, false));
+    it.leaving_since.reset();
+}
+
+void edge_fleet::announce_leaving(edge_endpoint& it) {
+    store_.put("servers", it.standin->id(), it.standin->entry(it.way->address(), it.zone, true));
+    it.leaving_since = time_.now();
+}
+
+void edge_fleet::take_entry_away(edge_endpoint& it) {
+    store_.erase("servers", it.standin->id());
+    it.leaving_since = time_.now();
 }
 
 void edge_fleet::change_settings(edge_vm& it, int retry_reserve) {
--- a/tools/soak/edge_fleet.h
+++ b/tools/soak/edge_fleet.h
@@ -72,8 +72,8 @@
     std::unique_ptr<platform_adapter::standins::service_standin> standin;
     std::unique_ptr<loopback_proxy> way;
     std::string zone;
-    /// When the store acknowledged that it is leaving.
-    std::optional<time_point> draining_since;
+    /// When the store acknowledged that it is leaving or gone.
+    std::optional<time_point> leaving_since;
 };
 
 /// Starts the stand-ins at construction; ends everything at destruction, by id.
@@ -87,8 +87,12 @@
     void ask_to_stop(edge_vm& it);
     void freeze(edge_vm& it);
     void thaw(edge_vm& it);
-    /// Writes into the directory whether an endpoint is leaving; it serves on.
-    void set_draining(edge_endpoint& it, bool draining);
+    /// Writes an endpoint's entry in the directory anew.
+    void announce(edge_endpoint& it);
+    /// Writes into the directory that an endpoint is leaving, or takes its entry away; it serves
+    /// on.
+    void announce_leaving(edge_endpoint& it);
+    void take_entry_away(edge_endpoint& it);
     /// Writes a VM's settings with another reserve and tells it.
     void change_settings(edge_vm& it, int retry_reserve);
 
--- a/tools/soak/fault_schedule.cpp
+++ b/tools/soak/fault_schedule.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds most_gap{1'800};
 // Long enough for the bounds to be checked before the next fault.
 constexpr milliseconds quiet_gap{6'000};
+// Time over which all VMs are asked to stop, one after the other.
+constexpr milliseconds rolling_time{6'000};
 constexpr milliseconds shutdown_grace{8'000};
 constexpr milliseconds shutdown_poll{50};
 
@@ -208,16 +210,21 @@
     edge_endpoint& it = any_endpoint();
     const bool others_stay = std::any_of(
         fleet_.endpoints().begin(), fleet_.endpoints().end(), [&](const edge_endpoint& other) {
-            return &other != &it && other.service == it.service && !other.draining_since;
+            return &other != &it && other.service == it.service && !other.leaving_since;
         });
-    if (it.draining_since || !others_stay) {
+    if (it.leaving_since || !others_stay) {
         return;
     }
-    note_(it.standin->id() + " is leaving");
-    fleet_.set_draining(it, true);
+    if (random_() % 2 == 0) {
+        note_(it.standin->id() + " is leaving");
+        fleet_.announce_leaving(it);
+    } else {
+        note_("the entry of " + it.standin->id() + " is gone");
+        fleet_.take_entry_away(it);
+    }
     until(milliseconds(4'000), milliseconds(9'000), [this, &it] {
         note_(it.standin->id() + " is ready again");
-        fleet_.set_draining(it, false);
+        fleet_.announce(it);
     });
 }
 
@@ -313,7 +320,7 @@
 void fault_schedule::stop_in_turn() {
     std::size_t n = 0;
     for (edge_vm& it : fleet_.vms()) {
-        const milliseconds wait(1'000 * n++);
+        const milliseconds wait = rolling_time / fleet_.vms().size() * n++;
         until(wait, wait, [this, &it] { stop_and_start(it); });
     }
 }
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -77,8 +77,12 @@
     out << std::fixed << std::setprecision(3) << kind << " at " << it.vm->name << ": request "
         << it.id << " for " << it.asked.route << " sent at " << seconds_of(it.asked.sent)
         << ", ended at " << seconds_of(time_.now()) << ": " << text;
-    report_.findings.push_back(out.str());
-    std::cout << "FOUND " << out.str() << std::endl;
+    find(out.str());
+}
+
+void soak_run::find(const std::string& text) {
+    report_.findings.push_back(text);
+    std::cout << "FOUND " << text << std::endl;
 }
 
 bool soak_run::run_until(seconds limit, const std::function<bool()>& holds) {
@@ -132,7 +136,7 @@
         return true;
     });
     if (!serves) {
-        report_.findings.emplace_back("RECOVER: the fleet did not serve after its start");
+        find("RECOVER: the fleet did not serve after its start");
         return false;
     }
     change_later();
@@ -146,7 +150,7 @@
         faults_.lose_power_everywhere();
     }
     if (!run_until(start_limit, [this] { return faults_.is_quiet(); })) {
-        report_.findings.emplace_back("a fault did not end");
+        find("a fault did not end");
     }
     for (edge_vm& it : fleet_.vms()) {
         if (!it.process) {
@@ -160,19 +164,18 @@
     run_for(check_after_recovery);
     for (const auto& [name, served] : served_since_recovery_) {
         if (served == 0) {
-            report_.findings.push_back("RECOVER: " + name + " serves nothing after the faults");
+            find("RECOVER: " + name + " serves nothing after the faults");
         }
     }
     for (unsigned i = 0; i < faults_.overdue_stops(); ++i) {
-        report_.findings.emplace_back("a process did not end within its grace");
+        find("a process did not end within its grace");
     }
 }
 
 void soak_run::watch_processes() {
     for (edge_vm& it : fleet_.vms()) {
         if (it.process && !it.stopping && it.process->has_ended()) {
-            report_.findings.push_back(it.name + " ended by itself with status " +
-                                       std::to_string(it.process->wait()));
+            find(it.name + " ended by itself with status " + std::to_string(it.process->wait()));
             fleet_.start(it);
         }
     }
@@ -380,11 +383,11 @@
         return;
     }
     for (const edge_endpoint& each : fleet_.endpoints()) {
-        if (each.standin->id() == ran->second.endpoint && each.draining_since &&
-            ran->second.began > *each.draining_since + drain_bound) {
+        if (each.standin->id() == ran->second.endpoint && each.leaving_since &&
+            ran->second.began > *each.leaving_since + drain_bound) {
             find("DRAIN", it,
                  "it reached " + ran->second.endpoint + ", which had been leaving since " +
-                     std::to_string(seconds_of(*each.draining_since)));
+                     std::to_string(seconds_of(*each.leaving_since)));
         }
     }
 }
@@ -435,15 +438,14 @@
     }
     for (const auto& [id, runs] : fleet_.runs().runs) {
         if (sent_ids_.count(id) == 0) {
-            report_.findings.push_back("UNASKED: nobody sent " + id);
+            find("UNASKED: nobody sent " + id);
         }
         if (runs.times > 1 && once_ids_.count(id) != 0) {
-            report_.findings.push_back("TWICE: " + id + " ran " + std::to_string(runs.times) +
-                                       " times");
+            find("TWICE: " + id + " ran " + std::to_string(runs.times) + " times");
         }
     }
     for (const std::string& id : fleet_.runs().with_key) {
-        report_.findings.push_back("UNASKED: an endpoint got the key of " + id);
+        find("UNASKED: an endpoint got the key of " + id);
     }
 }
 
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -69,6 +69,7 @@
     };
 
     void note(const std::string& text);
+    void find(const std::string& text);
     void find(const std::string& kind, const sent_request& it, const std::string& text);
     double seconds_of(time_point it) const;
 
