Followers: a copy stays usable while it is read anew

What callers might have seen (suspected): a VM out of rotation after the store forgot its history and went away, though it knew every endpoint; readiness asked whether the list was current. Cause: one flag for 'there is a copy' and 'the copy has to be read whole'. Change: two flags. Evidence: collection_follower_tests/a_copy_stays_while_it_is_read_anew fails before.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -64,6 +64,7 @@
     /// Time for which a change that is told now may have been there already: none while a watch
     /// waited for it, else the time since the store had answered before.
     duration gap() const { return gap_; }
+    /// Whether there is a copy, however old.
     bool has_list() const { return has_list_; }
     store_revision revision() const { return revision_; }
 
@@ -94,6 +95,8 @@
     time_point watch_began_{};
     store_revision revision_ = 0;
     bool has_list_ = false;
+    /// Whether the copy has to be read whole before changes can be followed.
+    bool needs_list_ = true;
     bool reachable_ = true;
     unsigned failures_in_a_row_ = 0;
     time_point answered_at_;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -148,6 +148,7 @@
     std::visit(overloaded{[this](const object_list& it) {
                               note_answer();
                               has_list_ = true;
+                              needs_list_ = false;
                               revision_ = it.revision;
                               events_.on_list(it);
                               watch();
@@ -191,7 +192,7 @@
     if (why == read_failure::history_gone) {
         telemetry::log_event(telemetry::severity::info, "store_history_gone",
                              {{"kind", kind_}, {"revision", revision_}});
-        has_list_ = false;
+        needs_list_ = true;
         list();
         return;
     }
@@ -202,7 +203,7 @@
                              {{"kind", kind_}, {"revision", revision_}, {"age", age()}});
         events_.on_reachable(false);
     }
-    const auto next = has_list_ ? &collection_follower::watch : &collection_follower::list;
+    const auto next = needs_list_ ? &collection_follower::list : &collection_follower::watch;
     after(retry_, next);
     retry_ = std::min(retry_ * 2, settings_.longest_retry);
 }
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -111,6 +111,19 @@
     BOOST_TEST(outages == 1);
 }
 
+// Guards against a VM that says it is not ready because the store forgot its history, though it
+// knows every endpoint.
+BOOST_FIXTURE_TEST_CASE(a_copy_stays_while_it_is_read_anew, scripted_fixture) {
+    start(1);
+    store.watches[0].done(read_failure::history_gone);
+    BOOST_REQUIRE(store.lists.size() == 2U);
+    store.lists[1](read_failure::unavailable);
+    BOOST_TEST(follower.has_list());
+    run_until_lists(3);
+    store.lists[2](object_list{{}, 9});
+    BOOST_TEST(store.watches.back().since == 9U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_start_has_no_gap, scripted_fixture) {
     time.advance(milliseconds(3'000));
     start(1);
--- a/libs/gateway/tests/scripted_store.h
+++ b/libs/gateway/tests/scripted_store.h
@@ -54,13 +54,20 @@
         store.watches.at(watch).done(out);
     }
     /// Runs what is due, timers of the real clock included.
-    void run_until_watches(std::size_t n) {
+    void run_until(const std::function<bool()>& done) {
         constexpr int most_steps = 500;
-        for (int i = 0; i < most_steps && store.watches.size() < n; ++i) {
+        for (int i = 0; i < most_steps && !done(); ++i) {
             loop.restart();
             loop.run_one_for(milliseconds(10));
         }
-        BOOST_REQUIRE(store.watches.size() >= n);
+        BOOST_REQUIRE(done());
+    }
+    void run_until_watches(std::size_t n) {
+        run_until([&] { return store.watches.size() >= n; });
+    }
+
+    void run_until_lists(std::size_t n) {
+        run_until([&] { return store.lists.size() >= n; });
     }
 
     using milliseconds = std::chrono::milliseconds;
