--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -63,6 +63,8 @@
     /// dead. The first answer of them counts. Does nothing where the last watch is younger than the
     /// longest retry delay.
     void renew();
+    /// Takes another pace for the watches that follow.
+    void set_pace(follower_settings pace) { settings_ = pace; }
     /// Time since the store last answered; the copy is at least as new as that.
     duration age() const;
     /// Time for which a change that is told now may have been there already: none while a watch
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -138,6 +138,18 @@
     BOOST_TEST(store.watches.back().since == 9U);
 }
 
+// Guards against denials by the age of a pace that changed settings have asked for and no watch
+// keeps.
+BOOST_FIXTURE_TEST_CASE(another_pace_holds_from_the_next_watch_on, scripted_fixture) {
+    start(1);
+    follower_settings other = settings;
+    other.watch_wait = milliseconds(700);
+    follower.set_pace(other);
+    tell(0, 2, "new");
+    run_until_watches(2);
+    BOOST_TEST((store.watches[1].terms.wait == milliseconds(700)));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_start_has_no_gap, scripted_fixture) {
     time.advance(milliseconds(3'000));
     start(1);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -20,6 +20,7 @@
 #include "platform_adapter/wire_object_collections.h"
 #include "settings_file.h"
 #include "status_server.h"
+#include "store_pace.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::edge {
@@ -42,29 +43,6 @@
 // The rest of the reserve covers requests that are larger than what is left of it.
 constexpr double limit_margin = 0.4;
 
-// Time beyond a watch's wait in which the store answers, over slow links too.
-constexpr std::chrono::milliseconds answer_patience{500};
-// Pause by which changes of many versions come together.
-constexpr std::chrono::milliseconds versions_pause{200};
-
-gateway::follower_settings pace_with_pause(std::chrono::milliseconds pause) {
-    gateway::follower_settings out;
-    out.patience = answer_patience;
-    out.pause = pause;
-    return out;
-}
-
-gateway::follower_settings configuration_pace(const settings::edge_bounds_settings& bounds) {
-    return gateway::pace_within(bounds.configuration_apply,
-                                pace_with_pause(std::chrono::milliseconds(0)));
-}
-
-// Entries change with every adapter that an engine loads.
-gateway::follower_settings endpoints_pace(const settings::edge_bounds_settings& bounds) {
-    return gateway::pace_of_busy_within(bounds.endpoint_drain,
-                                        pace_with_pause(std::chrono::milliseconds(0)));
-}
-
 gateway::gateway_settings data_path_settings(const settings::edge_settings& with) {
     gateway::gateway_settings out;
     out.where = {with.availability_zone, with.region, with.regions};
@@ -129,10 +107,9 @@
                    }
                },
                [](bool) {}, [this] { data_path_.directory().on_store_returned(time_.now()); }}),
-          versions_(
-              loop_, time_, store_, platform_adapter::versions_kind,
-              gateway::pace_within(with.bounds.version_apply, pace_with_pause(versions_pause)),
-              for_each_object([this](const auto& it) { on_version(it); })),
+          versions_(loop_, time_, store_, platform_adapter::versions_kind,
+                    versions_pace(with.bounds),
+                    for_each_object([this](const auto& it) { on_version(it); })),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
                           [this] {
@@ -209,6 +186,9 @@
         store_.set_address(with_.store.address);
         loads_.set_endpoints_check_fencing(with_.bounds.endpoints_check_fencing);
         data_path_.reconfigure(data_path_settings(with_));
+        configuration_.set_pace(configuration_pace(with_.bounds));
+        endpoints_.set_pace(endpoints_pace(with_.bounds));
+        versions_.set_pace(versions_pace(with_.bounds));
         telemetry::log_event(severity::info, "reload",
                              {{"vm", with_.vm},
                               {"store", with_.store.address},
--- /dev/null
+++ b/radishpulley/edge/src/store_pace.h
@@ -0,0 +1,36 @@
+/// How often the store is asked, worked out from the platform's bounds.
+#pragma once
+
+#include "gateway/collection_follower.h"
+#include "settings/edge_settings.h"
+
+namespace radishpulley::edge {
+
+/// Time beyond a watch's wait in which the store answers, over slow links too.
+constexpr std::chrono::milliseconds answer_patience{500};
+/// Pause by which changes of many versions come together.
+constexpr std::chrono::milliseconds versions_pause{200};
+
+inline gateway::follower_settings pace_with_pause(std::chrono::milliseconds pause) {
+    gateway::follower_settings out;
+    out.patience = answer_patience;
+    out.pause = pause;
+    return out;
+}
+
+inline gateway::follower_settings configuration_pace(const settings::edge_bounds_settings& it) {
+    return gateway::pace_within(it.configuration_apply,
+                                pace_with_pause(std::chrono::milliseconds(0)));
+}
+
+/// Entries change with every adapter that an engine loads.
+inline gateway::follower_settings endpoints_pace(const settings::edge_bounds_settings& it) {
+    return gateway::pace_of_busy_within(it.endpoint_drain,
+                                        pace_with_pause(std::chrono::milliseconds(0)));
+}
+
+inline gateway::follower_settings versions_pace(const settings::edge_bounds_settings& it) {
+    return gateway::pace_within(it.version_apply, pace_with_pause(versions_pause));
+}
+
+}  // namespace radishpulley::edge
--- a/tools/soak/fault_schedule.cpp
+++ b/tools/soak/fault_schedule.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using store_fault = platform_adapter::standins::store_standin::fault;
 
 constexpr milliseconds least_gap{200};
 constexpr milliseconds most_gap{1'800};
@@ -335,20 +334,17 @@
 }
 
 void fault_schedule::store_busy() {
-    note_("the store is busy");
-    fleet_.store_calm().begin();
-    fleet_.store().state = store_fault::busy;
-    until(milliseconds(500), milliseconds(6'000), [this] {
-        note_("the store answers again");
-        fleet_.store().state = store_fault::none;
-        fleet_.store_calm().end(time_.now());
-    });
+    take_store_away(store_fault::busy, "the store is busy");
 }
 
 void fault_schedule::store_silent() {
-    note_("the store says nothing");
+    take_store_away(store_fault::silent, "the store says nothing");
+}
+
+void fault_schedule::take_store_away(store_fault how, const std::string& text) {
+    note_(text);
     fleet_.store_calm().begin();
-    fleet_.store().state = store_fault::silent;
+    fleet_.store().state = how;
     until(milliseconds(500), milliseconds(6'000), [this] {
         note_("the store answers again");
         fleet_.store().state = store_fault::none;
--- a/tools/soak/fault_schedule.h
+++ b/tools/soak/fault_schedule.h
@@ -47,6 +47,7 @@
 
 private:
     using fault = void (fault_schedule::*)();
+    using store_fault = platform_adapter::standins::store_standin::fault;
 
     void next();
     std::vector<fault> faults() const;
@@ -79,6 +80,7 @@
     void change_settings();
     void store_busy();
     void store_silent();
+    void take_store_away(store_fault how, const std::string& text);
     void store_slow();
     void store_loses_writes();
     void store_forgets();
