--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -103,7 +103,7 @@
     bool has_list_ = false;
     /// Whether the copy has to be read whole before changes can be followed.
     bool needs_list_ = true;
-    bool reachable_ = true;
+    /// Calls without a result since the last answer.
     unsigned failures_in_a_row_ = 0;
     time_point answered_at_;
     /// Whether a watch has failed or was doubted since the last answer.
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -100,7 +100,7 @@
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
     watch_began_ = time_.now();
-    const auto wait = reachable_ ? settings_.watch_wait : probe_wait;
+    const auto wait = failures_in_a_row_ == 0 ? settings_.watch_wait : probe_wait;
     store_.watch(kind_, revision_, {wait, settings_.patience, settings_.freshness},
                  [this, number, alive = alive_](const changes_result& it) {
                      if (*alive) {
@@ -139,8 +139,7 @@
     answered_at_ = time_.now();
     retry_ = settings_.first_retry;
     const unsigned failures = std::exchange(failures_in_a_row_, 0);
-    if (!reachable_) {
-        reachable_ = true;
+    if (failures > 0) {
         telemetry::log_event(telemetry::severity::info, "store_regained",
                              {{"kind", kind_}, {"failures", failures}, {"gap", gap_}});
         events_.on_reachable(true);
@@ -202,9 +201,7 @@
         list();
         return;
     }
-    ++failures_in_a_row_;
-    if (reachable_) {
-        reachable_ = false;
+    if (++failures_in_a_row_ == 1) {
         telemetry::log_event(telemetry::severity::warning, "store_lost",
                              {{"kind", kind_}, {"revision", revision_}, {"age", age()}});
         events_.on_reachable(false);
