Soak: one way to excuse a VM, one draw of times, bounds stated once

Both calm periods of a VM were touched, begun and ended in pairs at ten places; times were drawn by the same expression twice; the settings repeated the bounds that the checks hold against; a VM's zone was read back from its name.

--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -23,6 +23,21 @@
 
 }  // namespace
 
+void edge_vm::begin_harm() {
+    calm.begin();
+    calm_but_for_stops.begin();
+}
+
+void edge_vm::end_harm(time_point now) {
+    calm.end(now);
+    calm_but_for_stops.end(now);
+}
+
+void edge_vm::touch(time_point now) {
+    calm.touch(now);
+    calm_but_for_stops.touch(now);
+}
+
 edge_fleet::edge_fleet(boost::asio::io_context& loop, const clock& time, fleet_settings settings)
     : time_(time), settings_(std::move(settings)), store_(loop, time) {
     store_.page = 500;
@@ -41,6 +56,7 @@
     for (std::size_t n = 0; n < settings_.vms; ++n) {
         edge_vm it;
         it.name = "edge-" + std::to_string(n);
+        it.zone = zone_of(n);
         it.callers = free_loopback_address();
         it.readiness = free_loopback_address();
         it.peers = free_loopback_address();
@@ -56,17 +72,15 @@
 }
 
 void edge_fleet::write_settings(const edge_vm& it, int retry_reserve) const {
-    const std::size_t number = std::stoul(it.name.substr(it.name.find('-') + 1));
     std::ofstream out(settings_.folder + "/" + it.name + ".toml");
-    out << "[vm]\nid = \"" << it.name << "\"\navailability_zone = \"" << zone_of(number)
+    out << "[vm]\nid = \"" << it.name << "\"\navailability_zone = \"" << it.zone
         << "\"\nregion = \"r\"\n[regions]\nzone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n"
         << "[listen]\ncallers = \"" << it.callers << "\"\nreadiness = \"" << it.readiness
         << "\"\npeers = \"" << it.peers << "\"\nmetrics = \"" << it.metrics
         << "\"\n[store]\naddress = \"" << it.way_to_store->address()
         << "\"\n[bounds]\nshutdown_grace_s = 8\nretry_ratio = 0.2\nretry_reserve = "
-        << retry_reserve
-        << "\nlimit_reserve = 0\nconfiguration_apply_ms = 2500\ndrain_ms = "
-           "2500\nendpoints_check_fencing = true\n";
+        << retry_reserve << "\nlimit_reserve = 0\nconfiguration_apply_ms = " << apply_bound.count()
+        << "\ndrain_ms = " << drain_bound.count() << "\nendpoints_check_fencing = true\n";
     if (!out.flush()) {
         throw std::runtime_error("cannot write the settings of " + it.name);
     }
@@ -80,8 +94,7 @@
     ++it.incarnation;
     it.frozen = false;
     it.stopping = false;
-    it.calm.touch(time_.now());
-    it.calm_but_for_stops.touch(time_.now());
+    it.touch(time_.now());
 }
 
 void edge_fleet::kill(edge_vm& it) {
@@ -93,11 +106,9 @@
     }
     if (it.frozen) {
         it.frozen = false;
-        it.calm.end(time_.now());
-        it.calm_but_for_stops.end(time_.now());
+        it.end_harm(time_.now());
     }
-    it.calm.touch(time_.now());
-    it.calm_but_for_stops.touch(time_.now());
+    it.touch(time_.now());
 }
 
 void edge_fleet::ask_to_stop(edge_vm& it) {
@@ -112,8 +123,7 @@
     if (it.process && !it.frozen) {
         it.process->signal(SIGSTOP);
         it.frozen = true;
-        it.calm.begin();
-        it.calm_but_for_stops.begin();
+        it.begin_harm();
     }
 }
 
@@ -121,8 +131,7 @@
     if (it.process && it.frozen) {
         it.process->signal(SIGCONT);
         it.frozen = false;
-        it.calm.end(time_.now());
-        it.calm_but_for_stops.end(time_.now());
+        it.end_harm(time_.now());
     }
 }
 
--- a/tools/soak/edge_fleet.h
+++ b/tools/soak/edge_fleet.h
@@ -17,6 +17,11 @@
 
 namespace radishpulley::soak {
 
+/// What the platform asks of VMs that are in touch: time from an acknowledgement until a
+/// configuration is in force, and until a leaving endpoint gets no more requests.
+constexpr std::chrono::milliseconds apply_bound{2'500};
+constexpr std::chrono::milliseconds drain_bound{2'500};
+
 /// What to start.
 struct fleet_settings {
     std::string daemon_program;
@@ -50,6 +55,7 @@
 /// One entry VM.
 struct edge_vm {
     std::string name;
+    std::string zone;
     std::string callers;
     std::string readiness;
     std::string peers;
@@ -64,6 +70,11 @@
     /// All that excuses it, and all of that but planned stops.
     calm_period calm;
     calm_period calm_but_for_stops;
+
+    /// Harm that no stop explains: it counts for both periods.
+    void begin_harm();
+    void end_harm(time_point now);
+    void touch(time_point now);
 };
 
 /// An endpoint and the way to it.
--- a/tools/soak/fault_schedule.cpp
+++ b/tools/soak/fault_schedule.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "draw.h"
+
 namespace radishpulley::soak {
 namespace {
 
@@ -30,7 +32,7 @@
 
 void fault_schedule::start() {
     const bool leaves_quiet = mix_ == fault_mix::silences || random_() % 6 == 0;
-    timer_.expires_after(leaves_quiet ? quiet_gap : draw(least_gap, most_gap));
+    timer_.expires_after(leaves_quiet ? quiet_gap : draw_time(random_, least_gap, most_gap));
     timer_.async_wait([this](const boost::system::error_code& ec) {
         if (!ec && !stopped_) {
             next();
@@ -73,14 +75,10 @@
     return all;
 }
 
-milliseconds fault_schedule::draw(milliseconds least, milliseconds most) {
-    return milliseconds(
-        std::uniform_int_distribution<milliseconds::rep>(least.count(), most.count())(random_));
-}
-
 void fault_schedule::until(milliseconds least, milliseconds most, std::function<void()> end) {
     ++under_way_;
-    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, draw(least, most));
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(loop_, draw_time(random_, least, most));
     timer->async_wait([this, timer, end = std::move(end)](const boost::system::error_code& ec) {
         if (!ec) {
             --under_way_;
@@ -97,22 +95,11 @@
     return fleet_.endpoints()[random_() % fleet_.endpoints().size()];
 }
 
-void fault_schedule::harm(edge_vm& it, bool begins) {
-    for (calm_period* calm : {&it.calm, &it.calm_but_for_stops}) {
-        if (begins) {
-            calm->begin();
-        } else {
-            calm->end(time_.now());
-        }
-    }
-}
-
 void fault_schedule::silence_all_ways() {
     note_("all connections to the store go silent");
     for (edge_vm& it : fleet_.vms()) {
         it.way_to_store->silence_open();
-        it.calm.touch(time_.now());
-        it.calm_but_for_stops.touch(time_.now());
+        it.touch(time_.now());
     }
 }
 
@@ -120,8 +107,7 @@
     edge_vm& it = any_vm();
     note_("connections of " + it.name + " to the store go silent");
     it.way_to_store->silence_open();
-    it.calm.touch(time_.now());
-    it.calm_but_for_stops.touch(time_.now());
+    it.touch(time_.now());
 }
 
 void fault_schedule::silence_endpoints() {
@@ -142,8 +128,7 @@
     for (edge_vm& it : fleet_.vms()) {
         if (random_() % 2 == 0) {
             it.way_to_store->reset_open();
-            it.calm.touch(time_.now());
-            it.calm_but_for_stops.touch(time_.now());
+            it.touch(time_.now());
         }
     }
 }
@@ -155,7 +140,7 @@
     const bool down = kind != 1;
     note_("the way of " + it.name + " to the store is cut" + (up ? " up" : "") +
           (down ? " down" : ""));
-    harm(it, true);
+    it.begin_harm();
     const auto set = [&it, up, down](bool held) {
         if (up) {
             it.way_to_store->set_held(proxy_direction::to_target, held);
@@ -168,32 +153,32 @@
     until(milliseconds(500), milliseconds(6'000), [this, &it, set] {
         note_("the way of " + it.name + " to the store heals");
         set(false);
-        harm(it, false);
+        it.end_harm(time_.now());
     });
 }
 
 void fault_schedule::delay_way() {
     edge_vm& it = any_vm();
-    const milliseconds delay = draw(milliseconds(20), milliseconds(150));
+    const milliseconds delay = draw_time(random_, milliseconds(20), milliseconds(150));
     note_("the way of " + it.name + " to the store takes " + std::to_string(delay.count()) +
           " ms longer");
-    harm(it, true);
+    it.begin_harm();
     it.way_to_store->set_delay(delay);
     until(milliseconds(500), milliseconds(5'000), [this, &it] {
         it.way_to_store->set_delay(milliseconds(0));
-        harm(it, false);
+        it.end_harm(time_.now());
     });
 }
 
 void fault_schedule::refuse_way() {
     edge_vm& it = any_vm();
     note_("the store turns " + it.name + " away");
-    harm(it, true);
+    it.begin_harm();
     it.way_to_store->set_refusing(true);
     until(milliseconds(500), milliseconds(6'000), [this, &it] {
         note_("the store takes " + it.name + " again");
         it.way_to_store->set_refusing(false);
-        harm(it, false);
+        it.end_harm(time_.now());
     });
 }
 
@@ -355,7 +340,7 @@
 void fault_schedule::store_slow() {
     note_("the store is slow");
     fleet_.store_calm().begin();
-    fleet_.store().answer_time = draw(milliseconds(50), milliseconds(400));
+    fleet_.store().answer_time = draw_time(random_, milliseconds(50), milliseconds(400));
     until(milliseconds(1'000), milliseconds(6'000), [this] {
         fleet_.store().answer_time = milliseconds(0);
         fleet_.store_calm().end(time_.now());
@@ -381,7 +366,7 @@
 
 void fault_schedule::store_lags() {
     note_("answers that may lag do so");
-    fleet_.store().lag = draw(milliseconds(1'500), milliseconds(3'500));
+    fleet_.store().lag = draw_time(random_, milliseconds(1'500), milliseconds(3'500));
     until(milliseconds(2'000), milliseconds(6'000),
           [this] { fleet_.store().lag = milliseconds(0); });
 }
--- a/tools/soak/fault_schedule.h
+++ b/tools/soak/fault_schedule.h
@@ -54,10 +54,8 @@
     /// Calls `end` after a drawn time; the schedule is not quiet until then.
     void until(std::chrono::milliseconds least, std::chrono::milliseconds most,
                std::function<void()> end);
-    std::chrono::milliseconds draw(std::chrono::milliseconds least, std::chrono::milliseconds most);
     edge_vm& any_vm();
     edge_endpoint& any_endpoint();
-    void harm(edge_vm& it, bool begins);
     void restart_after(edge_vm& it, std::chrono::milliseconds least,
                        std::chrono::milliseconds most);
     void stop_and_start(edge_vm& it);
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -1,10 +1,11 @@
 #include "soak_run.h"
 
+#include <algorithm>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
 
-#include "base/overloaded.h"
+#include "draw.h"
 #include "gateway/http_status.h"
 
 namespace radishpulley::soak {
@@ -17,8 +18,6 @@
 using std::chrono::seconds;
 
 // What the platform asks of VMs that are in touch.
-constexpr milliseconds apply_bound{2'500};
-constexpr milliseconds drain_bound{2'500};
 constexpr milliseconds contact_time{3'000};
 constexpr milliseconds rollback_slack{250};
 constexpr unsigned most_cuts_in_touch = 3;
@@ -123,17 +122,13 @@
     change_configuration();
     for (edge_vm& it : fleet_.vms()) {
         fleet_.start(it);
-        served_since_recovery_[it.name] = 0;
+        served_by_vm_[it.name] = 0;
     }
     start_callers();
     watch_processes();
     const bool serves = run_until(start_limit, [this] {
-        for (const auto& it : served_since_recovery_) {
-            if (it.second == 0) {
-                return false;
-            }
-        }
-        return true;
+        return std::all_of(served_by_vm_.begin(), served_by_vm_.end(),
+                           [](const auto& it) { return it.second > 0; });
     });
     if (!serves) {
         find("RECOVER: the fleet did not serve after its start");
@@ -158,11 +153,11 @@
         }
     }
     run_for(recovery_time);
-    for (auto& it : served_since_recovery_) {
+    for (auto& it : served_by_vm_) {
         it.second = 0;
     }
     run_for(check_after_recovery);
-    for (const auto& [name, served] : served_since_recovery_) {
+    for (const auto& [name, served] : served_by_vm_) {
         if (served == 0) {
             find("RECOVER: " + name + " serves nothing after the faults");
         }
@@ -191,10 +186,8 @@
     if (storm_ == 0 && random_() % 20 == 0) {
         storm_ = storm_changes;
     }
-    const milliseconds gap = storm_ > 0
-                                 ? storm_gap
-                                 : milliseconds(std::uniform_int_distribution<milliseconds::rep>(
-                                       least_change_gap.count(), most_change_gap.count())(random_));
+    const milliseconds gap =
+        storm_ > 0 ? storm_gap : draw_time(random_, least_change_gap, most_change_gap);
     storm_ = std::max(0, storm_ - 1);
     change_timer_.expires_after(gap);
     change_timer_.async_wait([this](const boost::system::error_code& ec) {
@@ -321,7 +314,7 @@
     ++report_.requests;
     if (end.status / 100 == 2) {
         ++report_.served;
-        ++served_since_recovery_[it.vm->name];
+        ++served_by_vm_[it.vm->name];
     }
     const probe_end meaning = meaning_of(end);
     check_whole(it, end);
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -115,7 +115,8 @@
     /// Requests that may run once at most.
     std::set<std::string> once_ids_;
     std::map<std::string, proof> proofs_;
-    std::map<std::string, std::size_t> served_since_recovery_;
+    /// Requests served, by VM; counted anew after the recovery.
+    std::map<std::string, std::size_t> served_by_vm_;
     std::uint64_t last_request_ = 0;
     unsigned cut_in_touch_ = 0;
     int storm_ = 0;
