Adapters: one queue at the home engine, and a load speed that is learned

Change: a wish says how long its request waits; what would come later is refused and not loaded; at most three engines are asked. The weight store's speed is learned from loads that are ready in time or late (load_speed, pure). A late load is expected again a little later instead of doubting the engine. A place is free 0.25 s after its last use is heard, instead of 0.8 s. Adapters stick more to their first engine, which keeps copies (five a place instead of 40 at most).

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -42,6 +42,8 @@
     std::chrono::milliseconds wish_timeout{150};
     /// Longest wait for an adapter; where it would take longer, another engine is asked.
     std::chrono::milliseconds longest_load_wait{1'200};
+    /// Engines that may refuse to load a request's adapter before it is refused itself.
+    std::size_t most_load_refusals = 3;
     /// Silence after which an idempotent call is sent to another endpoint.
     std::chrono::milliseconds call_silence{160};
     /// Attempts at getting one request to run, rejections included.
@@ -67,8 +69,10 @@
 class load_broker {
 public:
     virtual ~load_broker() = default;
-    /// Asks for an adapter at an engine. False where nobody can order it now.
-    virtual bool wish(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
+    /// Asks for an adapter at an engine, for a request that waits for at most `patience`. False
+    /// where nobody can order it now.
+    virtual bool wish(const endpoint_id& engine, const routing::model_choice& adapter,
+                      duration patience) = 0;
     /// A request for the adapter goes to the engine.
     virtual void note_use(const endpoint_id& engine, const routing::model_choice& adapter) = 0;
     /// A long prompt was sent: other daemons should hear of this daemon's work soon.
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -61,6 +61,8 @@
     /// Counts this request among the endpoint's work, also while it waits for an adapter.
     void reserve_work(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
+    /// Longest time that this request waits for an adapter.
+    duration load_patience() const;
     void wait_until(time_point when, const endpoint_id& id);
     void on_wait_over(const endpoint_id& id);
     void hedge_if_silent();
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -20,7 +20,8 @@
 
 void exchange::find_endpoint() {
     owner_.work_.finish(number_);
-    const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_};
+    const bool may_load = no_loads_.size() < owner_.settings_.most_load_refusals;
+    const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_, may_load};
     const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
     if (!choice) {
         refuse({status_unavailable, "no_endpoint", usual_retry_after});
@@ -73,18 +74,22 @@
             held->on_load_refused(id);
         }
     });
-    if (!owner_.broker_->wish(it.id, facts_.target)) {
+    if (!owner_.broker_->wish(it.id, facts_.target, load_patience())) {
         on_load_refused(it.id);
     }
 }
 
+duration exchange::load_patience() const {
+    return std::min<duration>(owner_.settings_.longest_load_wait, time_left());
+}
+
 void exchange::on_load_granted(const endpoint_id& engine, time_point ready_at) {
     const bool waits = phase_ == phase::asking_for_load || phase_ == phase::waiting_for_load;
     if (!waits || engine != endpoint_) {
         return;
     }
     const duration wait = ready_at - owner_.time_.now();
-    if (wait > std::min<duration>(owner_.settings_.longest_load_wait, time_left())) {
+    if (wait > load_patience()) {
         no_loads_.insert(engine);
         find_endpoint();
     } else {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -25,6 +25,11 @@
 void gateway::on_configuration(routing::configuration_ptr it) {
     configuration_ = std::move(it);
     limiter_.configure(configuration_->accounts(), time_.now());
+    for (const routing::service& service : configuration_->services()) {
+        if (service.engine && service.engine->max_adapters > 0) {
+            adapters_.set_kept_copies(service.engine->kept_copies());
+        }
+    }
 }
 
 void gateway::set_fleet_size(std::size_t vms) {
--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -54,7 +54,7 @@
 /// Nobody orders loads in these tests.
 class no_broker final : public load_broker {
 public:
-    bool wish(const endpoint_id&, const routing::model_choice&) override { return false; }
+    bool wish(const endpoint_id&, const routing::model_choice&, duration) override { return false; }
     void note_use(const endpoint_id&, const routing::model_choice&) override {}
     void note_large_work() override {}
     void note_end(const endpoint_id&, const routing::model_choice&) override { ++ended; }
--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -31,6 +31,8 @@
 /// Table of adapters by engine.
 class adapter_table {
 public:
+    /// Sets how many adapters each engine keeps copies of.
+    void set_kept_copies(std::size_t n) { kept_copies_ = n; }
     /// Takes what an engine says that it holds.
     void on_entry(const endpoint& it, time_point now);
     /// Takes a hint about one adapter at one engine.
@@ -72,8 +74,9 @@
         time_point at{};
     };
 
-    static void remember_copy(engine_row& row, const model_choice& adapter);
+    void remember_copy(engine_row& row, const model_choice& adapter) const;
 
+    std::size_t kept_copies_ = 40;
     std::map<endpoint_id, engine_row> engines_;
     std::map<model_choice, announced> versions_;
 };
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -79,6 +79,12 @@
     /// Loads of base models a second over all engines.
     double loads_per_second = 0;
     std::vector<model> models;
+
+    /// Adapters that an engine held of late and loads fast; somewhat fewer than engines keep.
+    std::size_t kept_copies() const {
+        constexpr std::size_t kept_copies_per_place = 5;
+        return max_adapters * kept_copies_per_place;
+    }
 };
 
 /// A service whose endpoints run requests.
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -32,7 +32,7 @@
     duration warm_displacement = std::chrono::milliseconds(25);
     /// Added for each place by which an engine stands behind the first for an adapter, so that
     /// daemons choose the same engine for an adapter that is nowhere.
-    duration rank_step = std::chrono::milliseconds(20);
+    duration rank_step = std::chrono::milliseconds(50);
     duration other_zone = std::chrono::milliseconds(3);
     duration other_region = std::chrono::milliseconds(18);
     /// Added where calls failed of late.
@@ -83,6 +83,8 @@
     const std::set<endpoint_id>& excluded;
     /// Engines whose loads can't be ordered now.
     const std::set<endpoint_id>& no_loads;
+    /// Whether an adapter may be loaded for it; otherwise only engines that have it are chosen.
+    bool may_load = true;
 };
 
 /// Joins the tables into a choice. The tables must outlive it.
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -33,18 +33,20 @@
     /// the estimate of the next.
     double most_slowing = 3;
     duration warm_load = std::chrono::milliseconds(40);
-    /// Adapters that an engine keeps copies of.
-    std::size_t warm_copies = 40;
-    /// Idle time from which an adapter may make way.
-    duration idle = std::chrono::milliseconds(800);
+    /// Idle time from which an adapter may make way: until then a use may not have been heard of.
+    duration idle = std::chrono::milliseconds(250);
     /// Idle time from which an outdated version is replaced.
     duration replace_idle = std::chrono::milliseconds(60);
     /// Age from which a daemon's statement of what runs no longer counts.
     duration running_lifetime = std::chrono::milliseconds(6'000);
     /// Time for which a fresh adapter stays even without use.
-    duration first_stay = std::chrono::milliseconds(1'500);
+    duration first_stay = std::chrono::milliseconds(600);
     /// Time over which uses are averaged.
     duration use_window = std::chrono::seconds(8);
+    /// Time after its expected moment in which a missing adapter counts as late, and by which it is
+    /// then expected again.
+    duration late_load = std::chrono::milliseconds(400);
+    duration late_load_step = std::chrono::milliseconds(60);
     /// Age of a wish from which nobody waits for it.
     duration wish_lifetime = std::chrono::milliseconds(1'500);
     /// Pause after an order that was not accepted.
@@ -108,7 +110,7 @@
     being_changed,
     /// Every place is in use.
     places_in_use,
-    /// Others wait for places already.
+    /// It would come too late, because others wait already.
     many_waiting
 };
 
@@ -126,6 +128,8 @@
     bool held = false;
     duration ready_in{};
     std::uint64_t version = 0;
+    /// It comes from the weight store and not from the engine's own copies.
+    bool is_fetched = false;
 };
 
 /// Keeps the adapter places of one engine.
@@ -138,8 +142,10 @@
     /// Takes the engine's entry in the directory, which is late: only a restart and base models
     /// are read from it.
     void on_entry(const endpoint& it);
-    /// The engine refused a request for what it should hold.
-    void on_doubt(time_point now);
+    /// The engine refused a request because it does not hold the adapter.
+    void on_missing(const model_choice& adapter, time_point now);
+    /// Sets how many fetches of all engines together run at full speed.
+    void set_full_speed_loads(std::size_t n) { settings_.full_speed_loads = n; }
     /// Takes an answer to `wants_report()`.
     void on_report(const engine_report& it, time_point now);
     /// The engine did not answer when asked.
@@ -150,9 +156,11 @@
     void on_use(const model_choice& adapter, time_point now);
     /// Takes the adapters that a daemon's requests run on at this engine now.
     void on_running(const vm_id& daemon, const std::vector<model_choice>& adapters, time_point now);
-    /// Somebody has a request for an adapter that the engine does not hold.
-    /// `fleet_loads` counts the adapters on their way to all engines.
-    wish_answer on_wish(const model_choice& adapter, std::size_t fleet_loads, time_point now);
+    /// Somebody has a request for an adapter that the engine does not hold, and waits for at most
+    /// `patience`. `fleet_loads` counts the adapters on their way to all engines. What would come
+    /// too late is refused and not loaded.
+    wish_answer on_wish(const model_choice& adapter, std::size_t fleet_loads, time_point now,
+                        duration patience = duration::max());
 
     /// Adapters that the engine holds or loads, and those of them that requests run on.
     std::size_t place_count() const { return places_.size(); }
@@ -183,6 +191,11 @@
         time_point since{};
     };
 
+    /// What the engine holds is not what this keeper thinks.
+    void on_doubt(time_point now);
+    /// Answers a wish for an adapter that has a place already.
+    wish_answer answer_for(const model_choice& adapter, place& it, std::size_t fleet_loads,
+                           time_point now) const;
     void adopt(const std::vector<held_model>& models, time_point ready_at,
                std::set<model_choice>& held);
     void reset();
@@ -195,6 +208,7 @@
     std::optional<engine_order> order_for_wishes(time_point now);
     std::optional<engine_order> decide(time_point now);
     void drop_settled_wishes(time_point now);
+    bool has_copy(const model_choice& adapter) const;
     duration load_time(const model_choice& adapter, std::size_t fleet_loads) const;
     void remember_copy(const model_choice& adapter);
     bool is_running(const model_choice& adapter, time_point now) const;
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -39,6 +39,8 @@
 struct load_wish {
     endpoint_id engine;
     model_choice adapter;
+    /// Longest time that the request waits for it, in milliseconds.
+    std::uint32_t patience_ms = 0;
 };
 
 /// An adapter is or will be at an engine, or left it; told by the engine's holder.
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -8,8 +8,6 @@
 
 // Longest time by which the directory is behind an engine.
 constexpr duration directory_lag = std::chrono::milliseconds(2'500);
-// Adapters that an engine keeps copies of; somewhat below what engines state.
-constexpr std::size_t most_copies = 40;
 
 }  // namespace
 
@@ -37,13 +35,13 @@
     }
 }
 
-void adapter_table::remember_copy(engine_row& row, const model_choice& adapter) {
+void adapter_table::remember_copy(engine_row& row, const model_choice& adapter) const {
     const auto found = std::find(row.copies.begin(), row.copies.end(), adapter);
     if (found != row.copies.end()) {
         row.copies.erase(found);
     }
     row.copies.push_back(adapter);
-    if (row.copies.size() > most_copies) {
+    if (row.copies.size() > kept_copies_) {
         row.copies.pop_front();
     }
 }
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -79,7 +79,7 @@
         out.expected += view.ready_at - now;
         return true;
     }
-    if (request.no_loads.count(it.id) != 0) {
+    if (!request.may_load || request.no_loads.count(it.id) != 0) {
         return false;
     }
     out.needs_load = true;
--- a/libs/routing/src/engine_keeper.cpp
+++ b/libs/routing/src/engine_keeper.cpp
@@ -32,6 +32,20 @@
     }
 }
 
+void engine_keeper::on_missing(const model_choice& adapter, time_point now) {
+    const auto found = places_.find(adapter);
+    if (found == places_.end() || found->second.leaving) {
+        // The request crossed the order that took the adapter away.
+        return;
+    }
+    place& it = found->second;
+    if (now < it.ready_at + settings_.late_load) {
+        it.ready_at = std::max(it.ready_at, now + settings_.late_load_step);
+        return;
+    }
+    on_doubt(now);
+}
+
 void engine_keeper::on_doubt(time_point now) {
     if (!needs_report_) {
         needs_report_ = true;
@@ -147,8 +161,12 @@
     return places > places_.size() ? places - places_.size() : 0;
 }
 
+bool engine_keeper::has_copy(const model_choice& adapter) const {
+    return std::find(copies_.begin(), copies_.end(), adapter) != copies_.end();
+}
+
 duration engine_keeper::load_time(const model_choice& adapter, std::size_t fleet_loads) const {
-    if (std::find(copies_.begin(), copies_.end(), adapter) != copies_.end()) {
+    if (has_copy(adapter)) {
         return settings_.warm_load;
     }
     const double crowd =
@@ -160,51 +178,53 @@
 void engine_keeper::remember_copy(const model_choice& adapter) {
     copies_.erase(std::remove(copies_.begin(), copies_.end(), adapter), copies_.end());
     copies_.push_back(adapter);
-    if (copies_.size() > settings_.warm_copies) {
+    if (copies_.size() > capacity_.kept_copies()) {
         copies_.pop_front();
     }
 }
 
 wish_answer engine_keeper::on_wish(const model_choice& adapter, std::size_t fleet_loads,
-                                   time_point now) {
+                                   time_point now, duration patience) {
     const auto found = places_.find(adapter);
-    if (found != places_.end() && is_outdated(adapter, found->second)) {
-        // It is replaced as soon as nothing runs on it.
-        return is_running(adapter, now) || found->second.leaving
-                   ? wish_answer(wish_refused{wish_obstacle::being_changed})
-                   : wish_answer(
-                         wish_granted{load_time(adapter, fleet_loads), versions_.at(adapter)});
-    }
-    if (found != places_.end() && !found->second.leaving) {
-        found->second.last_use = std::max(found->second.last_use, now);
-        const duration left = found->second.ready_at - now;
-        return wish_granted{std::max(left, duration::zero()), found->second.version, true};
+    if (found != places_.end()) {
+        return answer_for(adapter, found->second, fleet_loads, now);
     }
     if (models_.count(adapter.model) == 0) {
         return wish_refused{wish_obstacle::no_model};
     }
-    if (found != places_.end()) {
-        return wish_refused{wish_obstacle::being_changed};
-    }
     drop_settled_wishes(now);
     const auto waiting = std::find_if(wishes_.begin(), wishes_.end(),
                                       [&](const wish& it) { return it.adapter == adapter; });
     const std::size_t ahead = waiting - wishes_.begin();
-    if (waiting == wishes_.end()) {
-        const bool crowded = room() <= ahead && !choose_victim(now);
-        if (crowded) {
-            return wish_refused{wish_obstacle::places_in_use};
-        }
-        if (ahead >= settings_.parallel_loads) {
-            return wish_refused{wish_obstacle::many_waiting};
-        }
-        wishes_.push_back({adapter, now});
+    const bool is_new = waiting == wishes_.end();
+    if (is_new && room() <= ahead && !choose_victim(now)) {
+        return wish_refused{wish_obstacle::places_in_use};
     }
     const auto rounds = static_cast<int>((loads_under_way(now) + ahead) / settings_.parallel_loads);
-    const duration one_load = load_time(adapter, fleet_loads);
-    return wish_granted{
-        one_load * (1 + rounds) + (needs_report_ ? settings_.report_lag : duration::zero()),
-        versions_.count(adapter) != 0 ? versions_[adapter] : 0};
+    const duration ready_in = load_time(adapter, fleet_loads) * (1 + rounds) +
+                              (needs_report_ ? settings_.report_lag : duration::zero());
+    if (ready_in > patience) {
+        return wish_refused{wish_obstacle::many_waiting};
+    }
+    if (is_new) {
+        wishes_.push_back({adapter, now});
+    }
+    return wish_granted{ready_in, versions_.count(adapter) != 0 ? versions_[adapter] : 0};
+}
+
+wish_answer engine_keeper::answer_for(const model_choice& adapter, place& it,
+                                      std::size_t fleet_loads, time_point now) const {
+    if (it.leaving) {
+        return wish_refused{wish_obstacle::being_changed};
+    }
+    if (is_outdated(adapter, it)) {
+        // It is replaced as soon as nothing runs on it.
+        return is_running(adapter, now) ? wish_answer(wish_refused{wish_obstacle::being_changed})
+                                        : wish_answer(wish_granted{load_time(adapter, fleet_loads),
+                                                                   versions_.at(adapter)});
+    }
+    it.last_use = std::max(it.last_use, now);
+    return wish_granted{std::max(it.ready_at - now, duration::zero()), it.version, true};
 }
 
 void engine_keeper::drop_settled_wishes(time_point now) {
@@ -300,6 +320,7 @@
 
 adapter_change engine_keeper::note_load(const engine_order& order, std::size_t fleet_loads,
                                         time_point now) {
+    const bool is_fetched = !has_copy(order.target);
     const duration takes = load_time(order.target, fleet_loads);
     place& it = places_[order.target];
     it.ready_at = now + takes;
@@ -307,7 +328,7 @@
     const auto newest = versions_.find(order.target);
     it.version = newest == versions_.end() ? it.version : newest->second;
     remember_copy(order.target);
-    return {order.target, true, takes, it.version};
+    return {order.target, true, takes, it.version, is_fetched};
 }
 
 adapter_change engine_keeper::note_unload(const engine_order& order, bool at_once, time_point now) {
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -79,7 +79,7 @@
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
             },
             [](const load_wish& w) {
-                return json::array({"w", w.engine.str(), to_json(w.adapter)});
+                return json::array({"w", w.engine.str(), to_json(w.adapter), w.patience_ms});
             },
             [](const adapter_hint& h) {
                 return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
@@ -102,7 +102,7 @@
         return adapter_uses{engine, read_choices(in.at(2)), read_choices(in.at(3))};
     }
     if (kind == "w") {
-        return load_wish{engine, read_choice(in.at(2))};
+        return load_wish{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>()};
     }
     if (kind == "h") {
         return adapter_hint{engine,
--- a/libs/routing/tests/engine_keeper_tests.cpp
+++ b/libs/routing/tests/engine_keeper_tests.cpp
@@ -243,6 +243,68 @@
     BOOST_TEST((crowded <= milliseconds(1'000)));
 }
 
+// Rare adapters asked for all at once at an engine with free places: each request went from engine
+// to engine, because only four could wait at one.
+BOOST_AUTO_TEST_CASE(rare_adapters_asked_for_at_once_wait_in_one_queue_with_a_true_time) {
+    fixture f(14);
+    duration longest{};
+    for (int i = 0; i < 12; ++i) {
+        const auto answer = f.keeper.on_wish(adapter(std::to_string(i)), 0, f.now);
+        BOOST_REQUIRE(is_granted(answer));
+        const duration wait = std::get<wish_granted>(answer).ready_in;
+        BOOST_TEST((wait >= longest));
+        longest = wait;
+    }
+    // Four at a time, so three rounds.
+    BOOST_TEST((longest == milliseconds(265) * 3));
+}
+
+// Adapters asked for in turn, each used for a moment: a place whose use has just ended goes to the
+// next one instead of staying taken for most of a second.
+BOOST_AUTO_TEST_CASE(a_place_is_free_soon_after_its_last_use) {
+    fixture f(1);
+    f.load("a");
+    f.keeper.on_use(adapter("a"), f.now);
+    f.keeper.on_running(vm_id("v"), {adapter("a")}, f.now);
+    f.now += milliseconds(400);
+    f.keeper.on_running(vm_id("v"), {}, f.now);
+    BOOST_TEST(is_granted(f.keeper.on_wish(adapter("b"), 0, f.now)));
+    BOOST_TEST((f.keeper.next_order(f.now)->kind == order_kind::unload));
+}
+
+// A load that lasts longer than expected: the engine was asked for a report, and meanwhile no other
+// adapter was loaded there for 0.3 s.
+BOOST_AUTO_TEST_CASE(a_late_load_does_not_hold_up_the_others) {
+    fixture f(4);
+    f.load("a");
+    f.keeper.on_missing(adapter("a"), f.now);
+    BOOST_TEST(!f.keeper.wants_report(f.now + seconds(1)));
+    const auto again = f.keeper.on_wish(adapter("a"), 0, f.now);
+    BOOST_TEST((std::get<wish_granted>(again).ready_in > duration::zero()));
+    f.keeper.on_wish(adapter("b"), 0, f.now);
+    BOOST_REQUIRE(f.keeper.next_order(f.now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_crossed_an_unload_is_no_doubt) {
+    fixture f(1);
+    f.load("a");
+    f.now += seconds(2);
+    f.keeper.on_wish(adapter("b"), 0, f.now);
+    f.keeper.next_order(f.now);
+    f.keeper.on_outcome(order_outcome::already_holds, 0, f.now);
+    f.keeper.on_missing(adapter("a"), f.now);
+    BOOST_TEST(!f.keeper.wants_report(f.now + seconds(1)));
+    BOOST_TEST((f.keeper.next_order(f.now)->kind == order_kind::load));
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_missing_long_after_its_load_is_looked_into) {
+    fixture f(4);
+    f.load("a");
+    f.now += seconds(5);
+    f.keeper.on_missing(adapter("a"), f.now);
+    BOOST_TEST(f.keeper.wants_report(f.now));
+}
+
 BOOST_AUTO_TEST_CASE(refusals_say_why) {
     fixture f(1);
     const auto unknown = f.keeper.on_wish({"other", "a"}, 0, f.now);
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -161,8 +161,9 @@
 
     const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_uses{engine, {plans}, {}}}));
     BOOST_TEST((std::get<adapter_uses>(uses.body).sent == std::vector<model_choice>{plans}));
-    const auto wish = decode_hint(encode({{vm_id("v"), 7}, load_wish{engine, plans}}));
+    const auto wish = decode_hint(encode({{vm_id("v"), 7}, load_wish{engine, plans, 900}}));
     BOOST_TEST((std::get<load_wish>(wish.body).adapter == plans));
+    BOOST_TEST(std::get<load_wish>(wish.body).patience_ms == 900U);
     const auto told =
         decode_hint(encode({{vm_id("v"), 7}, adapter_hint{engine, plans, true, 5, 2}}));
     BOOST_TEST(std::get<adapter_hint>(told.body).ready_in_ms == 5U);
@@ -171,7 +172,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(damaged_hints_are_refused) {
-    const std::string whole = encode({{vm_id("v"), 7}, load_wish{engine, plans}});
+    const std::string whole = encode({{vm_id("v"), 7}, load_wish{engine, plans, 900}});
     for (std::size_t n = 0; n < whole.size(); ++n) {
         BOOST_CHECK_THROW(decode_hint(whole.substr(0, n)), invalid_input);
     }
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -21,6 +21,7 @@
 #include "ownership/holder_guard.h"
 #include "ownership/ownership_policy.h"
 #include "routing/engine_keeper.h"
+#include "routing/load_speed.h"
 #include "routing/use_table.h"
 
 namespace radishpulley::edge {
@@ -53,7 +54,8 @@
     /// Gives up all engines: this VM is leaving.
     void leave();
 
-    bool wish(const endpoint_id& engine, const routing::model_choice& adapter) override;
+    bool wish(const endpoint_id& engine, const routing::model_choice& adapter,
+              duration patience) override;
     void note_use(const endpoint_id& engine, const routing::model_choice& adapter) override;
     void note_large_work() override { on_large_work_(); }
     /// Sets what is called when a long prompt was sent.
@@ -84,12 +86,21 @@
     void give(const endpoint_id& engine, const routing::engine_order& order,
               ownership::fencing_number fence);
     void tell(const endpoint_id& engine, const routing::adapter_change& change);
+    /// An order was carried out: learns from it and tells the other daemons.
+    void on_order_done(const endpoint_id& engine, routing::engine_keeper& keeper,
+                       routing::order_outcome outcome);
+    /// A request found an adapter missing at an engine that this daemon keeps.
+    void on_missing(const endpoint_id& engine, routing::engine_keeper& keeper,
+                    const routing::model_choice& adapter);
+    /// Requests for adapters were sent to an engine that this daemon keeps.
+    void on_use(const endpoint_id& engine, routing::engine_keeper& keeper,
+                const routing::model_choice& adapter);
     /// Tells the holders of uses at their engines.
     void flush_uses();
     void tell_uses(const endpoint_id& engine);
     std::optional<vm_incarnation> holder_of(const endpoint_id& engine) const;
-    routing::wish_answer ask_keeper(const endpoint_id& engine,
-                                    const routing::model_choice& adapter);
+    routing::wish_answer ask_keeper(const endpoint_id& engine, const routing::model_choice& adapter,
+                                    duration patience);
 
     const clock& time_;
     gateway::object_collections& store_;
@@ -114,6 +125,7 @@
     std::map<endpoint_id, kept_engine> kept_;
     std::map<routing::model_choice, std::uint64_t> versions_;
     routing::use_table uses_;
+    routing::load_speed speed_;
     std::function<void()> on_large_work_ = [] {};
     time_point flushed_at_{};
 };
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -18,8 +18,6 @@
 constexpr duration rank_delay = std::chrono::milliseconds(400);
 // Holders keep what they have: a hand-over for balance would only interrupt loads.
 constexpr duration balance_interval = std::chrono::hours(24);
-// Adapters that the weight store delivers at once at full speed; the platform does not state it.
-constexpr double full_speed_loads_per_engine = 0.35;
 constexpr duration pause_limit = std::chrono::milliseconds(1'500);
 constexpr std::chrono::milliseconds tick_interval{100};
 // Engines are looked over for what the guard allows now even where nothing changed.
@@ -113,6 +111,7 @@
 
 void load_coordinator::tick() {
     const time_point now = time_.now();
+    speed_.advance(now);
     ensure_policy();
     if (policy_) {
         guard_->on_running(now);
@@ -286,10 +285,6 @@
     keepers_changed_ = false;
     keepers_updated_ = now;
     const std::vector<const routing::endpoint*> endpoints = data_path_.directory().all();
-    routing::keeper_settings settings;
-    settings.full_speed_loads = std::max(
-        settings.full_speed_loads, static_cast<std::size_t>(full_speed_loads_per_engine *
-                                                            static_cast<double>(endpoints.size())));
     for (const routing::endpoint* it : endpoints) {
         const routing::engine_capacity* capacity = capacity_of(*it);
         const bool holds = guard_ && guard_->may_act(holding_of(it->id), now).has_value();
@@ -300,9 +295,8 @@
         if (kept_.count(it->id) != 0) {
             continue;
         }
-        auto& kept =
-            kept_.emplace(it->id, kept_engine{routing::engine_keeper(it->id, *capacity, settings)})
-                .first->second;
+        auto& kept = kept_.emplace(it->id, kept_engine{routing::engine_keeper(it->id, *capacity)})
+                         .first->second;
         kept.keeper.on_entry(*it);
         for (const auto& [adapter, version] : versions_) {
             kept.keeper.on_version(adapter, version);
@@ -334,13 +328,14 @@
 }
 
 routing::wish_answer load_coordinator::ask_keeper(const endpoint_id& engine,
-                                                  const model_choice& adapter) {
+                                                  const model_choice& adapter, duration patience) {
     const auto kept = kept_.find(engine);
     if (kept == kept_.end()) {
         return routing::wish_refused{routing::wish_obstacle::no_model};
     }
+    kept->second.keeper.set_full_speed_loads(speed_.full_speed_loads());
     const auto answer = kept->second.keeper.on_wish(
-        adapter, data_path_.adapters().loads_under_way(time_.now()), time_.now());
+        adapter, data_path_.adapters().loads_under_way(time_.now()), time_.now(), patience);
     if (const auto* refused = std::get_if<routing::wish_refused>(&answer)) {
         const time_point now = time_.now();
         telemetry::log_event(severity::info, "load_refused",
@@ -354,9 +349,10 @@
     return answer;
 }
 
-bool load_coordinator::wish(const endpoint_id& engine, const model_choice& adapter) {
+bool load_coordinator::wish(const endpoint_id& engine, const model_choice& adapter,
+                            duration patience) {
     if (kept_.count(engine) != 0) {
-        const auto answer = ask_keeper(engine, adapter);
+        const auto answer = ask_keeper(engine, adapter, patience);
         const auto* granted = std::get_if<routing::wish_granted>(&answer);
         if (granted != nullptr) {
             data_path_.on_adapter(engine, adapter,
@@ -367,14 +363,15 @@
     }
     const auto holder = holder_of(engine);
     return holder && *holder != *fleet_.self() &&
-           fleet_.send(holder->vm, routing::load_wish{engine, adapter});
+           fleet_.send(holder->vm, routing::load_wish{engine, adapter,
+                                                      static_cast<std::uint32_t>(ms_of(patience))});
 }
 
 void load_coordinator::note_use(const endpoint_id& engine, const model_choice& adapter) {
     const bool is_unknown = uses_.start(engine, adapter);
     const auto kept = kept_.find(engine);
     if (kept != kept_.end()) {
-        kept->second.keeper.on_use(adapter, time_.now());
+        on_use(engine, kept->second.keeper, adapter);
         kept->second.keeper.on_running(fleet_.self()->vm, uses_.running(engine), time_.now());
     } else if (is_unknown) {
         tell_uses(engine);
@@ -403,7 +400,7 @@
 void load_coordinator::note_missing(const endpoint_id& engine, const model_choice& adapter) {
     const auto kept = kept_.find(engine);
     if (kept != kept_.end()) {
-        kept->second.keeper.on_doubt(time_.now());
+        on_missing(engine, kept->second.keeper, adapter);
         return;
     }
     if (const auto holder = holder_of(engine)) {
@@ -433,13 +430,14 @@
                 const auto kept = kept_.find(uses.engine);
                 if (kept != kept_.end()) {
                     for (const model_choice& each : uses.sent) {
-                        kept->second.keeper.on_use(each, now);
+                        on_use(uses.engine, kept->second.keeper, each);
                     }
                     kept->second.keeper.on_running(it.from.vm, uses.running, now);
                 }
             },
             [&](const routing::load_wish& wish) {
-                const auto answer = ask_keeper(wish.engine, wish.adapter);
+                const auto answer = ask_keeper(wish.engine, wish.adapter,
+                                               std::chrono::milliseconds(wish.patience_ms));
                 if (const auto* granted = std::get_if<routing::wish_granted>(&answer)) {
                     fleet_.send(
                         it.from.vm,
@@ -454,7 +452,7 @@
                 const auto kept = kept_.find(hint.engine);
                 if (kept != kept_.end()) {
                     // Only a daemon whose request was refused tells the holder itself.
-                    kept->second.keeper.on_doubt(now);
+                    on_missing(hint.engine, kept->second.keeper, hint.adapter);
                     return;
                 }
                 routing::adapter_view view;
@@ -508,35 +506,58 @@
                             ownership::fencing_number fence) {
     kept_.at(engine).busy = true;
     const routing::endpoint* target = data_path_.directory().find(engine);
-    engines_.give(
-        *target, order, {fleet_.self()->vm.str(), fence},
-        [this, engine, order, fence](routing::order_outcome outcome) {
-            telemetry::log_event(
-                severity::info, "engine_order",
-                {{"engine", engine},
-                 {"kind", order.kind == routing::order_kind::load ? "load" : "unload"},
-                 {"model", order.target.model},
-                 {"adapter", order.target.adapter},
-                 {"version", order.version},
-                 {"sequence", order.expected_sequence},
-                 {"fence", fence},
-                 {"outcome", name_of(outcome)}});
-            const auto it = kept_.find(engine);
-            if (it == kept_.end()) {
-                return;
-            }
-            it->second.busy = false;
-            if (outcome == routing::order_outcome::superseded) {
-                guard_->stop(holding_of(engine));
-                kept_.erase(it);
-                return;
-            }
-            if (const auto change = it->second.keeper.on_outcome(
-                    outcome, data_path_.adapters().loads_under_way(time_.now()), time_.now())) {
-                tell(engine, *change);
-            }
-            pump(engine);
-        });
+    engines_.give(*target, order, {fleet_.self()->vm.str(), fence},
+                  [this, engine, order, fence](routing::order_outcome outcome) {
+                      telemetry::log_event(
+                          severity::info, "engine_order",
+                          {{"engine", engine},
+                           {"kind", order.kind == routing::order_kind::load ? "load" : "unload"},
+                           {"model", order.target.model},
+                           {"adapter", order.target.adapter},
+                           {"version", order.version},
+                           {"sequence", order.expected_sequence},
+                           {"fence", fence},
+                           {"outcome", name_of(outcome)}});
+                      const auto it = kept_.find(engine);
+                      if (it == kept_.end()) {
+                          return;
+                      }
+                      it->second.busy = false;
+                      if (outcome == routing::order_outcome::superseded) {
+                          guard_->stop(holding_of(engine));
+                          kept_.erase(it);
+                          return;
+                      }
+                      on_order_done(engine, it->second.keeper, outcome);
+                      pump(engine);
+                  });
+}
+
+void load_coordinator::on_order_done(const endpoint_id& engine, routing::engine_keeper& keeper,
+                                     routing::order_outcome outcome) {
+    const time_point now = time_.now();
+    const std::size_t fleet_loads = data_path_.adapters().loads_under_way(now);
+    keeper.set_full_speed_loads(speed_.full_speed_loads());
+    const auto change = keeper.on_outcome(outcome, fleet_loads, now);
+    if (!change) {
+        return;
+    }
+    if (change->is_fetched) {
+        speed_.on_ordered(engine, change->adapter, fleet_loads, now + change->ready_in);
+    }
+    tell(engine, *change);
+}
+
+void load_coordinator::on_missing(const endpoint_id& engine, routing::engine_keeper& keeper,
+                                  const model_choice& adapter) {
+    speed_.on_missing(engine, adapter, time_.now());
+    keeper.on_missing(adapter, time_.now());
+}
+
+void load_coordinator::on_use(const endpoint_id& engine, routing::engine_keeper& keeper,
+                              const model_choice& adapter) {
+    speed_.on_use(engine, adapter, time_.now());
+    keeper.on_use(adapter, time_.now());
 }
 
 void load_coordinator::tell(const endpoint_id& engine, const routing::adapter_change& change) {
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -185,7 +185,7 @@
     add("b");
     run_until([&] { return holder() != nullptr && nodes[0]->hints > 0 && nodes[1]->hints > 0; });
     node& other = holder() == nodes[0].get() ? *nodes[1] : *nodes[0];
-    run_until([&] { return other.loads.wish(engine, plans); });
+    run_until([&] { return other.loads.wish(engine, plans, std::chrono::seconds(1)); });
     run_until([&] {
         return other.paths.adapters().view(engine, plans, other.time.now()).state ==
                routing::adapter_state::loaded;
@@ -200,10 +200,10 @@
     node& a = add("a");
     run_until([&] { return a.loads.engines_held() == 1; });
     engines.outcome = routing::order_outcome::superseded;
-    BOOST_TEST(a.loads.wish(engine, plans));
+    BOOST_TEST(a.loads.wish(engine, plans, std::chrono::seconds(1)));
     run_until([&] { return !engines.orders.empty() && a.loads.engines_held() == 0; });
     const std::size_t given = engines.orders.size();
-    BOOST_TEST(!a.loads.wish(engine, plans));
+    BOOST_TEST(!a.loads.wish(engine, plans, std::chrono::seconds(1)));
     for (int i = 0; i < 100; ++i) {
         loop.restart();
         loop.run_for(std::chrono::milliseconds(3));
@@ -225,7 +225,7 @@
     node& a = add("a");
     run_until([&] { return a.loads.engines_held() == 1; });
     store.away = true;
-    run_until([&] { return a.loads.wish(engine, plans); });
+    run_until([&] { return a.loads.wish(engine, plans, std::chrono::seconds(1)); });
     run_until([&] { return !engines.orders.empty(); });
     BOOST_TEST(a.loads.engines_held() == 1U);
 }
@@ -238,7 +238,7 @@
         loop.run_for(std::chrono::milliseconds(3));
     }
     BOOST_TEST(!a.member.self().has_value());
-    BOOST_TEST(!a.loads.wish(engine, plans));
+    BOOST_TEST(!a.loads.wish(engine, plans, std::chrono::seconds(1)));
     store.away = false;
     run_until([&] { return a.loads.engines_held() == 1; });
 }
