Limits: a VM's share is its mean over the time that it refills, not that of the moment

Cause: a VM that sees one request in ten seconds added the request to its own demand first and then refilled for all ten seconds with the share that this demand gives; all VMs together handed out more than the rate. Ruled out: the reserve (28,800 units) and the change of the limit (in force everywhere 10 s before).

Change: refill first, with the integral of the share while the own demand decays.

--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -91,6 +91,12 @@
     };
 
     double decayed_demand(const bucket& it, time_point now) const;
+    double least_demand(const bucket& it) const;
+    /// Demand that other VMs see, where this one sees `own`.
+    double demand_elsewhere(const client_account_id& account, const bucket& it, double own,
+                            time_point now) const;
+    /// This VM's share on average since the bucket was filled.
+    double mean_share(const client_account_id& account, const bucket& it, time_point now) const;
     void refill(const client_account_id& account, bucket& it, time_point now);
     bool take(bucket& it, double units) const;
 
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -57,15 +57,14 @@
            std::exp(-seconds_of(now - it.demand_at) / seconds_of(settings_.demand_window));
 }
 
-double account_limiter::share(const client_account_id& account, time_point now) const {
-    const auto found = buckets_.find(account);
-    if (found == buckets_.end()) {
-        return 1.0 / static_cast<double>(fleet_size_);
-    }
-    const double least =
-        found->second.rate * settings_.least_demand / static_cast<double>(fleet_size_);
-    const double own = decayed_demand(found->second, now) + least;
-    double all = own;
+double account_limiter::least_demand(const bucket& it) const {
+    return it.rate * settings_.least_demand / static_cast<double>(fleet_size_);
+}
+
+double account_limiter::demand_elsewhere(const client_account_id& account, const bucket& it,
+                                         double own, time_point now) const {
+    const double least = least_demand(it);
+    double all = 0;
     std::size_t heard = 1;
     for (const auto& [vm, peer] : peers_) {
         if (now > peer.ends_at) {
@@ -77,13 +76,43 @@
     }
     // A VM that was never heard may see as much demand as this one.
     if (heard < fleet_size_) {
-        all += static_cast<double>(fleet_size_ - heard) * own;
+        all += static_cast<double>(fleet_size_ - heard) * (own + least);
+    }
+    return all;
+}
+
+double account_limiter::share(const client_account_id& account, time_point now) const {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return 1.0 / static_cast<double>(fleet_size_);
     }
-    return own / all;
+    const double demand = decayed_demand(found->second, now);
+    const double own = demand + least_demand(found->second);
+    return own / (own + demand_elsewhere(account, found->second, demand, now));
+}
+
+double account_limiter::mean_share(const client_account_id& account, const bucket& it,
+                                   time_point now) const {
+    const double elapsed = seconds_of(now - it.filled_at);
+    if (elapsed <= 0) {
+        return share(account, now);
+    }
+    // The share's integral while this VM's demand decays and that of the others stays.
+    const double window = seconds_of(settings_.demand_window);
+    const double then = decayed_demand(it, it.filled_at);
+    const double decay = std::exp(-elapsed / window);
+    const double elsewhere = demand_elsewhere(account, it, then * (1 + decay) / 2, now);
+    const double rest = least_demand(it) + elsewhere;
+    if (rest <= 0) {
+        return 1;
+    }
+    const double taken_elsewhere =
+        elsewhere / rest * (elapsed + window * std::log((rest + then * decay) / (rest + then)));
+    return 1 - taken_elsewhere / elapsed;
 }
 
 void account_limiter::refill(const client_account_id& account, bucket& it, time_point now) {
-    const double part = share(account, now);
+    const double part = mean_share(account, it, now);
     const double elapsed = seconds_of(now - it.filled_at);
     it.filled_at = now;
     const double small_room = it.burst * part * settings_.small_part;
@@ -113,9 +142,10 @@
         return admitted{};
     }
     bucket& it = found->second;
+    // What came in until now was shared by the demand until now.
+    refill(account, it, now);
     it.demand = decayed_demand(it, now) + units / seconds_of(settings_.demand_window);
     it.demand_at = now;
-    refill(account, it, now);
     if (take(it, units)) {
         return admitted{};
     }
--- /dev/null
+++ b/libs/routing/tests_hot_account/hot_account_tests.cpp
@@ -0,0 +1,20 @@
+#include <boost/test/unit_test.hpp>
+
+#include "limiter_fleet.h"
+
+namespace radishpulley::routing::testing {
+
+BOOST_AUTO_TEST_SUITE(hot_account_tests)
+
+// An account that suddenly sends several times its rate, before hundreds of VMs that were idle.
+BOOST_AUTO_TEST_CASE(a_hot_account_before_hundreds_of_idle_vms_stays_within_the_limit) {
+    constexpr double rate = 126'000;
+    const auto hot = [](int second) { return second < 10 ? 0.3 : 5.0; };
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        BOOST_TEST(most_in_a_window(195, rate, seed, hot) <= platform_bound(rate));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::routing::testing
