Load speed: begins with as many loads as there are engines

Now the store counts as fast until a load is late; then the figure falls below what ran. Test: a_large_fleet_begins_with_its_engines_and_learns_from_the_first_late_load.

--- a/libs/routing/include/routing/load_speed.h
+++ b/libs/routing/include/routing/load_speed.h
@@ -16,7 +16,7 @@
 
 /// Limits of the figure and how fast it moves.
 struct load_speed_settings {
-    /// Figure to begin with; it never falls below it.
+    /// The figure never falls below it.
     double least = 8;
     double most = 4'096;
     /// Added for each load that was ready in time although as many ran as the figure says, until
@@ -41,6 +41,9 @@
     /// Loads of all engines together that are expected to run at full speed.
     std::size_t full_speed_loads() const { return static_cast<std::size_t>(figure_); }
 
+    /// Sets how many engines there are. Until a load is late, the store is taken to deliver to as
+    /// many at once.
+    void set_engines(std::size_t n);
     /// A load was accepted that is expected at `ready_at`, while `fleet_loads` others ran.
     void on_ordered(const endpoint_id& engine, const model_choice& adapter, std::size_t fleet_loads,
                     time_point ready_at);
--- a/libs/routing/src/load_speed.cpp
+++ b/libs/routing/src/load_speed.cpp
@@ -7,6 +7,12 @@
 load_speed::load_speed(load_speed_settings settings)
     : settings_(settings), figure_(settings.least) {}
 
+void load_speed::set_engines(std::size_t n) {
+    if (decreased_at_ == time_point::min()) {
+        figure_ = std::max(figure_, static_cast<double>(n));
+    }
+}
+
 void load_speed::on_ordered(const endpoint_id& engine, const model_choice& adapter,
                             std::size_t fleet_loads, time_point ready_at) {
     loads_[{engine, adapter}] = {fleet_loads, ready_at, false};
--- a/libs/routing/tests/load_speed_tests.cpp
+++ b/libs/routing/tests/load_speed_tests.cpp
@@ -89,6 +89,19 @@
     BOOST_TEST(speed.full_speed_loads() == 8U);
 }
 
+// Hundreds of engines, each with a holder of its own that sees few loads: a figure that begins low
+// made every request wait three times as long as its adapter took.
+BOOST_AUTO_TEST_CASE(a_large_fleet_begins_with_its_engines_and_learns_from_the_first_late_load) {
+    load_speed speed;
+    speed.set_engines(117);
+    BOOST_TEST(speed.full_speed_loads() == 117U);
+    store_of_weights store(40);
+    store.run(speed, 60, 1);
+    BOOST_TEST(speed.full_speed_loads() <= 60U);
+    speed.set_engines(117);
+    BOOST_TEST(speed.full_speed_loads() <= 60U);
+}
+
 // Loads that run together are late together: one crowd is one sign.
 BOOST_AUTO_TEST_CASE(one_crowd_of_late_loads_lowers_the_figure_once) {
     load_speed_settings settings;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -285,8 +285,10 @@
     keepers_changed_ = false;
     keepers_updated_ = now;
     const std::vector<const routing::endpoint*> endpoints = data_path_.directory().all();
+    std::size_t engines = 0;
     for (const routing::endpoint* it : endpoints) {
         const routing::engine_capacity* capacity = capacity_of(*it);
+        engines += capacity != nullptr ? 1 : 0;
         const bool holds = guard_ && guard_->may_act(holding_of(it->id), now).has_value();
         if (!holds || capacity == nullptr || it->draining) {
             kept_.erase(it->id);
@@ -313,6 +315,7 @@
         kept->second.keeper.on_entry(it);
         pump(it.id);
     }
+    speed_.set_engines(engines);
 }
 
 void load_coordinator::on_endpoint_removed(const endpoint_id& id) {
