Store: two VMs of a zone watch, the others learn from their reports

Ruled out: longer watches alone (the bounds leave no room), several collections in one watch (the store has none).

Change: libs/relay (pure): VMs of a zone rank themselves by a hash; the first two watch, and report up to which revision their copy is complete, how old it is, and the last changes. A reader applies what is listed, asks the store for what is not, and asks for itself before its copy is too old for the platform's bound, one rank after the other, so that the frozen, killed, cut off or turned away are passed over. Fewer than four VMs in a zone: as before. Of entries that change with every adapter only what routing depends on is reported (entry_changes).

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -1,10 +1,14 @@
 /// Keeps a copy of one collection current: lists it, watches it, lists it again after a gap.
+///
+/// Where other VMs near follow the collection too, only some watch it, and the others learn from
+/// their reports (libs/relay).
 #pragma once
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +16,8 @@
 
 #include "base/clock.h"
 #include "gateway/object_collections.h"
+#include "relay/change_log.h"
+#include "relay/copy_schedule.h"
 
 namespace radishpulley::gateway {
 
@@ -27,6 +33,11 @@
     std::chrono::milliseconds patience{1'500};
     std::chrono::milliseconds first_retry{100};
     std::chrono::milliseconds longest_retry{1'000};
+    /// Whether reports list changes with their contents; otherwise readers ask the store for them.
+    bool reports_contents = true;
+    /// Time after a report of unlisted changes until they are asked for: another VM's report may
+    /// list them.
+    std::chrono::milliseconds report_patience{200};
 };
 
 /// Returns `with`, waiting so briefly that a change is known within `bound` of its moment, even
@@ -47,6 +58,10 @@
     /// The store answered after it had been away: after several calls without a result. One such
     /// call alone may have lost its connection while the store was well.
     std::function<void()> on_outage_over = [] {};
+    /// Whether VMs that learn from reports need this change; asked once before each is told.
+    std::function<bool(const object_change&)> matters = [](const object_change&) { return true; };
+    /// The store itself confirmed the copy: time to report it.
+    std::function<void()> on_confirmed = [] {};
 };
 
 /// Follows one collection until it is destroyed.
@@ -63,6 +78,12 @@
     /// dead. The first answer of them counts. Does nothing where the last watch is younger than the
     /// longest retry delay.
     void renew();
+    /// Sets the place of this VM among those of its zone, from 0, and how many there are.
+    void set_rank(std::size_t rank, std::size_t vms);
+    /// Takes another VM's report about this collection.
+    void on_report(const relay::copy_report& it);
+    /// Returns what this VM can tell others, or nothing without a copy.
+    std::optional<relay::copy_report> report();
     /// Takes another pace for the watches that follow.
     void set_pace(follower_settings pace) { settings_ = pace; }
     /// Time since the store last answered; the copy is at least as new as that.
@@ -73,6 +94,10 @@
     /// Whether there is a copy, however old.
     bool has_list() const { return has_list_; }
     store_revision revision() const { return revision_; }
+    const std::string& kind() const { return kind_; }
+    /// Calls that read the collection.
+    std::uint64_t reads() const { return reads_; }
+    relay::copy_role role() const { return schedule_.role(); }
 
 private:
     void list();
@@ -80,13 +105,21 @@
     void on_list(const list_result& result);
     void on_watch_end(std::uint64_t number, const changes_result& result);
     void on_changes(const changes_result& result);
+    void take_changes(const object_changes& it);
+    void note_for_reports(relay::reported_change it);
     std::chrono::milliseconds pause_after(const object_changes& it) const;
-    void watch_after(std::chrono::milliseconds pause);
+    /// Plans the next read after an answer.
+    void read_on(std::chrono::milliseconds pause);
+    /// A reader's copy may be too old by now.
+    void ask_if_due();
+    void ask_for_reported();
     void note_answer();
     void fail(read_failure why);
     void after(std::chrono::milliseconds wait, void (collection_follower::*next)());
 
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer report_timer_;
+    bool is_asking_for_reported_ = false;
     const clock& time_;
     object_collections& store_;
     std::string kind_;
@@ -100,6 +133,11 @@
     bool is_watching_ = false;
     time_point watch_began_{};
     store_revision revision_ = 0;
+    /// Newest revision that some report told of.
+    store_revision reported_ = 0;
+    relay::copy_schedule schedule_;
+    relay::change_log log_;
+    std::uint64_t reads_ = 0;
     bool has_list_ = false;
     /// Whether the copy has to be read whole before changes can be followed.
     bool needs_list_ = true;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -35,6 +35,7 @@
 // Of the first watch after a failure: it asks whether the store answers.
 constexpr std::chrono::milliseconds probe_wait{1};
 constexpr unsigned failures_of_an_outage = 2;
+constexpr std::chrono::milliseconds least_reader_wait{10};
 
 }  // namespace
 
@@ -58,6 +59,7 @@
                                          object_collections& store, std::string kind,
                                          follower_settings settings, follower_events events)
     : timer_(loop),
+      report_timer_(loop),
       time_(time),
       store_(store),
       kind_(std::move(kind)),
@@ -89,6 +91,7 @@
 }
 
 void collection_follower::list() {
+    ++reads_;
     store_.list(kind_, [this, alive = alive_](const list_result& it) {
         if (*alive) {
             on_list(it);
@@ -99,8 +102,13 @@
 void collection_follower::watch() {
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
+    ++reads_;
+    timer_.cancel();
     watch_began_ = time_.now();
-    const auto wait = failures_in_a_row_ == 0 ? settings_.watch_wait : probe_wait;
+    const bool probes = failures_in_a_row_ > 0 || schedule_.role() == relay::copy_role::reader;
+    const auto wait = probes ? probe_wait
+                             : std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   schedule_.watch_wait(settings_.watch_wait));
     store_.watch(kind_, revision_, {wait, settings_.patience, settings_.freshness},
                  [this, number, alive = alive_](const changes_result& it) {
                      if (*alive) {
@@ -122,6 +130,10 @@
 }
 
 void collection_follower::renew() {
+    if (!is_watching_ && has_list_ && schedule_.role() == relay::copy_role::reader) {
+        watch();
+        return;
+    }
     if (is_watching_ && time_.now() - watch_began_ >= settings_.longest_retry) {
         telemetry::log_event(telemetry::severity::info, "store_watch_renewed",
                              {{"kind", kind_},
@@ -134,7 +146,8 @@
 }
 
 void collection_follower::note_answer() {
-    gap_ = was_interrupted_ ? age() : duration::zero();
+    const bool has_waited = schedule_.role() != relay::copy_role::reader;
+    gap_ = was_interrupted_ || (has_list_ && !has_waited) ? age() : duration::zero();
     was_interrupted_ = false;
     answered_at_ = time_.now();
     retry_ = settings_.first_retry;
@@ -155,8 +168,9 @@
                               has_list_ = true;
                               needs_list_ = false;
                               revision_ = it.revision;
+                              log_.restart(it.revision);
                               events_.on_list(it);
-                              watch();
+                              read_on(std::chrono::milliseconds(0));
                           },
                           [this](read_failure why) { fail(why); }},
                result);
@@ -165,33 +179,133 @@
 void collection_follower::on_changes(const changes_result& result) {
     std::visit(overloaded{[this](const object_changes& it) {
                               note_answer();
-                              revision_ = std::max(revision_, it.revision);
-                              for (const object_change* each : newest_of_each(it.changes)) {
-                                  events_.on_change(*each);
-                              }
-                              watch_after(pause_after(it));
+                              take_changes(it);
+                              read_on(pause_after(it));
+                              events_.on_confirmed();
                           },
                           [this](read_failure why) { fail(why); }},
                result);
 }
 
-std::chrono::milliseconds collection_follower::pause_after(const object_changes& it) const {
-    if (!it.changes.empty()) {
-        return settings_.pause;
+void collection_follower::take_changes(const object_changes& it) {
+    if (it.revision < revision_) {
+        // Reports told more meanwhile.
+        return;
     }
-    // A store that answers without waiting is not asked again at once.
-    const bool waited = time_.now() - watch_began_ >= settings_.first_retry;
-    return waited ? std::chrono::milliseconds(0) : settings_.first_retry;
+    revision_ = it.revision;
+    for (const object_change* each : newest_of_each(it.changes)) {
+        if (events_.matters(*each)) {
+            // A removal has no revision of its own.
+            const store_revision revision = each->removed ? it.revision : each->object.revision;
+            note_for_reports({revision, each->object.name, each->removed,
+                              each->removed ? "" : each->object.contents});
+        }
+        events_.on_change(*each);
+    }
+}
+
+void collection_follower::note_for_reports(relay::reported_change it) {
+    if (settings_.reports_contents) {
+        log_.add(std::move(it), time_.now());
+    } else {
+        log_.restart(it.revision);
+    }
+}
+
+std::optional<relay::copy_report> collection_follower::report() {
+    if (!has_list_ || needs_list_) {
+        return std::nullopt;
+    }
+    log_.advance(time_.now());
+    const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age()).count();
+    return relay::copy_report{kind_, revision_, log_.complete_after(),
+                              static_cast<std::uint32_t>(age_ms), log_.changes()};
+}
+
+void collection_follower::on_report(const relay::copy_report& it) {
+    if (!has_list_ || needs_list_) {
+        return;
+    }
+    reported_ = std::max(reported_, it.as_of);
+    const time_point confirmed = time_.now() - std::chrono::milliseconds(it.age_ms);
+    if (revision_ < it.complete_after) {
+        ask_for_reported();
+        return;
+    }
+    const store_revision known = revision_;
+    revision_ = std::max(revision_, it.as_of);
+    gap_ = std::chrono::milliseconds(it.age_ms);
+    for (const relay::reported_change& change : it.changes) {
+        if (change.revision <= known) {
+            continue;
+        }
+        const object_change told{{change.name, change.revision, change.contents}, change.removed};
+        note_for_reports(change);
+        events_.matters(told);
+        events_.on_change(told);
+    }
+    answered_at_ = std::max(answered_at_, confirmed);
 }
 
-void collection_follower::watch_after(std::chrono::milliseconds pause) {
-    if (pause.count() > 0) {
+void collection_follower::ask_for_reported() {
+    if (is_asking_for_reported_ || schedule_.role() != relay::copy_role::reader) {
+        // A watcher hears of it from the store.
+        return;
+    }
+    is_asking_for_reported_ = true;
+    report_timer_.expires_after(std::max(settings_.report_patience, settings_.pause));
+    report_timer_.async_wait([this, alive = alive_](const boost::system::error_code& ec) {
+        if (ec || !*alive) {
+            return;
+        }
+        is_asking_for_reported_ = false;
+        if (revision_ < reported_ && !is_watching_) {
+            watch();
+        }
+    });
+}
+
+void collection_follower::set_rank(std::size_t rank, std::size_t vms) {
+    const relay::copy_role before = schedule_.role();
+    schedule_.set_rank(rank, vms);
+    const bool stops_reading =
+        before == relay::copy_role::reader && schedule_.role() != relay::copy_role::reader;
+    if (stops_reading && has_list_ && !is_watching_ && failures_in_a_row_ == 0) {
+        watch();
+    }
+}
+
+void collection_follower::read_on(std::chrono::milliseconds pause) {
+    if (schedule_.role() == relay::copy_role::reader) {
+        ask_if_due();
+    } else if (pause.count() > 0) {
         after(pause, &collection_follower::watch);
     } else {
         watch();
     }
 }
 
+void collection_follower::ask_if_due() {
+    const duration longest_age = settings_.watch_wait + settings_.pause;
+    const duration left = schedule_.own_read_after(longest_age) - age();
+    if (left <= duration::zero()) {
+        watch();
+        return;
+    }
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    after(std::max(wait, least_reader_wait), &collection_follower::ask_if_due);
+}
+
+std::chrono::milliseconds collection_follower::pause_after(const object_changes& it) const {
+    if (!it.changes.empty()) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            schedule_.watch_wait(settings_.pause));
+    }
+    // A store that answers without waiting is not asked again at once.
+    const bool waited = time_.now() - watch_began_ >= settings_.first_retry;
+    return waited ? std::chrono::milliseconds(0) : settings_.first_retry;
+}
+
 void collection_follower::fail(read_failure why) {
     was_interrupted_ = has_list_;
     if (why == read_failure::history_gone) {
@@ -206,8 +320,14 @@
                              {{"kind", kind_}, {"revision", revision_}, {"age", age()}});
         events_.on_reachable(false);
     }
-    const auto next = needs_list_ ? &collection_follower::list : &collection_follower::watch;
-    after(retry_, next);
+    if (needs_list_) {
+        after(retry_, &collection_follower::list);
+    } else if (schedule_.role() == relay::copy_role::reader) {
+        // Another VM's report may have confirmed the copy until then.
+        after(retry_, &collection_follower::ask_if_due);
+    } else {
+        after(retry_, &collection_follower::watch);
+    }
     retry_ = std::min(retry_ * 2, settings_.longest_retry);
 }
 
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -156,6 +156,139 @@
     BOOST_TEST((follower.gap() == duration::zero()));
 }
 
+// A report of another VM: `changes` have the revisions from `first` on.
+relay::copy_report report(relay::revision_number as_of, relay::revision_number complete_after,
+                          const std::vector<relay::reported_change>& changes = {},
+                          std::uint32_t age_ms = 0) {
+    return {"things", as_of, complete_after, age_ms, changes};
+}
+
+// Guards against calls to the store that grow with the VMs: a VM whose copy others confirm asks for
+// nothing.
+BOOST_FIXTURE_TEST_CASE(a_reader_asks_nothing_while_its_copy_is_confirmed, scripted_fixture) {
+    follower.set_rank(5, 32);
+    start(1);
+    for (int i = 0; i < 40; ++i) {
+        time.advance(milliseconds(500));
+        follower.on_report(report(10 + i, 1));
+        loop.restart();
+        loop.run_for(milliseconds(5));
+    }
+    BOOST_TEST(store.watches.empty());
+    BOOST_TEST((follower.age() == duration::zero()));
+    BOOST_TEST(follower.revision() == 49U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reader_takes_the_changes_of_a_report_once, scripted_fixture) {
+    follower.set_rank(5, 32);
+    start(1);
+    const std::vector<relay::reported_change> changes{{3, "a", false, "x"}, {4, "b", false, "y"}};
+    follower.on_report(report(6, 1, changes));
+    follower.on_report(report(7, 1, changes));
+    BOOST_TEST((told == std::vector<std::string>{"x", "y"}));
+}
+
+// Guards against changes that fell out of the reporting VM's log: they are asked of the store.
+BOOST_FIXTURE_TEST_CASE(a_reader_asks_for_changes_that_a_report_does_not_list, scripted_fixture) {
+    follower.set_rank(5, 32);
+    start(1);
+    follower.on_report(report(9, 8));
+    BOOST_TEST(follower.revision() == 1U);
+    run_until_watches(1);
+    BOOST_TEST(store.watches[0].since == 1U);
+    BOOST_TEST((store.watches[0].terms.wait <= milliseconds(1)));
+    tell(0, 9, "z");
+    BOOST_TEST((told == std::vector<std::string>{"z"}));
+}
+
+// Guards against relying on VMs that are frozen, cut off or killed: without a report the reader
+// asks the store before its copy is too old.
+BOOST_FIXTURE_TEST_CASE(a_reader_that_hears_no_report_asks_the_store, scripted_fixture) {
+    settings.watch_wait = milliseconds(60);
+    follower.set_pace(settings);
+    follower.set_rank(31, 32);
+    start(1);
+    time.advance(milliseconds(60));
+    run_until_watches(1);
+}
+
+// Guards against a VM that reports what it itself has not confirmed for long.
+BOOST_FIXTURE_TEST_CASE(an_old_report_confirms_nothing_new, scripted_fixture) {
+    settings.watch_wait = milliseconds(60);
+    follower.set_pace(settings);
+    follower.set_rank(31, 32);
+    start(1);
+    time.advance(milliseconds(60));
+    follower.on_report(report(5, 1, {}, 59));
+    BOOST_TEST((follower.age() == milliseconds(59)));
+    time.advance(milliseconds(1));
+    run_until_watches(1);
+}
+
+// Guards against an answer that was under way while a report told something newer.
+BOOST_FIXTURE_TEST_CASE(an_answer_older_than_the_reports_is_not_applied, scripted_fixture) {
+    follower.set_rank(0, 32);
+    start(1);
+    follower.on_report(report(9, 1, {{8, "main", false, "new"}}));
+    tell(0, 5, "old");
+    BOOST_TEST((told == std::vector<std::string>{"new"}));
+    BOOST_TEST(follower.revision() == 9U);
+}
+
+// Guards against a watcher that waits so long that its readers ask for themselves.
+BOOST_FIXTURE_TEST_CASE(a_watcher_is_confirmed_in_time_for_its_readers, scripted_fixture) {
+    follower.set_rank(0, 32);
+    start(1);
+    BOOST_TEST((store.watches[0].terms.wait * 2 == settings.watch_wait));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reader_that_becomes_a_watcher_watches_at_once, scripted_fixture) {
+    follower.set_rank(5, 32);
+    start(1);
+    BOOST_TEST(store.watches.empty());
+    follower.set_rank(1, 32);
+    BOOST_TEST(store.watches.size() == 1U);
+}
+
+// Guards against a report that hides a change: what another VM told is listed again, what the store
+// told too, and what was read whole counts as not listed.
+BOOST_FIXTURE_TEST_CASE(a_report_lists_all_changes_since_the_revision_that_it_names,
+                        scripted_fixture) {
+    start(5);
+    follower.on_report(report(7, 5, {{6, "a", false, "x"}}));
+    tell(0, 9, "y");
+    const auto it = follower.report();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->as_of == 9U);
+    BOOST_TEST(it->complete_after == 5U);
+    BOOST_REQUIRE(it->changes.size() == 2U);
+    BOOST_TEST(it->changes[0].contents == "x");
+    BOOST_TEST(it->changes[1].contents == "y");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_vm_without_a_copy_reports_nothing, scripted_fixture) {
+    BOOST_TEST(!follower.report().has_value());
+    follower.on_report(report(7, 0));
+    BOOST_TEST(follower.revision() == 0U);
+}
+
+// Guards against a VM that is turned away by the store and asks again and again for what others
+// confirm.
+BOOST_FIXTURE_TEST_CASE(a_reader_that_is_turned_away_relies_on_reports, scripted_fixture) {
+    settings.watch_wait = milliseconds(60);
+    follower.set_pace(settings);
+    follower.set_rank(31, 32);
+    start(1);
+    time.advance(milliseconds(60));
+    run_until_watches(1);
+    store.watches[0].done(read_failure::unavailable);
+    follower.on_report(report(5, 1));
+    loop.restart();
+    loop.run_for(milliseconds(250));
+    BOOST_TEST(store.watches.size() == 1U);
+    BOOST_TEST((follower.age() == duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
+#include "relay/copy_report.h"
 #include "routing/account_limiter.h"
 #include "routing/request_facts.h"
 #include "routing/work_table.h"
@@ -61,7 +62,13 @@
     model_choice adapter;
 };
 
-using hint = std::variant<presence, adapter_uses, load_wish, adapter_hint, load_refusal>;
+/// What the sender knows of the platform's store, told to the VMs of its availability zone.
+struct store_reports {
+    std::vector<relay::copy_report> reports;
+};
+
+using hint =
+    std::variant<presence, adapter_uses, load_wish, adapter_hint, load_refusal, store_reports>;
 
 /// A hint with its sender.
 struct hint_message {
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -68,6 +68,43 @@
     return out;
 }
 
+json to_json(const relay::copy_report& it) {
+    json changes = json::array();
+    for (const relay::reported_change& change : it.changes) {
+        changes.push_back({change.revision, change.name, change.removed, change.contents});
+    }
+    return {it.collection, it.as_of, it.complete_after, it.age_ms, std::move(changes)};
+}
+
+relay::copy_report read_report(const json& in) {
+    relay::copy_report out{in.at(0).get<std::string>(),
+                           in.at(1).get<relay::revision_number>(),
+                           in.at(2).get<relay::revision_number>(),
+                           in.at(3).get<std::uint32_t>(),
+                           {}};
+    for (const json& it : in.at(4)) {
+        out.changes.push_back({it.at(0).get<relay::revision_number>(), it.at(1).get<std::string>(),
+                               it.at(2).get<bool>(), it.at(3).get<std::string>()});
+    }
+    return out;
+}
+
+json to_json(const store_reports& it) {
+    json out = json::array();
+    for (const relay::copy_report& report : it.reports) {
+        out.push_back(to_json(report));
+    }
+    return out;
+}
+
+store_reports read_reports(const json& in) {
+    store_reports out;
+    for (const json& it : in) {
+        out.reports.push_back(read_report(it));
+    }
+    return out;
+}
+
 json body_of(const hint& it) {
     return std::visit(
         overloaded{
@@ -87,6 +124,9 @@
             },
             [](const load_refusal& r) {
                 return json::array({"r", r.engine.str(), to_json(r.adapter)});
+            },
+            [](const store_reports& s) {
+                return json::array({"s", to_json(s)});
             }},
         it);
 }
@@ -97,6 +137,9 @@
         return presence{in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(), read_work(in.at(3)),
                         read_demand(in.at(4))};
     }
+    if (kind == "s") {
+        return read_reports(in.at(1));
+    }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
         return adapter_uses{engine, read_choices(in.at(2)), read_choices(in.at(3))};
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -161,6 +161,17 @@
 
     const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_uses{engine, {plans}, {}}}));
     BOOST_TEST((std::get<adapter_uses>(uses.body).sent == std::vector<model_choice>{plans}));
+    const relay::copy_report report{
+        "servers", 9, 4, 120, {{7, "e1", false, "{}"}, {9, "e2", true, ""}}};
+    const auto reports = decode_hint(encode({{vm_id("v"), 7}, store_reports{{report}}}));
+    const relay::copy_report& heard = std::get<store_reports>(reports.body).reports.at(0);
+    BOOST_TEST(heard.collection == "servers");
+    BOOST_TEST(heard.as_of == 9U);
+    BOOST_TEST(heard.complete_after == 4U);
+    BOOST_TEST(heard.age_ms == 120U);
+    BOOST_REQUIRE(heard.changes.size() == 2U);
+    BOOST_TEST(heard.changes[0].contents == "{}");
+    BOOST_TEST(heard.changes[1].removed);
     const auto wish = decode_hint(encode({{vm_id("v"), 7}, load_wish{engine, plans, 900}}));
     BOOST_TEST((std::get<load_wish>(wish.body).adapter == plans));
     BOOST_TEST(std::get<load_wish>(wish.body).patience_ms == 900U);
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -56,6 +56,15 @@
     void tell(const routing::presence& it);
     /// Tells the VMs of this region at once, and in a small fleet all.
     void tell_near(const routing::presence& it);
+    /// Tells the VMs of this availability zone what this one knows of the store.
+    void tell_zone(const routing::store_reports& it);
+    /// This VM's place among those of its availability zone that are heard, from 0, in an order
+    /// that all compute alike, and how many there are.
+    struct zone_rank {
+        std::size_t rank = 0;
+        std::size_t vms = 1;
+    };
+    zone_rank rank_in_zone(time_point now) const;
     /// Time for which a statement of another VM counts, at least `least`.
     duration lifetime_of(const vm_id& vm, duration least) const;
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -49,6 +49,12 @@
         endpoints_check_fencing_ = they_do;
         engines_changed_ = true;
     }
+    /// The copy of the engines' holders.
+    gateway::collection_follower& holders() { return follower_; }
+    /// Sets what is called when the store has confirmed that copy.
+    void set_on_holders_confirmed(std::function<void()> call) {
+        on_holders_confirmed_ = std::move(call);
+    }
     /// Engines that this VM orders.
     std::size_t engines_held() const { return kept_.size(); }
     /// Gives up all engines: this VM is leaving.
@@ -127,6 +133,7 @@
     routing::use_table uses_;
     routing::load_speed speed_;
     std::function<void()> on_large_work_ = [] {};
+    std::function<void()> on_holders_confirmed_ = [] {};
     time_point flushed_at_{};
 };
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_daemon.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <functional>
 
@@ -18,6 +19,7 @@
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
 #include "platform_adapter/wire_object_collections.h"
+#include "routing/entry_changes.h"
 #include "settings_file.h"
 #include "status_server.h"
 #include "store_pace.h"
@@ -32,6 +34,8 @@
 constexpr duration settings_check_interval = std::chrono::seconds(2);
 // Delay by which statements about several long prompts are joined.
 constexpr std::chrono::milliseconds presence_delay{10};
+// Delay by which reports of several copies are joined.
+constexpr std::chrono::milliseconds report_delay{5};
 // Time for which a peer's statements count: of its work at endpoints, of its accounts' demand.
 constexpr duration least_work_lifetime = std::chrono::seconds(2);
 constexpr duration least_demand_lifetime = std::chrono::seconds(10);
@@ -64,7 +68,8 @@
 }
 
 // Events of a follower to whose owner removals mean nothing.
-gateway::follower_events for_each_object(std::function<void(const gateway::stored_object&)> take) {
+gateway::follower_events for_each_object(std::function<void(const gateway::stored_object&)> take,
+                                         std::function<void()> on_confirmed) {
     return {[take](const gateway::object_list& it) {
                 std::for_each(it.objects.begin(), it.objects.end(), take);
             },
@@ -73,7 +78,10 @@
                     take(it.object);
                 }
             },
-            [](bool) {}};
+            [](bool) {},
+            [] {},
+            [](const gateway::object_change&) { return true; },
+            std::move(on_confirmed)};
 }
 
 }  // namespace
@@ -86,6 +94,7 @@
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           timer_(loop_),
           presence_timer_(loop_),
+          report_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(with)),
           store_(loop_, time_, with.store.address),
           engines_(loop_, data_path_.pool()),
@@ -95,7 +104,8 @@
                  with.bounds.endpoints_check_fencing),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_pace(with.bounds),
-                         for_each_object([this](const auto& it) { on_configuration(it); })),
+                         for_each_object([this](const auto& it) { on_configuration(it); },
+                                         [this] { report_soon(); })),
           endpoints_(
               loop_, time_, store_, platform_adapter::endpoints_kind, endpoints_pace(with.bounds),
               {[this](const gateway::object_list& it) { on_endpoints(it); },
@@ -106,10 +116,13 @@
                        on_endpoint(it.object);
                    }
                },
-               [](bool) {}, [this] { data_path_.directory().on_store_returned(time_.now()); }}),
+               [](bool) {}, [this] { data_path_.directory().on_store_returned(time_.now()); },
+               [this](const gateway::object_change& it) { return matters(it); },
+               [this] { report_soon(); }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind,
                     versions_pace(with.bounds),
-                    for_each_object([this](const auto& it) { on_version(it); })),
+                    for_each_object([this](const auto& it) { on_version(it); },
+                                    [this] { report_soon(); })),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
                           [this] {
@@ -128,6 +141,7 @@
         });
         data_path_.set_broker(loads_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
+        loads_.set_on_holders_confirmed([this] { report_soon(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
     }
 
@@ -247,6 +261,54 @@
         }
     }
 
+    // The copies of the store that VMs tell each other of.
+    std::array<gateway::collection_follower*, 4> reported_copies() {
+        return {&configuration_, &endpoints_, &versions_, &loads_.holders()};
+    }
+
+    void report_soon() {
+        if (report_due_ || configuration_.role() == relay::copy_role::alone) {
+            return;
+        }
+        report_due_ = true;
+        report_timer_.expires_after(report_delay);
+        report_timer_.async_wait([this](const boost::system::error_code& ec) {
+            report_due_ = false;
+            if (!ec) {
+                tell_reports();
+            }
+        });
+    }
+
+    void tell_reports() {
+        routing::store_reports out;
+        for (gateway::collection_follower* it : reported_copies()) {
+            if (auto report = it->report()) {
+                out.reports.push_back(std::move(*report));
+            }
+        }
+        fleet_.tell_zone(out);
+    }
+
+    void on_reports(const routing::store_reports& it) {
+        for (const relay::copy_report& report : it.reports) {
+            for (gateway::collection_follower* copy : reported_copies()) {
+                if (copy->kind() == report.collection) {
+                    copy->on_report(report);
+                }
+            }
+        }
+    }
+
+    bool matters(const gateway::object_change& it) {
+        const auto entry = it.removed ? std::nullopt : read_endpoint(it.object);
+        if (entry) {
+            return entry_changes_.take(*entry);
+        }
+        entry_changes_.remove(endpoint_id(it.object.name));
+        return true;
+    }
+
     std::optional<routing::endpoint> read_endpoint(const gateway::stored_object& it) {
         try {
             return platform_adapter::decode_endpoint(it.name, it.contents);
@@ -282,8 +344,10 @@
 
     void on_endpoints(const gateway::object_list& it) {
         std::vector<routing::endpoint> list;
+        entry_changes_.clear();
         for (const auto& object : it.objects) {
             if (auto entry = read_endpoint(object)) {
+                entry_changes_.take(*entry);
                 list.push_back(std::move(*entry));
             }
         }
@@ -337,6 +401,8 @@
             const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, least_demand_lifetime);
             data_path_.work().on_peer(it.from.vm, state->work, now, work_lifetime);
             data_path_.limiter().on_peer(it.from.vm, state->demand, now, demand_lifetime);
+        } else if (const auto* reports = std::get_if<routing::store_reports>(&it.body)) {
+            on_reports(*reports);
         } else {
             loads_.on_hint(it);
         }
@@ -398,6 +464,10 @@
             reload();
         }
         set_gauges();
+        const auto [rank, vms] = fleet_.rank_in_zone(now);
+        for (gateway::collection_follower* it : reported_copies()) {
+            it->set_rank(rank, vms);
+        }
         data_path_.set_fleet_size(fleet_.serving(now));
         fleet_.tell(presence());
         if (stop_began_ && may_end(now)) {
@@ -437,6 +507,8 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer presence_timer_;
+    boost::asio::steady_timer report_timer_;
+    bool report_due_ = false;
     bool presence_due_ = false;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
@@ -460,6 +532,7 @@
     platform_adapter::wire_engine_port engines_;
     fleet_member fleet_;
     load_coordinator loads_;
+    routing::entry_changes entry_changes_;
     gateway::collection_follower configuration_;
     gateway::collection_follower endpoints_;
     gateway::collection_follower versions_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -279,6 +279,26 @@
     send_where(it, [&](peer& to) { return schedule_.interval(distance_of(to)) <= near; });
 }
 
+void fleet_member::tell_zone(const routing::store_reports& it) {
+    send_where(it, [this](const peer& to) { return to.zone == settings_.zone; });
+}
+
+fleet_member::zone_rank fleet_member::rank_in_zone(time_point now) const {
+    const auto place_of = [](const vm_id& vm) { return stable_hash("zone-rank|" + vm.str()); };
+    const std::uint64_t own = place_of(settings_.vm);
+    zone_rank out;
+    for (const auto& [vm, it] : peers_) {
+        const bool is_heard =
+            it.heard != time_point::min() && now - it.heard < lifetime_of(vm, settings_.suspicion);
+        if (vm == settings_.vm || it.zone != settings_.zone || it.leaving || !is_heard) {
+            continue;
+        }
+        ++out.vms;
+        out.rank += place_of(vm) < own ? 1 : 0;
+    }
+    return out;
+}
+
 template <typename Wanted>
 void fleet_member::send_where(const routing::hint& it, Wanted wanted) {
     if (!self_ || !socket_.has_secret()) {
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -23,8 +23,14 @@
 // Engines are looked over for what the guard allows now even where nothing changed.
 constexpr duration keepers_interval = std::chrono::milliseconds(500);
 constexpr duration flush_interval = std::chrono::milliseconds(400);
-constexpr gateway::follower_settings holders_pace{std::chrono::milliseconds(10'000),
-                                                  std::chrono::milliseconds(500)};
+// A shard names many holders, too many for reports.
+gateway::follower_settings holders_pace() {
+    gateway::follower_settings out;
+    out.watch_wait = std::chrono::milliseconds(10'000);
+    out.pause = std::chrono::milliseconds(500);
+    out.reports_contents = false;
+    return out;
+}
 
 ownership::holding_id holding_of(const endpoint_id& engine) {
     return ownership::holding_id("engine/" + engine.str());
@@ -82,7 +88,7 @@
       fleet_(fleet),
       data_path_(data_path),
       endpoints_check_fencing_(endpoints_check_fencing),
-      follower_(loop, time, store, holders_kind, holders_pace,
+      follower_(loop, time, store, holders_kind, holders_pace(),
                 {[this](const gateway::object_list& it) {
                      for (const gateway::stored_object& object : it.objects) {
                          on_shard_object(object);
@@ -99,7 +105,8 @@
                          on_shard_object(it.object);
                      }
                  },
-                 [](bool) {}}),
+                 [](bool) {}, [] {}, [](const gateway::object_change&) { return true; },
+                 [this] { on_holders_confirmed_(); }}),
       tick_timer_(loop) {}
 
 load_coordinator::~load_coordinator() = default;
@@ -305,6 +312,7 @@
         }
         telemetry::log_event(severity::info, "holds_engine", {{"engine", it->id}});
     }
+    speed_.set_engines(engines);
 }
 
 void load_coordinator::on_endpoint(const routing::endpoint& it) {
@@ -315,7 +323,6 @@
         kept->second.keeper.on_entry(it);
         pump(it.id);
     }
-    speed_.set_engines(engines);
 }
 
 void load_coordinator::on_endpoint_removed(const endpoint_id& id) {
@@ -428,7 +435,7 @@
     const time_point now = time_.now();
     std::visit(
         overloaded{
-            [](const routing::presence&) {},
+            [](const routing::presence&) {}, [](const routing::store_reports&) {},
             [&](const routing::adapter_uses& uses) {
                 const auto kept = kept_.find(uses.engine);
                 if (kept != kept_.end()) {
--- a/radishpulley/edge/src/store_pace.h
+++ b/radishpulley/edge/src/store_pace.h
@@ -19,8 +19,11 @@
 }
 
 inline gateway::follower_settings configuration_pace(const settings::edge_bounds_settings& it) {
-    return gateway::pace_within(it.configuration_apply,
-                                pace_with_pause(std::chrono::milliseconds(0)));
+    gateway::follower_settings out =
+        gateway::pace_within(it.configuration_apply, pace_with_pause(std::chrono::milliseconds(0)));
+    // A configuration may be larger than a datagram.
+    out.reports_contents = false;
+    return out;
 }
 
 /// Entries change with every adapter that an engine loads.
