Servers in trouble: late copies, bytes without end, broken answers, slow bodies, stops and pauses

On the code before, with the same tests, these failed, and are mended: - A late copy of an answer that bears no request id, on a connection in use again, reached the next caller. Such an answer counts only as the first of its connection. - The late copy of a rejection was taken for the answer to the same request sent again: it ran, and its caller heard 503. Sent again to the same endpoint, a request takes a new connection. - A line without end (a chunk's length or extension, trailers), the body of a rejection or of a foreign answer without end, and informational answers without end held the request until its deadline. They are bounded in bytes and number. - Towards callers without chunks (HTTP/1.0) an answer that broke off ended like a whole one. It is reset now. - A request body whose parts came in time, but that took longer than the idle timeout, was refused. - A stop closed callers' connections whose request had arrived unread, and those that waited to be accepted. By reading, and with tests that the code before can't compile or pass: - After a pause (over 1.5 s) the first requests were served on the configuration from before it. They wait up to 0.3 s until the store has confirmed it; if the store is away, what is known goes on serving. Reports that waited in the socket are dropped. - A holder that was paused gave no orders until somebody changed its shard; an answer from before the pause let it act. It reads its entries again, and an entry counts from the beginning of the read.

Several faults in one commit, against our rule: their fixes share files and their tests one fixture.

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -50,4 +50,16 @@
         std::chrono::duration_cast<duration>(std::chrono::hours(1)).count()};
 };
 
+/// Runs with the real time and can jump ahead of it, as after a pause of the process.
+class jumping_clock final : public clock {
+public:
+    time_point now() const override { return real_.now() + ahead_; }
+    /// Jumps ahead by `step`, which must not be negative.
+    void jump(duration step) { ahead_ += step; }
+
+private:
+    boot_clock real_;
+    duration ahead_{};
+};
+
 }  // namespace radishpulley
--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -117,6 +117,8 @@
     void dispatch();
     void refuse(unsigned status, std::string_view reason);
     void wait_for(std::chrono::milliseconds time);
+    /// Waits for the next part of a body.
+    void wait_for_body();
     void on_timeout();
     void ended();
 
@@ -127,6 +129,7 @@
     std::unique_ptr<parser> parser_;
     std::shared_ptr<request_work> work_;
     time_point first_byte_{};
+    time_point body_began_{};
     bool reading_request_ = false;
     bool head_seen_ = false;
     bool answering_ = false;
--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -91,6 +91,9 @@
     /// Time for which a change that is told now may have been there already: none while a watch
     /// waited for it, else the time since the store had answered before.
     duration gap() const { return gap_; }
+    /// Beginning of the call whose answer was taken last. The answer may have waited to be handled
+    /// for as long as this process was paused, so only what holds since then is certain.
+    time_point read_began() const { return read_began_; }
     /// Whether there is a copy, however old.
     bool has_list() const { return has_list_; }
     store_revision revision() const { return revision_; }
@@ -132,6 +135,9 @@
     std::uint64_t answered_number_ = 0;
     bool is_watching_ = false;
     time_point watch_began_{};
+    /// Beginning of the watch before the one under way, which may still be answered.
+    time_point earlier_watch_began_{};
+    time_point read_began_{};
     store_revision revision_ = 0;
     /// Newest revision that some report told of.
     store_revision reported_ = 0;
--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -52,7 +52,8 @@
     /// The answer has no body whatever its head says.
     bool is_head = false;
     /// Header of an answer that must have the value `id`, so that an answer to an earlier request
-    /// on the connection is told apart; empty for no check.
+    /// on the connection is told apart; empty for no check. Only the first answer of a connection
+    /// may lack it.
     std::string id_header;
     std::string id;
 };
@@ -104,6 +105,8 @@
     bool paused_ = false;
     bool spoilt_ = false;
     std::size_t answers_ = 0;
+    std::size_t discarded_answers_ = 0;
+    std::size_t discarded_bytes_ = 0;
     time_point idle_since_;
     std::chrono::milliseconds keep_alive_{4'000};
 };
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -13,11 +13,13 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
 #include "gateway/caller_link.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/header_codec.h"
+#include "gateway/pause_monitor.h"
 #include "requests/retry_budget.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_table.h"
@@ -61,6 +63,11 @@
     /// Age of the configuration up to which an unknown route or key counts as one that does not
     /// exist. Beyond it a newer version may have it.
     duration denial_age = duration::max();
+    /// Longest time without running that is no pause.
+    std::chrono::milliseconds pause_limit{1'500};
+    /// After a pause, the time for which requests wait until the store has confirmed the
+    /// configuration. A store that does not answer then is away, and what is known goes on serving.
+    std::chrono::milliseconds confirmation_wait{300};
     /// Time left to a caller below which a request is not worth sending.
     std::chrono::milliseconds least_time_left{15};
 };
@@ -101,6 +108,15 @@
     void set_configuration_age(std::function<duration()> age) {
         configuration_age_ = std::move(age);
     }
+    /// Notes that this process runs. After a pause, new requests wait for a confirmation of the
+    /// configuration.
+    void note_running();
+    /// Sets what is called when a pause has ended.
+    void set_on_pause(std::function<void()> call) { on_pause_ = std::move(call); }
+    /// The store confirmed the configuration by a call that began at `read_began`.
+    void on_configuration_confirmed(time_point read_began);
+    /// Whether a pause has ended and the configuration is not confirmed since.
+    bool awaits_confirmation() const { return awaits_confirmation_; }
     /// Sets how many VMs serve callers.
     void set_fleet_size(std::size_t vms);
     /// Takes new settings for the requests that follow.
@@ -155,6 +171,7 @@
 
     requests::retry_budget& budget_of(const service_id& id);
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
+    void release_held_requests();
 
     boost::asio::io_context& loop_;
     const clock& time_;
@@ -177,6 +194,13 @@
     std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
     telemetry::counter_family& answers_;
     telemetry::histogram_family& latencies_;
+    pause_monitor pauses_;
+    bool awaits_confirmation_ = false;
+    time_point pause_ended_{};
+    boost::asio::steady_timer confirmation_timer_;
+    /// Requests that came after a pause.
+    std::vector<std::weak_ptr<exchange>> held_requests_;
+    std::function<void()> on_pause_ = [] {};
     std::size_t fleet_size_ = 1;
     std::size_t requests_ = 0;
     std::size_t body_bytes_ = 0;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -76,7 +76,14 @@
     void finish();
     /// Closes at once; the other side sees a broken connection where input is unread.
     void close();
+    /// Closes so that the other side sees a broken connection, also where nothing else tells it
+    /// that what it got is not whole.
+    void abort();
     bool is_open() const { return socket_.is_open() && !ended_; }
+    /// Whether bytes came that were not read yet.
+    bool has_unread() const;
+    /// Whether more input would be read before some is consumed.
+    bool has_room() const { return input_.size() < options_.most_input; }
 
 private:
     void configure();
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -1,5 +1,7 @@
 #include "gateway/caller_link.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -14,6 +16,8 @@
 
 // Longest line end and chunk header that may stand before the limits apply.
 constexpr std::uint32_t header_slack = 64;
+// Longest time for a body, in idle timeouts.
+constexpr int longest_body = 4;
 
 unsigned status_of(const error_code& ec) {
     if (ec == http::error::header_limit) {
@@ -42,7 +46,7 @@
 }
 
 bool caller_link::is_busy() const {
-    return reading_request_ || work_ != nullptr;
+    return reading_request_ || work_ != nullptr || link_->has_unread();
 }
 
 void caller_link::close() {
@@ -76,6 +80,14 @@
     wait_for(limits.idle_timeout);
 }
 
+void caller_link::wait_for_body() {
+    const std::chrono::milliseconds idle = service_.caller_limits().idle_timeout;
+    // A body that goes on arriving is waited for, but not for ever.
+    const duration left = body_began_ + idle * longest_body - time_.now();
+    wait_for(std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(left),
+                        std::chrono::milliseconds(0), idle));
+}
+
 void caller_link::wait_for(std::chrono::milliseconds time) {
     timer_.expires_after(time);
     timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
@@ -120,10 +132,14 @@
             refuse(status_of(ec), ec.message());
             return;
         }
+        if (head_seen_ && n > 0) {
+            wait_for_body();
+        }
         if (!head_seen_ && parser_->is_header_done()) {
             head_seen_ = true;
             parser_->eager(true);
-            wait_for(service_.caller_limits().idle_timeout);
+            body_began_ = time_.now();
+            wait_for_body();
             const auto expected = parser_->get()[http::field::expect];
             if (same_name({expected.data(), expected.size()}, "100-continue")) {
                 link_->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -251,7 +267,7 @@
     const auto self = shared_from_this();
     answering_ = false;
     work_.reset();
-    link_->close();
+    link_->abort();
     ended();
 }
 
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -92,8 +92,9 @@
 
 void collection_follower::list() {
     ++reads_;
-    store_.list(kind_, [this, alive = alive_](const list_result& it) {
+    store_.list(kind_, [this, alive = alive_, began = time_.now()](const list_result& it) {
         if (*alive) {
+            read_began_ = began;
             on_list(it);
         }
     });
@@ -104,7 +105,7 @@
     is_watching_ = true;
     ++reads_;
     timer_.cancel();
-    watch_began_ = time_.now();
+    earlier_watch_began_ = std::exchange(watch_began_, time_.now());
     const bool probes = failures_in_a_row_ > 0 || schedule_.role() == relay::copy_role::reader;
     const auto wait = probes ? probe_wait
                              : std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -126,6 +127,7 @@
     }
     is_watching_ = false;
     answered_number_ = watch_number_;
+    read_began_ = number == watch_number_ ? watch_began_ : earlier_watch_began_;
     on_changes(result);
 }
 
@@ -149,7 +151,10 @@
     const bool has_waited = schedule_.role() != relay::copy_role::reader;
     gap_ = was_interrupted_ || (has_list_ && !has_waited) ? age() : duration::zero();
     was_interrupted_ = false;
-    answered_at_ = time_.now();
+    // A call that lasted longer than its patience was answered before a pause of this process.
+    const duration lasted = time_.now() - read_began_;
+    const bool was_paused = has_list_ && lasted > settings_.watch_wait + settings_.patience;
+    answered_at_ = was_paused ? std::max(answered_at_, read_began_) : time_.now();
     retry_ = settings_.first_retry;
     const unsigned failures = std::exchange(failures_in_a_row_, 0);
     if (failures > 0) {
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint32_t most_answer_head = 65'536;
 // An idle connection is not used in the last part of the time for which its endpoint keeps it.
 constexpr std::chrono::milliseconds keep_alive_margin{700};
+// Answers, and bytes of them, that are passed over in wait for the one that belongs to the request.
+constexpr std::size_t most_discarded_answers = 16;
+constexpr std::size_t most_discarded_bytes = 1'048'576;
 
 }  // namespace
 
@@ -29,6 +32,8 @@
 void endpoint_link::call(call_request request, call_handler& handler) {
     request_ = std::move(request);
     handler_ = &handler;
+    discarded_answers_ = 0;
+    discarded_bytes_ = 0;
     begin_answer();
     link_->write(std::move(request_.bytes));
 }
@@ -101,6 +106,8 @@
         body.clear();
         if (!discarding_) {
             handler_->on_body(bytes);
+        } else if ((discarded_bytes_ += bytes.size()) > most_discarded_bytes) {
+            fail(call_failure::malformed);
         }
     }
     if (handler_ == nullptr) {
@@ -109,6 +116,11 @@
     if (parser_->is_done()) {
         return finish_answer();
     }
+    if (n == 0 && !link_->has_room()) {
+        // A line that fills all the room has no end.
+        fail(call_failure::malformed);
+        return false;
+    }
     return n > 0 && !ec;
 }
 
@@ -125,15 +137,20 @@
     if (parser_->content_length()) {
         head.length = *parser_->content_length();
     }
-    if (head.status / 100 == 1) {
-        discarding_ = true;
-        return;
-    }
     const std::string_view id = request_.id_header.empty()
                                     ? std::string_view()
                                     : find_header(head.headers, request_.id_header);
-    if (!id.empty() && id != request_.id) {
+    const bool is_foreign = !id.empty() && id != request_.id;
+    if (head.status / 100 == 1 || is_foreign) {
         discarding_ = true;
+        if (++discarded_answers_ > most_discarded_answers) {
+            fail(call_failure::malformed);
+        }
+        return;
+    }
+    if (id.empty() && !request_.id_header.empty() && answers_ > 0) {
+        // It may belong to a request before this one.
+        fail(call_failure::malformed);
         return;
     }
     note_keep_alive(head);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -114,6 +114,15 @@
     find_endpoint();
 }
 
+void exchange::on_configuration_confirmed() {
+    if (phase_ == phase::ended) {
+        return;
+    }
+    const auto self = shared_from_this();
+    configuration_ = owner_.configuration_;
+    start();
+}
+
 void exchange::deny(unsigned status, std::string_view reason) {
     if (owner_.configuration_age_() > owner_.settings_.denial_age) {
         refuse({status_unavailable, "configuration_stale", start_retry_after});
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -30,6 +30,8 @@
     ~exchange() override;
 
     void start();
+    /// Starts the request, which waited for the configuration to be confirmed.
+    void on_configuration_confirmed();
     void on_caller_ready() override;
     void on_caller_left() override;
     /// The adapter that this request waits for is, or will be, at the engine.
@@ -118,6 +120,11 @@
     /// A kept connection failed this request, so that others may too.
     bool distrusts_kept_ = false;
     std::set<endpoint_id> no_loads_;
+    /// Endpoints that answered this request's id already; a second copy of such an answer may come
+    /// late on the connections to them.
+    std::set<endpoint_id> rejected_by_;
+    /// Bytes of answers that no one gets.
+    std::size_t discarded_ = 0;
     unsigned sends_ = 0;
     /// Units that were charged to the account.
     double charged_ = 0;
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -8,6 +8,8 @@
 
 using telemetry::severity;
 
+constexpr std::size_t most_discarded_bytes = 65'536;
+
 }  // namespace
 
 void exchange::on_head(const answer_head& head) {
@@ -87,10 +89,19 @@
 }
 
 void exchange::on_body(std::string_view bytes) {
-    if (discard_answer_ || phase_ != phase::relaying) {
+    const auto self = shared_from_this();
+    if (discard_answer_) {
+        discarded_ += bytes.size();
+        if (discarded_ > most_discarded_bytes) {
+            // The rest of an answer that nobody gets is not worth waiting for.
+            stop_call();
+            send_again_if_discarded();
+        }
+        return;
+    }
+    if (phase_ != phase::relaying) {
         return;
     }
-    const auto self = shared_from_this();
     if (first_body_) {
         first_body_ = false;
         first_event_ = elapsed();
@@ -119,6 +130,7 @@
 
 bool exchange::send_again_if_discarded() {
     if (rejected_) {
+        rejected_by_.insert(endpoint_);
         retry("rejected");
         return true;
     }
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -187,7 +187,7 @@
             self->owner_.pool_.release(id, std::move(it));
         }
     };
-    if (distrusts_kept_) {
+    if (distrusts_kept_ || rejected_by_.count(id) != 0) {
         owner_.pool_.connect(target->address, std::move(on_connection));
     } else {
         owner_.pool_.acquire(id, target->address, std::move(on_connection));
@@ -214,6 +214,7 @@
     phase_ = phase::sent;
     rejected_ = false;
     discard_answer_ = false;
+    discarded_ = 0;
     ++runs_;
     sent_at_ = owner_.time_.now();
     connection_ = std::move(connection);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,8 +1,10 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "exchange.h"
+#include "telemetry/event_log.h"
 
 namespace radishpulley::gateway {
 
@@ -18,7 +20,9 @@
       answers_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                     {"account", "route", "status"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
-                                        {"account", "route"})) {}
+                                        {"account", "route"})),
+      pauses_(settings_.pause_limit),
+      confirmation_timer_(loop) {}
 
 gateway::~gateway() = default;
 
@@ -32,6 +36,41 @@
     }
 }
 
+void gateway::note_running() {
+    const time_point now = time_.now();
+    if (!pauses_.on_running(now)) {
+        return;
+    }
+    telemetry::log_event(telemetry::severity::warning, "was_paused",
+                         {{"configuration_age", configuration_age_()}, {"requests", requests_}});
+    awaits_confirmation_ = true;
+    pause_ended_ = now;
+    confirmation_timer_.expires_after(settings_.confirmation_wait);
+    confirmation_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) {
+            release_held_requests();
+        }
+    });
+    on_pause_();
+}
+
+void gateway::on_configuration_confirmed(time_point read_began) {
+    if (awaits_confirmation_ && read_began >= pause_ended_) {
+        confirmation_timer_.cancel();
+        release_held_requests();
+    }
+}
+
+void gateway::release_held_requests() {
+    awaits_confirmation_ = false;
+    const auto held = std::exchange(held_requests_, {});
+    for (const auto& it : held) {
+        if (const auto request = it.lock()) {
+            request->on_configuration_confirmed();
+        }
+    }
+}
+
 void gateway::set_fleet_size(std::size_t vms) {
     fleet_size_ = std::max<std::size_t>(1, vms);
     limiter_.set_fleet_size(vms);
@@ -180,8 +219,13 @@
 }
 
 std::shared_ptr<request_work> gateway::start(caller_request request, answer_writer& out) {
+    note_running();
     auto it = std::make_shared<exchange>(*this, std::move(request), out);
-    it->start();
+    if (awaits_confirmation_) {
+        held_requests_.push_back(it);
+    } else {
+        it->start();
+    }
     return it;
 }
 
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -76,7 +76,7 @@
 }
 
 void link::read() {
-    if (reading_ || ended_ || input_.size() >= options_.most_input) {
+    if (reading_ || ended_ || !has_room()) {
         return;
     }
     reading_ = true;
@@ -179,6 +179,18 @@
     });
 }
 
+bool link::has_unread() const {
+    error_code ec;
+    const std::size_t n = is_open() ? socket_.available(ec) : 0;
+    return !ec && n > 0;
+}
+
+void link::abort() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void link::close() {
     ended_ = true;
     handler_ = nullptr;
--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -51,10 +51,14 @@
     std::string_view id_header() const override { return "X-Id"; }
 };
 
-/// Nobody orders loads in these tests.
+/// Nobody orders loads in these tests, but for what `on_wish` does.
 class no_broker final : public load_broker {
 public:
-    bool wish(const endpoint_id&, const routing::model_choice&, duration) override { return false; }
+    bool wish(const endpoint_id& engine, const routing::model_choice& adapter, duration) override {
+        return on_wish(engine, adapter);
+    }
+    std::function<bool(const endpoint_id&, const routing::model_choice&)> on_wish =
+        [](const endpoint_id&, const routing::model_choice&) { return false; };
     void note_use(const endpoint_id&, const routing::model_choice&) override {}
     void note_large_work() override {}
     void note_end(const endpoint_id&, const routing::model_choice&) override { ++ended; }
@@ -72,6 +76,15 @@
         boost::system::error_code ignored;
         boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
     }
+    /// Sends `bytes` again and again until the other side closes.
+    void flood(std::string bytes) {
+        boost::asio::async_write(socket_, boost::asio::buffer(flood_ = std::move(bytes)),
+                                 [self = shared_from_this()](auto ec, std::size_t) {
+                                     if (!ec) {
+                                         self->flood(std::move(self->flood_));
+                                     }
+                                 });
+    }
     /// Sends as much as the connection takes now.
     void send_some(const std::string& bytes) {
         boost::system::error_code ignored;
@@ -105,24 +118,28 @@
 
     std::string received;
     bool ended = false;
+    /// It ended with a reset.
+    bool was_reset = false;
     std::function<void(peer&)> on_bytes = [](peer&) {};
 
 private:
     void read() {
-        socket_.async_read_some(boost::asio::buffer(buffer_),
-                                [self = shared_from_this()](auto ec, std::size_t n) {
-                                    self->received.append(self->buffer_.data(), n);
-                                    if (ec) {
-                                        self->ended = true;
-                                        return;
-                                    }
-                                    self->on_bytes(*self);
-                                    self->read();
-                                });
+        socket_.async_read_some(
+            boost::asio::buffer(buffer_), [self = shared_from_this()](auto ec, std::size_t n) {
+                self->received.append(self->buffer_.data(), n);
+                if (ec) {
+                    self->ended = true;
+                    self->was_reset = ec == boost::asio::error::connection_reset;
+                    return;
+                }
+                self->on_bytes(*self);
+                self->read();
+            });
     }
 
     tcp::socket socket_;
     std::array<char, 4096> buffer_{};
+    std::string flood_;
 };
 
 /// An endpoint: each whole request goes to `script`, which answers through the connection.
@@ -206,6 +223,7 @@
     }
 
     bool with_engines = false;
+    std::chrono::milliseconds idle_timeout{15'000};
 
     void configure(double rate = 0) {
         routing::configuration_content content;
@@ -238,6 +256,7 @@
         content.accounts = {account};
         content.limits.max_header_bytes = 2'000;
         content.limits.max_body_bytes = 10'000;
+        content.limits.idle_timeout = idle_timeout;
         paths_.on_configuration(std::make_shared<routing::configuration>(content));
     }
 
@@ -273,10 +292,10 @@
     }
 
     gateway& paths() { return paths_; }
-    const no_broker& broker() const { return broker_; }
+    no_broker& broker() { return broker_; }
 
     boost::asio::io_context loop;
-    boot_clock time;
+    jumping_clock time;
     plain_codec codec;
     telemetry::registry metrics;
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -76,16 +76,19 @@
     };
 
     void tick();
-    void on_shard_object(const gateway::stored_object& it);
-    void take_shard(const ownership::shard& it);
+    /// Takes a shard that was read by a call that began at `read_began`.
+    void on_shard_object(const gateway::stored_object& it, time_point read_began);
+    void take_shard(const ownership::shard& it, time_point read_began);
+    /// Reads the holders again after a pause of this process, in which it may have been replaced.
+    void read_again();
     void ensure_policy();
     /// Returns what a model engine's service has room for, or null for other endpoints.
     const routing::engine_capacity* capacity_of(const routing::endpoint& it) const;
     void configure_policy();
     void plan(time_point now);
     void commit(const ownership::shard_update& update);
-    void on_committed(ownership::shard_index index, const ownership::shard& next,
-                      const gateway::write_result& result);
+    void on_committed(const ownership::shard& next, const gateway::write_result& result,
+                      time_point began);
     void hand_over(time_point now);
     void update_keepers();
     void pump(const endpoint_id& engine);
@@ -117,6 +120,7 @@
     gateway::collection_follower follower_;
     boost::asio::steady_timer tick_timer_;
     bool has_list_ = false;
+    bool is_reading_again_ = false;
     /// Whether engines changed since the policy was configured, and what it was configured from.
     bool engines_changed_ = true;
     std::uint64_t known_fleet_ = 0;
--- a/radishpulley/edge/src/acceptor.cpp
+++ b/radishpulley/edge/src/acceptor.cpp
@@ -44,6 +44,19 @@
 }
 
 void acceptor::close() {
+    boost::system::error_code ec;
+    if (!socket_.is_open()) {
+        return;
+    }
+    // Callers whose connections wait to be accepted have been let in by the operating system.
+    socket_.non_blocking(true, ec);
+    while (!ec) {
+        boost::asio::ip::tcp::socket socket(loop_);
+        socket_.accept(socket, ec);
+        if (!ec) {
+            on_connection_(std::move(socket));
+        }
+    }
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -105,7 +105,7 @@
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_pace(with.bounds),
                          for_each_object([this](const auto& it) { on_configuration(it); },
-                                         [this] { report_soon(); })),
+                                         [this] { on_configuration_confirmed(); })),
           endpoints_(
               loop_, time_, store_, platform_adapter::endpoints_kind, endpoints_pace(with.bounds),
               {[this](const gateway::object_list& it) { on_endpoints(it); },
@@ -141,6 +141,7 @@
         });
         data_path_.set_broker(loads_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
+        data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { report_soon(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
     }
@@ -261,6 +262,11 @@
         }
     }
 
+    void on_configuration_confirmed() {
+        data_path_.on_configuration_confirmed(configuration_.read_began());
+        report_soon();
+    }
+
     // The copies of the store that VMs tell each other of.
     std::array<gateway::collection_follower*, 4> reported_copies() {
         return {&configuration_, &endpoints_, &versions_, &loads_.holders()};
@@ -291,6 +297,10 @@
     }
 
     void on_reports(const routing::store_reports& it) {
+        if (data_path_.awaits_confirmation()) {
+            // It may have waited in the socket as long as this process was paused.
+            return;
+        }
         for (const relay::copy_report& report : it.reports) {
             for (gateway::collection_follower* copy : reported_copies()) {
                 if (copy->kind() == report.collection) {
@@ -391,6 +401,7 @@
     }
 
     void on_hint(const routing::hint_message& it) {
+        data_path_.note_running();
         if (const auto* state = std::get_if<routing::presence>(&it.body)) {
             const auto& known = data_path_.configuration();
             if (known && known->version() < state->configuration_version) {
@@ -454,6 +465,7 @@
 
     void housekeep() {
         const time_point now = time_.now();
+        data_path_.note_running();
         for (const endpoint_id& id : data_path_.directory().advance(now)) {
             note_endpoint_gone(id);
         }
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -91,18 +91,18 @@
       follower_(loop, time, store, holders_kind, holders_pace(),
                 {[this](const gateway::object_list& it) {
                      for (const gateway::stored_object& object : it.objects) {
-                         on_shard_object(object);
+                         on_shard_object(object, follower_.read_began());
                      }
                      has_list_ = true;
                      for (ownership::shard_index i = 0; i < shard_count; ++i) {
                          if (shards_.count(i) == 0) {
-                             take_shard({i, 0, {}});
+                             take_shard({i, 0, {}}, follower_.read_began());
                          }
                      }
                  },
                  [this](const gateway::object_change& it) {
                      if (!it.removed) {
-                         on_shard_object(it.object);
+                         on_shard_object(it.object, follower_.read_began());
                      }
                  },
                  [](bool) {}, [] {}, [](const gateway::object_change&) { return true; },
@@ -122,6 +122,9 @@
     ensure_policy();
     if (policy_) {
         guard_->on_running(now);
+        if (guard_->needs_revalidation()) {
+            read_again();
+        }
         plan(now);
         hand_over(now);
         if (keepers_changed_ || now - keepers_updated_ >= keepers_interval) {
@@ -149,6 +152,25 @@
     });
 }
 
+void load_coordinator::read_again() {
+    if (is_reading_again_) {
+        return;
+    }
+    is_reading_again_ = true;
+    store_.list(holders_kind, [this, began = time_.now()](const gateway::list_result& result) {
+        is_reading_again_ = false;
+        const auto* list = std::get_if<gateway::object_list>(&result);
+        if (list == nullptr) {
+            return;
+        }
+        telemetry::log_event(severity::info, "holders_read_again",
+                             {{"revision", list->revision}, {"age", time_.now() - began}});
+        for (const gateway::stored_object& it : list->objects) {
+            on_shard_object(it, began);
+        }
+    });
+}
+
 void load_coordinator::ensure_policy() {
     if (policy_ || !fleet_.self() || !has_list_) {
         return;
@@ -160,15 +182,15 @@
     policy_.emplace(*fleet_.self(), settings);
     guard_.emplace(*fleet_.self(), pause_limit);
     for (const auto& [index, it] : shards_) {
-        take_shard(it);
+        take_shard(it, follower_.read_began());
     }
 }
 
-void load_coordinator::on_shard_object(const gateway::stored_object& it) {
+void load_coordinator::on_shard_object(const gateway::stored_object& it, time_point read_began) {
     try {
         const auto index = static_cast<ownership::shard_index>(std::stoul(it.name));
         if (index < shard_count) {
-            take_shard({index, it.revision, ownership::decode(it.contents)});
+            take_shard({index, it.revision, ownership::decode(it.contents)}, read_began);
         }
     } catch (const std::exception& e) {
         telemetry::log_event(severity::warning, "holders_unreadable",
@@ -176,7 +198,7 @@
     }
 }
 
-void load_coordinator::take_shard(const ownership::shard& it) {
+void load_coordinator::take_shard(const ownership::shard& it, time_point read_began) {
     const auto known = shards_.find(it.index);
     if (known != shards_.end() && it.version < known->second.version) {
         return;
@@ -188,7 +210,7 @@
     const time_point now = time_.now();
     policy_->on_shard(it, now);
     for (const ownership::holding& entry : it.holdings) {
-        guard_->on_entry(entry, now);
+        guard_->on_entry(entry, read_began);
         if (!entry.vacant()) {
             fleet_.knowledge()->on_mentioned(entry.holder, now);
         }
@@ -243,8 +265,8 @@
         return;
     }
     being_written_.insert(update.index);
-    auto done = [this, next = *next](const gateway::write_result& it) {
-        on_committed(next.index, next, it);
+    auto done = [this, next = *next, began = time_.now()](const gateway::write_result& it) {
+        on_committed(next, it, began);
     };
     const std::string contents = ownership::encode(next->holdings);
     if (known->second.version == 0) {
@@ -255,26 +277,26 @@
     }
 }
 
-void load_coordinator::on_committed(ownership::shard_index index, const ownership::shard& next,
-                                    const gateway::write_result& result) {
-    being_written_.erase(index);
+void load_coordinator::on_committed(const ownership::shard& next,
+                                    const gateway::write_result& result, time_point began) {
+    being_written_.erase(next.index);
     std::visit(overloaded{[&](const gateway::write_done& it) {
                               ownership::shard taken = next;
                               taken.version = it.object.revision;
-                              take_shard(taken);
+                              take_shard(taken, began);
                               telemetry::log_event(
                                   severity::info, "holders_changed",
-                                  {{"shard", index}, {"revision", it.object.revision}});
+                                  {{"shard", next.index}, {"revision", it.object.revision}});
                           },
                           [&](const gateway::write_conflict& it) {
                               if (it.current) {
-                                  on_shard_object(*it.current);
+                                  on_shard_object(*it.current, began);
                               }
                           },
                           [](const gateway::write_refused&) {},
                           [&](const gateway::write_unknown&) {
                               telemetry::log_event(severity::warning, "holders_write_unknown",
-                                                   {{"shard", index}});
+                                                   {{"shard", next.index}});
                           }},
                result);
 }
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -97,7 +97,7 @@
         return out;
     }
 
-    boot_clock time;
+    jumping_clock time;
     no_headers codec;
     telemetry::registry metrics;
     gateway::gateway paths;
@@ -230,6 +230,32 @@
     BOOST_TEST(a.loads.engines_held() == 1U);
 }
 
+// Guards against an engine without a holder: one that was paused for less than it takes to be
+// replaced gave no orders until somebody else changed its shard.
+BOOST_FIXTURE_TEST_CASE(a_holder_that_was_paused_reads_its_entry_and_goes_on, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    a.time.jump(std::chrono::seconds(2));
+    run_until([&] { return a.loads.engines_held() == 0; });
+    run_until([&] { return a.loads.engines_held() == 1; });
+}
+
+// Guards against orders by a holder that was paused and acts on an answer from before the pause.
+BOOST_FIXTURE_TEST_CASE(an_answer_from_before_a_pause_does_not_let_a_holder_act, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    store.hold_lists = true;
+    a.time.jump(std::chrono::seconds(2));
+    store.touch_all("engine-holders");
+    run_until([&] { return a.loads.engines_held() == 0; });
+    for (int i = 0; i < 40; ++i) {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(1));
+        BOOST_TEST(a.loads.engines_held() == 0U);
+    }
+    store.hold_lists = false;
+}
+
 BOOST_FIXTURE_TEST_CASE(a_daemon_that_can_not_register_holds_nothing, fixture) {
     store.away = true;
     node& a = add("a");
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -21,8 +21,21 @@
     /// While it is away, reads fail and writes do nothing.
     bool away = false;
     std::size_t writes = 0;
+    /// While it is set, lists are not answered.
+    bool hold_lists = false;
+
+    /// Writes each object of a kind again as it is.
+    void touch_all(const std::string& kind) {
+        const auto all = objects_[kind];
+        for (const auto& [name, it] : all) {
+            store(kind, name, it.contents);
+        }
+    }
 
     void list(const std::string& kind, std::function<void(gateway::list_result)> done) override {
+        if (hold_lists) {
+            return;
+        }
         answer([this, kind, done = std::move(done)] {
             if (away) {
                 done(gateway::read_failure::unavailable);
