Reports: readers ask a store that is away no more often than one that answers; holders come in groups

Readers now wait as long as between two reads of their own (watchers report when the store is back), and ask for changed holders 1.5 s after the first report. Test: a_reader_asks_a_store_that_is_away_as_rarely_as_one_that_answers.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -113,6 +113,8 @@
     std::chrono::milliseconds pause_after(const object_changes& it) const;
     /// Plans the next read after an answer.
     void read_on(std::chrono::milliseconds pause);
+    /// Age at which a reader asks the store itself.
+    std::chrono::milliseconds reader_interval() const;
     /// A reader's copy may be too old by now.
     void ask_if_due();
     void ask_for_reported();
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -290,9 +290,14 @@
     }
 }
 
-void collection_follower::ask_if_due() {
+std::chrono::milliseconds collection_follower::reader_interval() const {
     const duration longest_age = settings_.watch_wait + settings_.pause;
-    const duration left = schedule_.own_read_after(longest_age) - age();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        schedule_.own_read_after(longest_age));
+}
+
+void collection_follower::ask_if_due() {
+    const duration left = reader_interval() - age();
     if (left <= duration::zero()) {
         watch();
         return;
@@ -328,8 +333,8 @@
     if (needs_list_) {
         after(retry_, &collection_follower::list);
     } else if (schedule_.role() == relay::copy_role::reader) {
-        // Another VM's report may have confirmed the copy until then.
-        after(retry_, &collection_follower::ask_if_due);
+        // Watchers ask often and report when the store answers again.
+        after(std::max(retry_, reader_interval()), &collection_follower::ask_if_due);
     } else {
         after(retry_, &collection_follower::watch);
     }
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -289,6 +289,22 @@
     BOOST_TEST((follower.age() == duration::zero()));
 }
 
+// Guards against hundreds of VMs that ask a store that is away as often as their watchers do.
+BOOST_FIXTURE_TEST_CASE(a_reader_asks_a_store_that_is_away_as_rarely_as_one_that_answers,
+                        scripted_fixture) {
+    settings.watch_wait = milliseconds(400);
+    follower.set_pace(settings);
+    follower.set_rank(31, 32);
+    start(1);
+    time.advance(milliseconds(400));
+    run_until_watches(1);
+    store.watches[0].done(read_failure::unavailable);
+    loop.restart();
+    loop.run_for(milliseconds(250));
+    BOOST_TEST(store.watches.size() == 1U);
+    run_until_watches(2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -29,6 +29,8 @@
     out.watch_wait = std::chrono::milliseconds(10'000);
     out.pause = std::chrono::milliseconds(500);
     out.reports_contents = false;
+    // Holders change in series while engines come and go.
+    out.report_patience = std::chrono::milliseconds(1'500);
     return out;
 }
 
