Reports: a VM that the store turns away does not ask it at every hint and report

Now a hint asks at most once in the longest retry delay, and a report only while no retry is planned; after one failure the retry comes soon, after more the reader waits for its watchers.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -75,8 +75,8 @@
 
     void start();
     /// Begins a new watch beside the one under way: something showed that its connection may be
-    /// dead. The first answer of them counts. Does nothing where the last watch is younger than the
-    /// longest retry delay.
+    /// dead. The first answer of them counts. A reader asks the store. Does nothing where the last
+    /// watch is younger than the longest retry delay.
     void renew();
     /// Sets the place of this VM among those of its zone, from 0, and how many there are.
     void set_rank(std::size_t rank, std::size_t vms);
@@ -117,14 +117,16 @@
     std::chrono::milliseconds reader_interval() const;
     /// A reader's copy may be too old by now.
     void ask_if_due();
-    void ask_for_reported();
+    /// Whether a report told of changes that this copy lacks.
+    bool lacks_changes() const { return revision_ < unlisted_; }
+    void ask_for_unlisted();
     void note_answer();
     void fail(read_failure why);
     void after(std::chrono::milliseconds wait, void (collection_follower::*next)());
 
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer report_timer_;
-    bool is_asking_for_reported_ = false;
+    bool is_asking_for_unlisted_ = false;
     const clock& time_;
     object_collections& store_;
     std::string kind_;
@@ -141,8 +143,8 @@
     time_point earlier_watch_began_{};
     time_point read_began_{};
     store_revision revision_ = 0;
-    /// Newest revision that some report told of.
-    store_revision reported_ = 0;
+    /// Newest revision of changes that some report told of without listing them.
+    store_revision unlisted_ = 0;
     relay::copy_schedule schedule_;
     relay::change_log log_;
     std::uint64_t reads_ = 0;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -132,11 +132,12 @@
 }
 
 void collection_follower::renew() {
-    if (!is_watching_ && has_list_ && schedule_.role() == relay::copy_role::reader) {
-        watch();
+    if (time_.now() - watch_began_ < settings_.longest_retry) {
         return;
     }
-    if (is_watching_ && time_.now() - watch_began_ >= settings_.longest_retry) {
+    if (!is_watching_ && has_list_ && schedule_.role() == relay::copy_role::reader) {
+        watch();
+    } else if (is_watching_) {
         telemetry::log_event(telemetry::severity::info, "store_watch_renewed",
                              {{"kind", kind_},
                               {"revision", revision_},
@@ -231,10 +232,10 @@
     if (!has_list_ || needs_list_) {
         return;
     }
-    reported_ = std::max(reported_, it.as_of);
     const time_point confirmed = time_.now() - std::chrono::milliseconds(it.age_ms);
     if (revision_ < it.complete_after) {
-        ask_for_reported();
+        unlisted_ = std::max(unlisted_, it.complete_after);
+        ask_for_unlisted();
         return;
     }
     const store_revision known = revision_;
@@ -252,19 +253,20 @@
     answered_at_ = std::max(answered_at_, confirmed);
 }
 
-void collection_follower::ask_for_reported() {
-    if (is_asking_for_reported_ || schedule_.role() != relay::copy_role::reader) {
+void collection_follower::ask_for_unlisted() {
+    if (is_asking_for_unlisted_ || schedule_.role() != relay::copy_role::reader) {
         // A watcher hears of it from the store.
         return;
     }
-    is_asking_for_reported_ = true;
+    is_asking_for_unlisted_ = true;
     report_timer_.expires_after(std::max(settings_.report_patience, settings_.pause));
     report_timer_.async_wait([this, alive = alive_](const boost::system::error_code& ec) {
         if (ec || !*alive) {
             return;
         }
-        is_asking_for_reported_ = false;
-        if (revision_ < reported_ && !is_watching_) {
+        is_asking_for_unlisted_ = false;
+        // After a failure the next try is planned already.
+        if (lacks_changes() && !is_watching_ && failures_in_a_row_ == 0) {
             watch();
         }
     });
@@ -298,7 +300,7 @@
 
 void collection_follower::ask_if_due() {
     const duration left = reader_interval() - age();
-    if (left <= duration::zero()) {
+    if (left <= duration::zero() || lacks_changes()) {
         watch();
         return;
     }
@@ -333,8 +335,11 @@
     if (needs_list_) {
         after(retry_, &collection_follower::list);
     } else if (schedule_.role() == relay::copy_role::reader) {
-        // Watchers ask often and report when the store answers again.
-        after(std::max(retry_, reader_interval()), &collection_follower::ask_if_due);
+        // One call may have lost its connection. Of a store that is away, watchers ask often and
+        // report when it answers again.
+        const bool is_away = failures_in_a_row_ >= failures_of_an_outage;
+        after(is_away ? std::max(retry_, reader_interval()) : retry_,
+              &collection_follower::ask_if_due);
     } else {
         after(retry_, &collection_follower::watch);
     }
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -289,6 +289,21 @@
     BOOST_TEST((follower.age() == duration::zero()));
 }
 
+// Guards against a VM that is turned away by the store and asks it at every hint of something
+// newer: hundreds of hints come in a second.
+BOOST_FIXTURE_TEST_CASE(a_reader_that_is_turned_away_does_not_ask_at_every_hint, scripted_fixture) {
+    follower.set_rank(31, 32);
+    start(1);
+    time.advance(settings.longest_retry);
+    follower.renew();
+    BOOST_REQUIRE(store.watches.size() == 1U);
+    for (int i = 0; i < 50; ++i) {
+        store.watches.back().done(read_failure::unavailable);
+        follower.renew();
+    }
+    BOOST_TEST(store.watches.size() == 1U);
+}
+
 // Guards against hundreds of VMs that ask a store that is away as often as their watchers do.
 BOOST_FIXTURE_TEST_CASE(a_reader_asks_a_store_that_is_away_as_rarely_as_one_that_answers,
                         scripted_fixture) {
@@ -298,11 +313,34 @@
     start(1);
     time.advance(milliseconds(400));
     run_until_watches(1);
+    // One failure may be its connection's.
     store.watches[0].done(read_failure::unavailable);
+    run_until_watches(2);
+    store.watches[1].done(read_failure::unavailable);
     loop.restart();
     loop.run_for(milliseconds(250));
-    BOOST_TEST(store.watches.size() == 1U);
+    BOOST_TEST(store.watches.size() == 2U);
+    run_until_watches(3);
+}
+
+// Guards against a call for each report while this VM is turned away.
+BOOST_FIXTURE_TEST_CASE(a_reader_that_is_turned_away_does_not_ask_at_every_report,
+                        scripted_fixture) {
+    settings.report_patience = milliseconds(1);
+    follower.set_pace(settings);
+    follower.set_rank(31, 32);
+    start(1);
+    follower.on_report(report(9, 8));
+    run_until_watches(1);
+    store.watches[0].done(read_failure::unavailable);
     run_until_watches(2);
+    store.watches[1].done(read_failure::unavailable);
+    for (int i = 0; i < 20; ++i) {
+        follower.on_report(report(10 + i, 8));
+        loop.restart();
+        loop.run_for(milliseconds(5));
+    }
+    BOOST_TEST(store.watches.size() == 2U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
