Holders: after a pause they are read again at most twice a second, and failures are logged

Found by reading the diff: while the store turned a VM away, each tick after a pause asked again, ten times a second, without a line. Test: a_paused_holder_asks_a_store_that_is_away_now_and_then (on the code before, one call a tick by its text; not run on it).

--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -121,6 +121,7 @@
     boost::asio::steady_timer tick_timer_;
     bool has_list_ = false;
     bool is_reading_again_ = false;
+    time_point read_again_at_ = time_point::min();
     /// Whether engines changed since the policy was configured, and what it was configured from.
     bool engines_changed_ = true;
     std::uint64_t known_fleet_ = 0;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds tick_interval{100};
 // Engines are looked over for what the guard allows now even where nothing changed.
 constexpr duration keepers_interval = std::chrono::milliseconds(500);
+// Shortest time between two reads of the holders after a pause of this process.
+constexpr duration read_again_interval = std::chrono::milliseconds(500);
 constexpr duration flush_interval = std::chrono::milliseconds(400);
 // A shard names many holders, too many for reports.
 gateway::follower_settings holders_pace() {
@@ -155,14 +157,18 @@
 }
 
 void load_coordinator::read_again() {
-    if (is_reading_again_) {
+    const time_point now = time_.now();
+    if (is_reading_again_ || now < read_again_at_) {
         return;
     }
     is_reading_again_ = true;
+    read_again_at_ = now + read_again_interval;
     store_.list(holders_kind, [this, began = time_.now()](const gateway::list_result& result) {
         is_reading_again_ = false;
         const auto* list = std::get_if<gateway::object_list>(&result);
         if (list == nullptr) {
+            telemetry::log_event(severity::warning, "holders_not_read_again",
+                                 {{"age", time_.now() - began}});
             return;
         }
         telemetry::log_event(severity::info, "holders_read_again",
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -240,6 +240,20 @@
     run_until([&] { return a.loads.engines_held() == 1; });
 }
 
+// Guards against a holder that was paused and asks a store that turns it away ten times a second.
+BOOST_FIXTURE_TEST_CASE(a_paused_holder_asks_a_store_that_is_away_now_and_then, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    store.away = true;
+    store.lists = 0;
+    a.time.jump(std::chrono::seconds(2));
+    for (int i = 0; i < 40; ++i) {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(10));
+    }
+    BOOST_TEST(store.lists == 1U);
+}
+
 // Guards against orders by a holder that was paused and acts on an answer from before the pause.
 BOOST_FIXTURE_TEST_CASE(an_answer_from_before_a_pause_does_not_let_a_holder_act, fixture) {
     node& a = add("a");
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -21,6 +21,7 @@
     /// While it is away, reads fail and writes do nothing.
     bool away = false;
     std::size_t writes = 0;
+    std::size_t lists = 0;
     /// While it is set, lists are not answered.
     bool hold_lists = false;
 
@@ -33,6 +34,7 @@
     }
 
     void list(const std::string& kind, std::function<void(gateway::list_result)> done) override {
+        ++lists;
         if (hold_lists) {
             return;
         }
