Limits: the overdraft of requests in a row is reverted

Cause: the accounts turn hot, and each VM judges their demand by statements that are up to 4.9 s old.

--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -28,11 +28,6 @@
     double small_part = 0.2;
     /// A request is small up to this part of the burst.
     double small_size = 0.03;
-    /// Part of the rate up to which an account's demand, as far as it was told, leaves room.
-    double calm_demand = 0.8;
-    /// Requests of its own size by which a request may overdraw while demand leaves room: a VM that
-    /// rarely sees an account sees two requests in a row now and then.
-    double calm_overdraft = 1.5;
     /// Units that all VMs together may overdraw for a while, against unevenly spread requests.
     double reserve = 0;
 };
@@ -103,10 +98,7 @@
     /// This VM's share on average since the bucket was filled.
     double mean_share(const client_account_id& account, const bucket& it, time_point now) const;
     void refill(const client_account_id& account, bucket& it, time_point now);
-    /// Units that a request may overdraw.
-    double overdraft(const client_account_id& account, const bucket& it, double units,
-                     time_point now) const;
-    bool take(bucket& it, double units, double overdraft) const;
+    bool take(bucket& it, double units) const;
 
     limiter_settings settings_;
     std::size_t fleet_size_ = 1;
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -123,23 +123,13 @@
     it.fill = std::min(it.fill + large, it.burst * part * (1 - settings_.small_part));
 }
 
-double account_limiter::overdraft(const client_account_id& account, const bucket& it, double units,
-                                  time_point now) const {
-    const double reserve = settings_.reserve / static_cast<double>(fleet_size_);
-    const double own = decayed_demand(it, now);
-    const double assumed = it.rate * settings_.least_demand;
-    const double demand = own + demand_elsewhere(account, it, own, now) - assumed;
-    const bool is_calm = demand < it.rate * settings_.calm_demand;
-    return reserve + (is_calm ? units * settings_.calm_overdraft : 0);
-}
-
-bool account_limiter::take(bucket& it, double units, double overdraft) const {
+bool account_limiter::take(bucket& it, double units) const {
     const bool is_small = units <= it.burst * settings_.small_size;
     if (is_small && it.small_fill >= units) {
         it.small_fill -= units;
         return true;
     }
-    if (it.fill > -overdraft) {
+    if (it.fill > -settings_.reserve / static_cast<double>(fleet_size_)) {
         it.fill -= units;
         return true;
     }
@@ -156,7 +146,7 @@
     refill(account, it, now);
     it.demand = decayed_demand(it, now) + units / seconds_of(settings_.demand_window);
     it.demand_at = now;
-    if (take(it, units, overdraft(account, it, units, now))) {
+    if (take(it, units)) {
         return admitted{};
     }
     const double part = share(account, now);
