--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -98,8 +98,6 @@
     bool has_list() const { return has_list_; }
     store_revision revision() const { return revision_; }
     const std::string& kind() const { return kind_; }
-    /// Calls that read the collection.
-    std::uint64_t reads() const { return reads_; }
     relay::copy_role role() const { return schedule_.role(); }
 
 private:
@@ -147,7 +145,6 @@
     store_revision unlisted_ = 0;
     relay::copy_schedule schedule_;
     relay::change_log log_;
-    std::uint64_t reads_ = 0;
     bool has_list_ = false;
     /// Whether the copy has to be read whole before changes can be followed.
     bool needs_list_ = true;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -91,7 +91,6 @@
 }
 
 void collection_follower::list() {
-    ++reads_;
     store_.list(kind_, [this, alive = alive_, began = time_.now()](const list_result& it) {
         if (*alive) {
             read_began_ = began;
@@ -103,7 +102,6 @@
 void collection_follower::watch() {
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
-    ++reads_;
     timer_.cancel();
     earlier_watch_began_ = std::exchange(watch_began_, time_.now());
     const bool probes = failures_in_a_row_ > 0 || schedule_.role() == relay::copy_role::reader;
