Answers: what endpoints say of themselves is read and logged

A changed notice is a line endpoint_notice with endpoint, request and status; request_placed names the limit that is known of the endpoint, and endpoints_limited is a gauge. Nothing acts on it yet. Statements that can't be read are logged and left out.

--- a/libs/gateway/include/gateway/header_codec.h
+++ b/libs/gateway/include/gateway/header_codec.h
@@ -9,6 +9,7 @@
 
 #include "base/identifier.h"
 #include "gateway/http_text.h"
+#include "routing/endpoint_notice.h"
 #include "routing/request_facts.h"
 
 namespace radishpulley::gateway {
@@ -34,6 +35,8 @@
     bool is_signed = false;
     /// The endpoint states that it did not run the request.
     bool not_run = false;
+    /// What the endpoint says of itself.
+    routing::endpoint_notice notice;
 };
 
 /// Translation of headers.
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -74,6 +74,7 @@
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string request_bytes() const;
     void on_rejected(const answer_head& head);
+    void take_notice(const answer_head& head, const routing::endpoint_notice& it);
     void relay_head(const answer_head& head);
     /// Where the call that ended brought no answer for the caller, sends the request again or
     /// refuses it; returns whether that was so.
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -41,6 +41,7 @@
                           {"needs_load", choice->needs_load},
                           {"expected_ms", to_ms(choice->expected).count()},
                           {"unread_tokens", choice->unread_tokens},
+                          {"rate_limit", owner_.directory_.rate_limit(choice->id).value_or(-1)},
                           {"refused_loads", no_loads_.size()},
                           {"excluded", excluded_.size()},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "routing/endpoint.h"
+#include "routing/endpoint_notice.h"
 
 namespace radishpulley::routing {
 
@@ -63,6 +64,8 @@
     void on_call(const endpoint_id& id, call_outcome outcome, time_point now);
     /// Takes an engine's word that it is leaving, heard on another way than the directory.
     void on_draining(const endpoint_id& id);
+    /// Takes what an endpoint says of itself in an answer; returns whether that is new.
+    bool on_notice(const endpoint_id& id, const endpoint_notice& it, time_point now);
 
     /// Returns the entry, or null.
     const endpoint* find(const endpoint_id& id) const;
@@ -71,6 +74,10 @@
     /// Whether calls failed of late, or its entry is missing and may only be late, so that others
     /// go first.
     bool avoided(const endpoint_id& id, time_point now) const;
+    /// Limit that the endpoint named in its newest answer.
+    std::optional<double> rate_limit(const endpoint_id& id) const;
+    /// Endpoints that name a limit.
+    std::size_t limited() const;
     /// All endpoints.
     std::vector<const endpoint*> all() const;
 
@@ -83,6 +90,8 @@
         /// Exponential average of failed calls, as of `failures_at`.
         double failures = 0;
         time_point failures_at{};
+        /// Its newest notice.
+        endpoint_notice said;
     };
 
     /// Share of the recent calls that failed, from 0 to 1; old calls lose their weight.
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -441,6 +441,7 @@
         configuration_version_.set(configuration ? static_cast<double>(configuration->version())
                                                  : 0);
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
+        endpoints_limited_.set(static_cast<double>(data_path_.directory().limited()));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
         vms_serving_.set(static_cast<double>(fleet_.serving(time_.now())));
         store_calls_.set(static_cast<double>(store_.calls()));
@@ -542,6 +543,8 @@
     telemetry::gauge& configuration_version_ =
         add_gauge("configuration_version", "Version of the configuration in force.");
     telemetry::gauge& endpoints_known_ = add_gauge("endpoints", "Endpoints known.");
+    telemetry::gauge& endpoints_limited_ =
+        add_gauge("endpoints_limited", "Endpoints that name a limit in their answers.");
     telemetry::gauge& engines_held_ = add_gauge("engines_held", "Engines ordered by this VM.");
     telemetry::gauge& vms_serving_ = add_gauge("vms_serving", "VMs that serve callers.");
     telemetry::gauge& store_calls_ =
