--- a/libs/gateway/tests/world.h
+++ b/libs/gateway/tests/world.h
@@ -44,9 +44,20 @@
             append_header(out, "Last-Event-Id", *it.last_event);
         }
     }
-    answer_facts read_answer(unsigned, const header_list& headers) const override {
-        return {!find_header(headers, "X-Signature").empty(),
-                !find_header(headers, "X-Not-Run").empty()};
+    answer_facts read_answer(unsigned status, const header_list& headers) const override {
+        answer_facts out;
+        out.is_signed = !find_header(headers, "X-Signature").empty();
+        out.not_run = !find_header(headers, "X-Not-Run").empty();
+        out.notice.leaving = !find_header(headers, "X-Leaving").empty();
+        const std::string_view limit = find_header(headers, "X-Limit");
+        if (!limit.empty()) {
+            out.notice.rate_limit = std::stod(std::string(limit));
+        }
+        const std::string_view pause = find_header(headers, "Retry-After");
+        if (status == 503 && !pause.empty()) {
+            out.notice.pause = std::chrono::seconds(std::stoi(std::string(pause)));
+        }
+        return out;
     }
     std::string_view id_header() const override { return "X-Id"; }
 };
@@ -337,6 +348,12 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Returns the id that a request states.
+inline std::string id_of(const std::string& request) {
+    const std::size_t at = request.find("X-Id: ") + 6;
+    return request.substr(at, request.find("\r\n", at) - at);
+}
+
 /// Whether `text` ends with `end`.
 inline bool ends_with(const std::string& text, const std::string& end) {
     return text.size() >= end.size() &&
--- /dev/null
+++ b/libs/gateway/tests_notices/endpoint_leaving_tests.cpp
@@ -0,0 +1,76 @@
+#include <boost/test/unit_test.hpp>
+
+#include "world.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+// An endpoint that says in its answers that it leaves, with an entry that says that it is ready.
+struct fixture : world {
+    fixture() {
+        configure();
+        auto& made = add_endpoint("e1", [this](const std::string& request, peer& it) {
+            ++requests;
+            const std::string more =
+                leaves ? "X-Signature: s\r\nX-Leaving: 1\r\n" : "X-Signature: s\r\n";
+            it.send(answer("200 OK", id_of(request), "done", more));
+        });
+        entry.id = endpoint_id("e1");
+        entry.service = service_id("s");
+        entry.address = made.address();
+        entry.slots = 4;
+    }
+
+    std::string ask_once() {
+        return ask(request("GET /again/x", "r" + std::to_string(++last_id)), [](const peer& it) {
+            return ends_with(it.received, "done") || ends_with(it.received, "}");
+        });
+    }
+
+    routing::endpoint entry;
+    bool leaves = true;
+    int requests = 0;
+    int last_id = 0;
+};
+
+bool is_refused(const std::string& got) {
+    return got.find(" 503 ") != std::string::npos;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_leaving_tests)
+
+// Guards against requests to an endpoint whose leaving stands in its answers alone, because the
+// store hears of it late or is away.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_says_it_leaves_gets_no_further_request, fixture) {
+    ask_once();
+    BOOST_TEST(is_refused(ask_once()));
+    BOOST_TEST(requests == 1);
+}
+
+// Guards against a late entry of the directory, or one that lapsed and is back, that takes an
+// endpoint's own word back.
+BOOST_FIXTURE_TEST_CASE(late_entries_do_not_take_the_word_of_an_endpoint_back, fixture) {
+    ask_once();
+    entry.heartbeat = 7;
+    paths().on_endpoint(entry);
+    BOOST_TEST(is_refused(ask_once()));
+    paths().directory().on_removed(entry.id, time.now());
+    paths().on_endpoint_removed(entry.id);
+    paths().on_endpoint(entry);
+    BOOST_TEST(is_refused(ask_once()));
+    BOOST_TEST(requests == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_began_anew_is_used_again, fixture) {
+    ask_once();
+    leaves = false;
+    entry.started_at_ms = 5;
+    paths().on_endpoint(entry);
+    BOOST_TEST(!is_refused(ask_once()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
--- /dev/null
+++ b/libs/gateway/tests_notices/endpoint_limit_tests.cpp
@@ -0,0 +1,66 @@
+#include <algorithm>
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+#include "world.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Most requests in 4 s that the platform allows to an endpoint that takes one a second.
+constexpr std::size_t most_in_window = 11;
+constexpr milliseconds window{4'000};
+
+// Two endpoints that take one request a second each, and a caller that asks ten times a second.
+struct fixture : world {
+    fixture() {
+        configure();
+        for (std::size_t i = 0; i < 2; ++i) {
+            add_endpoint("e" + std::to_string(i), [this, i](const std::string& request, peer& it) {
+                arrivals[i].push_back(time.now());
+                it.send(
+                    answer("200 OK", id_of(request), "done", "X-Signature: s\r\nX-Limit: 1\r\n"));
+            });
+        }
+    }
+
+    std::string ask_once(int n) {
+        time.jump(milliseconds(100));
+        return ask(request("GET /again/x", "r" + std::to_string(n)), [](const peer& it) {
+            return ends_with(it.received, "done") || ends_with(it.received, "}");
+        });
+    }
+
+    std::array<std::deque<time_point>, 2> arrivals;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_limit_tests)
+
+// Guards against endpoints in need that go on being loaded because nobody reads the limit that they
+// name in their answers.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_names_a_limit_is_not_sent_more, fixture) {
+    std::size_t served = 0;
+    for (int i = 0; i < 100; ++i) {
+        const std::string got = ask_once(i);
+        served += ends_with(got, "done") ? 1 : 0;
+        const bool refused = got.find(" 503 ") != std::string::npos;
+        BOOST_TEST((!refused || got.find("Retry-After: ") != std::string::npos));
+        for (auto& list : arrivals) {
+            while (!list.empty() && list.front() <= time.now() - window) {
+                list.pop_front();
+            }
+            BOOST_TEST(list.size() <= most_in_window);
+        }
+    }
+    // Ten seconds, at two endpoints.
+    BOOST_TEST(served >= 15U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -24,6 +24,7 @@
 }  // namespace
 
 void edge_vm::begin_harm() {
+    ++period;
     calm.begin();
     calm_but_for_stops.begin();
 }
@@ -92,6 +93,7 @@
                                  "--settings=" + settings_.folder + "/" + it.name + ".toml"},
         log_file(it));
     ++it.incarnation;
+    ++it.period;
     it.frozen = false;
     it.stopping = false;
     it.touch(time_.now());
--- a/tools/soak/edge_fleet.h
+++ b/tools/soak/edge_fleet.h
@@ -64,6 +64,8 @@
     std::unique_ptr<standins::child_process> process;
     /// Counts its starts.
     unsigned incarnation = 0;
+    /// Counts its starts, freezes and cuts, each of which excuses it from what endpoints told it.
+    unsigned period = 0;
     bool frozen = false;
     /// Whether it was asked to stop and has not been started again.
     bool stopping = false;
--- a/tools/soak/fault_schedule.cpp
+++ b/tools/soak/fault_schedule.cpp
@@ -66,10 +66,20 @@
     if (mix_ == fault_mix::signals) {
         return signals;
     }
+    if (mix_ == fault_mix::limits) {
+        return {&it::limit_endpoint};
+    }
+    if (mix_ == fault_mix::leaving) {
+        return {&it::leave_by_answers, &it::store_silent};
+    }
+    if (mix_ == fault_mix::pauses) {
+        return {&it::pause_endpoint};
+    }
     if (mix_ == fault_mix::store) {
         return store;
     }
-    std::vector<fault> all = {&it::silence_endpoints, &it::silence_everything, &it::reset_endpoint};
+    std::vector<fault> all = {&it::silence_endpoints, &it::silence_everything, &it::reset_endpoint,
+                              &it::limit_endpoint,    &it::leave_by_answers,   &it::pause_endpoint};
     all.insert(all.end(), signals.begin(), signals.end());
     all.insert(all.end(), store.begin(), store.end());
     return all;
@@ -212,6 +222,72 @@
     });
 }
 
+bool fault_schedule::may_fall_out(const edge_endpoint& it) {
+    const auto is_sound = [](const edge_endpoint& each) {
+        const auto& says = *each.standin;
+        return !each.leaving_since && !says.says_leaving && !says.rate_limit && !says.pause;
+    };
+    return is_sound(it) && std::any_of(fleet_.endpoints().begin(), fleet_.endpoints().end(),
+                                       [&](const edge_endpoint& other) {
+                                           return &other != &it && other.service == it.service &&
+                                                  is_sound(other);
+                                       });
+}
+
+void fault_schedule::restart_later(edge_endpoint& it) {
+    until(milliseconds(6'000), milliseconds(9'000), [this, &it] {
+        note_(it.standin->id() + " begins anew");
+        it.standin->restart();
+        it.way->reset_open();
+        fleet_.endpoints_calm().touch(time_.now());
+        fleet_.announce(it);
+        on_notice_(it);
+    });
+}
+
+void fault_schedule::limit_endpoint() {
+    edge_endpoint& it = any_endpoint();
+    if (!may_fall_out(it)) {
+        return;
+    }
+    const double rate = random_() % 2 == 0 ? 1 : 4;
+    note_(it.standin->id() + " takes " + std::to_string(rate) + " a second");
+    it.standin->rate_limit = rate;
+    on_notice_(it);
+    if (random_() % 2 == 0) {
+        restart_later(it);
+        return;
+    }
+    until(milliseconds(6'000), milliseconds(9'000), [this, &it] {
+        note_(it.standin->id() + " names no limit any more");
+        it.standin->rate_limit.reset();
+        on_notice_(it);
+    });
+}
+
+// Its entry in the directory goes on saying that it is ready, as where the store hears it late.
+void fault_schedule::leave_by_answers() {
+    edge_endpoint& it = any_endpoint();
+    if (!may_fall_out(it)) {
+        return;
+    }
+    note_(it.standin->id() + " says in its answers that it is leaving");
+    it.standin->says_leaving = true;
+    until(milliseconds(200), milliseconds(1'000), [this, &it] { fleet_.announce(it); });
+    restart_later(it);
+}
+
+void fault_schedule::pause_endpoint() {
+    edge_endpoint& it = any_endpoint();
+    if (!may_fall_out(it)) {
+        return;
+    }
+    const milliseconds pause = draw_time(random_, milliseconds(1'000), milliseconds(3'000));
+    note_(it.standin->id() + " wants nothing for " + std::to_string(pause.count()) + " ms");
+    it.standin->pause = pause;
+    until(milliseconds(500), milliseconds(2'000), [&it] { it.standin->pause.reset(); });
+}
+
 void fault_schedule::freeze_one() {
     edge_vm& it = any_vm();
     if (!it.process || it.frozen || it.stopping) {
--- a/tools/soak/fault_schedule.h
+++ b/tools/soak/fault_schedule.h
@@ -23,17 +23,24 @@
     /// Of the store and of the ways to it.
     store,
     /// Endpoints that leave, while answers lag and connections go silent.
-    directory
+    directory,
+    /// Endpoints that say in their answers alone that they are in need, while all else goes on.
+    limits,
+    leaving,
+    pauses
 };
 
 /// Injects faults until it is stopped. All calls are on the loop's thread.
 class fault_schedule {
 public:
     using note_handler = std::function<void(const std::string&)>;
+    /// Called when an endpoint changes what it says of itself.
+    using notice_handler = std::function<void(const edge_endpoint&)>;
 
     fault_schedule(boost::asio::io_context& loop, const clock& time, edge_fleet& fleet,
                    fault_mix mix, std::uint64_t seed, note_handler note);
 
+    void set_on_notice(notice_handler call) { on_notice_ = std::move(call); }
     void start();
     /// Injects nothing more; what is under way ends in its time.
     void stop() { stopped_ = true; }
@@ -70,6 +77,13 @@
     void refuse_way();
     void reset_endpoint();
     void drain_endpoint();
+    /// Another endpoint of its service stays and is in no need.
+    bool may_fall_out(const edge_endpoint& it);
+    /// It is in need until it begins anew, or for a while.
+    void restart_later(edge_endpoint& it);
+    void limit_endpoint();
+    void leave_by_answers();
+    void pause_endpoint();
     void freeze_one();
     void kill_some();
     void kill_all();
@@ -90,6 +104,7 @@
     fault_mix mix_;
     std::mt19937_64 random_;
     note_handler note_;
+    notice_handler on_notice_ = [](const edge_endpoint&) {};
     boost::asio::steady_timer timer_;
     int under_way_ = 0;
     unsigned overdue_stops_ = 0;
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -22,7 +22,8 @@
 ABSL_FLAG(unsigned, callers, 3, "Connections of callers to each daemon.");
 ABSL_FLAG(unsigned, pause_ms, 25, "Pause of a caller between two requests.");
 ABSL_FLAG(unsigned, busy, 0, "Threads that keep cores busy meanwhile.");
-ABSL_FLAG(std::string, mix, "all", "Faults: all, silences, signals, store or directory.");
+ABSL_FLAG(std::string, mix, "all",
+          "Faults: all, silences, signals, store, directory, limits, leaving or pauses.");
 ABSL_FLAG(std::string, logs, "", "Folder for the daemons' logs; a temporary one by default.");
 
 namespace {
@@ -90,16 +91,18 @@
 int main(int argc, char** argv) {
     absl::SetProgramUsageMessage("soak --daemon=PATH [--seed=N] [--seeds=N] [--seconds=N]");
     absl::ParseCommandLine(argc, argv);
-    const std::map<std::string, soak::fault_mix> mixes = {
-        {"all", soak::fault_mix::all},
-        {"silences", soak::fault_mix::silences},
-        {"signals", soak::fault_mix::signals},
-        {"store", soak::fault_mix::store},
-        {"directory", soak::fault_mix::directory}};
+    const std::map<std::string, soak::fault_mix> mixes = {{"all", soak::fault_mix::all},
+                                                          {"silences", soak::fault_mix::silences},
+                                                          {"signals", soak::fault_mix::signals},
+                                                          {"store", soak::fault_mix::store},
+                                                          {"directory", soak::fault_mix::directory},
+                                                          {"limits", soak::fault_mix::limits},
+                                                          {"leaving", soak::fault_mix::leaving},
+                                                          {"pauses", soak::fault_mix::pauses}};
     const auto mix = mixes.find(absl::GetFlag(FLAGS_mix));
     if (absl::GetFlag(FLAGS_daemon).empty() || mix == mixes.end()) {
         std::cerr << "--daemon must name radishpulleyd, --mix one of all, silences, signals, "
-                     "store, directory\n";
+                     "store, directory, limits, leaving, pauses\n";
         return exit_bad_flags;
     }
     telemetry::start_log("soak", telemetry::severity::error, telemetry::log_target::standard_error);
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -58,6 +58,7 @@
       change_timer_(loop_),
       process_timer_(loop_) {
     fleet_.store().random.seed(settings_.seed);
+    watch_notices();
 }
 
 soak_run::~soak_run() = default;
@@ -278,10 +279,7 @@
         out.asked.key = recent_keys_[random_() % recent_keys_.size()];
     }
     out.is_idempotent = out.asked.route != once_route;
-    sent_ids_.insert(out.id);
-    if (!out.is_idempotent) {
-        once_ids_.insert(out.id);
-    }
+    sent_[out.id] = out;
     plain_request it;
     it.id = out.id;
     it.host = platform_adapter::standins::route_host;
@@ -316,6 +314,7 @@
         ++report_.served;
         ++served_by_vm_[it.vm->name];
     }
+    take_notices(it, end);
     const probe_end meaning = meaning_of(end);
     check_whole(it, end);
     check_denial(it, end);
@@ -423,6 +422,56 @@
     }
 }
 
+void soak_run::watch_notices() {
+    auto& runs = fleet_.runs();
+    runs.on_arrival = [this](const std::string& endpoint, const std::string& request) {
+        const auto sent = sent_.find(request);
+        if (sent == sent_.end()) {
+            return;
+        }
+        const arrival it{endpoint, period_of(*sent->second.vm), sent->second.asked.sent,
+                         time_.now()};
+        for (const std::string& text : notices_.on_arrival(it)) {
+            find(text + ", with request " + request);
+        }
+    };
+    runs.on_pause = [this](const std::string& endpoint, const std::string& request) {
+        const auto sent = sent_.find(request);
+        for (const edge_endpoint& it : fleet_.endpoints()) {
+            if (it.standin->id() == endpoint && sent != sent_.end()) {
+                notices_.on_pause(endpoint, period_of(*sent->second.vm), time_.now(),
+                                  *it.standin->pause);
+            }
+        }
+    };
+    faults_.set_on_notice([this](const edge_endpoint& it) {
+        if (it.standin->rate_limit) {
+            notices_.on_limit(it.standin->id(), it.standin->rate_limit, time_.now());
+        } else {
+            notices_.on_restart(it.standin->id());
+        }
+    });
+}
+
+void soak_run::take_notices(const sent_request& it, const call_end& end) {
+    const auto ran = fleet_.runs().runs.find(it.id);
+    if (ran == fleet_.runs().runs.end() || !end.marks.is_signed) {
+        return;
+    }
+    // What was under way when an endpoint changed says nothing about it now.
+    const auto is_meant = [&](const edge_endpoint& each) {
+        return each.standin->id() == ran->second.endpoint;
+    };
+    const auto& all = fleet_.endpoints();
+    const auto& endpoint = *std::find_if(all.begin(), all.end(), is_meant)->standin;
+    if (end.marks.limited && endpoint.rate_limit) {
+        notices_.on_limit_passed_on(endpoint.id(), period_of(*it.vm), time_.now());
+    }
+    if (end.marks.leaving && endpoint.says_leaving) {
+        notices_.on_leaving_passed_on(endpoint.id(), period_of(*it.vm), time_.now());
+    }
+}
+
 void soak_run::check_runs() {
     for (const auto& [id, it] : refused_) {
         if (fleet_.runs().runs.count(id) != 0) {
@@ -430,10 +479,11 @@
         }
     }
     for (const auto& [id, runs] : fleet_.runs().runs) {
-        if (sent_ids_.count(id) == 0) {
+        const auto sent = sent_.find(id);
+        if (sent == sent_.end()) {
             find("UNASKED: nobody sent " + id);
         }
-        if (runs.times > 1 && once_ids_.count(id) != 0) {
+        if (runs.times > 1 && sent != sent_.end() && !sent->second.is_idempotent) {
             find("TWICE: " + id + " ran " + std::to_string(runs.times) + " times");
         }
     }
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +18,7 @@
 #include "configuration_history.h"
 #include "edge_fleet.h"
 #include "fault_schedule.h"
+#include "notice_checker.h"
 #include "probe_caller.h"
 
 namespace radishpulley::soak {
@@ -94,6 +94,9 @@
     void check_drain(const sent_request& it);
     void check_cut(const sent_request& it, const call_end& end);
     void check_runs();
+    void watch_notices();
+    void take_notices(const sent_request& it, const call_end& end);
+    static vm_period period_of(const edge_vm& it) { return {it.name, it.period}; }
     bool is_in_touch(const sent_request& it);
 
     run_settings settings_;
@@ -109,11 +112,11 @@
     std::vector<std::unique_ptr<probe_caller>> callers_;
     std::deque<std::string> recent_routes_;
     std::deque<std::string> recent_keys_;
-    std::set<std::string> sent_ids_;
+    /// Requests by id.
+    std::map<std::string, sent_request> sent_;
+    notice_checker notices_;
     /// Requests that were refused as not run, with the refusal.
     std::map<std::string, sent_request> refused_;
-    /// Requests that may run once at most.
-    std::set<std::string> once_ids_;
     std::map<std::string, proof> proofs_;
     /// Requests served, by VM; counted anew after the recovery.
     std::map<std::string, std::size_t> served_by_vm_;
