Limits that endpoints name in their answers hold over all VMs together

Callers saw nothing; endpoints in need went on being loaded as before (12 to 14 requests in 4 s at a limit of one a second, allowed 11).

Cause: nobody read the limit. The codec handed on an answer's signature and "not run" only (hypothesis 1). A limit kept by each VM alone (hypothesis 2) would break it too: planted in the new module, it gives up to 13 times of what is allowed at 380 VMs.

Change: endpoint_limits. VMs tell each other of limits in their statements, at once when one is new. As many VMs as there are whole requests a second in a limit use the endpoint, in equal parts; all compute alike which. Buckets start empty, so a change of these VMs adds no burst. An answer ends a limit only if it is a whole success to a request sent after the limit was last heard. Weighed and left: one VM that grants each request (a message on each request's way), equal parts for all VMs (380 bursts of one request are more than a limit of one allows).

Ruled out: repeats and requests that had waited for adapters (hypothesis 3); all lines say sends=1.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "routing/configuration.h"
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
+#include "routing/endpoint_limits.h"
 #include "routing/hints.h"
 #include "routing/prompt_memory.h"
 #include "routing/work_table.h"
@@ -117,8 +118,12 @@
     void on_configuration_confirmed(time_point read_began);
     /// Whether a pause has ended and the configuration is not confirmed since.
     bool awaits_confirmation() const { return awaits_confirmation_; }
-    /// Sets how many VMs serve callers.
-    void set_fleet_size(std::size_t vms);
+    /// Sets the VMs that serve callers; `self` is one of them.
+    void set_serving(const vm_id& self, gsl::span<const vm_id> vms);
+    /// Takes what another VM knows of an endpoint's limit.
+    void on_limit_told(const vm_id& by, const routing::stated_limit& it);
+    /// Sets what is called when other VMs should hear of a limit soon.
+    void set_on_limit_news(std::function<void()> call) { on_limit_news_ = std::move(call); }
     /// Takes new settings for the requests that follow.
     void reconfigure(gateway_settings settings);
     /// Takes an endpoint's entry.
@@ -159,6 +164,7 @@
     const routing::configuration_ptr& configuration() const { return configuration_; }
     routing::endpoint_directory& directory() { return directory_; }
     routing::adapter_table& adapters() { return adapters_; }
+    const routing::endpoint_limits& limits() const { return limits_; }
     routing::account_limiter& limiter() { return limiter_; }
     const routing::account_limiter& limiter() const { return limiter_; }
     routing::work_table& work() { return work_; }
@@ -172,6 +178,12 @@
     requests::retry_budget& budget_of(const service_id& id);
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
     void release_held_requests();
+    /// Takes what an answer says of an endpoint's limit.
+    void on_limit_answered(const endpoint_id& id, const routing::limit_statement& said);
+    void log_limit(const endpoint_id& id, const vm_id& by) const;
+    /// Time until an endpoint of the service takes a request of this VM, where limits alone keep
+    /// it waiting.
+    std::optional<duration> wait_for_limits(const service_id& id) const;
 
     boost::asio::io_context& loop_;
     const clock& time_;
@@ -181,6 +193,7 @@
     routing::configuration_ptr configuration_;
     std::function<duration()> configuration_age_ = [] { return duration::zero(); };
     routing::endpoint_directory directory_;
+    routing::endpoint_limits limits_;
     routing::adapter_table adapters_;
     routing::prompt_memory prompts_;
     routing::work_table work_;
@@ -201,6 +214,7 @@
     /// Requests that came after a pause.
     std::vector<std::weak_ptr<exchange>> held_requests_;
     std::function<void()> on_pause_ = [] {};
+    std::function<void()> on_limit_news_ = [] {};
     std::size_t fleet_size_ = 1;
     std::size_t requests_ = 0;
     std::size_t body_bytes_ = 0;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -60,6 +60,8 @@
     void deny(unsigned status, std::string_view reason);
     bool admit();
     void find_endpoint();
+    /// Refuses with the time after which an endpoint may take it, as far as that is known.
+    void refuse_without_endpoint();
     /// Counts this request among the endpoint's work, also while it waits for an adapter.
     void reserve_work(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
@@ -74,7 +76,7 @@
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string request_bytes() const;
     void on_rejected(const answer_head& head);
-    void take_notice(const answer_head& head, const routing::endpoint_notice& it);
+    void take_notice(const answer_head& head, const answer_facts& said);
     void relay_head(const answer_head& head);
     /// Where the call that ended brought no answer for the caller, sends the request again or
     /// refuses it; returns whether that was so.
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -15,7 +15,7 @@
 void exchange::on_head(const answer_head& head) {
     const auto self = shared_from_this();
     const answer_facts said = owner_.codec_.read_answer(head.status, head.headers);
-    take_notice(head, said.notice);
+    take_notice(head, said);
     if (said.not_run) {
         rejected_ = true;
         discard_answer_ = true;
@@ -55,17 +55,19 @@
     relay_head(head);
 }
 
-void exchange::take_notice(const answer_head& head, const routing::endpoint_notice& it) {
-    if (!owner_.directory_.on_notice(endpoint_, it, owner_.time_.now())) {
-        return;
+void exchange::take_notice(const answer_head& head, const answer_facts& said) {
+    const time_point now = owner_.time_.now();
+    const routing::endpoint_notice& it = said.notice;
+    const bool is_complete = said.is_signed && head.status / 100 == 2;
+    owner_.on_limit_answered(endpoint_, {it.rate_limit, sent_at_, now, is_complete});
+    if (owner_.directory_.on_notice(endpoint_, it, now)) {
+        telemetry::log_event(severity::info, "endpoint_notice",
+                             {{"endpoint", endpoint_},
+                              {"request", facts_.id},
+                              {"status", head.status},
+                              {"leaving", it.leaving},
+                              {"pause", it.pause.value_or(duration::zero())}});
     }
-    telemetry::log_event(severity::info, "endpoint_notice",
-                         {{"endpoint", endpoint_},
-                          {"request", facts_.id},
-                          {"status", head.status},
-                          {"leaving", it.leaving},
-                          {"rate_limit", it.rate_limit.value_or(-1)},
-                          {"pause", it.pause.value_or(duration::zero())}});
 }
 
 void exchange::relay_head(const answer_head& head) {
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -15,6 +15,8 @@
 
 // Age from which a replaced adapter version is no longer asked for.
 constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
+// Where no endpoint takes requests of this VM; another VM may have a part of their limits.
+constexpr duration longest_limit_wait = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -24,7 +26,7 @@
     const routing::choice_request wanted{facts_, *service_, excluded_, no_loads_, may_load};
     const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
     if (!choice) {
-        refuse({status_unavailable, "no_endpoint", usual_retry_after});
+        refuse_without_endpoint();
         return;
     }
     if (choice->expected > time_left()) {
@@ -41,7 +43,7 @@
                           {"needs_load", choice->needs_load},
                           {"expected_ms", to_ms(choice->expected).count()},
                           {"unread_tokens", choice->unread_tokens},
-                          {"rate_limit", owner_.directory_.rate_limit(choice->id).value_or(-1)},
+                          {"rate_limit", owner_.limits_.rate(choice->id).value_or(-1)},
                           {"refused_loads", no_loads_.size()},
                           {"excluded", excluded_.size()},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
@@ -54,6 +56,16 @@
     }
 }
 
+void exchange::refuse_without_endpoint() {
+    const auto wait = owner_.wait_for_limits(service_->id);
+    if (!wait) {
+        refuse({status_unavailable, "no_endpoint", usual_retry_after});
+        return;
+    }
+    const duration retry_after = std::clamp<duration>(*wait, usual_retry_after, longest_limit_wait);
+    refuse({status_unavailable, "endpoints_limited", retry_after});
+}
+
 void exchange::reserve_work(const endpoint_id& id) {
     const std::uint32_t memory =
         facts_.prompt_tokens + facts_.output_estimate.value_or(facts_.most_output_tokens / 2);
@@ -168,7 +180,8 @@
 
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
-    if (target == nullptr || target->draining) {
+    const time_point now = owner_.time_.now();
+    if (target == nullptr || target->draining || !owner_.limits_.allows(id, now)) {
         excluded_.insert(id);
         find_endpoint();
         return;
@@ -176,9 +189,10 @@
     phase_ = phase::connecting;
     endpoint_ = id;
     if (wait_began_ != time_point{}) {
-        load_wait_ = owner_.time_.now() - wait_began_;
+        load_wait_ = now - wait_began_;
     }
     ++sends_;
+    owner_.limits_.note_sent(id, now);
     auto on_connection = [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
         const auto self = weak.lock();
         const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -14,7 +14,7 @@
       time_(time),
       codec_(codec),
       settings_(std::move(settings)),
-      chooser_(directory_, adapters_, prompts_, work_, settings_.where),
+      chooser_(directory_, limits_, adapters_, prompts_, work_, settings_.where),
       limiter_(settings_.limiter),
       pool_(loop, time),
       answers_(metrics.add_counters("answers_total", "Answers by account, route and status.",
@@ -71,9 +71,46 @@
     }
 }
 
-void gateway::set_fleet_size(std::size_t vms) {
-    fleet_size_ = std::max<std::size_t>(1, vms);
-    limiter_.set_fleet_size(vms);
+void gateway::set_serving(const vm_id& self, gsl::span<const vm_id> vms) {
+    fleet_size_ = std::max<std::size_t>(1, vms.size());
+    limiter_.set_fleet_size(vms.size());
+    limits_.set_vms(self, vms, time_.now());
+}
+
+void gateway::on_limit_answered(const endpoint_id& id, const routing::limit_statement& said) {
+    const routing::endpoint* target = directory_.find(id);
+    if (target != nullptr && limits_.on_answer(*target, said)) {
+        log_limit(id, vm_id());
+        on_limit_news_();
+    }
+}
+
+void gateway::on_limit_told(const vm_id& by, const routing::stated_limit& it) {
+    const routing::endpoint* known = directory_.find(it.endpoint);
+    const bool is_of_older_start = known != nullptr && it.started_at_ms < known->started_at_ms;
+    if (!is_of_older_start && limits_.on_told(it, time_.now())) {
+        log_limit(it.endpoint, by);
+    }
+}
+
+void gateway::log_limit(const endpoint_id& id, const vm_id& by) const {
+    telemetry::log_event(telemetry::severity::info, "endpoint_limit",
+                         {{"endpoint", id},
+                          {"rate_limit", limits_.rate(id).value_or(-1)},
+                          {"told_by", by},
+                          {"vms", fleet_size_},
+                          {"part", limits_.part(id)}});
+}
+
+std::optional<duration> gateway::wait_for_limits(const service_id& id) const {
+    std::optional<duration> least;
+    for (const routing::endpoint* it : directory_.usable(id)) {
+        const duration wait = limits_.wait(it->id, time_.now());
+        if (wait > duration::zero()) {
+            least = std::min(least.value_or(duration::max()), wait);
+        }
+    }
+    return least;
 }
 
 void gateway::reconfigure(gateway_settings settings) {
@@ -97,6 +134,7 @@
         prompts_.forget(it.id);
         pool_.drop(it.id);
     }
+    limits_.on_entry(it);
     adapters_.on_entry(it, time_.now());
 }
 
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -11,6 +11,7 @@
 #include "routing/adapter_table.h"
 #include "routing/configuration.h"
 #include "routing/endpoint_directory.h"
+#include "routing/endpoint_limits.h"
 #include "routing/prompt_memory.h"
 #include "routing/work_table.h"
 
@@ -90,9 +91,9 @@
 /// Joins the tables into a choice. The tables must outlive it.
 class endpoint_chooser {
 public:
-    endpoint_chooser(const endpoint_directory& directory, const adapter_table& adapters,
-                     const prompt_memory& prompts, const work_table& work, location where,
-                     choice_settings settings = {});
+    endpoint_chooser(const endpoint_directory& directory, const endpoint_limits& limits,
+                     const adapter_table& adapters, const prompt_memory& prompts,
+                     const work_table& work, location where, choice_settings settings = {});
 
     /// Returns the best endpoint, or nothing where the service has none to offer.
     std::optional<endpoint_choice> choose(const choice_request& request, time_point now) const;
@@ -109,6 +110,7 @@
     duration place_wait(const endpoint& it, const choice_request& request, time_point now) const;
 
     const endpoint_directory& directory_;
+    const endpoint_limits& limits_;
     const adapter_table& adapters_;
     const prompt_memory& prompts_;
     const work_table& work_;
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -74,10 +74,6 @@
     /// Whether calls failed of late, or its entry is missing and may only be late, so that others
     /// go first.
     bool avoided(const endpoint_id& id, time_point now) const;
-    /// Limit that the endpoint named in its newest answer.
-    std::optional<double> rate_limit(const endpoint_id& id) const;
-    /// Endpoints that name a limit.
-    std::size_t limited() const;
     /// All endpoints.
     std::vector<const endpoint*> all() const;
 
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -13,6 +13,7 @@
 #include "base/identifier.h"
 #include "relay/copy_report.h"
 #include "routing/account_limiter.h"
+#include "routing/endpoint_limits.h"
 #include "routing/request_facts.h"
 #include "routing/work_table.h"
 
@@ -25,6 +26,8 @@
     bool leaving = false;
     work_by_endpoint work;
     demand_by_account demand;
+    /// Limits that endpoints named in their answers.
+    std::vector<stated_limit> limits;
 };
 
 /// Requests for adapters at one engine, told to its holder.
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -35,9 +35,11 @@
 }  // namespace
 
 endpoint_chooser::endpoint_chooser(const endpoint_directory& directory,
-                                   const adapter_table& adapters, const prompt_memory& prompts,
-                                   const work_table& work, location where, choice_settings settings)
+                                   const endpoint_limits& limits, const adapter_table& adapters,
+                                   const prompt_memory& prompts, const work_table& work,
+                                   location where, choice_settings settings)
     : directory_(directory),
+      limits_(limits),
       adapters_(adapters),
       prompts_(prompts),
       work_(work),
@@ -148,7 +150,8 @@
         ranked(directory_.usable(request.target.id), request.facts);
     std::optional<endpoint_choice> best;
     for (std::size_t rank = 0; rank < endpoints.size(); ++rank) {
-        if (request.excluded.count(endpoints[rank]->id) != 0) {
+        const endpoint_id& id = endpoints[rank]->id;
+        if (request.excluded.count(id) != 0 || !limits_.allows(id, now)) {
             continue;
         }
         const auto it = assess(*endpoints[rank], request, rank, now);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -125,23 +125,11 @@
         return false;
     }
     endpoint_notice& known = found->second.said;
-    const bool is_new =
-        it.leaving != known.leaving || it.rate_limit != known.rate_limit || it.pause.has_value();
+    const bool is_new = it.leaving != known.leaving || it.pause.has_value();
     known = it;
     return is_new;
 }
 
-std::optional<double> endpoint_directory::rate_limit(const endpoint_id& id) const {
-    const auto found = records_.find(id);
-    return found == records_.end() ? std::nullopt : found->second.said.rate_limit;
-}
-
-std::size_t endpoint_directory::limited() const {
-    return static_cast<std::size_t>(
-        std::count_if(records_.begin(), records_.end(),
-                      [](const auto& it) { return it.second.said.rate_limit.has_value(); }));
-}
-
 const endpoint* endpoint_directory::find(const endpoint_id& id) const {
     const auto found = records_.find(id);
     return found == records_.end() ? nullptr : &found->second.entry;
--- /dev/null
+++ b/libs/routing/src/endpoint_limits.cpp
@@ -0,0 +1,152 @@
+#include "routing/endpoint_limits.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/digest.h"
+
+namespace radishpulley::routing {
+namespace {
+
+std::uint32_t to_ms(duration it) {
+    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, most));
+}
+
+}  // namespace
+
+void endpoint_limits::set_vms(const vm_id& self, gsl::span<const vm_id> serving, time_point now) {
+    self_ = self;
+    vms_.assign(serving.begin(), serving.end());
+    for (auto it = records_.begin(); it != records_.end();) {
+        const bool is_over = !it->second.rate && now - it->second.as_of > settings_.end_memory;
+        if (is_over) {
+            it = records_.erase(it);
+            continue;
+        }
+        share_out(it->second, it->first, now);
+        ++it;
+    }
+}
+
+bool endpoint_limits::on_answer(const endpoint& it, const limit_statement& said) {
+    const auto known = records_.find(it.id);
+    const bool is_known = known != records_.end() && known->second.rate;
+    if (said.rate) {
+        record& found = make(it.id, it.started_at_ms, said.answered);
+        return take(found, it.id, said.rate, said.answered, said.answered);
+    }
+    // An answer that was under way when the endpoint named its limit does not end the limit.
+    const bool ends = is_known && said.is_complete && said.sent > known->second.as_of;
+    return ends && take(known->second, it.id, std::nullopt, said.sent, said.answered);
+}
+
+bool endpoint_limits::on_told(const stated_limit& it, time_point now) {
+    const time_point as_of = now - std::chrono::milliseconds(it.age_ms);
+    const auto known = records_.find(it.endpoint);
+    const bool is_known = known != records_.end();
+    if (!is_known && !it.rate) {
+        return false;
+    }
+    const bool is_old =
+        is_known &&
+        (it.started_at_ms < known->second.started_at_ms ||
+         (it.started_at_ms == known->second.started_at_ms && as_of <= known->second.as_of));
+    if (is_old) {
+        return false;
+    }
+    return take(make(it.endpoint, it.started_at_ms, now), it.endpoint, it.rate, as_of, now);
+}
+
+void endpoint_limits::on_entry(const endpoint& it) {
+    const auto known = records_.find(it.id);
+    if (known != records_.end() && known->second.started_at_ms < it.started_at_ms) {
+        records_.erase(known);
+    }
+}
+
+void endpoint_limits::note_sent(const endpoint_id& id, time_point now) {
+    const auto known = records_.find(id);
+    if (known != records_.end() && known->second.rate) {
+        known->second.bucket.take(now);
+    }
+}
+
+bool endpoint_limits::allows(const endpoint_id& id, time_point now) const {
+    return wait(id, now) == duration::zero();
+}
+
+duration endpoint_limits::wait(const endpoint_id& id, time_point now) const {
+    const auto known = records_.find(id);
+    const bool is_limited = known != records_.end() && known->second.rate;
+    return is_limited ? known->second.bucket.wait(now) : duration::zero();
+}
+
+std::optional<double> endpoint_limits::rate(const endpoint_id& id) const {
+    const auto known = records_.find(id);
+    return known == records_.end() ? std::nullopt : known->second.rate;
+}
+
+double endpoint_limits::part(const endpoint_id& id) const {
+    const auto known = records_.find(id);
+    return known == records_.end() ? 0 : known->second.bucket.rate();
+}
+
+std::size_t endpoint_limits::count() const {
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(),
+                      [](const auto& it) { return it.second.rate.has_value(); }));
+}
+
+std::vector<stated_limit> endpoint_limits::statements(time_point now) const {
+    std::vector<stated_limit> out;
+    for (const auto& [id, it] : records_) {
+        out.push_back({id, it.started_at_ms, it.rate, to_ms(now - it.as_of)});
+    }
+    return out;
+}
+
+endpoint_limits::record& endpoint_limits::make(const endpoint_id& id, std::int64_t started_at_ms,
+                                               time_point now) {
+    record& it = records_[id];
+    if (it.as_of == time_point{} || it.started_at_ms < started_at_ms) {
+        it = record{};
+        it.started_at_ms = started_at_ms;
+        it.bucket = token_bucket(0, 0, now);
+    }
+    return it;
+}
+
+bool endpoint_limits::take(record& it, const endpoint_id& id, std::optional<double> rate,
+                           time_point as_of, time_point now) {
+    const bool is_news = it.rate != rate;
+    it.rate = rate;
+    it.as_of = as_of;
+    share_out(it, id, now);
+    return is_news;
+}
+
+void endpoint_limits::share_out(record& it, const endpoint_id& id, time_point now) const {
+    if (!it.rate) {
+        it.bucket = token_bucket(0, 0, now);
+        return;
+    }
+    const double rate = std::max(*it.rate, settings_.least_rate);
+    const std::size_t vms = std::max<std::size_t>(1, vms_.size());
+    const bool is_unconfirmed = now - it.as_of > settings_.unconfirmed;
+    const double whole = std::clamp(rate, 1.0, static_cast<double>(vms));
+    const std::size_t users = is_unconfirmed ? vms : static_cast<std::size_t>(whole);
+    const double part = rank(id) < users ? rate / static_cast<double>(users) : 0;
+    it.bucket.resize(part, std::max(1.0, part), now);
+}
+
+std::size_t endpoint_limits::rank(const endpoint_id& id) const {
+    const auto place_of = [&](const vm_id& vm) { return stable_hash(id.str() + "|" + vm.str()); };
+    const std::uint64_t own = place_of(self_);
+    return static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](const vm_id& vm) {
+        return vm != self_ && place_of(vm) < own;
+    }));
+}
+
+}  // namespace radishpulley::routing
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -68,6 +68,28 @@
     return out;
 }
 
+json limits_to_json(const std::vector<stated_limit>& limits) {
+    json out = json::array();
+    for (const stated_limit& it : limits) {
+        out.push_back(
+            {it.endpoint.str(), it.started_at_ms, it.rate ? json(*it.rate) : json(), it.age_ms});
+    }
+    return out;
+}
+
+std::vector<stated_limit> read_limits(const json& in) {
+    std::vector<stated_limit> out;
+    for (const json& it : in) {
+        stated_limit limit{endpoint_id(it.at(0).get<std::string>()), it.at(1).get<std::int64_t>(),
+                           std::nullopt, it.at(3).get<std::uint32_t>()};
+        if (!it.at(2).is_null()) {
+            limit.rate = it.at(2).get<double>();
+        }
+        out.push_back(std::move(limit));
+    }
+    return out;
+}
+
 json to_json(const relay::copy_report& it) {
     json changes = json::array();
     for (const relay::reported_change& change : it.changes) {
@@ -110,7 +132,7 @@
         overloaded{
             [](const presence& p) {
                 return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
-                                    demand_to_json(p.demand)});
+                                    demand_to_json(p.demand), limits_to_json(p.limits)});
             },
             [](const adapter_uses& u) {
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
@@ -134,8 +156,16 @@
 hint read_body(const json& in) {
     const std::string kind = in.at(0).get<std::string>();
     if (kind == "p") {
-        return presence{in.at(1).get<std::uint64_t>(), in.at(2).get<bool>(), read_work(in.at(3)),
-                        read_demand(in.at(4))};
+        presence out{in.at(1).get<std::uint64_t>(),
+                     in.at(2).get<bool>(),
+                     read_work(in.at(3)),
+                     read_demand(in.at(4)),
+                     {}};
+        // Daemons of an older release say nothing of limits.
+        if (in.size() > 5) {
+            out.limits = read_limits(in.at(5));
+        }
+        return out;
     }
     if (kind == "s") {
         return read_reports(in.at(1));
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -38,7 +38,7 @@
 
     std::optional<endpoint_choice> choose(time_point now = start) {
         const endpoint_chooser chooser(
-            directory, adapters, prompts, work,
+            directory, limits, adapters, prompts, work,
             {zone_id("near"),
              region_id("r1"),
              {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}});
@@ -46,6 +46,7 @@
     }
 
     endpoint_directory directory;
+    endpoint_limits limits;
     adapter_table adapters;
     prompt_memory prompts;
     work_table work;
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -150,6 +150,7 @@
     state.leaving = true;
     state.work[engine] = {2, 300, 400};
     state.demand[client_account_id("acme")] = 1'234;
+    state.limits = {{engine, 17, 2.5, 300}, {engine, 18, std::nullopt, 4}};
     const auto back = decode_hint(encode({{vm_id("v"), 7}, state}));
     BOOST_TEST(back.from.vm.str() == "v");
     BOOST_TEST(back.from.incarnation == 7U);
@@ -158,6 +159,12 @@
     BOOST_TEST(read.leaving);
     BOOST_TEST(read.work.at(engine).memory_tokens == 400U);
     BOOST_TEST(read.demand.at(client_account_id("acme")) == 1'234);
+    BOOST_REQUIRE(read.limits.size() == 2U);
+    BOOST_TEST(read.limits[0].endpoint == engine);
+    BOOST_TEST(read.limits[0].started_at_ms == 17);
+    BOOST_TEST(read.limits[0].rate.value() == 2.5);
+    BOOST_TEST(read.limits[0].age_ms == 300U);
+    BOOST_TEST(!read.limits[1].rate.has_value());
 
     const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_uses{engine, {plans}, {}}}));
     BOOST_TEST((std::get<adapter_uses>(uses.body).sent == std::vector<model_choice>{plans}));
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -77,7 +77,7 @@
     /// VMs of an availability zone.
     std::set<vm_id> vms_in(const zone_id& zone) const;
     /// VMs that serve callers now, this one included.
-    std::size_t serving(time_point now) const;
+    std::vector<vm_id> serving(time_point now) const;
 
 private:
     struct peer {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -34,6 +34,8 @@
 constexpr duration settings_check_interval = std::chrono::seconds(2);
 // Delay by which statements about several long prompts are joined.
 constexpr std::chrono::milliseconds presence_delay{10};
+// Delay by which news of several endpoints' limits are joined.
+constexpr std::chrono::milliseconds limits_delay{50};
 // Delay by which reports of several copies are joined.
 constexpr std::chrono::milliseconds report_delay{5};
 // Time for which a peer's statements count: of its work at endpoints, of its accounts' demand.
@@ -94,6 +96,7 @@
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           timer_(loop_),
           presence_timer_(loop_),
+          limits_timer_(loop_),
           report_timer_(loop_),
           lapse_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(with)),
@@ -145,6 +148,7 @@
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { report_soon(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
+        data_path_.set_on_limit_news([this] { tell_limits_soon(); });
     }
 
     void run() {
@@ -429,6 +433,9 @@
             const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, least_demand_lifetime);
             data_path_.work().on_peer(it.from.vm, state->work, now, work_lifetime);
             data_path_.limiter().on_peer(it.from.vm, state->demand, now, demand_lifetime);
+            for (const routing::stated_limit& limit : state->limits) {
+                data_path_.on_limit_told(it.from.vm, limit);
+            }
         } else if (const auto* reports = std::get_if<routing::store_reports>(&it.body)) {
             on_reports(*reports);
         } else {
@@ -441,9 +448,9 @@
         configuration_version_.set(configuration ? static_cast<double>(configuration->version())
                                                  : 0);
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
-        endpoints_limited_.set(static_cast<double>(data_path_.directory().limited()));
+        endpoints_limited_.set(static_cast<double>(data_path_.limits().count()));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
-        vms_serving_.set(static_cast<double>(fleet_.serving(time_.now())));
+        vms_serving_.set(static_cast<double>(fleet_.serving(time_.now()).size()));
         store_calls_.set(static_cast<double>(store_.calls()));
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
@@ -471,6 +478,21 @@
         });
     }
 
+    // All VMs need to hear of a limit, for each may send requests to the endpoint.
+    void tell_limits_soon() {
+        if (limits_due_) {
+            return;
+        }
+        limits_due_ = true;
+        limits_timer_.expires_after(limits_delay);
+        limits_timer_.async_wait([this](const boost::system::error_code& ec) {
+            limits_due_ = false;
+            if (!ec) {
+                fleet_.broadcast(presence());
+            }
+        });
+    }
+
     routing::presence presence() const {
         routing::presence state;
         state.configuration_version =
@@ -478,6 +500,7 @@
         state.leaving = stop_began_.has_value();
         state.work = data_path_.work().own();
         state.demand = data_path_.limiter().demand(time_.now());
+        state.limits = data_path_.limits().statements(time_.now());
         return state;
     }
 
@@ -496,7 +519,7 @@
         for (gateway::collection_follower* it : reported_copies()) {
             it->set_rank(rank, vms);
         }
-        data_path_.set_fleet_size(fleet_.serving(now));
+        data_path_.set_serving(with_.vm, fleet_.serving(now));
         fleet_.tell(presence());
         if (stop_began_ && may_end(now)) {
             loop_.stop();
@@ -535,10 +558,12 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer presence_timer_;
+    boost::asio::steady_timer limits_timer_;
     boost::asio::steady_timer report_timer_;
     boost::asio::steady_timer lapse_timer_;
     bool report_due_ = false;
     bool presence_due_ = false;
+    bool limits_due_ = false;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
         add_gauge("configuration_version", "Version of the configuration in force.");
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -323,18 +323,18 @@
     return out;
 }
 
-std::size_t fleet_member::serving(time_point now) const {
-    std::size_t n = 1;
+std::vector<vm_id> fleet_member::serving(time_point now) const {
+    std::vector<vm_id> out{settings_.vm};
     for (const auto& [vm, peer] : peers_) {
         const bool starting = now - started_ < settings_.serving_memory;
         const bool heard =
             peer.heard != time_point::min() &&
             now - peer.heard < schedule_.lifetime(distance_of(peer), settings_.serving_memory);
         if (vm != settings_.vm && !peer.leaving && (heard || starting)) {
-            ++n;
+            out.push_back(vm);
         }
     }
-    return n;
+    return out;
 }
 
 }  // namespace radishpulley::edge
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -151,7 +151,7 @@
     node& b = add("b");
     run_until([&] { return a.hints > 0 && b.hints > 0; });
     BOOST_TEST(a.member.self()->incarnation == 1U);
-    BOOST_TEST(a.member.serving(a.time.now()) == 2U);
+    BOOST_TEST(a.member.serving(a.time.now()).size() == 2U);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_peer_is_told_once_an_interval_and_at_once_where_it_is_near, fixture) {
