Endpoints that say in their answers that they leave get no further requests

Change: the directory keeps an endpoint's own word by its start. Entries that say "ready", and entries that lapsed and are back, don't take it back; a later start does. Answers to orders and reports are read as well, but not those of another engine at the same address.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -120,6 +120,8 @@
     bool awaits_confirmation() const { return awaits_confirmation_; }
     /// Sets the VMs that serve callers; `self` is one of them.
     void set_serving(const vm_id& self, gsl::span<const vm_id> vms);
+    /// Takes what an endpoint says of itself in an answer to a call of this VM's own.
+    void on_notice(const routing::endpoint_incarnation& from, const routing::endpoint_notice& it);
     /// Takes what another VM knows of an endpoint's limit.
     void on_limit_told(const vm_id& by, const routing::stated_limit& it);
     /// Sets what is called when other VMs should hear of a limit soon.
@@ -179,7 +181,8 @@
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
     void release_held_requests();
     /// Takes what an answer says of an endpoint's limit.
-    void on_limit_answered(const endpoint_id& id, const routing::limit_statement& said);
+    void on_limit_answered(const routing::endpoint_incarnation& from,
+                           const routing::limit_statement& said);
     void log_limit(const endpoint_id& id, const vm_id& by) const;
     /// Time until an endpoint of the service takes a request of this VM, where limits alone keep
     /// it waiting.
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -114,6 +114,8 @@
     std::optional<time_point> deadline_;
     phase phase_ = phase::starting;
     endpoint_id endpoint_;
+    /// Start of the endpoint that the call went to.
+    std::int64_t endpoint_started_at_ms_ = 0;
     std::uint32_t unread_tokens_ = 0;
     std::uint32_t read_work_ = 0;
     std::shared_ptr<endpoint_link> connection_;
--- a/libs/gateway/src/exchange_answers.cpp
+++ b/libs/gateway/src/exchange_answers.cpp
@@ -59,8 +59,9 @@
     const time_point now = owner_.time_.now();
     const routing::endpoint_notice& it = said.notice;
     const bool is_complete = said.is_signed && head.status / 100 == 2;
-    owner_.on_limit_answered(endpoint_, {it.rate_limit, sent_at_, now, is_complete});
-    if (owner_.directory_.on_notice(endpoint_, it, now)) {
+    const routing::endpoint_incarnation from{endpoint_, endpoint_started_at_ms_};
+    owner_.on_limit_answered(from, {it.rate_limit, sent_at_, now, is_complete});
+    if (owner_.directory_.on_notice(from, it, now)) {
         telemetry::log_event(severity::info, "endpoint_notice",
                              {{"endpoint", endpoint_},
                               {"request", facts_.id},
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -227,6 +227,7 @@
         return;
     }
     phase_ = phase::sent;
+    endpoint_started_at_ms_ = target->started_at_ms;
     rejected_ = false;
     discard_answer_ = false;
     discarded_ = 0;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -77,10 +77,24 @@
     limits_.set_vms(self, vms, time_.now());
 }
 
-void gateway::on_limit_answered(const endpoint_id& id, const routing::limit_statement& said) {
-    const routing::endpoint* target = directory_.find(id);
-    if (target != nullptr && limits_.on_answer(*target, said)) {
-        log_limit(id, vm_id());
+void gateway::on_notice(const routing::endpoint_incarnation& from,
+                        const routing::endpoint_notice& it) {
+    const time_point now = time_.now();
+    if (it.rate_limit) {
+        on_limit_answered(from, {it.rate_limit, now, now, false});
+    }
+    if (directory_.on_notice(from, it, now)) {
+        telemetry::log_event(telemetry::severity::info, "endpoint_notice",
+                             {{"endpoint", from.id},
+                              {"leaving", it.leaving},
+                              {"pause", it.pause.value_or(duration::zero())}});
+    }
+}
+
+void gateway::on_limit_answered(const routing::endpoint_incarnation& from,
+                                const routing::limit_statement& said) {
+    if (limits_.on_answer(from, said)) {
+        log_limit(from.id, vm_id());
         on_limit_news_();
     }
 }
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -481,7 +481,9 @@
 BOOST_FIXTURE_TEST_CASE(a_draining_endpoint_gets_no_request, world) {
     configure();
     auto& engine = add_endpoint("e1", [](const std::string&, peer&) {});
-    paths().directory().on_draining(endpoint_id("e1"));
+    routing::endpoint_notice leaves;
+    leaves.leaving = true;
+    paths().directory().on_notice({endpoint_id("e1"), 0}, leaves, time.now());
     BOOST_TEST(contains(ask(request("GET /again/x", "r1"), until("}")), " 503 "));
     BOOST_TEST(engine.requests.empty());
 }
--- a/libs/routing/include/routing/endpoint.h
+++ b/libs/routing/include/routing/endpoint.h
@@ -40,4 +40,14 @@
     std::vector<held_model> models;
 };
 
+/// One start of an endpoint; what it says of itself holds no longer than that.
+struct endpoint_incarnation {
+    endpoint_id id;
+    std::int64_t started_at_ms = 0;
+};
+
+inline endpoint_incarnation incarnation_of(const endpoint& it) {
+    return {it.id, it.started_at_ms};
+}
+
 }  // namespace radishpulley::routing
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -28,6 +28,8 @@
     double most_failures = 0.25;
     /// Time in which failures lose half of their weight.
     duration failure_half_life = std::chrono::seconds(2);
+    /// Time for which the word of an endpoint without an entry is kept.
+    duration word_memory = std::chrono::minutes(10);
 };
 
 /// How a call to an endpoint ended, as evidence of its health.
@@ -62,10 +64,9 @@
     std::vector<endpoint_id> advance(time_point now);
     /// Takes the outcome of a call.
     void on_call(const endpoint_id& id, call_outcome outcome, time_point now);
-    /// Takes an engine's word that it is leaving, heard on another way than the directory.
-    void on_draining(const endpoint_id& id);
-    /// Takes what an endpoint says of itself in an answer; returns whether that is new.
-    bool on_notice(const endpoint_id& id, const endpoint_notice& it, time_point now);
+    /// Takes what an endpoint says of itself in an answer; returns whether that is new. Entries
+    /// may be late: they don't take back what this start of the endpoint said.
+    bool on_notice(const endpoint_incarnation& from, const endpoint_notice& it, time_point now);
 
     /// Returns the entry, or null.
     const endpoint* find(const endpoint_id& id) const;
@@ -86,15 +87,22 @@
         /// Exponential average of failed calls, as of `failures_at`.
         double failures = 0;
         time_point failures_at{};
-        /// Its newest notice.
-        endpoint_notice said;
+    };
+    // What an endpoint said of itself; it outlives the entry, which may be back.
+    struct own_word {
+        std::int64_t started_at_ms = 0;
+        bool leaving = false;
+        time_point heard_at{};
     };
 
     /// Share of the recent calls that failed, from 0 to 1; old calls lose their weight.
     double failures_of(const record& it, time_point now) const;
+    /// What this start of an endpoint said, or null.
+    const own_word* word_of(const endpoint_incarnation& from) const;
 
     directory_settings settings_;
     std::map<endpoint_id, record> records_;
+    std::map<endpoint_id, own_word> words_;
     time_point store_returned_ = time_point::min();
 };
 
--- a/libs/routing/include/routing/endpoint_limits.h
+++ b/libs/routing/include/routing/endpoint_limits.h
@@ -61,7 +61,7 @@
     /// Sets the VMs that serve callers, this one included.
     void set_vms(const vm_id& self, gsl::span<const vm_id> serving, time_point now);
     /// Takes what an answer says; returns whether other VMs need to hear of it.
-    bool on_answer(const endpoint& it, const limit_statement& said);
+    bool on_answer(const endpoint_incarnation& from, const limit_statement& said);
     /// Takes what another VM knows; returns whether that is news.
     bool on_told(const stated_limit& it, time_point now);
     /// The endpoint's entry tells of a start that no limit is known of.
@@ -91,7 +91,7 @@
         token_bucket bucket;
     };
 
-    record& make(const endpoint_id& id, std::int64_t started_at_ms, time_point now);
+    record& make(const endpoint_incarnation& from, time_point now);
     bool take(record& it, const endpoint_id& id, std::optional<double> rate, time_point as_of,
               time_point now);
     void share_out(record& it, const endpoint_id& id, time_point now) const;
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -14,9 +14,12 @@
 endpoint_directory::endpoint_directory(directory_settings settings) : settings_(settings) {}
 
 directory_change endpoint_directory::on_entry(const endpoint& it, time_point) {
+    const own_word* said = word_of(incarnation_of(it));
+    endpoint entry = it;
+    entry.draining = it.draining || (said != nullptr && said->leaving);
     const auto found = records_.find(it.id);
     if (found == records_.end()) {
-        records_[it.id].entry = it;
+        records_[it.id].entry = std::move(entry);
         return directory_change::added;
     }
     record& known = found->second;
@@ -33,7 +36,7 @@
         known = record{};
     }
     known.removal_due.reset();
-    known.entry = it;
+    known.entry = std::move(entry);
     return restarted ? directory_change::restarted : directory_change::changed;
 }
 
@@ -88,6 +91,11 @@
             ++it;
         }
     }
+    for (auto it = words_.begin(); it != words_.end();) {
+        const bool is_over =
+            records_.count(it->first) == 0 && now - it->second.heard_at > settings_.word_memory;
+        it = is_over ? words_.erase(it) : std::next(it);
+    }
     return removed;
 }
 
@@ -112,22 +120,29 @@
     }
 }
 
-void endpoint_directory::on_draining(const endpoint_id& id) {
-    const auto found = records_.find(id);
-    if (found != records_.end()) {
-        found->second.entry.draining = true;
-    }
+const endpoint_directory::own_word* endpoint_directory::word_of(
+    const endpoint_incarnation& from) const {
+    const auto found = words_.find(from.id);
+    const bool is_of_this_start =
+        found != words_.end() && found->second.started_at_ms == from.started_at_ms;
+    return is_of_this_start ? &found->second : nullptr;
 }
 
-bool endpoint_directory::on_notice(const endpoint_id& id, const endpoint_notice& it, time_point) {
-    const auto found = records_.find(id);
-    if (found == records_.end()) {
+bool endpoint_directory::on_notice(const endpoint_incarnation& from, const endpoint_notice& it,
+                                   time_point now) {
+    const own_word* said = word_of(from);
+    const bool is_new = it.leaving && (said == nullptr || !said->leaving);
+    const auto found = records_.find(from.id);
+    const bool is_old =
+        found != records_.end() && from.started_at_ms < found->second.entry.started_at_ms;
+    if (!is_new || is_old) {
         return false;
     }
-    endpoint_notice& known = found->second.said;
-    const bool is_new = it.leaving != known.leaving || it.pause.has_value();
-    known = it;
-    return is_new;
+    words_[from.id] = {from.started_at_ms, true, now};
+    if (found != records_.end()) {
+        found->second.entry.draining = true;
+    }
+    return true;
 }
 
 const endpoint* endpoint_directory::find(const endpoint_id& id) const {
--- a/libs/routing/src/endpoint_limits.cpp
+++ b/libs/routing/src/endpoint_limits.cpp
@@ -30,16 +30,16 @@
     }
 }
 
-bool endpoint_limits::on_answer(const endpoint& it, const limit_statement& said) {
-    const auto known = records_.find(it.id);
+bool endpoint_limits::on_answer(const endpoint_incarnation& from, const limit_statement& said) {
+    const auto known = records_.find(from.id);
     const bool is_known = known != records_.end() && known->second.rate;
     if (said.rate) {
-        record& found = make(it.id, it.started_at_ms, said.answered);
-        return take(found, it.id, said.rate, said.answered, said.answered);
+        record& found = make(from, said.answered);
+        return take(found, from.id, said.rate, said.answered, said.answered);
     }
     // An answer that was under way when the endpoint named its limit does not end the limit.
     const bool ends = is_known && said.is_complete && said.sent > known->second.as_of;
-    return ends && take(known->second, it.id, std::nullopt, said.sent, said.answered);
+    return ends && take(known->second, from.id, std::nullopt, said.sent, said.answered);
 }
 
 bool endpoint_limits::on_told(const stated_limit& it, time_point now) {
@@ -56,7 +56,7 @@
     if (is_old) {
         return false;
     }
-    return take(make(it.endpoint, it.started_at_ms, now), it.endpoint, it.rate, as_of, now);
+    return take(make({it.endpoint, it.started_at_ms}, now), it.endpoint, it.rate, as_of, now);
 }
 
 void endpoint_limits::on_entry(const endpoint& it) {
@@ -107,12 +107,11 @@
     return out;
 }
 
-endpoint_limits::record& endpoint_limits::make(const endpoint_id& id, std::int64_t started_at_ms,
-                                               time_point now) {
-    record& it = records_[id];
-    if (it.as_of == time_point{} || it.started_at_ms < started_at_ms) {
+endpoint_limits::record& endpoint_limits::make(const endpoint_incarnation& from, time_point now) {
+    record& it = records_[from.id];
+    if (it.as_of == time_point{} || it.started_at_ms < from.started_at_ms) {
         it = record{};
-        it.started_at_ms = started_at_ms;
+        it.started_at_ms = from.started_at_ms;
         it.bucket = token_bucket(0, 0, now);
     }
     return it;
--- a/libs/routing/tests/endpoint_limits_tests.cpp
+++ b/libs/routing/tests/endpoint_limits_tests.cpp
@@ -92,25 +92,27 @@
 
 BOOST_AUTO_TEST_CASE(an_answer_that_was_under_way_does_not_end_a_limit) {
     endpoint_limits it = member("a", {"a"});
-    BOOST_TEST(it.on_answer(entry(), answered(1.0, start)));
-    BOOST_TEST(!it.on_answer(entry(), answered(std::nullopt, start + milliseconds(50))));
+    BOOST_TEST(it.on_answer(incarnation_of(entry()), answered(1.0, start)));
+    BOOST_TEST(
+        !it.on_answer(incarnation_of(entry()), answered(std::nullopt, start + milliseconds(50))));
     BOOST_TEST(it.rate(entry().id).value() == 1.0);
-    BOOST_TEST(it.on_answer(entry(), answered(std::nullopt, start + milliseconds(200))));
+    BOOST_TEST(
+        it.on_answer(incarnation_of(entry()), answered(std::nullopt, start + milliseconds(200))));
     BOOST_TEST(!it.rate(entry().id).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(an_answer_that_is_no_whole_success_does_not_end_a_limit) {
     endpoint_limits it = member("a", {"a"});
-    it.on_answer(entry(), answered(1.0, start));
+    it.on_answer(incarnation_of(entry()), answered(1.0, start));
     limit_statement broken = answered(std::nullopt, start + seconds(1));
     broken.is_complete = false;
-    BOOST_TEST(!it.on_answer(entry(), broken));
+    BOOST_TEST(!it.on_answer(incarnation_of(entry()), broken));
     BOOST_TEST(it.rate(entry().id).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(older_knowledge_of_another_vm_changes_nothing) {
     endpoint_limits it = member("a", {"a", "b"});
-    it.on_answer(entry(), answered(1.0, start));
+    it.on_answer(incarnation_of(entry()), answered(1.0, start));
     BOOST_TEST(!it.on_told({entry().id, 1, std::nullopt, 500}, start + milliseconds(400)));
     BOOST_TEST(!it.on_told({entry().id, 0, 9.0, 0}, start + milliseconds(400)));
     BOOST_TEST(it.on_told({entry().id, 1, 2.0, 100}, start + milliseconds(400)));
@@ -119,7 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(an_endpoint_that_began_anew_has_no_limit) {
     endpoint_limits it = member("a", {"a"});
-    it.on_answer(entry(), answered(1.0, start));
+    it.on_answer(incarnation_of(entry()), answered(1.0, start));
     BOOST_TEST(!it.allows(entry().id, start));
     it.on_entry(entry(1));
     BOOST_TEST(!it.allows(entry().id, start));
@@ -131,7 +133,7 @@
 // because the word of a limit's end was lost.
 BOOST_AUTO_TEST_CASE(limits_of_nothing_and_limits_without_confirmation_are_tried) {
     endpoint_limits alone = member("a", {"a"});
-    alone.on_answer(entry(), answered(0.0, start));
+    alone.on_answer(incarnation_of(entry()), answered(0.0, start));
     BOOST_TEST(!alone.allows(entry().id, start + seconds(9)));
     BOOST_TEST(alone.allows(entry().id, start + seconds(11)));
 
--- a/libs/routing/tests/limited_endpoint.h
+++ b/libs/routing/tests/limited_endpoint.h
@@ -165,7 +165,7 @@
         if (rate && rate == rate_ && !it.told_at) {
             it.told_at = now_;
         }
-        if (it.limits.on_answer(entry_, {rate, sent_at, now_, true})) {
+        if (it.limits.on_answer(incarnation_of(entry_), {rate, sent_at, now_, true})) {
             state(i);
         }
     }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -148,6 +148,9 @@
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { report_soon(); });
         loads_.set_on_large_work([this] { tell_presence_soon(); });
+        engines_.set_on_notice([this](const auto& from, const routing::endpoint_notice& it) {
+            data_path_.on_notice(from, it);
+        });
         data_path_.set_on_limit_news([this] { tell_limits_soon(); });
     }
 
@@ -352,16 +355,19 @@
 
     void take_endpoint(const routing::endpoint& it) {
         const routing::endpoint* known = data_path_.directory().find(it.id);
-        if (known == nullptr || known->draining != it.draining) {
+        const bool is_new = known == nullptr;
+        const bool was_draining = !is_new && known->draining;
+        data_path_.on_endpoint(it);
+        known = data_path_.directory().find(it.id);
+        if (is_new || known->draining != was_draining) {
             telemetry::log_event(severity::info, "endpoint",
                                  {{"endpoint", it.id},
                                   {"service", it.service},
                                   {"address", it.address},
                                   {"zone", it.zone},
-                                  {"draining", it.draining},
+                                  {"draining", known->draining},
                                   {"age", endpoints_.age()}});
         }
-        data_path_.on_endpoint(it);
         loads_.on_endpoint(it);
     }
 
