Endpoints that turn a VM away for some time get nothing from it until then

A rejection excluded the endpoint for that one request; the next one knew nothing of it.

Change: the directory keeps until when an endpoint wants nothing from this VM; the choice passes it over, and a request that had chosen it before goes elsewhere. A holder gives it no orders and refuses wishes for it meanwhile. Where all endpoints of a service want requests to wait, the refusal comes at once and names the shortest wait.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -184,9 +184,10 @@
     void on_limit_answered(const routing::endpoint_incarnation& from,
                            const routing::limit_statement& said);
     void log_limit(const endpoint_id& id, const vm_id& by) const;
-    /// Time until an endpoint of the service takes a request of this VM, where limits alone keep
-    /// it waiting.
-    std::optional<duration> wait_for_limits(const service_id& id) const;
+    /// Time until the endpoint takes a request of this VM, by what it said of itself.
+    duration wait_for(const endpoint_id& id) const;
+    /// The shortest such time at a service whose endpoints all want requests to wait.
+    std::optional<duration> wait_for_any(const service_id& id) const;
 
     boost::asio::io_context& loop_;
     const clock& time_;
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -15,8 +15,6 @@
 
 // Age from which a replaced adapter version is no longer asked for.
 constexpr duration version_enforced_after = std::chrono::milliseconds(3'000);
-// Where no endpoint takes requests of this VM; another VM may have a part of their limits.
-constexpr duration longest_limit_wait = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -57,13 +55,11 @@
 }
 
 void exchange::refuse_without_endpoint() {
-    const auto wait = owner_.wait_for_limits(service_->id);
-    if (!wait) {
+    if (const auto wait = owner_.wait_for_any(service_->id)) {
+        refuse({status_unavailable, "endpoints_busy", std::max(*wait, usual_retry_after)});
+    } else {
         refuse({status_unavailable, "no_endpoint", usual_retry_after});
-        return;
     }
-    const duration retry_after = std::clamp<duration>(*wait, usual_retry_after, longest_limit_wait);
-    refuse({status_unavailable, "endpoints_limited", retry_after});
 }
 
 void exchange::reserve_work(const endpoint_id& id) {
@@ -181,7 +177,9 @@
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     const time_point now = owner_.time_.now();
-    if (target == nullptr || target->draining || !owner_.limits_.allows(id, now)) {
+    const bool may_send =
+        target != nullptr && !target->draining && owner_.wait_for(id) == duration::zero();
+    if (!may_send) {
         excluded_.insert(id);
         find_endpoint();
         return;
@@ -212,9 +210,13 @@
 void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
     const routing::endpoint* target = owner_.directory_.find(endpoint_);
     const bool left = target == nullptr || target->draining;
-    if (!connection || left) {
+    const bool is_paused =
+        owner_.directory_.pause_left(endpoint_, owner_.time_.now()) > duration::zero();
+    if (!connection || left || is_paused) {
         owner_.work_.finish(number_);
-        if (!connection) {
+        if (connection && !left) {
+            owner_.pool_.release(endpoint_, std::move(connection));
+        } else if (!connection) {
             owner_.directory_.on_call(endpoint_, routing::call_outcome::unreachable,
                                       owner_.time_.now());
         }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -7,6 +7,12 @@
 #include "telemetry/event_log.h"
 
 namespace radishpulley::gateway {
+namespace {
+
+// Where this VM has no part of an endpoint's limit, another one may take the request.
+constexpr duration longest_limit_wait = std::chrono::seconds(1);
+
+}  // namespace
 
 gateway::gateway(boost::asio::io_context& loop, const clock& time, const header_codec& codec,
                  telemetry::registry& metrics, gateway_settings settings)
@@ -116,15 +122,18 @@
                           {"part", limits_.part(id)}});
 }
 
-std::optional<duration> gateway::wait_for_limits(const service_id& id) const {
+duration gateway::wait_for(const endpoint_id& id) const {
+    const time_point now = time_.now();
+    const duration for_limit = std::min<duration>(limits_.wait(id, now), longest_limit_wait);
+    return std::max(for_limit, directory_.pause_left(id, now));
+}
+
+std::optional<duration> gateway::wait_for_any(const service_id& id) const {
     std::optional<duration> least;
     for (const routing::endpoint* it : directory_.usable(id)) {
-        const duration wait = limits_.wait(it->id, time_.now());
-        if (wait > duration::zero()) {
-            least = std::min(least.value_or(duration::max()), wait);
-        }
+        least = std::min(least.value_or(duration::max()), wait_for(it->id));
     }
-    return least;
+    return least == duration::zero() ? std::nullopt : least;
 }
 
 void gateway::reconfigure(gateway_settings settings) {
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -70,8 +70,10 @@
 
     /// Returns the entry, or null.
     const endpoint* find(const endpoint_id& id) const;
-    /// Returns the endpoints of a service that take new requests, in order of their ids.
+    /// Returns the endpoints of a service that don't leave, in order of their ids.
     std::vector<const endpoint*> usable(const service_id& service) const;
+    /// Time for which the endpoint wants nothing from this VM; zero where it takes requests.
+    duration pause_left(const endpoint_id& id, time_point now) const;
     /// Whether calls failed of late, or its entry is missing and may only be late, so that others
     /// go first.
     bool avoided(const endpoint_id& id, time_point now) const;
@@ -92,6 +94,7 @@
     struct own_word {
         std::int64_t started_at_ms = 0;
         bool leaving = false;
+        time_point paused_until = time_point::min();
         time_point heard_at{};
     };
 
--- a/libs/routing/include/routing/engine_keeper.h
+++ b/libs/routing/include/routing/engine_keeper.h
@@ -111,7 +111,9 @@
     /// Every place is in use.
     places_in_use,
     /// It would come too late, because others wait already.
-    many_waiting
+    many_waiting,
+    /// The engine asked its holder for a pause.
+    engine_paused
 };
 
 /// The engine has no room for it now.
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -151,7 +151,9 @@
     std::optional<endpoint_choice> best;
     for (std::size_t rank = 0; rank < endpoints.size(); ++rank) {
         const endpoint_id& id = endpoints[rank]->id;
-        if (request.excluded.count(id) != 0 || !limits_.allows(id, now)) {
+        const bool takes_requests =
+            limits_.allows(id, now) && directory_.pause_left(id, now) == duration::zero();
+        if (request.excluded.count(id) != 0 || !takes_requests) {
             continue;
         }
         const auto it = assess(*endpoints[rank], request, rank, now);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -130,21 +130,36 @@
 
 bool endpoint_directory::on_notice(const endpoint_incarnation& from, const endpoint_notice& it,
                                    time_point now) {
-    const own_word* said = word_of(from);
-    const bool is_new = it.leaving && (said == nullptr || !said->leaving);
     const auto found = records_.find(from.id);
     const bool is_old =
         found != records_.end() && from.started_at_ms < found->second.entry.started_at_ms;
-    if (!is_new || is_old) {
+    const own_word* said = word_of(from);
+    own_word next = said == nullptr ? own_word{} : *said;
+    next.started_at_ms = from.started_at_ms;
+    next.leaving = next.leaving || it.leaving;
+    if (it.pause) {
+        next.paused_until = std::max(next.paused_until, now + *it.pause);
+    }
+    const bool leaves_now = next.leaving && (said == nullptr || !said->leaving);
+    if (is_old || (!leaves_now && !it.pause)) {
         return false;
     }
-    words_[from.id] = {from.started_at_ms, true, now};
-    if (found != records_.end()) {
+    next.heard_at = now;
+    words_[from.id] = next;
+    if (found != records_.end() && next.leaving) {
         found->second.entry.draining = true;
     }
     return true;
 }
 
+duration endpoint_directory::pause_left(const endpoint_id& id, time_point now) const {
+    const auto found = records_.find(id);
+    const own_word* said =
+        found == records_.end() ? nullptr : word_of(incarnation_of(found->second.entry));
+    const bool is_paused = said != nullptr && now < said->paused_until;
+    return is_paused ? said->paused_until - now : duration::zero();
+}
+
 const endpoint* endpoint_directory::find(const endpoint_id& id) const {
     const auto found = records_.find(id);
     return found == records_.end() ? nullptr : &found->second.entry;
--- a/libs/routing/tests/endpoint_directory_tests.cpp
+++ b/libs/routing/tests/endpoint_directory_tests.cpp
@@ -123,6 +123,48 @@
     BOOST_TEST(!it.avoided(a, start + seconds(20)));
 }
 
+BOOST_AUTO_TEST_CASE(the_word_of_an_endpoint_outlives_entries_of_the_same_start) {
+    endpoint_directory it;
+    endpoint_notice leaves;
+    leaves.leaving = true;
+    it.on_entry(entry("a"), start);
+    BOOST_TEST(it.on_notice(incarnation_of(entry("a")), leaves, start));
+    BOOST_TEST(!it.on_notice(incarnation_of(entry("a")), leaves, start));
+    BOOST_TEST(!it.on_notice(incarnation_of(entry("a")), {}, start));
+    it.on_entry(entry("a", 2), start);
+    BOOST_TEST(it.usable(service_id("s")).empty());
+    it.on_removed(endpoint_id("a"), start);
+    it.on_entry(entry("a", 3), start + seconds(20));
+    BOOST_TEST(it.usable(service_id("s")).empty());
+    endpoint next = entry("a");
+    next.started_at_ms = 2'000;
+    it.on_entry(next, start + seconds(21));
+    BOOST_TEST(it.usable(service_id("s")).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_word_of_an_earlier_start_changes_nothing) {
+    endpoint_directory it;
+    endpoint_notice leaves;
+    leaves.leaving = true;
+    leaves.pause = seconds(5);
+    it.on_entry(entry("a"), start);
+    BOOST_TEST(!it.on_notice({endpoint_id("a"), 999}, leaves, start));
+    BOOST_TEST(it.usable(service_id("s")).size() == 1U);
+    BOOST_TEST((it.pause_left(endpoint_id("a"), start) == duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(of_several_pauses_the_longest_holds_until_its_end) {
+    endpoint_directory it;
+    it.on_entry(entry("a"), start);
+    endpoint_notice busy;
+    busy.pause = seconds(3);
+    it.on_notice(incarnation_of(entry("a")), busy, start);
+    busy.pause = milliseconds(100);
+    it.on_notice(incarnation_of(entry("a")), busy, start + seconds(1));
+    BOOST_TEST((it.pause_left(endpoint_id("a"), start + seconds(2)) == seconds(1)));
+    BOOST_TEST((it.pause_left(endpoint_id("a"), start + seconds(3)) == duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -74,6 +74,8 @@
             return "being_changed";
         case routing::wish_obstacle::places_in_use:
             return "places_in_use";
+        case routing::wish_obstacle::engine_paused:
+            return "engine_paused";
         case routing::wish_obstacle::many_waiting:
             break;
     }
@@ -374,10 +376,13 @@
         return routing::wish_refused{routing::wish_obstacle::no_model};
     }
     kept->second.keeper.set_full_speed_loads(speed_.full_speed_loads());
-    const auto answer = kept->second.keeper.on_wish(
-        adapter, data_path_.adapters().loads_under_way(time_.now()), time_.now(), patience);
+    const time_point now = time_.now();
+    const bool is_paused = data_path_.directory().pause_left(engine, now) > duration::zero();
+    const routing::wish_answer answer =
+        is_paused ? routing::wish_refused{routing::wish_obstacle::engine_paused}
+                  : kept->second.keeper.on_wish(adapter, data_path_.adapters().loads_under_way(now),
+                                                now, patience);
     if (const auto* refused = std::get_if<routing::wish_refused>(&answer)) {
-        const time_point now = time_.now();
         telemetry::log_event(severity::info, "load_refused",
                              {{"engine", engine},
                               {"adapter", adapter.adapter},
@@ -517,7 +522,7 @@
     }
     const time_point now = time_.now();
     const auto fence = guard_->may_act(holding_of(engine), now);
-    if (!fence) {
+    if (!fence || data_path_.directory().pause_left(engine, now) > duration::zero()) {
         return;
     }
     if (kept->second.keeper.wants_report(now)) {
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -230,6 +230,24 @@
     BOOST_TEST(a.loads.engines_held() == 1U);
 }
 
+// Guards against orders to an engine that asked this VM for a pause.
+BOOST_FIXTURE_TEST_CASE(a_holder_gives_no_orders_in_a_pause_that_its_engine_asked_for, fixture) {
+    node& a = add("a");
+    run_until([&] { return a.loads.engines_held() == 1; });
+    // The engine's first state is read before.
+    run_until([&] { return a.loads.wish(engine, plans, std::chrono::seconds(1)); });
+    run_until([&] { return !engines.orders.empty(); });
+    routing::endpoint_notice busy;
+    busy.pause = std::chrono::seconds(1);
+    a.paths.on_notice({engine, 0}, busy);
+    const std::size_t given = engines.orders.size();
+    BOOST_TEST(!a.loads.wish(engine, {"m", "other"}, std::chrono::seconds(1)));
+    BOOST_TEST(engines.orders.size() == given);
+    a.time.jump(std::chrono::milliseconds(1'000));
+    run_until([&] { return a.loads.wish(engine, {"m", "other"}, std::chrono::seconds(1)); });
+    run_until([&] { return engines.orders.size() > given; });
+}
+
 // Guards against an engine without a holder: one that was paused for less than it takes to be
 // replaced gave no orders until somebody else changed its shard.
 BOOST_FIXTURE_TEST_CASE(a_holder_that_was_paused_reads_its_entry_and_goes_on, fixture) {
