--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -107,7 +107,7 @@
     duration distance(const endpoint& it) const;
     bool add_adapter_wait(const endpoint& it, const choice_request& request, std::size_t rank,
                           time_point now, endpoint_choice& out) const;
-    duration place_wait(const endpoint& it, const choice_request& request, time_point now) const;
+    duration place_wait(const endpoint& it, const choice_request& request) const;
 
     const endpoint_directory& directory_;
     const endpoint_limits& limits_;
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -94,8 +94,7 @@
     return true;
 }
 
-duration endpoint_chooser::place_wait(const endpoint& it, const choice_request& request,
-                                      time_point now) const {
+duration endpoint_chooser::place_wait(const endpoint& it, const choice_request& request) const {
     const endpoint_work work = work_.total(it.id);
     const bool is_engine = request.target.engine.has_value();
     const duration run = is_engine ? settings_.usual_run : settings_.usual_call;
@@ -137,7 +136,7 @@
             out.unread_tokens * (1 + request.facts.prompt_tokens / settings_.slow_prompt_tokens));
         out.expected += from_ms(out.read_work / settings_.read_tokens_per_ms);
     }
-    out.expected += place_wait(it, request, now) + distance(it);
+    out.expected += place_wait(it, request) + distance(it);
     if (directory_.avoided(it.id, now)) {
         out.expected += settings_.avoidance;
     }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -10,6 +10,7 @@
 #include "acceptor.h"
 #include "base/findings.h"
 #include "base/overloaded.h"
+#include "delayed_call.h"
 #include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
@@ -96,9 +97,10 @@
           settings_file_(std::move(settings_path)),
           signals_(loop_, SIGTERM, SIGINT, SIGHUP),
           timer_(loop_),
-          presence_timer_(loop_),
-          limits_timer_(loop_),
-          report_timer_(loop_),
+          large_work_news_(loop_, presence_delay, [this] { fleet_.tell_near(presence()); }),
+          // All VMs need to hear of a limit, for each may send requests to the endpoint.
+          limit_news_(loop_, limits_delay, [this] { fleet_.broadcast(presence()); }),
+          report_(loop_, report_delay, [this] { tell_reports(); }),
           lapse_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(with)),
           store_(loop_, time_, with.store.address),
@@ -149,11 +151,11 @@
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { report_soon(); });
-        loads_.set_on_large_work([this] { tell_presence_soon(); });
+        loads_.set_on_large_work([this] { large_work_news_.request(); });
         engines_.set_on_notice([this](const auto& from, const routing::endpoint_notice& it) {
             data_path_.on_notice(from, it);
         });
-        data_path_.set_on_limit_news([this] { tell_limits_soon(); });
+        data_path_.set_on_limit_news([this] { limit_news_.request(); });
     }
 
     void run() {
@@ -284,17 +286,9 @@
     }
 
     void report_soon() {
-        if (report_due_ || configuration_.role() == relay::copy_role::alone) {
-            return;
+        if (configuration_.role() != relay::copy_role::alone) {
+            report_.request();
         }
-        report_due_ = true;
-        report_timer_.expires_after(report_delay);
-        report_timer_.async_wait([this](const boost::system::error_code& ec) {
-            report_due_ = false;
-            if (!ec) {
-                tell_reports();
-            }
-        });
     }
 
     void tell_reports() {
@@ -477,35 +471,6 @@
         ages_.with({what}).set(std::chrono::duration<double>(it.age()).count());
     }
 
-    void tell_presence_soon() {
-        if (presence_due_) {
-            return;
-        }
-        presence_due_ = true;
-        presence_timer_.expires_after(presence_delay);
-        presence_timer_.async_wait([this](const boost::system::error_code& ec) {
-            presence_due_ = false;
-            if (!ec) {
-                fleet_.tell_near(presence());
-            }
-        });
-    }
-
-    // All VMs need to hear of a limit, for each may send requests to the endpoint.
-    void tell_limits_soon() {
-        if (limits_due_) {
-            return;
-        }
-        limits_due_ = true;
-        limits_timer_.expires_after(limits_delay);
-        limits_timer_.async_wait([this](const boost::system::error_code& ec) {
-            limits_due_ = false;
-            if (!ec) {
-                fleet_.broadcast(presence());
-            }
-        });
-    }
-
     routing::presence presence() const {
         routing::presence state;
         state.configuration_version =
@@ -572,13 +537,10 @@
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer presence_timer_;
-    boost::asio::steady_timer limits_timer_;
-    boost::asio::steady_timer report_timer_;
+    delayed_call large_work_news_;
+    delayed_call limit_news_;
+    delayed_call report_;
     boost::asio::steady_timer lapse_timer_;
-    bool report_due_ = false;
-    bool presence_due_ = false;
-    bool limits_due_ = false;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
         add_gauge("configuration_version", "Version of the configuration in force.");
