Limits of endpoints: one that no VM confirms for ten minutes is forgotten

Found on reading the diff: the limit of an endpoint that was gone stayed for good, and all VMs went on telling each other of it. a_limit_that_nobody_confirms_is_forgotten failed before.

--- a/libs/routing/include/routing/endpoint_limits.h
+++ b/libs/routing/include/routing/endpoint_limits.h
@@ -51,6 +51,9 @@
     duration unconfirmed = std::chrono::seconds(60);
     /// Time for which VMs are told of a limit's end.
     duration end_memory = std::chrono::seconds(60);
+    /// Age from which a limit that no VM has confirmed is forgotten: its endpoint is gone, or none
+    /// of them needs it.
+    duration limit_memory = std::chrono::minutes(10);
 };
 
 /// The limits of all endpoints, and this VM's parts of them.
--- a/libs/routing/src/endpoint_limits.cpp
+++ b/libs/routing/src/endpoint_limits.cpp
@@ -20,7 +20,8 @@
     self_ = self;
     vms_.assign(serving.begin(), serving.end());
     for (auto it = records_.begin(); it != records_.end();) {
-        const bool is_over = !it->second.rate && now - it->second.as_of > settings_.end_memory;
+        const duration memory = it->second.rate ? settings_.limit_memory : settings_.end_memory;
+        const bool is_over = now - it->second.as_of > memory;
         if (is_over) {
             it = records_.erase(it);
             continue;
--- a/libs/routing/tests/endpoint_limits_tests.cpp
+++ b/libs/routing/tests/endpoint_limits_tests.cpp
@@ -152,6 +152,18 @@
     BOOST_TEST(later == 3U);
 }
 
+// Guards against limits of endpoints that are gone, which all VMs tell each other for good.
+BOOST_AUTO_TEST_CASE(a_limit_that_nobody_confirms_is_forgotten) {
+    endpoint_limits it = member("a", {"a"});
+    it.on_answer(incarnation_of(entry()), answered(1.0, start));
+    const std::vector<vm_id> vms = {vm_id("a")};
+    it.set_vms(vm_id("a"), vms, start + std::chrono::minutes(9));
+    BOOST_TEST(it.statements(start + std::chrono::minutes(9)).size() == 1U);
+    it.set_vms(vm_id("a"), vms, start + std::chrono::minutes(11));
+    BOOST_TEST(it.statements(start + std::chrono::minutes(11)).empty());
+    BOOST_TEST(it.allows(entry().id, start + std::chrono::minutes(11)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing::testing
