--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
 #include "memory_collections.h"
@@ -60,17 +61,25 @@
     return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
 }
 
+routing::client_account make_account() {
+    routing::client_account out;
+    out.id = client_account_id("acme");
+    out.rate = 1'000;
+    out.burst = 1'000;
+    return out;
+}
+
+const routing::client_account account = make_account();
+
 // One daemon without callers.
 struct node {
     node(boost::asio::io_context& loop, memory_collections& store, fake_engines& engines,
          const std::string& name)
         : paths(loop, time, codec, metrics, {}),
           member(loop, time, store, settings(loop, name),
-                 [this](const routing::hint_message& it) {
-                     ++hints;
-                     loads.on_hint(it);
-                 }),
-          loads(loop, time, store, engines, member, paths, true) {
+                 [this](const routing::hint_message& it) { on_hint(it); }),
+          loads(loop, time, store, engines, member, paths, true),
+          accounts(loop, time, vm_id(name), member, paths) {
         paths.set_broker(loads);
         routing::configuration_content content;
         content.version = 1;
@@ -80,6 +89,7 @@
         service.engine->max_adapters = 4;
         service.engine->models = {{"m", 0, 0, std::chrono::milliseconds(10)}};
         content.services = {service};
+        content.accounts = {account};
         paths.on_configuration(std::make_shared<routing::configuration>(content));
         routing::endpoint entry;
         entry.id = engine;
@@ -88,6 +98,18 @@
         paths.on_endpoint(entry);
         member.start();
         loads.start();
+        accounts.start();
+    }
+
+    void on_hint(const routing::hint_message& it) {
+        ++hints;
+        if (const auto* uses = std::get_if<routing::account_uses>(&it.body)) {
+            accounts.on_hint(it.from, *uses);
+        } else if (const auto* crowds = std::get_if<routing::account_crowds>(&it.body)) {
+            accounts.on_hint(it.from.vm, *crowds);
+        } else {
+            loads.on_hint(it);
+        }
     }
 
     static member_settings settings(boost::asio::io_context& loop, const std::string& name) {
@@ -104,6 +126,7 @@
     int hints = 0;
     fleet_member member;
     load_coordinator loads;
+    account_watcher accounts;
 };
 
 struct fixture {
@@ -301,6 +324,23 @@
     run_until([&] { return a.loads.engines_held() == 1; });
 }
 
+// Guards against an account that turns hot at one VM while the others go on with old shares.
+BOOST_FIXTURE_TEST_CASE(all_vms_hear_of_an_account_at_its_limit_from_its_watcher, fixture) {
+    add("a");
+    add("b");
+    run_until([&] { return nodes[0]->hints > 0 && nodes[1]->hints > 0; });
+    for (const auto& it : nodes) {
+        const std::vector<vm_id> serving = {vm_id("a"), vm_id("b")};
+        it->paths.set_serving(it->member.self()->vm, serving);
+        it->accounts.set_serving(serving);
+    }
+    routing::account_limiter& idle = nodes[1]->paths.limiter();
+    BOOST_TEST(idle.share(account.id, nodes[1]->time.now()) == 0.5,
+               boost::test_tools::tolerance(0.01));
+    nodes[0]->paths.limiter().admit(account.id, 50'000, nodes[0]->time.now());
+    run_until([&] { return idle.share(account.id, nodes[1]->time.now()) < 0.1; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::edge::testing
