--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -33,8 +33,8 @@
     double small_size = 0.03;
     /// Units that all VMs together may overdraw for a while, against unevenly spread requests.
     double reserve = 0;
-    /// Time for which a watcher's word counts.
-    duration crowd_lifetime = std::chrono::milliseconds(1'200);
+    /// Time for which a watcher's statement counts.
+    duration saturation_lifetime = std::chrono::milliseconds(1'200);
     /// Least pace at which shares fill while more was admitted than the rate and the burst allow.
     double least_pace = 0.5;
 };
@@ -70,8 +70,8 @@
     /// Takes the demand that another VM sees; it counts for `lifetime`.
     void on_peer(const vm_id& peer, demand_by_account demand, time_point now, duration lifetime);
 
-    /// Takes a watcher's word that an account is at its limit; returns whether that is news.
-    bool on_crowd(const account_crowd& it, time_point now);
+    /// Takes a watcher's statement that an account is at its limit; returns whether that is news.
+    bool on_saturation(const account_saturation& it, time_point now);
     /// What was asked for and admitted here, of accounts that were used since the last call or
     /// the one before.
     std::vector<account_use> take_uses();
@@ -103,9 +103,9 @@
         unit_counts reported_before;
         /// The largest request so far.
         double largest = 0;
-        /// The watcher's last word, and until when it counts.
-        account_crowd crowd;
-        time_point crowded_until = time_point::min();
+        /// The watcher's last statement, and until when it counts.
+        account_saturation saturation;
+        time_point saturated_until = time_point::min();
     };
     struct peer_demand {
         demand_by_account demand;
@@ -123,7 +123,7 @@
     bool take(bucket& it, double units, time_point now) const;
     /// Fill from which a request passes.
     double needed_fill(const bucket& it, double units, time_point now) const;
-    static bool is_crowded(const bucket& it, time_point now) { return now < it.crowded_until; }
+    static bool is_saturated(const bucket& it, time_point now) { return now < it.saturated_until; }
 
     limiter_settings settings_;
     std::size_t fleet_size_ = 1;
--- a/libs/routing/include/routing/account_watch.h
+++ b/libs/routing/include/routing/account_watch.h
@@ -35,7 +35,7 @@
 };
 
 /// An account at its limit.
-struct account_crowd {
+struct account_saturation {
     client_account_id account;
     /// Units a second that are asked for at all VMs.
     double demand = 0;
@@ -49,7 +49,7 @@
     /// Time over which demand is averaged.
     duration demand_window = std::chrono::seconds(1);
     /// An account is at its limit while less than this part of its burst is left.
-    double crowded_below = 0.4;
+    double saturated_below = 0.4;
     /// Time between two statements on one account.
     duration repeat = std::chrono::milliseconds(400);
 };
@@ -63,7 +63,7 @@
     /// Takes a VM's report.
     void on_use(const vm_incarnation& from, const account_use& it, time_point now);
     /// The accounts at their limit that all VMs are to be told of now.
-    std::vector<account_crowd> take_due(time_point now);
+    std::vector<account_saturation> take_due(time_point now);
 
 private:
     struct record {
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -28,8 +28,8 @@
     double most_failures = 0.25;
     /// Time in which failures lose half of their weight.
     duration failure_half_life = std::chrono::seconds(2);
-    /// Time for which the word of an endpoint without an entry is kept.
-    duration word_memory = std::chrono::minutes(10);
+    /// Time for which the notice of an endpoint without an entry is kept.
+    duration notice_memory = std::chrono::minutes(10);
 };
 
 /// How a call to an endpoint ended, as evidence of its health.
@@ -91,7 +91,7 @@
         time_point failures_at{};
     };
     // What an endpoint said of itself; it outlives the entry, which may be back.
-    struct own_word {
+    struct kept_notice {
         std::int64_t started_at_ms = 0;
         bool leaving = false;
         time_point paused_until = time_point::min();
@@ -101,11 +101,11 @@
     /// Share of the recent calls that failed, from 0 to 1; old calls lose their weight.
     double failures_of(const record& it, time_point now) const;
     /// What this start of an endpoint said, or null.
-    const own_word* word_of(const endpoint_incarnation& from) const;
+    const kept_notice* notice_of(const endpoint_incarnation& from) const;
 
     directory_settings settings_;
     std::map<endpoint_id, record> records_;
-    std::map<endpoint_id, own_word> words_;
+    std::map<endpoint_id, kept_notice> notices_;
     time_point store_returned_ = time_point::min();
 };
 
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -76,12 +76,12 @@
 };
 
 /// Client accounts at their limit, told by their watcher.
-struct account_crowds {
-    std::vector<account_crowd> crowds;
+struct saturated_accounts {
+    std::vector<account_saturation> accounts;
 };
 
 using hint = std::variant<presence, adapter_uses, load_wish, adapter_hint, load_refusal,
-                          store_reports, account_uses, account_crowds>;
+                          store_reports, account_uses, saturated_accounts>;
 
 /// A hint with its sender.
 struct hint_message {
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -75,8 +75,8 @@
         const auto demand = peer.demand.find(account);
         all += least + (demand == peer.demand.end() ? 0 : demand->second);
     }
-    if (is_crowded(it, now)) {
-        return std::max(all, it.crowd.demand - own);
+    if (is_saturated(it, now)) {
+        return std::max(all, it.saturation.demand - own);
     }
     // A VM that was never heard may see as much demand as this one.
     if (heard < fleet_size_) {
@@ -116,8 +116,9 @@
 }
 
 void account_limiter::refill(const client_account_id& account, bucket& it, time_point now) {
-    const bool crowded = is_crowded(it, now);
-    const double pace = crowded ? std::clamp(1 + it.crowd.fill, settings_.least_pace, 1.0) : 1.0;
+    const bool saturated = is_saturated(it, now);
+    const double pace =
+        saturated ? std::clamp(1 + it.saturation.fill, settings_.least_pace, 1.0) : 1.0;
     const double part = mean_share(account, it, now) * pace;
     const double elapsed = seconds_of(now - it.filled_at);
     it.filled_at = now;
@@ -126,13 +127,13 @@
     it.small_fill = std::min(small, small_room);
     const double left_over = std::max(0.0, small - small_room);
     const double large = it.rate * part * elapsed * (1 - settings_.small_part) + left_over;
-    const double savings = crowded ? it.largest / 2 : 0;
+    const double savings = saturated ? it.largest / 2 : 0;
     it.fill = std::min(it.fill + large, it.burst * part * (1 - settings_.small_part) + savings);
 }
 
 double account_limiter::needed_fill(const bucket& it, double units, time_point now) const {
     const double overdraft = settings_.reserve / static_cast<double>(fleet_size_);
-    return (is_crowded(it, now) ? units / 2 : 0) - overdraft;
+    return (is_saturated(it, now) ? units / 2 : 0) - overdraft;
 }
 
 bool account_limiter::take(bucket& it, double units, time_point now) const {
@@ -172,16 +173,16 @@
     return over_limit{from_seconds(missing / rate * crowd), it.rate, part, it.fill};
 }
 
-bool account_limiter::on_crowd(const account_crowd& it, time_point now) {
+bool account_limiter::on_saturation(const account_saturation& it, time_point now) {
     const auto found = buckets_.find(it.account);
     if (found == buckets_.end()) {
         return false;
     }
-    const bool is_news = !is_crowded(found->second, now);
+    const bool is_news = !is_saturated(found->second, now);
     // What came in until now is shared by what was known until now.
     refill(it.account, found->second, now);
-    found->second.crowd = it;
-    found->second.crowded_until = now + settings_.crowd_lifetime;
+    found->second.saturation = it;
+    found->second.saturated_until = now + settings_.saturation_lifetime;
     return is_news;
 }
 
--- a/libs/routing/src/account_watch.cpp
+++ b/libs/routing/src/account_watch.cpp
@@ -61,12 +61,12 @@
     found.demand += (it.total.asked - before.asked) / seconds_of(settings_.demand_window);
 }
 
-std::vector<account_crowd> account_watch::take_due(time_point now) {
-    std::vector<account_crowd> out;
+std::vector<account_saturation> account_watch::take_due(time_point now) {
+    std::vector<account_saturation> out;
     for (auto& [account, it] : records_) {
         advance(it, now);
-        const bool is_crowded = it.fill < it.burst * settings_.crowded_below;
-        if (!is_crowded) {
+        const bool is_saturated = it.fill < it.burst * settings_.saturated_below;
+        if (!is_saturated) {
             it.told_at.reset();
         } else if (!it.told_at || now - *it.told_at >= settings_.repeat) {
             it.told_at = now;
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -14,7 +14,7 @@
 endpoint_directory::endpoint_directory(directory_settings settings) : settings_(settings) {}
 
 directory_change endpoint_directory::on_entry(const endpoint& it, time_point) {
-    const own_word* said = word_of(incarnation_of(it));
+    const kept_notice* said = notice_of(incarnation_of(it));
     endpoint entry = it;
     entry.draining = it.draining || (said != nullptr && said->leaving);
     const auto found = records_.find(it.id);
@@ -91,10 +91,10 @@
             ++it;
         }
     }
-    for (auto it = words_.begin(); it != words_.end();) {
+    for (auto it = notices_.begin(); it != notices_.end();) {
         const bool is_over =
-            records_.count(it->first) == 0 && now - it->second.heard_at > settings_.word_memory;
-        it = is_over ? words_.erase(it) : std::next(it);
+            records_.count(it->first) == 0 && now - it->second.heard_at > settings_.notice_memory;
+        it = is_over ? notices_.erase(it) : std::next(it);
     }
     return removed;
 }
@@ -120,11 +120,11 @@
     }
 }
 
-const endpoint_directory::own_word* endpoint_directory::word_of(
+const endpoint_directory::kept_notice* endpoint_directory::notice_of(
     const endpoint_incarnation& from) const {
-    const auto found = words_.find(from.id);
+    const auto found = notices_.find(from.id);
     const bool is_of_this_start =
-        found != words_.end() && found->second.started_at_ms == from.started_at_ms;
+        found != notices_.end() && found->second.started_at_ms == from.started_at_ms;
     return is_of_this_start ? &found->second : nullptr;
 }
 
@@ -133,8 +133,8 @@
     const auto found = records_.find(from.id);
     const bool is_old =
         found != records_.end() && from.started_at_ms < found->second.entry.started_at_ms;
-    const own_word* said = word_of(from);
-    own_word next = said == nullptr ? own_word{} : *said;
+    const kept_notice* said = notice_of(from);
+    kept_notice next = said == nullptr ? kept_notice{} : *said;
     next.started_at_ms = from.started_at_ms;
     next.leaving = next.leaving || it.leaving;
     if (it.pause) {
@@ -145,7 +145,7 @@
         return false;
     }
     next.heard_at = now;
-    words_[from.id] = next;
+    notices_[from.id] = next;
     if (found != records_.end() && next.leaving) {
         found->second.entry.draining = true;
     }
@@ -154,8 +154,8 @@
 
 duration endpoint_directory::pause_left(const endpoint_id& id, time_point now) const {
     const auto found = records_.find(id);
-    const own_word* said =
-        found == records_.end() ? nullptr : word_of(incarnation_of(found->second.entry));
+    const kept_notice* said =
+        found == records_.end() ? nullptr : notice_of(incarnation_of(found->second.entry));
     const bool is_paused = said != nullptr && now < said->paused_until;
     return is_paused ? said->paused_until - now : duration::zero();
 }
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -146,19 +146,19 @@
     return out;
 }
 
-json to_json(const account_crowds& it) {
+json to_json(const saturated_accounts& it) {
     json out = json::array();
-    for (const account_crowd& crowd : it.crowds) {
-        out.push_back({crowd.account.str(), crowd.demand, crowd.fill});
+    for (const account_saturation& account : it.accounts) {
+        out.push_back({account.account.str(), account.demand, account.fill});
     }
     return out;
 }
 
-account_crowds read_crowds(const json& in) {
-    account_crowds out;
+saturated_accounts read_saturated(const json& in) {
+    saturated_accounts out;
     for (const json& it : in) {
-        out.crowds.push_back({client_account_id(it.at(0).get<std::string>()),
-                              it.at(1).get<double>(), it.at(2).get<double>()});
+        out.accounts.push_back({client_account_id(it.at(0).get<std::string>()),
+                                it.at(1).get<double>(), it.at(2).get<double>()});
     }
     return out;
 }
@@ -189,7 +189,7 @@
             [](const account_uses& u) {
                 return json::array({"a", to_json(u)});
             },
-            [](const account_crowds& c) {
+            [](const saturated_accounts& c) {
                 return json::array({"c", to_json(c)});
             }},
         it);
@@ -216,7 +216,7 @@
         return read_uses(in.at(1));
     }
     if (kind == "c") {
-        return read_crowds(in.at(1));
+        return read_saturated(in.at(1));
     }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
--- a/libs/routing/tests/account_watch_tests.cpp
+++ b/libs/routing/tests/account_watch_tests.cpp
@@ -81,14 +81,14 @@
 BOOST_AUTO_TEST_CASE(where_an_account_is_at_its_limit_half_of_a_request_is_saved_up_first) {
     account_limiter it;
     it.configure({account(1'000, 1'000)}, start);
-    BOOST_TEST(it.on_crowd({acme, 10'000, 0}, start));
-    BOOST_TEST(!it.on_crowd({acme, 10'000, 0}, start));
+    BOOST_TEST(it.on_saturation({acme, 10'000, 0}, start));
+    BOOST_TEST(!it.on_saturation({acme, 10'000, 0}, start));
     // A tenth of the rate comes in here, so 400 of 800 units are there after some seconds.
     time_point now = start;
     int refused = 0;
     for (int i = 0; i < 100 && !is_admitted(it.admit(acme, 800, now)); ++i) {
         now += milliseconds(100);
-        it.on_crowd({acme, 10'000, 0}, now);
+        it.on_saturation({acme, 10'000, 0}, now);
         ++refused;
     }
     BOOST_TEST(refused < 100);
--- a/libs/routing/tests/engine_keeper_tests.cpp
+++ b/libs/routing/tests/engine_keeper_tests.cpp
@@ -238,9 +238,9 @@
 // ever.
 BOOST_AUTO_TEST_CASE(the_estimate_of_a_load_is_bounded) {
     fixture f(4);
-    const auto crowded =
+    const auto saturated =
         std::get<wish_granted>(f.keeper.on_wish(adapter("a"), 2'000, f.now)).ready_in;
-    BOOST_TEST((crowded <= milliseconds(1'000)));
+    BOOST_TEST((saturated <= milliseconds(1'000)));
 }
 
 // Rare adapters asked for all at once at an engine with free places: each request went from engine
--- a/libs/routing/tests/limiter_fleet.h
+++ b/libs/routing/tests/limiter_fleet.h
@@ -63,10 +63,10 @@
                 watcher.on_use({vm_id("v" + std::to_string(i)), 1}, it, now);
             }
         }
-        for (const account_crowd& it : watcher.take_due(now)) {
+        for (const account_saturation& it : watcher.take_due(now)) {
             for (const auto& vm : vms) {
                 if (!lost()) {
-                    vm->on_crowd(it, now);
+                    vm->on_saturation(it, now);
                 }
             }
         }
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -175,9 +175,10 @@
     BOOST_TEST(heard_use.total.admitted == 4);
     BOOST_TEST(heard_use.before.asked == 8);
     BOOST_TEST(heard_use.before.admitted == 3);
-    const auto crowds = decode_hint(encode({{vm_id("v"), 7}, account_crowds{{{acme, 30, -0.5}}}}));
-    BOOST_TEST(std::get<account_crowds>(crowds.body).crowds.at(0).demand == 30);
-    BOOST_TEST(std::get<account_crowds>(crowds.body).crowds.at(0).fill == -0.5);
+    const auto accounts =
+        decode_hint(encode({{vm_id("v"), 7}, saturated_accounts{{{acme, 30, -0.5}}}}));
+    BOOST_TEST(std::get<saturated_accounts>(accounts.body).accounts.at(0).demand == 30);
+    BOOST_TEST(std::get<saturated_accounts>(accounts.body).accounts.at(0).fill == -0.5);
 
     const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_uses{engine, {plans}, {}}}));
     BOOST_TEST((std::get<adapter_uses>(uses.body).sent == std::vector<model_choice>{plans}));
--- a/radishpulley/edge/include/edge/account_watcher.h
+++ b/radishpulley/edge/include/edge/account_watcher.h
@@ -25,12 +25,12 @@
     /// Sets the VMs that serve callers, this one included.
     void set_serving(std::vector<vm_id> vms) { serving_ = std::move(vms); }
     void on_hint(const vm_incarnation& from, const routing::account_uses& it);
-    void on_hint(const vm_id& from, const routing::account_crowds& it);
+    void on_hint(const vm_id& from, const routing::saturated_accounts& it);
 
 private:
     void tick();
     void report();
-    void tell_crowds();
+    void tell_saturated();
 
     const clock& time_;
     vm_id self_;
--- a/radishpulley/edge/src/account_watcher.cpp
+++ b/radishpulley/edge/src/account_watcher.cpp
@@ -32,7 +32,7 @@
         watch_.configure(configuration_->accounts(), time_.now());
     }
     report();
-    tell_crowds();
+    tell_saturated();
     timer_.expires_after(report_interval);
     timer_.async_wait([this](const boost::system::error_code& ec) {
         if (!ec) {
@@ -60,13 +60,13 @@
     }
 }
 
-void account_watcher::tell_crowds() {
-    const routing::account_crowds crowds{watch_.take_due(time_.now())};
-    if (crowds.crowds.empty()) {
+void account_watcher::tell_saturated() {
+    const routing::saturated_accounts accounts{watch_.take_due(time_.now())};
+    if (accounts.accounts.empty()) {
         return;
     }
-    fleet_.broadcast(crowds);
-    on_hint(self_, crowds);
+    fleet_.broadcast(accounts);
+    on_hint(self_, accounts);
 }
 
 void account_watcher::on_hint(const vm_incarnation& from, const routing::account_uses& it) {
@@ -75,15 +75,15 @@
     }
 }
 
-void account_watcher::on_hint(const vm_id& from, const routing::account_crowds& it) {
-    for (const routing::account_crowd& crowd : it.crowds) {
-        const bool is_news = data_path_.limiter().on_crowd(crowd, time_.now());
+void account_watcher::on_hint(const vm_id& from, const routing::saturated_accounts& it) {
+    for (const routing::account_saturation& account : it.accounts) {
+        const bool is_news = data_path_.limiter().on_saturation(account, time_.now());
         if (is_news) {
             telemetry::log_event(telemetry::severity::info, "account_at_limit",
-                                 {{"account", crowd.account},
+                                 {{"account", account.account},
                                   {"told_by", from},
-                                  {"demand", crowd.demand},
-                                  {"fill", crowd.fill}});
+                                  {"demand", account.demand},
+                                  {"fill", account.fill}});
         }
     }
 }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -443,8 +443,8 @@
             on_reports(*reports);
         } else if (const auto* uses = std::get_if<routing::account_uses>(&it.body)) {
             accounts_.on_hint(it.from, *uses);
-        } else if (const auto* crowds = std::get_if<routing::account_crowds>(&it.body)) {
-            accounts_.on_hint(it.from.vm, *crowds);
+        } else if (const auto* saturated = std::get_if<routing::saturated_accounts>(&it.body)) {
+            accounts_.on_hint(it.from.vm, *saturated);
         } else {
             loads_.on_hint(it);
         }
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -471,7 +471,7 @@
     std::visit(
         overloaded{
             [](const routing::presence&) {}, [](const routing::store_reports&) {},
-            [](const routing::account_uses&) {}, [](const routing::account_crowds&) {},
+            [](const routing::account_uses&) {}, [](const routing::saturated_accounts&) {},
             [&](const routing::adapter_uses& uses) {
                 const auto kept = kept_.find(uses.engine);
                 if (kept != kept_.end()) {
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -105,8 +105,8 @@
         ++hints;
         if (const auto* uses = std::get_if<routing::account_uses>(&it.body)) {
             accounts.on_hint(it.from, *uses);
-        } else if (const auto* crowds = std::get_if<routing::account_crowds>(&it.body)) {
-            accounts.on_hint(it.from.vm, *crowds);
+        } else if (const auto* saturated = std::get_if<routing::saturated_accounts>(&it.body)) {
+            accounts.on_hint(it.from.vm, *saturated);
         } else {
             loads.on_hint(it);
         }
