--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -153,11 +153,14 @@
 }
 
 duration endpoint_directory::pause_left(const endpoint_id& id, time_point now) const {
-    const auto found = records_.find(id);
-    const kept_notice* said =
-        found == records_.end() ? nullptr : notice_of(incarnation_of(found->second.entry));
-    const bool is_paused = said != nullptr && now < said->paused_until;
-    return is_paused ? said->paused_until - now : duration::zero();
+    const auto said = notices_.find(id);
+    if (said == notices_.end() || now >= said->second.paused_until) {
+        return duration::zero();
+    }
+    const endpoint* known = find(id);
+    const bool is_of_this_start =
+        known != nullptr && known->started_at_ms == said->second.started_at_ms;
+    return is_of_this_start ? said->second.paused_until - now : duration::zero();
 }
 
 const endpoint* endpoint_directory::find(const endpoint_id& id) const {
