Edge: holders answer VMs that their list lacks

Callers of a VM that just joined were refused with no_endpoint after 452 ms: its load requests went to holders that had not read the new list of VMs, dropped the requests, and left it to three timeouts of 150 ms. A hint is signed with the fleet's secret, so one about adapters is now handled from any VM and answered at the address that it came from; status and demand of unlisted VMs are ignored as before. Ruled out: a longer timeout (the answer would never come).

--- a/libs/gateway/include/gateway/hint_socket.h
+++ b/libs/gateway/include/gateway/hint_socket.h
@@ -18,7 +18,9 @@
 /// A UDP socket for hints.
 class hint_socket {
 public:
-    using handler = std::function<void(const routing::hint_message&)>;
+    /// Receives a message and its sender's address (IP:PORT).
+    using handler =
+        std::function<void(const routing::hint_message&, const std::string& sender_address)>;
 
     /// Binds `address` (IP:PORT). Throws boost::system::system_error if that fails.
     hint_socket(boost::asio::io_context& loop, const std::string& address, handler on_message);
--- a/libs/gateway/src/hint_socket.cpp
+++ b/libs/gateway/src/hint_socket.cpp
@@ -16,6 +16,10 @@
     return {it.address(), it.port()};
 }
 
+std::string address_text(const boost::asio::ip::udp::endpoint& it) {
+    return it.address().to_string() + ":" + std::to_string(it.port());
+}
+
 }  // namespace
 
 hint_socket::hint_socket(boost::asio::io_context& loop, const std::string& address,
@@ -67,7 +71,7 @@
         return;
     }
     try {
-        on_message_(routing::decode_hint(body));
+        on_message_(routing::decode_hint(body), address_text(from_));
     } catch (const invalid_input& e) {
         ++dropped_;
         telemetry::log_event(telemetry::severity::warning, "hint_unreadable",
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -108,7 +108,9 @@
     void send_where(const routing::hint& it, Predicate is_recipient);
     void read_secret();
     void create_secret();
-    void on_hint(const routing::hint_message& it);
+    void on_hint(const routing::hint_message& it, const std::string& sender_address);
+    /// Handles a hint of a VM that this VM's copy of the list does not contain yet.
+    void on_unlisted_hint(const routing::hint_message& it, const std::string& sender_address);
     void retry_later(void (fleet_member::*step)());
 
     boost::asio::io_context& loop_;
@@ -123,6 +125,8 @@
     std::optional<vm_incarnation> self_;
     std::optional<ownership::failure_detector> detector_;
     std::map<vm_id, peer> peers_;
+    /// Addresses of VMs that sent hints before they were listed.
+    std::map<vm_id, std::string> unlisted_addresses_;
     std::uint64_t change_count_ = 0;
     routing::status_schedule schedule_;
     time_point started_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -19,6 +19,8 @@
 constexpr const char* secrets_kind = "fleet-secrets";
 constexpr const char* hints_secret = "hints";
 constexpr std::size_t secret_bytes = 32;
+// VMs join in small numbers; the bound limits what replaced VMs leave behind.
+constexpr std::size_t max_unlisted_vms = 1'024;
 constexpr std::chrono::milliseconds retry_delay{500};
 // Tolerance for the jitter of the timer that calls send_status().
 constexpr std::chrono::milliseconds timer_tolerance{100};
@@ -41,7 +43,10 @@
       store_(store),
       settings_(std::move(settings)),
       on_hint_(std::move(on_hint)),
-      socket_(loop, settings_.address, [this](const auto& it) { this->on_hint(it); }),
+      socket_(loop, settings_.address,
+              [this](const auto& it, const auto& sender_address) {
+                  this->on_hint(it, sender_address);
+              }),
       follower_(loop, time, store, vms_kind, vms_follower_settings,
                 {[this](const gateway::object_list& it) { on_list(it); },
                  [this](const gateway::object_change& it) {
@@ -87,6 +92,7 @@
         telemetry::log_event(severity::warning, "vm_entry_unreadable", {{"vm", it.name}});
         return;
     }
+    unlisted_addresses_.erase(vm_id(it.name));
     peer& known = peers_[vm_id(it.name)];
     known.address = in["address"].get<std::string>();
     known.zone = zone_id(in.value("zone", ""));
@@ -227,10 +233,28 @@
                   });
 }
 
-void fleet_member::on_hint(const routing::hint_message& it) {
+void fleet_member::on_unlisted_hint(const routing::hint_message& it,
+                                    const std::string& sender_address) {
+    const bool is_about_adapters = std::holds_alternative<routing::load_request>(it.body) ||
+                                   std::holds_alternative<routing::adapter_usage>(it.body) ||
+                                   std::holds_alternative<routing::adapter_hint>(it.body);
+    if (!is_about_adapters) {
+        return;
+    }
+    if (unlisted_addresses_.size() >= max_unlisted_vms) {
+        unlisted_addresses_.clear();
+    }
+    unlisted_addresses_[it.from.vm] = sender_address;
+    on_hint_(it);
+}
+
+void fleet_member::on_hint(const routing::hint_message& it, const std::string& sender_address) {
     const auto known = peers_.find(it.from.vm);
-    if (known == peers_.end() || it.from.vm == settings_.vm ||
-        it.from.incarnation < known->second.incarnation) {
+    if (known == peers_.end() && it.from.vm != settings_.vm) {
+        on_unlisted_hint(it, sender_address);
+        return;
+    }
+    if (it.from.vm == settings_.vm || it.from.incarnation < known->second.incarnation) {
         return;
     }
     known->second.last_alive = time_.now();
@@ -248,10 +272,13 @@
 
 bool fleet_member::send(const vm_id& to, const routing::hint& it) {
     const auto known = peers_.find(to);
-    if (known == peers_.end() || !self_ || !socket_.has_secret()) {
+    const auto unlisted = unlisted_addresses_.find(to);
+    const bool is_known = known != peers_.end() || unlisted != unlisted_addresses_.end();
+    if (!is_known || !self_ || !socket_.has_secret()) {
         return false;
     }
-    socket_.send(known->second.address, socket_.seal({*self_, it}));
+    const std::string& address = known != peers_.end() ? known->second.address : unlisted->second;
+    socket_.send(address, socket_.seal({*self_, it}));
     return true;
 }
 
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -24,6 +24,8 @@
     std::size_t list_calls = 0;
     /// While set, list calls get no response.
     bool drop_list_calls = false;
+    /// While set, watches report no changes.
+    bool withholds_changes = false;
 
     /// Rewrites each object of a kind unchanged, which raises its revision.
     void rewrite_all(const std::string& kind) {
@@ -63,6 +65,11 @@
                 return;
             }
             gateway::object_changes out;
+            if (withholds_changes) {
+                out.revision = since;
+                done(std::move(out));
+                return;
+            }
             out.revision = revision_;
             for (const recorded_change& it : history_) {
                 if (it.kind == kind && it.change.object.revision > since) {
