--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -48,6 +48,9 @@
     /// Latency target: time within which a response, or the first event of a stream, has its full
     /// value.
     milliseconds target_latency{0};
+    /// Time without a first event after which callers abandon a request; 0 if they wait until their
+    /// deadline.
+    milliseconds caller_patience{0};
     /// 0 is the most urgent.
     int priority = 0;
     /// Maximum number of endpoints on which one attempt of a caller may run.
