Loads: observed load times, queues with true times, waits instead of refusals

Cause: the times of loads were constants (265 and 270 ms cold, 40 and 60 ms cached), so requests for slowly loading adapters were sent too early several times, got 421 and were refused as rejected. Requests were refused as no_endpoint after three refusals within milliseconds although a place became free soon. Concurrent loads beyond four at an engine were refused by it, because unfinished loads counted as done. A late load postpones the others in progress, also on other VMs. load_schedule predicts when places and load slots are free; a refusal states when the adapter could be there; a request refused by three engines waits at the soonest one as long as its caller does, or is refused at once with the time of the backlog. A request that was not run waits for the retry budget instead of being refused.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -43,10 +44,14 @@
     routing::limiter_settings limiter;
     /// Longest wait for the engine holder's reply to a load request.
     std::chrono::milliseconds load_request_timeout{150};
-    /// Longest wait for an adapter; another engine is chosen if loading would take longer.
-    std::chrono::milliseconds max_load_wait{1'200};
-    /// Number of engines that may refuse to load a request's adapter before the request is refused.
+    /// Fraction of the time until its caller gives up for which a request may wait for its adapter;
+    /// the rest is for running it.
+    double max_load_wait_share = 0.75;
+    /// Number of engines that are asked for a prompt load. If all of them refuse, the request waits
+    /// at the one that can load its adapter first.
     std::size_t max_load_refusals = 3;
+    /// Longest wait at the first engines, as a multiple of an undelayed load's time.
+    double prompt_load_limit = 3;
     /// Time without a response after which an idempotent call is retried on another endpoint.
     std::chrono::milliseconds silence_timeout{160};
     /// Maximum number of sends per request, including those that endpoints reject.
@@ -76,14 +81,24 @@
     std::chrono::milliseconds min_time_left{15};
 };
 
+/// The load was requested; the response follows by gateway::on_adapter() or on_load_refused().
+struct load_requested {};
+
+/// The adapter cannot be loaded in time; `ready_in` is when it could be usable, if known.
+struct load_not_possible {
+    std::optional<duration> ready_in;
+};
+
+using load_request_result = std::variant<load_requested, load_not_possible>;
+
 /// Interface to the other daemons, which coordinate adapter loads.
 class load_broker {
 public:
     virtual ~load_broker() = default;
-    /// Requests an adapter on an engine for a request that waits at most `max_wait`. Returns false
-    /// if no VM can order the load at present.
-    virtual bool request_load(const endpoint_id& engine, const routing::model_ref& adapter,
-                              duration max_wait) = 0;
+    /// Requests an adapter on an engine for a request that waits at most `max_wait`.
+    virtual load_request_result request_load(const endpoint_id& engine,
+                                             const routing::model_ref& adapter,
+                                             duration max_wait) = 0;
     /// A request for the adapter is being sent to the engine.
     virtual void note_request_start(const endpoint_id& engine,
                                     const routing::model_ref& adapter) = 0;
@@ -139,8 +154,9 @@
     /// Applies the state of an adapter on an engine and resumes the requests that wait for it.
     void on_adapter(const endpoint_id& engine, const routing::model_ref& adapter,
                     const routing::adapter_view& view);
-    /// The engine's holder cannot load the adapter.
-    void on_load_refused(const endpoint_id& engine, const routing::model_ref& adapter);
+    /// The engine's holder cannot load the adapter in time; `ready_in` is when it could, if known.
+    void on_load_refused(const endpoint_id& engine, const routing::model_ref& adapter,
+                         std::optional<duration> ready_in);
 
     /// From now on, responses ask callers to close their connections.
     void begin_stop() { stopping_ = true; }
@@ -172,6 +188,7 @@
     const routing::configuration_ptr& configuration() const { return configuration_; }
     routing::endpoint_directory& directory() { return directory_; }
     routing::adapter_table& adapters() { return adapters_; }
+    routing::adapter_load_times& load_times() { return load_times_; }
     const routing::endpoint_limits& limits() const { return limits_; }
     routing::account_limiter& limiter() { return limiter_; }
     const routing::account_limiter& limiter() const { return limiter_; }
@@ -184,6 +201,8 @@
     using load_key = std::pair<endpoint_id, routing::model_ref>;
 
     requests::retry_budget& budget_of(const service_id& id);
+    /// Number of adapters that are loading at all engines, as of a moment ago.
+    std::size_t fleet_loads() const;
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
@@ -205,6 +224,9 @@
     routing::endpoint_directory directory_;
     routing::endpoint_limits limits_;
     routing::adapter_table adapters_;
+    routing::adapter_load_times load_times_;
+    mutable std::size_t fleet_loads_ = 0;
+    mutable time_point fleet_loads_at_ = time_point::min();
     routing::prefix_cache_index prompts_;
     routing::work_table work_;
     routing::endpoint_chooser chooser_;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -63,6 +63,13 @@
     return deadline_ ? *deadline_ - owner_.time_.now() : duration(default_deadline);
 }
 
+duration exchange::first_event_time_left() const {
+    if (route_ == nullptr || route_->caller_patience == milliseconds(0)) {
+        return time_left();
+    }
+    return std::min<duration>(time_left(), route_->caller_patience - elapsed());
+}
+
 double exchange::units() const {
     if (!account_->counts_tokens) {
         return 1;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -1,6 +1,7 @@
 /// One request from its arrival to the end of its response.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -36,7 +37,8 @@
     void on_caller_left() override;
     /// The adapter that this request waits for is loaded on the engine, or will be at `ready_at`.
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
-    void on_load_refused(const endpoint_id& engine);
+    /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
+    void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
 
 private:
     enum class phase {
@@ -45,6 +47,8 @@
         asking_for_load,
         /// The adapter is being loaded.
         waiting_for_load,
+        /// No retry is left for a request that an endpoint did not run.
+        waiting_for_budget,
         connecting,
         sent,
         relaying,
@@ -60,13 +64,22 @@
     void refuse_unknown(unsigned status, std::string_view reason);
     bool admit();
     void find_endpoint();
+    std::optional<routing::endpoint_choice> choose_endpoint() const;
+    /// Returns the engine that can load the adapter first, among those that refused to load it
+    /// soon, if the request can wait for it.
+    std::optional<routing::endpoint_choice> soonest_refused_load() const;
     /// Refuses with the time after which an endpoint can accept the request, if known.
     void refuse_without_endpoint();
+    /// Time until a load at the soonest engine would end early enough for a request like this one.
+    duration load_backlog() const;
+    void note_refused_load(const endpoint_id& engine, std::optional<duration> ready_in);
     /// Counts this request in the endpoint's load, also while it waits for an adapter.
     void reserve_work(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
     /// Longest time for which this request waits for an adapter.
     duration load_wait_limit() const;
+    /// Longest such time at the engines that are asked first.
+    duration prompt_load_limit() const;
     void wait_until(time_point when, const endpoint_id& id);
     void on_load_wait_expired(const endpoint_id& id);
     void retry_if_silent();
@@ -87,6 +100,10 @@
     bool may_run_again() const;
     bool spend_retry();
     void retry(std::string_view why);
+    /// Sends the request again, waits until the budget allows that, or refuses it. `why` must be a
+    /// string literal.
+    void retry_within_budget(std::string_view why);
+    void wait_for_budget(std::string_view why);
     void stop_call();
     void on_call_ended();
     void refuse(const refusal& it);
@@ -95,6 +112,8 @@
     void finish(unsigned status, std::string_view reason);
     duration elapsed() const;
     duration time_left() const;
+    /// Time until the caller gives up if it has received nothing by then.
+    duration first_event_time_left() const;
     double units() const;
     /// Refunds the charged units of a request that has not run.
     void refund();
@@ -125,6 +144,11 @@
     /// Set after a kept connection failed this request, as other kept connections may fail too.
     bool avoids_kept_connections_ = false;
     std::set<endpoint_id> load_refused_by_;
+    /// When engines that refused to load the adapter soon could have loaded it.
+    std::map<endpoint_id, time_point> possible_loads_;
+    /// Whether the request waits for its adapter as long as its deadline allows, because no engine
+    /// can load it soon.
+    bool accepts_long_wait_ = false;
     /// Endpoints that already rejected this request. A second copy of the rejection may arrive late
     /// on a connection to them, so a new connection is used.
     std::set<endpoint_id> rejected_by_;
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -9,6 +9,8 @@
 using telemetry::severity;
 
 constexpr std::size_t max_discarded_bytes = 65'536;
+// Interval at which a request that was not run asks again for a retry from the budget.
+constexpr duration budget_wait = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -244,9 +246,15 @@
     if (status_ == status_unavailable || attributes_.target.adapter.empty()) {
         excluded_.insert(endpoint_);
     }
-    const bool allowed = sends_ < owner_.settings_.max_sends && spend_retry();
-    if (allowed) {
+    retry_within_budget(why);
+}
+
+void exchange::retry_within_budget(std::string_view why) {
+    const bool may_send = sends_ < owner_.settings_.max_sends;
+    if (may_send && spend_retry()) {
         find_endpoint();
+    } else if (may_send && !may_have_run() && load_wait_limit() > budget_wait) {
+        wait_for_budget(why);
     } else if (head_sent_) {
         abort_response(why);
     } else {
@@ -254,4 +262,15 @@
     }
 }
 
+void exchange::wait_for_budget(std::string_view why) {
+    phase_ = phase::waiting_for_budget;
+    wait_timer_.expires_after(budget_wait);
+    wait_timer_.async_wait([weak = weak_from_this(), why](const boost::system::error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ == phase::waiting_for_budget) {
+            self->retry_within_budget(why);
+        }
+    });
+}
+
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -20,16 +20,18 @@
 
 void exchange::find_endpoint() {
     owner_.work_.finish(number_);
-    const bool may_load = load_refused_by_.size() < owner_.settings_.max_load_refusals;
-    const routing::choice_request wanted{attributes_, *service_, excluded_, load_refused_by_,
-                                         may_load};
-    const auto choice = owner_.chooser_.choose(wanted, owner_.time_.now());
+    auto choice = choose_endpoint();
+    if (!choice && !accepts_long_wait_) {
+        choice = soonest_refused_load();
+        accepts_long_wait_ = choice.has_value();
+    }
     if (!choice) {
         refuse_without_endpoint();
         return;
     }
-    if (choice->expected > time_left()) {
-        refuse({status_unavailable, "would_be_late", default_retry_after});
+    if (choice->expected > first_event_time_left()) {
+        const duration backlog = choice->expected - load_wait_limit();
+        refuse({status_unavailable, "would_be_late", std::max(default_retry_after, backlog)});
         return;
     }
     unread_tokens_ = choice->unread_tokens;
@@ -55,12 +57,49 @@
     }
 }
 
+std::optional<routing::endpoint_choice> exchange::choose_endpoint() const {
+    const bool may_load = load_refused_by_.size() < owner_.settings_.max_load_refusals;
+    const routing::choice_request wanted{attributes_,      *service_, excluded_,
+                                         load_refused_by_, may_load,  owner_.fleet_loads()};
+    return owner_.chooser_.choose(wanted, owner_.time_.now());
+}
+
+std::optional<routing::endpoint_choice> exchange::soonest_refused_load() const {
+    const time_point now = owner_.time_.now();
+    const time_point latest = now + load_wait_limit();
+    std::optional<routing::endpoint_choice> best;
+    for (const auto& [id, ready_at] : possible_loads_) {
+        const routing::endpoint* known = owner_.directory_.find(id);
+        const bool is_usable = known != nullptr && !known->draining && excluded_.count(id) == 0;
+        const duration wait = std::max(duration::zero(), ready_at - now);
+        if (is_usable && ready_at <= latest && (!best || wait < best->expected)) {
+            best.emplace();
+            best->id = id;
+            best->needs_load = true;
+            best->expected = wait;
+            best->unread_tokens = attributes_.prompt_tokens;
+            best->prefill_work = attributes_.prompt_tokens;
+        }
+    }
+    return best;
+}
+
 void exchange::refuse_without_endpoint() {
     if (const auto wait = owner_.wait_for_any(service_->id)) {
         refuse({status_unavailable, "endpoints_busy", std::max(*wait, default_retry_after)});
-    } else {
-        refuse({status_unavailable, "no_endpoint", default_retry_after});
+        return;
+    }
+    refuse({status_unavailable, "no_endpoint", std::max(default_retry_after, load_backlog())});
+}
+
+duration exchange::load_backlog() const {
+    if (possible_loads_.empty()) {
+        return duration::zero();
     }
+    const auto soonest =
+        std::min_element(possible_loads_.begin(), possible_loads_.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    return soonest->second - (owner_.time_.now() + load_wait_limit());
 }
 
 void exchange::reserve_work(const endpoint_id& id) {
@@ -81,16 +120,26 @@
     wait_timer_.async_wait([weak = weak_from_this(), id = it.id](const error_code& ec) {
         const auto waiter = weak.lock();
         if (!ec && waiter && waiter->phase_ == phase::asking_for_load) {
-            waiter->on_load_refused(id);
+            waiter->on_load_refused(id, std::nullopt);
         }
     });
-    if (!owner_.broker_->request_load(it.id, attributes_.target, load_wait_limit())) {
-        on_load_refused(it.id);
+    const duration max_wait = accepts_long_wait_ ? load_wait_limit() : prompt_load_limit();
+    const auto result = owner_.broker_->request_load(it.id, attributes_.target, max_wait);
+    if (const auto* refused = std::get_if<load_not_possible>(&result)) {
+        on_load_refused(it.id, refused->ready_in);
     }
 }
 
 duration exchange::load_wait_limit() const {
-    return std::min<duration>(owner_.settings_.max_load_wait, time_left());
+    return std::chrono::duration_cast<duration>(first_event_time_left() *
+                                                owner_.settings_.max_load_wait_share);
+}
+
+duration exchange::prompt_load_limit() const {
+    const duration load_time = owner_.load_times_.fetched.expected(owner_.fleet_loads() + 1);
+    const auto limit =
+        std::chrono::duration_cast<duration>(load_time * owner_.settings_.prompt_load_limit);
+    return std::min(limit, load_wait_limit());
 }
 
 void exchange::on_load_granted(const endpoint_id& engine, time_point ready_at) {
@@ -98,23 +147,30 @@
     if (!waits || engine != endpoint_) {
         return;
     }
-    const duration wait = ready_at - owner_.time_.now();
-    if (wait > load_wait_limit()) {
-        load_refused_by_.insert(engine);
+    if (ready_at - owner_.time_.now() > load_wait_limit()) {
+        note_refused_load(engine, std::nullopt);
         find_endpoint();
     } else {
         wait_until(ready_at, engine);
     }
 }
 
-void exchange::on_load_refused(const endpoint_id& engine) {
+void exchange::on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in) {
     if (phase_ == phase::asking_for_load && engine == endpoint_) {
         wait_timer_.cancel();
-        load_refused_by_.insert(engine);
+        note_refused_load(engine, ready_in);
         find_endpoint();
     }
 }
 
+void exchange::note_refused_load(const endpoint_id& engine, std::optional<duration> ready_in) {
+    load_refused_by_.insert(engine);
+    possible_loads_.erase(engine);
+    if (ready_in) {
+        possible_loads_[engine] = owner_.time_.now() + *ready_in;
+    }
+}
+
 void exchange::wait_until(time_point when, const endpoint_id& id) {
     phase_ = phase::waiting_for_load;
     endpoint_ = id;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -12,6 +12,8 @@
 // Longest wait stated for an endpoint of whose limit this VM has no share; another VM may accept
 // the request.
 constexpr duration max_limit_wait = std::chrono::seconds(1);
+// Interval at which the loads of all engines are counted.
+constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -21,7 +23,7 @@
       time_(time),
       codec_(codec),
       settings_(std::move(settings)),
-      chooser_(directory_, limits_, adapters_, prompts_, work_, settings_.location),
+      chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
       responses_(metrics.add_counters("answers_total", "Answers by account, route and status.",
@@ -168,6 +170,15 @@
     pool_.close_idle(id);
 }
 
+std::size_t gateway::fleet_loads() const {
+    const time_point now = time_.now();
+    if (fleet_loads_at_ == time_point::min() || now - fleet_loads_at_ >= fleet_loads_interval) {
+        fleet_loads_ = adapters_.loads_under_way(now);
+        fleet_loads_at_ = now;
+    }
+    return fleet_loads_;
+}
+
 void gateway::wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it) {
     load_waiters_[key].push_back(it);
 }
@@ -188,7 +199,8 @@
     }
 }
 
-void gateway::on_load_refused(const endpoint_id& engine, const routing::model_ref& adapter) {
+void gateway::on_load_refused(const endpoint_id& engine, const routing::model_ref& adapter,
+                              std::optional<duration> ready_in) {
     const auto found = load_waiters_.find({engine, adapter});
     if (found == load_waiters_.end()) {
         return;
@@ -197,7 +209,7 @@
     load_waiters_.erase(found);
     for (const auto& it : waiters) {
         if (const auto held = it.lock()) {
-            held->on_load_refused(engine);
+            held->on_load_refused(engine, ready_in);
         }
     }
 }
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -13,6 +13,7 @@
 #include "routing/configuration.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
+#include "routing/load_time_estimator.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/work_table.h"
 
@@ -24,17 +25,12 @@
     double prefill_tokens_per_ms = 34.5;
     /// Prompt length at which prefill takes twice as long per token as for a short prompt.
     double prefill_half_speed_tokens = 60'000;
-    /// Time from a load order until the adapter is usable.
-    duration cold_load = std::chrono::milliseconds(270);
-    /// Load time where the engine held the adapter recently.
-    duration warm_load = std::chrono::milliseconds(60);
-    /// Cost of loading another copy of an adapter: it evicts an adapter and competes with the
-    /// weight store's other loads.
-    duration eviction_cost = std::chrono::milliseconds(150);
-    duration warm_eviction_cost = std::chrono::milliseconds(25);
-    /// Penalty per rank of an engine in the adapter's hash order, so that all daemons choose the
-    /// same engine for an adapter that no engine holds.
-    duration rank_penalty = std::chrono::milliseconds(50);
+    /// Cost of loading another copy of an adapter, as a fraction of its load time: it evicts an
+    /// adapter and competes with the weight store's other loads.
+    double eviction_cost = 0.55;
+    /// Penalty per rank of an engine in the adapter's hash order, as a fraction of the load time,
+    /// so that all daemons choose the same engine for an adapter that no engine holds.
+    double rank_penalty = 0.2;
     duration cross_zone_latency = std::chrono::milliseconds(3);
     duration cross_region_latency = std::chrono::milliseconds(18);
     /// Penalty for an endpoint whose recent calls failed.
@@ -91,14 +87,17 @@
     /// Whether an adapter may be loaded for the request; otherwise only engines that hold it are
     /// candidates.
     bool may_load = true;
+    /// Adapters that are loading at all engines.
+    std::size_t fleet_loads = 0;
 };
 
 /// Selects endpoints from the routing tables, which must outlive it.
 class endpoint_chooser {
 public:
     endpoint_chooser(const endpoint_directory& directory, const endpoint_limits& limits,
-                     const adapter_table& adapters, const prefix_cache_index& prompts,
-                     const work_table& work, location own_location, choice_settings settings = {});
+                     const adapter_table& adapters, const adapter_load_times& load_times,
+                     const prefix_cache_index& prompts, const work_table& work,
+                     location own_location, choice_settings settings = {});
 
     /// Returns the best endpoint, or nothing where the service has no candidate.
     std::optional<endpoint_choice> choose(const choice_request& request, time_point now) const;
@@ -117,6 +116,7 @@
     const endpoint_directory& directory_;
     const endpoint_limits& limits_;
     const adapter_table& adapters_;
+    const adapter_load_times& load_times_;
     const prefix_cache_index& prompts_;
     const work_table& work_;
     location location_;
--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -16,6 +16,8 @@
 #include "base/clock.h"
 #include "routing/configuration.h"
 #include "routing/endpoint.h"
+#include "routing/load_schedule.h"
+#include "routing/load_time_estimator.h"
 #include "routing/request_attributes.h"
 
 namespace radishpulley::routing {
@@ -24,16 +26,6 @@
 struct engine_controller_settings {
     /// Maximum number of adapters that load at one engine concurrently.
     std::uint32_t max_parallel_loads = 4;
-    /// Time from an accepted order until the adapter is usable, if it is fetched from the weight
-    /// store; `warm_load` applies if the engine has a cached copy.
-    duration cold_load = std::chrono::milliseconds(265);
-    /// Concurrent fetches of all engines that run at full speed.
-    std::size_t full_speed_loads = 8;
-    /// Maximum factor by which concurrent loads lengthen the expected load time. Loads that are
-    /// expected to be slow count as in progress for longer, so without a bound each would raise the
-    /// estimate of the next.
-    double max_slowdown = 3;
-    duration warm_load = std::chrono::milliseconds(40);
     /// Idle time after which an adapter may be evicted; before that the report of a use may still
     /// be in transit.
     duration eviction_idle = std::chrono::milliseconds(250);
@@ -45,12 +37,15 @@
     duration min_residency = std::chrono::milliseconds(600);
     /// Averaging time constant of the use rate.
     duration usage_window = std::chrono::seconds(8);
-    /// Time after its expected completion during which a missing adapter counts as a late load, and
-    /// the time by which its completion is then postponed.
-    duration late_load_window = std::chrono::milliseconds(400);
-    duration late_load_step = std::chrono::milliseconds(60);
-    /// Age above which a load request is dropped because no request waits for it any more.
-    duration load_request_lifetime = std::chrono::milliseconds(1'500);
+    /// Factor on the expected load time up to which a missing adapter counts as a late load; beyond
+    /// it, the load may have failed and the engine's report is required.
+    double max_lateness = 3;
+    /// Fraction of the elapsed load time after which a late load is expected to have ended.
+    double late_load_step = 0.2;
+    /// Time after its first use within which an adapter would be reported missing.
+    duration confirmation_delay = std::chrono::milliseconds(400);
+    /// Maximum time for which a load request is queued.
+    duration max_queue_time = std::chrono::seconds(30);
     /// Backoff after an order that was not accepted.
     duration retry_delay = std::chrono::milliseconds(80);
     /// Delay until an engine's report reflects earlier orders.
@@ -121,6 +116,8 @@
 /// The engine cannot load the adapter now.
 struct load_refused {
     load_obstacle obstacle = load_obstacle::places_in_use;
+    /// When the adapter could be usable, if that is known but later than the request can wait.
+    std::optional<duration> ready_in;
 };
 
 using load_response = std::variant<load_granted, load_refused>;
@@ -139,7 +136,8 @@
 /// Manages the adapter slots of one engine.
 class engine_controller {
 public:
-    engine_controller(endpoint_id engine, engine_capacity capacity,
+    /// `load_times` is used and updated by all controllers of a daemon and must outlive them.
+    engine_controller(endpoint_id engine, engine_capacity capacity, adapter_load_times& load_times,
                       engine_controller_settings settings = {});
 
     const endpoint_id& engine() const { return engine_; }
@@ -149,8 +147,6 @@
     void on_entry(const endpoint& it);
     /// Records that the engine refused a request because it does not hold the adapter.
     void on_missing(const model_ref& adapter, time_point now);
-    /// Sets the number of concurrent fetches of all engines that run at full speed.
-    void set_full_speed_loads(std::size_t n) { settings_.full_speed_loads = n; }
     /// Applies the report that `needs_report()` asks for.
     void on_report(const engine_report& it, time_point now);
     /// Records that the engine did not answer the request for a report.
@@ -167,6 +163,11 @@
     load_response on_load_request(const model_ref& adapter, std::size_t fleet_loads, time_point now,
                                   duration max_wait = duration::max());
 
+    /// Returns the loads that are expected to end notably later than announced.
+    std::vector<adapter_change> take_postponed(time_point now);
+    /// Evaluates loads whose adapters were used without being reported missing.
+    void advance(time_point now);
+
     /// Number of adapters that the engine holds or loads, and number of those that requests are
     /// running on.
     std::size_t adapter_count() const { return slots_.size(); }
@@ -183,9 +184,22 @@
     bool has_work(time_point now) const;
 
 private:
+    /// A load whose duration is not known yet.
+    struct observed_load {
+        time_point ordered_at{};
+        /// Expected duration when the order was given.
+        duration expected{};
+        /// Concurrent loads of all engines, including this one.
+        std::size_t concurrent_loads = 1;
+        bool is_fetched = false;
+        std::optional<time_point> first_use;
+    };
     struct adapter_slot {
         bool leaving = false;
         time_point ready_at{};
+        /// The ready time that other daemons were told.
+        time_point announced_ready_at{};
+        std::optional<observed_load> load;
         time_point last_use{};
         std::uint64_t version = 0;
         /// Exponential average of uses per second.
@@ -194,7 +208,8 @@
     };
     struct pending_load {
         model_ref adapter;
-        time_point since{};
+        /// When the last request that waits for the adapter gives up.
+        time_point wanted_until{};
     };
 
     /// Requests a report because the engine's state differs from the expected one.
@@ -202,8 +217,18 @@
     /// Answers a load request for an adapter that has a slot already.
     load_response response_for_present(const model_ref& adapter, adapter_slot& it,
                                        std::size_t fleet_loads, time_point now) const;
-    void merge_reported(const std::vector<held_model>& models, time_point ready_at,
-                        std::set<model_ref>& held);
+    /// Answers a load request for an adapter that waits at `queue_position`, or would.
+    load_response response_for_queued(const model_ref& adapter, std::size_t queue_position,
+                                      std::size_t fleet_loads, time_point now,
+                                      duration max_wait) const;
+    void merge_reported(const engine_report& it, time_point now, std::set<model_ref>& held);
+    void merge_adapter(const model_ref& name, std::uint64_t version, bool is_pending,
+                       time_point now);
+    void postpone(adapter_slot& it, duration elapsed, time_point now);
+    /// Whether the adapter may be unloaded as soon as it is idle, and since when it counts as idle.
+    std::optional<time_point> evictable_at(const model_ref& adapter, const adapter_slot& it,
+                                           time_point now) const;
+    load_schedule schedule(time_point now) const;
     void reset();
     std::size_t loads_under_way(time_point now) const;
     std::size_t free_slots() const;
@@ -225,6 +250,7 @@
     endpoint_id engine_;
     engine_capacity capacity_;
     engine_controller_settings settings_;
+    adapter_load_times& load_times_;
     std::int64_t started_at_ms_ = 0;
     std::uint64_t sequence_ = 0;
     std::set<std::string> models_;
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -57,12 +58,16 @@
     std::uint64_t version = 0;
     /// Whether the engine has accepted the order already.
     bool ordered = true;
+    /// Whether the adapter is fetched from the weight store for this load.
+    bool is_fetched = false;
 };
 
 /// The engine's holder cannot load the adapter now.
 struct load_refusal {
     endpoint_id engine;
     model_ref adapter;
+    /// When the adapter could be usable, in milliseconds, if that is known.
+    std::optional<std::uint32_t> ready_in_ms;
 };
 
 /// Reports on the sender's copy of the platform's store, sent to the VMs of its availability zone.
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -36,11 +36,13 @@
 
 endpoint_chooser::endpoint_chooser(const endpoint_directory& directory,
                                    const endpoint_limits& limits, const adapter_table& adapters,
+                                   const adapter_load_times& load_times,
                                    const prefix_cache_index& prompts, const work_table& work,
                                    location own_location, choice_settings settings)
     : directory_(directory),
       limits_(limits),
       adapters_(adapters),
+      load_times_(load_times),
       prompts_(prompts),
       work_(work),
       location_(std::move(own_location)),
@@ -86,12 +88,11 @@
         return false;
     }
     out.needs_load = true;
-    const bool is_warm = adapters_.is_cached(it.id, target);
-    out.expected += is_warm ? settings_.warm_load + settings_.warm_eviction_cost
-                            : settings_.cold_load + settings_.eviction_cost;
-    if (!is_warm) {
-        out.expected += settings_.rank_penalty * static_cast<int>(rank);
-    }
+    const bool is_fetched = !adapters_.is_cached(it.id, target);
+    const duration load_time = load_times_.source(is_fetched).expected(request.fleet_loads + 1);
+    const double penalty =
+        settings_.eviction_cost + (is_fetched ? settings_.rank_penalty * rank : 0);
+    out.expected += std::chrono::duration_cast<duration>(load_time * (1 + penalty));
     return true;
 }
 
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -4,10 +4,20 @@
 #include <cmath>
 
 namespace radishpulley::routing {
+namespace {
+
+// Change of a ready time that other daemons are not told.
+constexpr duration announcement_tolerance = std::chrono::milliseconds(20);
+
+}  // namespace
 
 engine_controller::engine_controller(endpoint_id engine, engine_capacity capacity,
+                                     adapter_load_times& load_times,
                                      engine_controller_settings settings)
-    : engine_(std::move(engine)), capacity_(std::move(capacity)), settings_(settings) {}
+    : engine_(std::move(engine)),
+      capacity_(std::move(capacity)),
+      settings_(settings),
+      load_times_(load_times) {}
 
 void engine_controller::reset() {
     sequence_ = 0;
@@ -40,13 +50,63 @@
         return;
     }
     adapter_slot& it = found->second;
-    if (now < it.ready_at + settings_.late_load_window) {
-        it.ready_at = std::max(it.ready_at, now + settings_.late_load_step);
+    if (it.load) {
+        it.load->first_use.reset();
+    }
+    const bool may_be_late =
+        it.load && now - it.load->ordered_at <= it.load->expected * settings_.max_lateness;
+    if (may_be_late) {
+        // The request was sent when the adapter should have been usable, and reported later.
+        const time_point sent_at = std::min(now, it.ready_at);
+        postpone(it, sent_at - it.load->ordered_at, now);
         return;
     }
+    it.ready_at = std::max(it.ready_at, now + settings_.report_lag);
     request_report(now);
 }
 
+void engine_controller::postpone(adapter_slot& it, duration elapsed, time_point now) {
+    const observed_load& load = *it.load;
+    load_time_estimator& times = load_times_.source(load.is_fetched);
+    times.on_missing(load.concurrent_loads, elapsed, now);
+    const auto step = std::chrono::duration_cast<duration>(elapsed * settings_.late_load_step);
+    it.ready_at = std::max(
+        {it.ready_at, now + step, load.ordered_at + times.expected(load.concurrent_loads)});
+}
+
+std::vector<adapter_change> engine_controller::take_postponed(time_point now) {
+    std::vector<adapter_change> out;
+    for (auto& [name, it] : slots_) {
+        if (!it.load || it.load->first_use || it.leaving) {
+            continue;
+        }
+        const observed_load& load = *it.load;
+        const duration expected =
+            load_times_.source(load.is_fetched).expected(load.concurrent_loads);
+        if (expected > load.expected) {
+            it.ready_at = std::max(it.ready_at, load.ordered_at + expected);
+        }
+        if (it.ready_at > std::max(now, it.announced_ready_at + announcement_tolerance)) {
+            it.announced_ready_at = it.ready_at;
+            out.push_back({name, true, it.ready_at - now, it.version, load.is_fetched});
+        }
+    }
+    return out;
+}
+
+void engine_controller::advance(time_point now) {
+    for (auto& [name, it] : slots_) {
+        const bool is_confirmed = it.load && it.load->first_use &&
+                                  now >= *it.load->first_use + settings_.confirmation_delay;
+        if (is_confirmed) {
+            const observed_load& load = *it.load;
+            load_times_.source(load.is_fetched)
+                .on_present(load.concurrent_loads, *load.first_use - load.ordered_at, now);
+            it.load.reset();
+        }
+    }
+}
+
 void engine_controller::request_report(time_point now) {
     if (!needs_report_) {
         needs_report_ = true;
@@ -72,8 +132,7 @@
         models_.insert(model.name);
     }
     std::set<model_ref> held;
-    merge_reported(it.models, now, held);
-    merge_reported(it.pending, now + settings_.cold_load, held);
+    merge_reported(it, now, held);
     for (auto at = slots_.begin(); at != slots_.end();) {
         at = held.count(at->first) == 0 ? slots_.erase(at) : std::next(at);
     }
@@ -85,26 +144,45 @@
     }
 }
 
-void engine_controller::merge_reported(const std::vector<held_model>& models, time_point ready_at,
+void engine_controller::merge_reported(const engine_report& it, time_point now,
                                        std::set<model_ref>& held) {
-    for (const held_model& model : models) {
-        for (const held_adapter& adapter : model.adapters) {
-            const model_ref name{model.name, adapter.name};
-            held.insert(name);
-            const auto [at, added] = slots_.try_emplace(name);
-            if (added) {
-                at->second.ready_at = ready_at;
-                at->second.last_use = ready_at;
-                add_to_cache(name);
+    for (const bool is_pending : {false, true}) {
+        for (const held_model& model : is_pending ? it.pending : it.models) {
+            for (const held_adapter& adapter : model.adapters) {
+                const model_ref name{model.name, adapter.name};
+                held.insert(name);
+                merge_adapter(name, adapter.version, is_pending, now);
             }
-            at->second.version = std::max(at->second.version, adapter.version);
         }
     }
 }
 
+void engine_controller::merge_adapter(const model_ref& name, std::uint64_t version, bool is_pending,
+                                      time_point now) {
+    const auto [at, added] = slots_.try_emplace(name);
+    adapter_slot& it = at->second;
+    if (added) {
+        it.ready_at = is_pending ? now + load_times_.fetched.expected(1) : now;
+        it.last_use = it.ready_at;
+        add_to_cache(name);
+    }
+    // The report may be that old, so a pending load has run at least until then.
+    const time_point as_of = now - settings_.report_lag;
+    if (is_pending && it.load && as_of > it.load->ordered_at) {
+        postpone(it, as_of - it.load->ordered_at, now);
+    } else if (is_pending && !it.load) {
+        it.ready_at = std::max(it.ready_at, now + load_times_.fetched.expected(1));
+    }
+    it.version = std::max(it.version, version);
+}
+
 void engine_controller::on_version(const model_ref& adapter, std::uint64_t version) {
     std::uint64_t& newest = versions_[adapter];
-    newest = std::max(newest, version);
+    if (version > newest) {
+        newest = version;
+        // The cached copy is of an older version.
+        cached_.erase(std::remove(cached_.begin(), cached_.end(), adapter), cached_.end());
+    }
 }
 
 double engine_controller::decayed_use_rate(const adapter_slot& it, time_point now) const {
@@ -122,6 +200,9 @@
               1 / std::chrono::duration<double>(settings_.usage_window).count();
     it.last_use = now;
     it.used = true;
+    if (it.load && !it.load->first_use) {
+        it.load->first_use = now;
+    }
 }
 
 void engine_controller::on_running(const vm_id& daemon, const std::vector<model_ref>& adapters,
@@ -169,13 +250,7 @@
 
 duration engine_controller::expected_load_time(const model_ref& adapter,
                                                std::size_t fleet_loads) const {
-    if (is_cached(adapter)) {
-        return settings_.warm_load;
-    }
-    const double contention =
-        static_cast<double>(fleet_loads + 1) / static_cast<double>(settings_.full_speed_loads);
-    return std::chrono::duration_cast<duration>(
-        settings_.cold_load * std::clamp(contention, 1.0, settings_.max_slowdown));
+    return load_times_.source(!is_cached(adapter)).expected(fleet_loads + 1);
 }
 
 void engine_controller::add_to_cache(const model_ref& adapter) {
@@ -199,21 +274,65 @@
     const auto queued = std::find_if(pending_loads_.begin(), pending_loads_.end(),
                                      [&](const pending_load& it) { return it.adapter == adapter; });
     const std::size_t queue_position = queued - pending_loads_.begin();
-    const bool is_new = queued == pending_loads_.end();
-    if (is_new && free_slots() <= queue_position && !choose_victim(now)) {
-        return load_refused{load_obstacle::places_in_use};
-    }
-    const auto rounds =
-        static_cast<int>((loads_under_way(now) + queue_position) / settings_.max_parallel_loads);
-    const duration ready_in = expected_load_time(adapter, fleet_loads) * (1 + rounds) +
-                              (needs_report_ ? settings_.report_lag : duration::zero());
+    const load_response out =
+        response_for_queued(adapter, queue_position, fleet_loads, now, max_wait);
+    if (std::holds_alternative<load_refused>(out)) {
+        return out;
+    }
+    const time_point wanted_until =
+        max_wait > settings_.max_queue_time ? now + settings_.max_queue_time : now + max_wait;
+    if (queued == pending_loads_.end()) {
+        pending_loads_.push_back({adapter, wanted_until});
+    } else {
+        queued->wanted_until = std::max(queued->wanted_until, wanted_until);
+    }
+    return out;
+}
+
+load_response engine_controller::response_for_queued(const model_ref& adapter,
+                                                     std::size_t queue_position,
+                                                     std::size_t fleet_loads, time_point now,
+                                                     duration max_wait) const {
+    const time_point begin = needs_report_ ? now + settings_.report_lag : now;
+    load_schedule timetable = schedule(now);
+    for (std::size_t i = 0; i < queue_position; ++i) {
+        timetable.add(expected_load_time(pending_loads_[i].adapter, fleet_loads), begin);
+    }
+    const auto ready_at = timetable.add(expected_load_time(adapter, fleet_loads), begin);
+    if (!ready_at) {
+        return load_refused{load_obstacle::places_in_use, std::nullopt};
+    }
+    const duration ready_in = *ready_at - now;
     if (ready_in > max_wait) {
-        return load_refused{load_obstacle::many_waiting};
+        return load_refused{load_obstacle::many_waiting, ready_in};
     }
-    if (is_new) {
-        pending_loads_.push_back({adapter, now});
+    const auto newest = versions_.find(adapter);
+    return load_granted{ready_in, newest == versions_.end() ? 0 : newest->second};
+}
+
+load_schedule engine_controller::schedule(time_point now) const {
+    std::vector<time_point> places(free_slots(), now);
+    std::vector<time_point> load_slots(settings_.max_parallel_loads, now);
+    std::size_t loads = 0;
+    for (const auto& [name, it] : slots_) {
+        if (const auto at = evictable_at(name, it, now)) {
+            places.push_back(*at);
+        }
+        if (it.ready_at > now && loads < load_slots.size()) {
+            load_slots[loads++] = it.ready_at;
+        }
+    }
+    return load_schedule(places, load_slots);
+}
+
+std::optional<time_point> engine_controller::evictable_at(const model_ref& adapter,
+                                                          const adapter_slot& it,
+                                                          time_point now) const {
+    if (it.leaving || is_running(adapter, now)) {
+        return std::nullopt;
     }
-    return load_granted{ready_in, versions_.count(adapter) != 0 ? versions_[adapter] : 0};
+    const time_point unused_until = it.used ? it.ready_at : it.ready_at + settings_.min_residency;
+    return std::max(unused_until, it.last_use + settings_.eviction_idle);
 }
 
 load_response engine_controller::response_for_present(const model_ref& adapter, adapter_slot& it,
@@ -235,7 +354,7 @@
 
 void engine_controller::drop_settled_requests(time_point now) {
     const auto is_settled = [&](const pending_load& it) {
-        return now - it.since > settings_.load_request_lifetime || slots_.count(it.adapter) != 0;
+        return now > it.wanted_until || slots_.count(it.adapter) != 0;
     };
     pending_loads_.erase(std::remove_if(pending_loads_.begin(), pending_loads_.end(), is_settled),
                          pending_loads_.end());
@@ -245,9 +364,8 @@
     const model_ref* best = nullptr;
     double lowest = 0;
     for (const auto& [name, it] : slots_) {
-        const bool is_new = !it.used && now < it.ready_at + settings_.min_residency;
-        const bool is_pinned = it.leaving || it.ready_at > now || is_new;
-        if (is_pinned || now - it.last_use < settings_.eviction_idle || is_running(name, now)) {
+        const auto at = evictable_at(name, it, now);
+        if (!at || *at > now) {
             continue;
         }
         const double rate = is_outdated(name, it) ? -1 : decayed_use_rate(it, now);
@@ -329,9 +447,12 @@
 adapter_change engine_controller::apply_load(const engine_order& order, std::size_t fleet_loads,
                                              time_point now) {
     const bool is_fetched = !is_cached(order.target);
-    const duration load_time = expected_load_time(order.target, fleet_loads);
+    const duration load_time = load_times_.source(is_fetched).plan(fleet_loads + 1, now);
     adapter_slot& it = slots_[order.target];
     it.ready_at = now + load_time;
+    it.announced_ready_at = it.ready_at;
+    it.load = observed_load{now, expected_load_time(order.target, fleet_loads), fleet_loads + 1,
+                            is_fetched, std::nullopt};
     it.last_use = std::max(it.last_use, now);
     const auto newest = versions_.find(order.target);
     it.version = newest == versions_.end() ? it.version : newest->second;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -179,10 +179,11 @@
             },
             [](const adapter_hint& h) {
                 return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
-                                    h.version, h.ordered});
+                                    h.version, h.ordered, h.is_fetched});
             },
             [](const load_refusal& r) {
-                return json::array({"r", r.engine.str(), to_json(r.adapter)});
+                return json::array({"r", r.engine.str(), to_json(r.adapter),
+                                    r.ready_in_ms ? json(*r.ready_in_ms) : json()});
             },
             [](const store_reports& s) {
                 return json::array({"s", to_json(s)});
@@ -227,15 +228,19 @@
         return load_request{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>()};
     }
     if (kind == "h") {
-        return adapter_hint{engine,
-                            read_choice(in.at(2)),
-                            in.at(3).get<bool>(),
-                            in.at(4).get<std::uint32_t>(),
-                            in.at(5).get<std::uint64_t>(),
-                            in.at(6).get<bool>()};
+        return adapter_hint{engine, read_choice(in.at(2)), in.at(3).get<bool>(),
+                            in.at(4).get<std::uint32_t>(), in.at(5).get<std::uint64_t>(),
+                            in.at(6).get<bool>(),
+                            // Daemons of older releases do not tell.
+                            in.size() > 7 && in.at(7).get<bool>()};
     }
     if (kind == "r") {
-        return load_refusal{engine, read_choice(in.at(2))};
+        load_refusal out{engine, read_choice(in.at(2)), std::nullopt};
+        // Daemons of older releases send no time.
+        if (in.size() > 3 && !in.at(3).is_null()) {
+            out.ready_in_ms = in.at(3).get<std::uint32_t>();
+        }
+        return out;
     }
     findings found;
     found.add("hint", "unknown kind " + kind);
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -23,7 +23,6 @@
 #include "ownership/ownership_policy.h"
 #include "routing/adapter_usage_tracker.h"
 #include "routing/engine_controller.h"
-#include "routing/load_capacity_estimator.h"
 
 namespace radishpulley::edge {
 
@@ -62,8 +61,9 @@
     /// Hands over all held engines, because this VM is shutting down.
     void leave();
 
-    bool request_load(const endpoint_id& engine, const routing::model_ref& adapter,
-                      duration max_wait) override;
+    gateway::load_request_result request_load(const endpoint_id& engine,
+                                              const routing::model_ref& adapter,
+                                              duration max_wait) override;
     void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter) override;
     void note_large_prefill() override { on_large_prefill_(); }
     /// Sets the callback for a long prompt that was sent to an engine.
@@ -105,9 +105,8 @@
     /// Records that a held engine refused a request because it lacks the adapter.
     void record_missing(const endpoint_id& engine, routing::engine_controller& controller,
                         const routing::model_ref& adapter);
-    /// Records that a request for the adapter was sent to a held engine.
-    void record_use(const endpoint_id& engine, routing::engine_controller& controller,
-                    const routing::model_ref& adapter);
+    /// Tells all daemons of loads that take longer than announced.
+    void announce_postponed_loads();
     /// Reports the adapter usage by requests of this daemon to the engines' holders.
     void flush_usage();
     void report_usage(const endpoint_id& engine);
@@ -142,7 +141,6 @@
     std::map<endpoint_id, held_engine> held_engines_;
     std::map<routing::model_ref, std::uint64_t> versions_;
     routing::adapter_usage_tracker usage_;
-    routing::load_capacity_estimator load_capacity_;
     std::function<void()> on_large_prefill_ = [] {};
     std::function<void()> on_holders_confirmed_ = [] {};
     time_point last_flush_{};
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -125,7 +125,6 @@
 
 void load_coordinator::tick() {
     const time_point now = time_.now();
-    load_capacity_.advance(now);
     ensure_policy();
     if (policy_) {
         guard_->on_running(now);
@@ -143,7 +142,8 @@
         flush_usage();
     }
     std::vector<endpoint_id> engines;
-    for (const auto& [id, it] : held_engines_) {
+    for (auto& [id, it] : held_engines_) {
+        it.controller.advance(now);
         if (it.controller.has_work(now)) {
             engines.push_back(id);
         }
@@ -328,10 +328,8 @@
     held_engines_stale_ = false;
     held_engines_updated_ = now;
     const std::vector<const routing::endpoint*> endpoints = data_path_.directory().all();
-    std::size_t engines = 0;
     for (const routing::endpoint* it : endpoints) {
         const routing::engine_capacity* capacity = capacity_of(*it);
-        engines += capacity != nullptr ? 1 : 0;
         const bool holds = guard_ && guard_->may_act(holding_id_of(it->id), now).has_value();
         if (!holds || capacity == nullptr || it->draining) {
             held_engines_.erase(it->id);
@@ -340,17 +338,16 @@
         if (held_engines_.count(it->id) != 0) {
             continue;
         }
-        auto& held =
-            held_engines_
-                .emplace(it->id, held_engine{routing::engine_controller(it->id, *capacity)})
-                .first->second;
+        auto& held = held_engines_
+                         .emplace(it->id, held_engine{routing::engine_controller(
+                                              it->id, *capacity, data_path_.load_times())})
+                         .first->second;
         held.controller.on_entry(*it);
         for (const auto& [adapter, version] : versions_) {
             held.controller.on_version(adapter, version);
         }
         telemetry::log_event(severity::info, "holds_engine", {{"engine", it->id}});
     }
-    load_capacity_.set_engines(engines);
 }
 
 void load_coordinator::on_endpoint(const routing::endpoint& it) {
@@ -382,7 +379,6 @@
     if (held == held_engines_.end()) {
         return routing::load_refused{routing::load_obstacle::no_model};
     }
-    held->second.controller.set_full_speed_loads(load_capacity_.full_speed_loads());
     const time_point now = time_.now();
     const bool is_paused = data_path_.directory().pause_left(engine, now) > duration::zero();
     const routing::load_response answer =
@@ -401,30 +397,36 @@
     return answer;
 }
 
-bool load_coordinator::request_load(const endpoint_id& engine, const model_ref& adapter,
-                                    duration max_wait) {
+gateway::load_request_result load_coordinator::request_load(const endpoint_id& engine,
+                                                            const model_ref& adapter,
+                                                            duration max_wait) {
     if (held_engines_.count(engine) != 0) {
         const auto answer = load_on_held_engine(engine, adapter, max_wait);
-        const auto* granted = std::get_if<routing::load_granted>(&answer);
-        if (granted != nullptr) {
-            data_path_.on_adapter(engine, adapter,
-                                  {routing::adapter_state::loading, time_.now() + granted->ready_in,
-                                   granted->version, granted->ordered});
+        if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
+            return gateway::load_not_possible{refused->ready_in};
         }
-        return granted != nullptr;
+        const auto& granted = std::get<routing::load_granted>(answer);
+        data_path_.on_adapter(engine, adapter,
+                              {routing::adapter_state::loading, time_.now() + granted.ready_in,
+                               granted.version, granted.ordered});
+        return gateway::load_requested{};
     }
     const auto holder = holder_of(engine);
-    return holder && *holder != *fleet_.self() &&
-           fleet_.send(
-               holder->vm,
-               routing::load_request{engine, adapter, static_cast<std::uint32_t>(ms_of(max_wait))});
+    const bool is_sent =
+        holder && *holder != *fleet_.self() &&
+        fleet_.send(holder->vm, routing::load_request{engine, adapter,
+                                                      static_cast<std::uint32_t>(ms_of(max_wait))});
+    if (!is_sent) {
+        return gateway::load_not_possible{};
+    }
+    return gateway::load_requested{};
 }
 
 void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter) {
     const bool is_unreported = usage_.start(engine, adapter);
     const auto held = held_engines_.find(engine);
     if (held != held_engines_.end()) {
-        record_use(engine, held->second.controller, adapter);
+        held->second.controller.on_use(adapter, time_.now());
         held->second.controller.on_running(fleet_.self()->vm, usage_.running(engine), time_.now());
     } else if (is_unreported) {
         report_usage(engine);
@@ -484,7 +486,7 @@
                 const auto held = held_engines_.find(usage.engine);
                 if (held != held_engines_.end()) {
                     for (const model_ref& each : usage.sent) {
-                        record_use(usage.engine, held->second.controller, each);
+                        held->second.controller.on_use(each, now);
                     }
                     held->second.controller.on_running(it.from.vm, usage.running, now);
                 }
@@ -500,7 +502,12 @@
                                               static_cast<std::uint32_t>(ms_of(granted->ready_in)),
                                               granted->version, granted->ordered});
                 } else {
-                    fleet_.send(it.from.vm, routing::load_refusal{request.engine, request.adapter});
+                    const auto& refused = std::get<routing::load_refused>(answer);
+                    routing::load_refusal out{request.engine, request.adapter, std::nullopt};
+                    if (refused.ready_in) {
+                        out.ready_in_ms = static_cast<std::uint32_t>(ms_of(*refused.ready_in));
+                    }
+                    fleet_.send(it.from.vm, out);
                 }
             },
             [&](const routing::adapter_hint& hint) {
@@ -516,10 +523,19 @@
                             now + std::chrono::milliseconds(hint.ready_in_ms), hint.version,
                             hint.ordered};
                 }
+                if (hint.held && hint.ordered && hint.is_fetched) {
+                    data_path_.load_times().fetched.on_peer_estimate(
+                        data_path_.adapters().loads_under_way(now) + 1,
+                        std::chrono::milliseconds(hint.ready_in_ms));
+                }
                 data_path_.on_adapter(hint.engine, hint.adapter, view);
             },
             [&](const routing::load_refusal& refusal) {
-                data_path_.on_load_refused(refusal.engine, refusal.adapter);
+                std::optional<duration> ready_in;
+                if (refusal.ready_in_ms) {
+                    ready_in = std::chrono::milliseconds(*refusal.ready_in_ms);
+                }
+                data_path_.on_load_refused(refusal.engine, refusal.adapter, ready_in);
             }},
         it.body);
 }
@@ -595,28 +611,29 @@
                                      routing::order_outcome outcome) {
     const time_point now = time_.now();
     const std::size_t fleet_loads = data_path_.adapters().loads_under_way(now);
-    controller.set_full_speed_loads(load_capacity_.full_speed_loads());
     const auto change = controller.on_outcome(outcome, fleet_loads, now);
     if (!change) {
         return;
     }
-    if (change->is_fetched) {
-        load_capacity_.on_ordered(engine, change->adapter, fleet_loads, now + change->ready_in);
-    }
     announce_change(engine, *change);
 }
 
 void load_coordinator::record_missing(const endpoint_id& engine,
                                       routing::engine_controller& controller,
                                       const model_ref& adapter) {
-    load_capacity_.on_missing(engine, adapter, time_.now());
     controller.on_missing(adapter, time_.now());
+    telemetry::log_event(severity::info, "adapter_missing",
+                         {{"engine", engine}, {"adapter", adapter.adapter}});
+    announce_postponed_loads();
 }
 
-void load_coordinator::record_use(const endpoint_id& engine, routing::engine_controller& controller,
-                                  const model_ref& adapter) {
-    load_capacity_.on_use(engine, adapter, time_.now());
-    controller.on_use(adapter, time_.now());
+void load_coordinator::announce_postponed_loads() {
+    const time_point now = time_.now();
+    for (auto& [engine, it] : held_engines_) {
+        for (const routing::adapter_change& change : it.controller.take_postponed(now)) {
+            announce_change(engine, change);
+        }
+    }
 }
 
 void load_coordinator::announce_change(const endpoint_id& engine,
@@ -628,7 +645,7 @@
     data_path_.on_adapter(engine, change.adapter, view);
     fleet_.broadcast(routing::adapter_hint{engine, change.adapter, change.held,
                                            static_cast<std::uint32_t>(ms_of(change.ready_in)),
-                                           change.version});
+                                           change.version, true, change.is_fetched});
 }
 
 void load_coordinator::leave() {
