Endpoint choice: the costs of a choice are no time, planned loads are not in progress

Cause: with slow loads, requests were refused as would_be_late on arrival, because the penalties for evictions and ranks, which scale with the load time, counted as time until the first event. Loads that were only queued counted as concurrent, which moved the expected load time to a saturated level. Change: the choice keeps expected time and penalty apart; only ordered loads count as in progress.

--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -49,7 +49,8 @@
     adapter_view view(const endpoint_id& engine, const model_ref& adapter, time_point now) const;
     /// Whether the engine holds the base model.
     bool has_model(const endpoint_id& engine, const std::string& model) const;
-    /// Returns how many adapters are loading at all engines.
+    /// Returns how many adapters are loading at all engines; loads that are only planned don't
+    /// count.
     std::size_t loads_under_way(time_point now) const;
     /// Whether the engine probably has a cached copy of the adapter, so that it loads fast.
     bool is_cached(const endpoint_id& engine, const model_ref& adapter) const;
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -1,4 +1,5 @@
-/// Selects the endpoint at which a request's first event is expected soonest.
+/// Selects the endpoint at which a request's first event is expected soonest, with penalties for
+/// choices that cost other requests time.
 ///
 /// The estimate adds up the adapter's load time, the prompts queued ahead, the part of the
 /// request's own prompt that the engine has not cached, the delay for a free request slot or for
@@ -70,6 +71,8 @@
     std::optional<time_point> ready_at;
     /// Expected time until the first event.
     duration expected{};
+    /// Cost of this choice to other requests, and for its risks, in time.
+    duration penalty{};
     /// Prompt tokens that the engine has to prefill.
     std::uint32_t unread_tokens = 0;
     /// Prefill work for them, in tokens of a short prompt.
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -102,10 +102,10 @@
     std::size_t n = 0;
     for (const auto& [engine, row] : engines_) {
         for (const auto& [adapter, adapter_record] : row.adapters) {
-            n += adapter_record.view.state == adapter_state::loading &&
-                         adapter_record.view.ready_at > now
-                     ? 1
-                     : 0;
+            const adapter_view& it = adapter_record.view;
+            const bool is_loading =
+                it.state == adapter_state::loading && it.ordered && it.ready_at > now;
+            n += is_loading ? 1 : 0;
         }
     }
     return n;
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -74,7 +74,7 @@
     const bool outdated =
         replaced && now - adapters_.announced_at(target) > settings_.old_version_lifetime;
     if (replaced) {
-        out.expected += settings_.old_version_penalty;
+        out.penalty += settings_.old_version_penalty;
     }
     if (view.state == adapter_state::loaded && !outdated) {
         return true;
@@ -92,7 +92,8 @@
     const duration load_time = load_times_.source(is_fetched).expected(request.fleet_loads + 1);
     const double penalty =
         settings_.eviction_cost + (is_fetched ? settings_.rank_penalty * rank : 0);
-    out.expected += std::chrono::duration_cast<duration>(load_time * (1 + penalty));
+    out.expected += load_time;
+    out.penalty += std::chrono::duration_cast<duration>(load_time * penalty);
     return true;
 }
 
@@ -142,7 +143,7 @@
     }
     out.expected += queueing_delay(it, request) + distance(it);
     if (directory_.is_deprioritized(it.id, now)) {
-        out.expected += settings_.failure_penalty;
+        out.penalty += settings_.failure_penalty;
     }
     return out;
 }
@@ -160,7 +161,7 @@
             continue;
         }
         const auto it = estimate(*endpoints[rank], request, rank, now);
-        if (it && (!best || it->expected < best->expected)) {
+        if (it && (!best || it->expected + it->penalty < best->expected + best->penalty)) {
             best = it;
         }
     }
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -169,6 +169,19 @@
     BOOST_TEST(choose()->id.str() == "e3");
 }
 
+// Guards against requests that are refused as too late because the cost of a load to other requests
+// counts as time, while loads are slow.
+BOOST_FIXTURE_TEST_CASE(the_expected_time_of_a_slow_load_contains_no_penalties, fixture) {
+    for (int i = 0; i < 10; ++i) {
+        load_times.fetched.on_missing(1, load_times.fetched.expected(1), start);
+    }
+    const auto it = choose();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->needs_load);
+    BOOST_TEST((it->expected < load_times.fetched.expected(1) + milliseconds(300)));
+    BOOST_TEST((it->penalty > load_times.fetched.expected(1) / 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
