Load times: shared between VMs with their concurrency; shorter times tried by the fleet, not by each VM

Other VMs took what was left of a postponed load for the duration of a load. Change: hints carry the expected duration and the concurrent loads it is for, once per order; a VM without an observation of the last ten seconds takes it. Estimates are exported as metrics; a change by more than half and ignored observations are logged. Ruled out: waiting less for the retry budget (the waits follow from the rejections).

--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -129,8 +129,10 @@
     bool held = false;
     duration ready_in{};
     std::uint64_t version = 0;
-    /// The adapter is fetched from the weight store instead of the engine's own cache.
-    bool is_fetched = false;
+    /// For an adapter that is fetched from the weight store, the expected duration of such a load
+    /// and the concurrent loads that it was estimated for; zero otherwise.
+    duration load_time{};
+    std::size_t concurrent_loads = 0;
 };
 
 /// Manages the adapter slots of one engine.
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -58,8 +58,10 @@
     std::uint64_t version = 0;
     /// Whether the engine has accepted the order already.
     bool ordered = true;
-    /// Whether the adapter is fetched from the weight store for this load.
-    bool is_fetched = false;
+    /// Expected duration of this load in milliseconds and the concurrent loads that it was
+    /// estimated for, if the adapter is fetched from the weight store; 0 otherwise.
+    std::uint32_t load_time_ms = 0;
+    std::uint32_t concurrent_loads = 0;
 };
 
 /// The engine's holder cannot load the adapter now.
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -88,7 +88,7 @@
         }
         if (it.ready_at > std::max(now, it.announced_ready_at + announcement_tolerance)) {
             it.announced_ready_at = it.ready_at;
-            out.push_back({name, true, it.ready_at - now, it.version, load.is_fetched});
+            out.push_back({name, true, it.ready_at - now, it.version});
         }
     }
     return out;
@@ -447,17 +447,24 @@
 adapter_change engine_controller::apply_load(const engine_order& order, std::size_t fleet_loads,
                                              time_point now) {
     const bool is_fetched = !is_cached(order.target);
-    const duration load_time = load_times_.source(is_fetched).plan(fleet_loads + 1, now);
+    const std::size_t loads = fleet_loads + 1;
+    load_time_estimator& times = load_times_.source(is_fetched);
+    const duration expected = times.expected(loads);
+    const duration ready_in = times.plan(loads, now);
     adapter_slot& it = slots_[order.target];
-    it.ready_at = now + load_time;
+    it.ready_at = now + ready_in;
     it.announced_ready_at = it.ready_at;
-    it.load = observed_load{now, expected_load_time(order.target, fleet_loads), fleet_loads + 1,
-                            is_fetched, std::nullopt};
+    it.load = observed_load{now, expected, loads, is_fetched, std::nullopt};
     it.last_use = std::max(it.last_use, now);
     const auto newest = versions_.find(order.target);
     it.version = newest == versions_.end() ? it.version : newest->second;
     add_to_cache(order.target);
-    return {order.target, true, load_time, it.version, is_fetched};
+    adapter_change out{order.target, true, ready_in, it.version};
+    if (is_fetched) {
+        out.load_time = expected;
+        out.concurrent_loads = loads;
+    }
+    return out;
 }
 
 adapter_change engine_controller::apply_unload(const engine_order& order, bool at_once,
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -179,7 +179,7 @@
             },
             [](const adapter_hint& h) {
                 return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
-                                    h.version, h.ordered, h.is_fetched});
+                                    h.version, h.ordered, h.load_time_ms, h.concurrent_loads});
             },
             [](const load_refusal& r) {
                 return json::array({"r", r.engine.str(), to_json(r.adapter),
@@ -228,11 +228,20 @@
         return load_request{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>()};
     }
     if (kind == "h") {
-        return adapter_hint{engine, read_choice(in.at(2)), in.at(3).get<bool>(),
-                            in.at(4).get<std::uint32_t>(), in.at(5).get<std::uint64_t>(),
-                            in.at(6).get<bool>(),
-                            // Daemons of older releases do not tell.
-                            in.size() > 7 && in.at(7).get<bool>()};
+        adapter_hint out{engine,
+                         read_choice(in.at(2)),
+                         in.at(3).get<bool>(),
+                         in.at(4).get<std::uint32_t>(),
+                         in.at(5).get<std::uint64_t>(),
+                         in.at(6).get<bool>(),
+                         0,
+                         0};
+        // Daemons of older releases send no load time.
+        if (in.size() > 8) {
+            out.load_time_ms = in.at(7).get<std::uint32_t>();
+            out.concurrent_loads = in.at(8).get<std::uint32_t>();
+        }
+        return out;
     }
     if (kind == "r") {
         load_refusal out{engine, read_choice(in.at(2)), std::nullopt};
--- a/libs/routing/src/load_time_estimator.cpp
+++ b/libs/routing/src/load_time_estimator.cpp
@@ -26,6 +26,11 @@
 
 adapter_load_times::adapter_load_times() : cached(cached_settings()) {}
 
+void adapter_load_times::set_vms(std::size_t n) {
+    fetched.set_vms(n);
+    cached.set_vms(n);
+}
+
 load_time_estimator::load_time_estimator(load_time_settings settings)
     : settings_(settings), probe_interval_(settings.probe_interval) {}
 
@@ -38,8 +43,10 @@
     return index;
 }
 
-bool load_time_estimator::is_valid(duration elapsed) const {
-    return elapsed > duration::zero() && elapsed <= settings_.max;
+bool load_time_estimator::check(duration it) {
+    const bool is_valid = it > duration::zero() && it <= settings_.max;
+    ignored_ += is_valid ? 0 : 1;
+    return is_valid;
 }
 
 duration load_time_estimator::extrapolate(std::size_t index) const {
@@ -69,7 +76,7 @@
     const std::size_t index = index_of(loads);
     duration out = extrapolate(index);
     for (std::size_t i = index + 1; i < level_count; ++i) {
-        if (levels_[i] && levels_[i]->is_own) {
+        if (levels_[i]) {
             out = std::min(out, levels_[i]->estimate);
         }
     }
@@ -99,49 +106,46 @@
 duration load_time_estimator::plan(std::size_t loads, time_point now) {
     const duration estimate = expected(loads);
     const duration lowest = lower_bound(index_of(loads), now);
-    const bool is_close = estimate <= scale(lowest, settings_.probe_margin);
+    const duration shorter =
+        std::max(scale(estimate, settings_.probe_fraction), (lowest + estimate) / 2);
     if (!next_probe_) {
-        next_probe_ = now + probe_interval_;
+        next_probe_ = probe_after(now);
     }
-    if (now < *next_probe_ || is_close) {
+    if (now < *next_probe_ || estimate - shorter < settings_.min_probe_gain) {
         return estimate;
     }
-    next_probe_ = now + probe_interval_;
-    return std::max(scale(estimate, settings_.probe_fraction), (lowest + estimate) / 2);
+    next_probe_ = probe_after(now);
+    return shorter;
 }
 
-bool load_time_estimator::on_present(std::size_t loads, duration elapsed, time_point now) {
-    if (!is_valid(elapsed)) {
-        return false;
+void load_time_estimator::on_present(std::size_t loads, duration elapsed, time_point now) {
+    if (!check(elapsed)) {
+        return;
     }
     level& it = level_at(loads);
-    it.is_own = true;
+    it.own_until = now + settings_.own_priority;
     if (elapsed < it.estimate) {
         it.estimate = std::max(elapsed, settings_.min);
-        next_probe_ = now;
         probe_interval_ = settings_.probe_interval;
     }
-    return true;
 }
 
-bool load_time_estimator::on_missing(std::size_t loads, duration elapsed, time_point now) {
-    if (!is_valid(elapsed)) {
-        return false;
+void load_time_estimator::on_missing(std::size_t loads, duration elapsed, time_point now) {
+    if (!check(elapsed)) {
+        return;
     }
     level& it = level_at(loads);
-    it.is_own = true;
+    it.own_until = now + settings_.own_priority;
     const bool is_remembered = now < it.missing_until;
     it.missing_at = is_remembered ? std::max(it.missing_at, elapsed) : elapsed;
     it.missing_until = now + settings_.memory;
     if (elapsed < it.estimate) {
         probe_interval_ = std::min(probe_interval_ * 2, settings_.max_probe_interval);
-        next_probe_ = now + probe_interval_;
-        return true;
+        next_probe_ = probe_after(now);
+        return;
     }
     it.estimate = std::clamp(scale(elapsed, settings_.growth), settings_.min, settings_.max);
-    next_probe_ = now + settings_.probe_interval;
     raise_above(index_of(loads), elapsed, it.estimate);
-    return true;
 }
 
 void load_time_estimator::raise_above(std::size_t index, duration elapsed, duration estimate) {
@@ -152,15 +156,14 @@
     }
 }
 
-bool load_time_estimator::on_peer_estimate(std::size_t loads, duration expected) {
-    if (!is_valid(expected)) {
-        return false;
+void load_time_estimator::on_peer_estimate(std::size_t loads, duration expected, time_point now) {
+    if (!check(expected)) {
+        return;
     }
     level& it = level_at(loads);
-    if (!it.is_own) {
+    if (now >= it.own_until) {
         it.estimate = std::clamp(expected, settings_.min, settings_.max);
     }
-    return true;
 }
 
 }  // namespace radishpulley::routing
--- a/libs/routing/tests/engine_controller_tests.cpp
+++ b/libs/routing/tests/engine_controller_tests.cpp
@@ -296,6 +296,8 @@
     const auto postponed = f.controller.take_postponed(f.now);
     BOOST_REQUIRE(postponed.size() == 2U);
     BOOST_TEST((postponed[1].ready_in > milliseconds(160)));
+    // What is left of a load tells other daemons nothing about the duration of loads.
+    BOOST_TEST((postponed[1].load_time == duration::zero()));
     BOOST_TEST(f.controller.take_postponed(f.now).empty());
 }
 
@@ -400,7 +402,7 @@
     BOOST_REQUIRE(f.controller.next_order(f.now).has_value());
     const auto change = f.controller.on_outcome(order_outcome::accepted, 0, f.now);
     BOOST_REQUIRE(change.has_value());
-    BOOST_TEST(change->is_fetched);
+    BOOST_TEST((change->load_time > duration::zero()));
 }
 
 BOOST_AUTO_TEST_CASE(a_request_that_crossed_an_unload_triggers_no_report) {
--- a/libs/routing/tests/load_time_estimator_tests.cpp
+++ b/libs/routing/tests/load_time_estimator_tests.cpp
@@ -142,26 +142,29 @@
     BOOST_TEST((estimator.expected(1) == before));
 }
 
-BOOST_AUTO_TEST_CASE(estimates_of_peers_are_used_until_there_are_observations) {
+BOOST_AUTO_TEST_CASE(estimates_of_peers_are_used_without_recent_observations) {
     load_time_estimator estimator;
-    estimator.on_peer_estimate(4, milliseconds(900));
+    estimator.on_peer_estimate(4, milliseconds(900), start);
     BOOST_TEST((estimator.expected(4) == milliseconds(900)));
     estimator.on_present(4, milliseconds(500), start);
     const duration own = estimator.expected(4);
-    estimator.on_peer_estimate(4, milliseconds(2'000));
+    estimator.on_peer_estimate(4, milliseconds(2'000), start);
     BOOST_TEST((estimator.expected(4) == own));
+    estimator.on_peer_estimate(4, milliseconds(2'000), start + seconds(60));
+    BOOST_TEST((estimator.expected(4) == milliseconds(2'000)));
 }
 
 // Guards against a clock that jumps or a load that never ends.
 BOOST_AUTO_TEST_CASE(observations_outside_of_the_bounds_are_ignored) {
     load_time_estimator estimator;
     const duration before = estimator.expected(1);
-    BOOST_TEST(!estimator.on_missing(1, std::chrono::hours(20), start));
-    BOOST_TEST(!estimator.on_missing(1, milliseconds(-5), start));
-    BOOST_TEST(!estimator.on_present(1, duration::zero(), start));
-    BOOST_TEST(!estimator.on_present(0, milliseconds(-1), start));
-    BOOST_TEST(!estimator.on_peer_estimate(1, duration::max()));
+    estimator.on_missing(1, std::chrono::hours(20), start);
+    estimator.on_missing(1, milliseconds(-5), start);
+    estimator.on_present(1, duration::zero(), start);
+    estimator.on_present(0, milliseconds(-1), start);
+    estimator.on_peer_estimate(1, duration::max(), start);
     BOOST_TEST((estimator.expected(1) == before));
+    BOOST_TEST(estimator.ignored() == 5U);
     for (int i = 0; i < 100; ++i) {
         estimator.on_missing(100'000, estimator.expected(100'000), start);
     }
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -42,6 +42,8 @@
     const time_point later = start + milliseconds(250);
     BOOST_TEST((it.view(engine, plans, later).state == adapter_state::loaded));
     BOOST_TEST(it.loads_under_way(later) == 0U);
+    it.on_hint(engine, plans, {adapter_state::loading, later + milliseconds(250), 1, false}, later);
+    BOOST_TEST(it.loads_under_way(later) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_delayed_directory_does_not_override_a_fresh_hint) {
@@ -197,11 +199,17 @@
     const auto request = decode_hint(encode({{vm_id("v"), 7}, load_request{engine, plans, 900}}));
     BOOST_TEST((std::get<load_request>(request.body).adapter == plans));
     BOOST_TEST(std::get<load_request>(request.body).max_wait_ms == 900U);
-    const auto adapter_update =
-        decode_hint(encode({{vm_id("v"), 7}, adapter_hint{engine, plans, true, 5, 2}}));
-    BOOST_TEST(std::get<adapter_hint>(adapter_update.body).ready_in_ms == 5U);
-    const auto refusal = decode_hint(encode({{vm_id("v"), 7}, load_refusal{engine, plans}}));
+    const auto adapter_update = decode_hint(
+        encode({{vm_id("v"), 7}, adapter_hint{engine, plans, true, 5, 2, true, 250, 3}}));
+    const auto& load = std::get<adapter_hint>(adapter_update.body);
+    BOOST_TEST(load.ready_in_ms == 5U);
+    BOOST_TEST(load.load_time_ms == 250U);
+    BOOST_TEST(load.concurrent_loads == 3U);
+    const auto refusal = decode_hint(encode({{vm_id("v"), 7}, load_refusal{engine, plans, 70}}));
     BOOST_TEST((std::get<load_refusal>(refusal.body).engine == engine));
+    BOOST_TEST(*std::get<load_refusal>(refusal.body).ready_in_ms == 70U);
+    const auto unknown = decode_hint(encode({{vm_id("v"), 7}, load_refusal{engine, plans, {}}}));
+    BOOST_TEST(!std::get<load_refusal>(unknown.body).ready_in_ms.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(corrupt_hints_are_rejected) {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -14,6 +14,7 @@
 #include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
+#include "edge/load_time_monitor.h"
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
@@ -463,6 +464,8 @@
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
+        load_times_.update(data_path_.load_times(),
+                           data_path_.adapters().loads_under_way(time_.now()));
         set_age("configuration", configuration_);
         set_age("endpoints", endpoints_);
         set_age("versions", versions_);
@@ -561,6 +564,7 @@
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
         "belief_age_seconds", "Time since the store last confirmed what is known.", {"what"});
+    load_time_monitor load_times_{metrics_};
     platform_adapter::wire_header_codec codec_;
     gateway::gateway data_path_;
     platform_adapter::wire_object_collections store_;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -128,6 +128,7 @@
     ensure_policy();
     if (policy_) {
         guard_->on_running(now);
+        data_path_.load_times().set_vms(fleet_.serving(now).size());
         if (guard_->needs_revalidation()) {
             reread_holders();
         }
@@ -390,6 +391,8 @@
                              {{"engine", engine},
                               {"adapter", adapter.adapter},
                               {"obstacle", name_of(refused->obstacle)},
+                              {"ready_in_ms", refused->ready_in ? ms_of(*refused->ready_in) : -1},
+                              {"max_wait_ms", ms_of(max_wait)},
                               {"places", held->second.controller.adapter_count()},
                               {"running", held->second.controller.running_count(now)}});
     }
@@ -523,10 +526,9 @@
                             now + std::chrono::milliseconds(hint.ready_in_ms), hint.version,
                             hint.ordered};
                 }
-                if (hint.held && hint.ordered && hint.is_fetched) {
+                if (hint.load_time_ms > 0) {
                     data_path_.load_times().fetched.on_peer_estimate(
-                        data_path_.adapters().loads_under_way(now) + 1,
-                        std::chrono::milliseconds(hint.ready_in_ms));
+                        hint.concurrent_loads, std::chrono::milliseconds(hint.load_time_ms), now);
                 }
                 data_path_.on_adapter(hint.engine, hint.adapter, view);
             },
@@ -643,9 +645,10 @@
         view = {routing::adapter_state::loading, time_.now() + change.ready_in, change.version};
     }
     data_path_.on_adapter(engine, change.adapter, view);
-    fleet_.broadcast(routing::adapter_hint{engine, change.adapter, change.held,
-                                           static_cast<std::uint32_t>(ms_of(change.ready_in)),
-                                           change.version, true, change.is_fetched});
+    fleet_.broadcast(routing::adapter_hint{
+        engine, change.adapter, change.held, static_cast<std::uint32_t>(ms_of(change.ready_in)),
+        change.version, true, static_cast<std::uint32_t>(ms_of(change.load_time)),
+        static_cast<std::uint32_t>(change.concurrent_loads)});
 }
 
 void load_coordinator::leave() {
