Loads: engines whose holder is silent or missing are passed over

Change: only refusals that holders sent count; engines without a holder are skipped, and a holder that left a load request unanswered is not asked for a second unless it answers. Ruled out: more tries of the same kind (450 ms for each dead holder's engine).

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -47,8 +47,8 @@
     /// Fraction of the time until its caller gives up for which a request may wait for its adapter;
     /// the rest is for running it.
     double max_load_wait_share = 0.75;
-    /// Number of engines that are asked for a prompt load. If all of them refuse, the request waits
-    /// at the one that can load its adapter first.
+    /// Number of engines whose holders may refuse a prompt load. Then the request waits at the one
+    /// that can load its adapter first.
     std::size_t max_load_refusals = 3;
     /// Longest wait at the first engines, as a multiple of an undelayed load's time.
     double prompt_load_limit = 3;
@@ -99,6 +99,10 @@
     virtual load_request_result request_load(const endpoint_id& engine,
                                              const routing::model_ref& adapter,
                                              duration max_wait) = 0;
+    /// Whether a VM that can order the engine's loads is known and answers.
+    virtual bool can_request_load(const endpoint_id& engine) const = 0;
+    /// A load request for this engine was not answered.
+    virtual void note_load_unanswered(const endpoint_id& engine) = 0;
     /// A request for the adapter is being sent to the engine.
     virtual void note_request_start(const endpoint_id& engine,
                                     const routing::model_ref& adapter) = 0;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -73,6 +73,8 @@
     /// Time until a load at the soonest engine would end early enough for a request like this one.
     duration load_backlog() const;
     void note_refused_load(const endpoint_id& engine, std::optional<duration> ready_in);
+    /// Continues without the engines whose loads nobody can order at present.
+    void skip_unloadable_engines();
     /// Counts this request in the endpoint's load, also while it waits for an adapter.
     void reserve_work(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
@@ -144,6 +146,8 @@
     /// Set after a kept connection failed this request, as other kept connections may fail too.
     bool avoids_kept_connections_ = false;
     std::set<endpoint_id> load_refused_by_;
+    /// Number of refusals that holders sent.
+    std::size_t load_refusals_ = 0;
     /// When engines that refused to load the adapter soon could have loaded it.
     std::map<endpoint_id, time_point> possible_loads_;
     /// Whether the request waits for its adapter as long as its deadline allows, because no engine
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -58,7 +58,7 @@
 }
 
 std::optional<routing::endpoint_choice> exchange::choose_endpoint() const {
-    const bool may_load = load_refused_by_.size() < owner_.settings_.max_load_refusals;
+    const bool may_load = load_refusals_ < owner_.settings_.max_load_refusals;
     const routing::choice_request wanted{attributes_,      *service_, excluded_,
                                          load_refused_by_, may_load,  owner_.fleet_loads()};
     return owner_.chooser_.choose(wanted, owner_.time_.now());
@@ -120,14 +120,30 @@
     wait_timer_.async_wait([weak = weak_from_this(), id = it.id](const error_code& ec) {
         const auto waiter = weak.lock();
         if (!ec && waiter && waiter->phase_ == phase::asking_for_load) {
-            waiter->on_load_refused(id, std::nullopt);
+            waiter->owner_.broker_->note_load_unanswered(id);
+            waiter->skip_unloadable_engines();
         }
     });
     const duration max_wait = accepts_long_wait_ ? load_wait_limit() : prompt_load_limit();
     const auto result = owner_.broker_->request_load(it.id, attributes_.target, max_wait);
     if (const auto* refused = std::get_if<load_not_possible>(&result)) {
-        on_load_refused(it.id, refused->ready_in);
+        if (refused->ready_in || owner_.broker_->can_request_load(it.id)) {
+            on_load_refused(it.id, refused->ready_in);
+        } else {
+            skip_unloadable_engines();
+        }
+    }
+}
+
+void exchange::skip_unloadable_engines() {
+    wait_timer_.cancel();
+    load_refused_by_.insert(endpoint_);
+    for (const routing::endpoint* it : owner_.directory_.usable(service_->id)) {
+        if (!owner_.broker_->can_request_load(it->id)) {
+            load_refused_by_.insert(it->id);
+        }
     }
+    find_endpoint();
 }
 
 duration exchange::load_wait_limit() const {
@@ -165,6 +181,7 @@
 
 void exchange::note_refused_load(const endpoint_id& engine, std::optional<duration> ready_in) {
     load_refused_by_.insert(engine);
+    ++load_refusals_;
     possible_loads_.erase(engine);
     if (ready_in) {
         possible_loads_[engine] = owner_.time_.now() + *ready_in;
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,12 @@
     std::function<load_request_result(const endpoint_id&, const routing::model_ref&, duration)>
         on_load_request = [](const endpoint_id&, const routing::model_ref&,
                              duration) -> load_request_result { return load_not_possible{}; };
+    bool can_request_load(const endpoint_id& engine) const override {
+        return silent.count(engine) == 0;
+    }
+    void note_load_unanswered(const endpoint_id& engine) override { silent.insert(engine); }
+    /// Engines whose holder does not answer.
+    std::set<endpoint_id> silent;
     void note_request_start(const endpoint_id&, const routing::model_ref&) override {}
     void note_large_prefill() override {}
     void note_request_end(const endpoint_id&, const routing::model_ref&) override { ++ended; }
--- a/libs/gateway/tests/load_waiting_tests.cpp
+++ b/libs/gateway/tests/load_waiting_tests.cpp
@@ -105,6 +105,35 @@
     BOOST_TEST(asked.size() == 2U);
 }
 
+// Guards against a refusal after half a second, while the VMs that order the loads of three engines
+// are gone and the fourth engine has a free place.
+BOOST_FIXTURE_TEST_CASE(engines_whose_holder_is_silent_are_passed_over, fixture) {
+    broker().on_load_request = [&](const endpoint_id& id, const routing::model_ref& it,
+                                   duration max_wait) -> load_request_result {
+        if (asked.size() < engine_count - 1) {
+            ++asked[id.str()];
+            return load_requested{};
+        }
+        return answer(id, it, milliseconds(20), max_wait);
+    };
+    BOOST_TEST(ends_with(send("4000"), "done"));
+    BOOST_TEST(asked.size() == engine_count);
+    BOOST_TEST(broker().silent.size() == engine_count - 1U);
+    // The next request knows.
+    asked.clear();
+    broker().on_load_request = [&](const endpoint_id& id, const routing::model_ref& it,
+                                   duration max_wait) -> load_request_result {
+        ++asked[id.str()];
+        if (broker().silent.count(id) != 0) {
+            return load_not_possible{};
+        }
+        return answer(id, it, milliseconds(20), max_wait);
+    };
+    proxy().adapters().on_missing(endpoint_id(sent_to.front()), {"m", "a"}, time.now());
+    BOOST_TEST(ends_with(send("4000"), "done"));
+    BOOST_TEST(asked.size() <= 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/routing/src/load_time_estimator.cpp
+++ b/libs/routing/src/load_time_estimator.cpp
@@ -86,9 +86,9 @@
 load_time_estimator::level& load_time_estimator::level_at(std::size_t loads) {
     const std::size_t index = index_of(loads);
     if (!levels_[index]) {
-        const duration estimate = expected(loads);
-        levels_[index].emplace();
-        levels_[index]->estimate = estimate;
+        level it;
+        it.estimate = expected(loads);
+        levels_[index] = it;
     }
     return *levels_[index];
 }
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -64,6 +64,8 @@
     gateway::load_request_result request_load(const endpoint_id& engine,
                                               const routing::model_ref& adapter,
                                               duration max_wait) override;
+    bool can_request_load(const endpoint_id& engine) const override;
+    void note_load_unanswered(const endpoint_id& engine) override;
     void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter) override;
     void note_large_prefill() override { on_large_prefill_(); }
     /// Sets the callback for a long prompt that was sent to an engine.
@@ -139,6 +141,8 @@
     std::map<ownership::shard_index, ownership::shard> shards_;
     std::set<ownership::shard_index> writes_in_flight_;
     std::map<endpoint_id, held_engine> held_engines_;
+    /// VMs that left a load request unanswered, and until when they are not asked again.
+    std::map<vm_id, time_point> silent_holders_;
     std::map<routing::model_ref, std::uint64_t> versions_;
     routing::adapter_usage_tracker usage_;
     std::function<void()> on_large_prefill_ = [] {};
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -24,6 +24,8 @@
 constexpr duration held_engines_interval = std::chrono::milliseconds(500);
 // Minimum time between two reads of the holders after a pause of this process.
 constexpr duration reread_interval = std::chrono::milliseconds(500);
+// Time for which a holder that left a load request unanswered is not asked, unless it answers.
+constexpr duration silence_memory = std::chrono::seconds(1);
 constexpr duration flush_interval = std::chrono::milliseconds(400);
 
 gateway::follower_settings holders_follower_settings() {
@@ -416,7 +418,7 @@
     }
     const auto holder = holder_of(engine);
     const bool is_sent =
-        holder && *holder != *fleet_.self() &&
+        can_request_load(engine) &&
         fleet_.send(holder->vm, routing::load_request{engine, adapter,
                                                       static_cast<std::uint32_t>(ms_of(max_wait))});
     if (!is_sent) {
@@ -425,6 +427,26 @@
     return gateway::load_requested{};
 }
 
+bool load_coordinator::can_request_load(const endpoint_id& engine) const {
+    if (held_engines_.count(engine) != 0) {
+        return true;
+    }
+    const auto holder = holder_of(engine);
+    if (!holder || *holder == *fleet_.self()) {
+        return false;
+    }
+    const auto silent = silent_holders_.find(holder->vm);
+    return silent == silent_holders_.end() || time_.now() >= silent->second;
+}
+
+void load_coordinator::note_load_unanswered(const endpoint_id& engine) {
+    if (const auto holder = holder_of(engine)) {
+        silent_holders_[holder->vm] = time_.now() + silence_memory;
+        telemetry::log_event(severity::info, "load_unanswered",
+                             {{"engine", engine}, {"holder", holder->vm}});
+    }
+}
+
 void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter) {
     const bool is_unreported = usage_.start(engine, adapter);
     const auto held = held_engines_.find(engine);
@@ -481,6 +503,7 @@
 
 void load_coordinator::on_hint(const routing::hint_message& it) {
     const time_point now = time_.now();
+    silent_holders_.erase(it.from.vm);
     std::visit(
         overloaded{
             [](const routing::vm_status&) {}, [](const routing::store_reports&) {},
