Load times: a use before the ready time says nothing about the load

A request that still ran on the version that a load replaces was taken for the first use of the new one, some milliseconds after the order, and lowered the expected load time to that; the next adapters were asked for too early. Found by reading the change; the test a_use_before_the_ready_time_says_nothing_about_the_load failed before.

--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -200,7 +200,8 @@
               1 / std::chrono::duration<double>(settings_.usage_window).count();
     it.last_use = now;
     it.used = true;
-    if (it.load && !it.load->first_use) {
+    // An earlier use ran on the version that this load replaces.
+    if (it.load && !it.load->first_use && now >= it.ready_at) {
         it.load->first_use = now;
     }
 }
--- a/libs/routing/tests/engine_controller_tests.cpp
+++ b/libs/routing/tests/engine_controller_tests.cpp
@@ -405,6 +405,23 @@
     BOOST_TEST((change->load_time > duration::zero()));
 }
 
+// Guards against taking a request that still ran on the old version for a load of a few
+// milliseconds.
+BOOST_AUTO_TEST_CASE(a_use_before_the_ready_time_says_nothing_about_the_load) {
+    fixture f(2);
+    f.load("a");
+    f.now += seconds(1);
+    f.controller.on_version(adapter("a"), 2);
+    BOOST_REQUIRE(f.controller.next_order(f.now).has_value());
+    f.controller.on_outcome(order_outcome::accepted, 0, f.now);
+    const duration before = f.load_times.fetched.expected(1);
+    f.now += milliseconds(8);
+    f.controller.on_use(adapter("a"), f.now);
+    f.now += seconds(1);
+    f.controller.advance(f.now);
+    BOOST_TEST((f.load_times.fetched.expected(1) == before));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_crossed_an_unload_triggers_no_report) {
     fixture f(1);
     f.load("a");
