Tests share the reading of Retry-After; load times: an unused setting goes

Run: routing_tests, and load_waiting_tests and endpoint_pause_tests of gateway_tests; formatter clean.

--- a/libs/gateway/tests/endpoint_pause_tests.cpp
+++ b/libs/gateway/tests/endpoint_pause_tests.cpp
@@ -15,12 +15,6 @@
 // Retry-After states seconds with three decimals.
 constexpr double rounding_s = 0.001;
 
-double retry_after_of(const std::string& got) {
-    const std::size_t at = got.find("Retry-After: ");
-    BOOST_REQUIRE(at != std::string::npos);
-    return std::stod(got.substr(at + 13));
-}
-
 // An endpoint that rejects requests for two seconds, alone or next to a healthy one.
 struct fixture : gateway_fixture {
     fixture() { configure(); }
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -360,6 +360,13 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Returns the Retry-After of a response, in seconds.
+inline double retry_after_of(const std::string& got) {
+    const std::size_t at = got.find("Retry-After: ");
+    BOOST_REQUIRE(at != std::string::npos);
+    return std::stod(got.substr(at + 13));
+}
+
 /// Returns the request id in a request.
 inline std::string id_of(const std::string& request) {
     const std::size_t at = request.find("X-Id: ") + 6;
--- a/libs/gateway/tests/load_waiting_tests.cpp
+++ b/libs/gateway/tests/load_waiting_tests.cpp
@@ -9,12 +9,6 @@
 
 constexpr int engine_count = 4;
 
-double retry_after_of(const std::string& got) {
-    const std::size_t at = got.find("Retry-After: ");
-    BOOST_REQUIRE(at != std::string::npos);
-    return std::stod(got.substr(at + 13));
-}
-
 // Engines that hold the base model and none of the adapters.
 struct fixture : gateway_fixture {
     fixture() {
--- a/libs/routing/include/routing/load_time_estimator.h
+++ b/libs/routing/include/routing/load_time_estimator.h
@@ -27,9 +27,6 @@
     double growth = 1.35;
     /// Lowest fraction of the estimate that is tried to find out whether loads are faster.
     double probe_fraction = 0.8;
-    /// Ratio of the estimate to the elapsed time at which an adapter was last missing from which
-    /// shorter times are tried.
-    double probe_margin = 1.1;
     /// Smallest reduction worth a try.
     duration min_probe_gain = std::chrono::milliseconds(20);
     /// Time between two tries of all VMs together; it doubles with each that fails, because it
