call_failed names the shared segments of the prompt

The line of a failed call now names the segments that other requests may share. Test: the_last_segment_of_a_prompt_is_not_shared.

--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -192,6 +192,7 @@
                           {"reason", reason},
                           {"sent", why != call_failure::not_sent},
                           {"relayed_bytes", relayed_},
+                          {"shared_segments", to_text(attributes_.shared_segments())},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
     if (send_again_if_discarded()) {
         return;
--- a/libs/routing/include/routing/request_attributes.h
+++ b/libs/routing/include/routing/request_attributes.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <gsl/span>
+
 #include "base/identifier.h"
 
 namespace radishpulley::routing {
@@ -47,6 +49,15 @@
     std::vector<prompt_segment> segments;
     /// Last event that the caller received of the stream that it resumes.
     std::optional<std::string> last_event;
+
+    /// The segments that other requests may have too: all but the last.
+    gsl::span<const prompt_segment> shared_segments() const {
+        const gsl::span<const prompt_segment> all = segments;
+        return all.empty() ? all : all.first(all.size() - 1);
+    }
 };
 
+/// Returns the ids of `segments` for a log line, in hexadecimal, separated by commas.
+std::string to_text(gsl::span<const prompt_segment> segments);
+
 }  // namespace radishpulley::routing
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -228,6 +228,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_last_segment_of_a_prompt_is_not_shared) {
+    const request_attributes it = prompt({{0x1f, 800}, {0xab, 400}, {7, 20}});
+    BOOST_TEST(it.shared_segments().size() == 2U);
+    BOOST_TEST(to_text(it.shared_segments()) == "1f,ab");
+    BOOST_TEST(prompt({}).shared_segments().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
