Quarantine of prompt segments whose requests crash engines

Cause: a broken call counted against its endpoint only, at each VM alone; retries and new requests carried the part to the next engine. Class: work whose handling ends the one that handles it, then is handed on.

Change: crashes (a connection that broke unanswered and is refused on a new attempt) accuse the shared segments, answers free them, VMs merge both; two crashes block, four where the segment was answered shortly before; single trials at growing intervals. Requests that broke off unanswered wait for that evidence before they are sent again. Refused with 503 segment_blocked, no Retry-After.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "routing/endpoint_limits.h"
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
+#include "routing/segment_quarantine.h"
 #include "routing/work_table.h"
 #include "telemetry/metrics.h"
 
@@ -115,6 +116,7 @@
                                       const routing::model_ref& adapter) = 0;
 };
 
+class crash_detector;
 class exchange;
 
 /// State shared by the requests of one daemon.
@@ -148,6 +150,12 @@
     void on_notice(const routing::endpoint_incarnation& from, const routing::endpoint_notice& it);
     /// Applies an endpoint's limit as reported by another VM.
     void on_peer_limit(const vm_id& by, const routing::advertised_limit& it);
+    /// Applies what another VM knows of segments that are accused of crashes.
+    void on_peer_suspects(const vm_id& by, gsl::span<const routing::suspect_segment> suspects);
+    /// Sets the callback invoked when other VMs should receive quarantine().take_changes() soon.
+    void set_on_suspects_change(std::function<void()> call) {
+        on_suspects_change_ = std::move(call);
+    }
     /// Sets the callback invoked when other VMs should receive a changed limit soon.
     void set_on_limit_change(std::function<void()> call) { on_limit_change_ = std::move(call); }
     /// Applies new settings to subsequent requests.
@@ -176,7 +184,7 @@
     /// Removes expired load waiters and connections that have finished sending.
     void sweep();
     std::size_t caller_count() const { return callers_.size(); }
-    std::size_t request_count() const { return requests_; }
+    std::size_t request_count() const { return exchanges_.size(); }
     /// Whether a connection that closes after its last response is still sending it.
     bool is_sending_last_answers() const;
     /// Number of response bytes that callers have not taken yet.
@@ -194,6 +202,8 @@
     routing::adapter_table& adapters() { return adapters_; }
     routing::adapter_load_times& load_times() { return load_times_; }
     const routing::endpoint_limits& limits() const { return limits_; }
+    routing::segment_quarantine& quarantine() { return quarantine_; }
+    const routing::segment_quarantine& quarantine() const { return quarantine_; }
     routing::account_limiter& limiter() { return limiter_; }
     const routing::account_limiter& limiter() const { return limiter_; }
     routing::work_table& work() { return work_; }
@@ -213,6 +223,15 @@
     void on_stated_limit(const routing::endpoint_incarnation& from,
                          const routing::limit_observation& observation);
     void log_limit(const endpoint_id& id, const vm_id& by) const;
+    /// A request broke off at the endpoint before it was answered.
+    void on_unanswered(const routing::endpoint_incarnation& at,
+                       gsl::span<const routing::prompt_segment> shared_segments);
+    void on_crash(const routing::endpoint_incarnation& crashed,
+                  const std::vector<std::vector<routing::prompt_segment>>& prompts);
+    void on_answered(gsl::span<const routing::prompt_segment> shared_segments);
+    void begin_trial(routing::segment_id segment, const request_id& request);
+    /// Ends the requests that hold a segment which is blocked now and are not answered yet.
+    void end_requests_with(gsl::span<const routing::segment_id> blocked, const vm_id& by);
     /// Time until the endpoint accepts a request from this VM, by its stated limit and pause.
     duration wait_for(const endpoint_id& id) const;
     /// Shortest such time among a service's endpoints, if all of them require a wait.
@@ -236,6 +255,10 @@
     routing::endpoint_chooser chooser_;
     routing::account_limiter limiter_;
     endpoint_pool pool_;
+    routing::segment_quarantine quarantine_;
+    std::unique_ptr<crash_detector> crashes_;
+    /// All requests in progress.
+    std::set<exchange*> exchanges_;
     std::map<service_id, requests::retry_budget> budgets_;
     std::set<std::shared_ptr<caller_link>> callers_;
     /// Connections that close once their last response is sent.
@@ -251,8 +274,8 @@
     std::vector<std::weak_ptr<exchange>> held_requests_;
     std::function<void()> on_pause_ = [] {};
     std::function<void()> on_limit_change_ = [] {};
+    std::function<void()> on_suspects_change_ = [] {};
     std::size_t fleet_size_ = 1;
-    std::size_t requests_ = 0;
     std::size_t body_bytes_ = 0;
     routing::request_number last_number_ = 0;
     bool stopping_ = false;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -45,13 +45,13 @@
       deadline_timer_(owner.loop_),
       wait_timer_(owner.loop_),
       silence_timer_(owner.loop_) {
-    ++owner_.requests_;
+    owner_.exchanges_.insert(this);
     owner_.body_bytes_ += request_.body.size();
 }
 
 exchange::~exchange() {
     stop_call();
-    --owner_.requests_;
+    owner_.exchanges_.erase(this);
     owner_.body_bytes_ -= request_.body.size();
 }
 
@@ -117,6 +117,10 @@
             self->on_deadline();
         }
     });
+    if (const auto blocked = blocked_segment()) {
+        refuse_blocked(*blocked);
+        return;
+    }
     owner_.budget_of(service_->id).count_request();
     find_endpoint();
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -39,6 +39,8 @@
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
+    /// Ends the request if one of its segments is blocked now and it is not answered yet.
+    void on_segments_blocked();
 
 private:
     enum class phase {
@@ -49,6 +51,8 @@
         waiting_for_load,
         /// No retry is left for a request that an endpoint did not run.
         waiting_for_budget,
+        /// The request broke off at an endpoint that may have crashed because of it.
+        waiting_for_evidence,
         connecting,
         sent,
         relaying,
@@ -106,6 +110,17 @@
     /// string literal.
     void retry_within_budget(std::string_view why);
     void wait_for_budget(std::string_view why);
+    /// The segment for which the request may not be sent.
+    std::optional<routing::segment_blocked> blocked_segment() const;
+    void refuse_blocked(const routing::segment_blocked& it);
+    /// Makes the request the trial of its blocked segment if one is due; returns whether the
+    /// request may be sent, and refuses it otherwise.
+    bool prepare_trial();
+    /// Records that the endpoint answers the prompt, and so does not crash because of it.
+    void note_answered();
+    /// Waits until it is known whether the endpoint crashed because of this request.
+    void wait_for_evidence();
+    void send_again_unless_suspect();
     void stop_call();
     void on_call_ended();
     void refuse(const refusal& it);
@@ -167,6 +182,12 @@
     bool rejected_ = false;
     bool discards_response_ = false;
     bool first_body_ = true;
+    /// Whether the response of the current call has begun with its body, and gone on.
+    bool has_body_ = false;
+    bool is_answered_ = false;
+    /// Whether the request is sent to find out whether its blocked segment still crashes engines.
+    bool is_trial_ = false;
+    time_point evidence_wait_ends_{};
     std::optional<event_splitter> events_;
     std::uint64_t relayed_ = 0;
     unsigned status_ = 0;
--- a/libs/gateway/src/exchange_constants.h
+++ b/libs/gateway/src/exchange_constants.h
@@ -10,6 +10,10 @@
 /// Retry-After of refusals whose cause has no known end.
 constexpr duration default_retry_after = std::chrono::milliseconds(250);
 
+/// Longest wait of a request that broke off for other VMs to say that its segments are answered
+/// elsewhere.
+constexpr duration evidence_wait = std::chrono::milliseconds(400);
+
 inline routing::milliseconds to_ms(duration it) {
     return std::chrono::duration_cast<routing::milliseconds>(it);
 }
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -121,6 +121,10 @@
     if (phase_ != phase::relaying) {
         return;
     }
+    if (has_body_ && status_ / 100 == 2) {
+        note_answered();
+    }
+    has_body_ = true;
     if (first_body_) {
         first_body_ = false;
         first_byte_time_ = elapsed();
@@ -168,6 +172,9 @@
     if (send_again_if_discarded()) {
         return;
     }
+    if (has_body_ && status_ / 100 == 2) {
+        note_answered();
+    }
     if (events_ && !events_->incomplete().empty()) {
         out_->send_body(events_->incomplete());
     }
@@ -197,6 +204,11 @@
     if (send_again_if_discarded()) {
         return;
     }
+    const bool is_unanswered =
+        why == call_failure::broken && service_->engine.has_value() && !is_answered_;
+    if (is_unanswered) {
+        owner_.on_unanswered({endpoint_, endpoint_started_at_ms_}, attributes_.shared_segments());
+    }
     owner_.directory_.on_call(endpoint_,
                               why == call_failure::malformed ? routing::call_outcome::failed
                                                              : routing::call_outcome::unreachable,
@@ -214,6 +226,12 @@
         events_->discard_incomplete();
     }
     excluded_.insert(endpoint_);
+    is_trial_ = false;
+    if (may_run_again() && is_unanswered && !attributes_.shared_segments().empty()) {
+        evidence_wait_ends_ = owner_.time_.now() + evidence_wait;
+        wait_for_evidence();
+        return;
+    }
     if (may_run_again() && spend_retry()) {
         find_endpoint();
         return;
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -258,6 +258,9 @@
         find_endpoint();
         return;
     }
+    if (service_->engine && !prepare_trial()) {
+        return;
+    }
     phase_ = phase::connecting;
     endpoint_ = id;
     if (wait_began_ != time_point{}) {
@@ -307,6 +310,7 @@
     rejected_ = false;
     discards_response_ = false;
     discarded_bytes_ = 0;
+    has_body_ = false;
     ++runs_;
     sent_at_ = owner_.time_.now();
     connection_ = std::move(connection);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "crash_detector.h"
 #include "exchange.h"
 #include "telemetry/event_log.h"
 
@@ -26,6 +27,8 @@
       chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
+      crashes_(std::make_unique<crash_detector>(
+          loop, [this](const auto& crashed, const auto& prompts) { on_crash(crashed, prompts); })),
       responses_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                       {"account", "route", "status"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
@@ -50,8 +53,9 @@
     if (!pauses_.on_running(now)) {
         return;
     }
-    telemetry::log_event(telemetry::severity::warning, "was_paused",
-                         {{"configuration_age", configuration_age_()}, {"requests", requests_}});
+    telemetry::log_event(
+        telemetry::severity::warning, "was_paused",
+        {{"configuration_age", configuration_age_()}, {"requests", exchanges_.size()}});
     awaits_confirmation_ = true;
     pause_ended_ = now;
     confirmation_timer_.expires_after(settings_.confirmation_wait);
@@ -84,6 +88,7 @@
     fleet_size_ = std::max<std::size_t>(1, vms.size());
     limiter_.set_fleet_size(vms.size());
     limits_.set_vms(self, vms, time_.now());
+    quarantine_.set_vms(self, vms);
 }
 
 void gateway::on_notice(const routing::endpoint_incarnation& from,
@@ -126,6 +131,71 @@
                           {"part", limits_.share(id)}});
 }
 
+void gateway::on_unanswered(const routing::endpoint_incarnation& at,
+                            gsl::span<const routing::prompt_segment> shared_segments) {
+    const routing::endpoint* known = directory_.find(at.id);
+    // An endpoint that leaves breaks off what it has not finished.
+    const bool may_have_crashed =
+        known != nullptr && !known->draining && known->started_at_ms == at.started_at_ms;
+    if (may_have_crashed && !shared_segments.empty()) {
+        crashes_->check(at, known->address, {shared_segments.begin(), shared_segments.end()});
+    }
+}
+
+void gateway::on_crash(const routing::endpoint_incarnation& crashed,
+                       const std::vector<std::vector<routing::prompt_segment>>& prompts) {
+    const time_point now = time_.now();
+    std::vector<routing::segment_id> blocked;
+    for (const auto& segments : prompts) {
+        telemetry::log_event(telemetry::severity::warning, "segments_accused",
+                             {{"endpoint", crashed.id}, {"segments", to_text(segments)}});
+        const auto added = quarantine_.on_crash(routing::crash_of(crashed), segments, now);
+        blocked.insert(blocked.end(), added.begin(), added.end());
+    }
+    on_suspects_change_();
+    end_requests_with(blocked, vm_id());
+}
+
+void gateway::on_answered(gsl::span<const routing::prompt_segment> shared_segments) {
+    quarantine_.on_answered(shared_segments, time_.now());
+    if (quarantine_.has_changes()) {
+        on_suspects_change_();
+    }
+}
+
+void gateway::begin_trial(routing::segment_id segment, const request_id& request) {
+    telemetry::log_event(telemetry::severity::warning, "segment_trial",
+                         {{"segment", routing::to_text(segment)}, {"request", request}});
+    quarantine_.begin_trial(segment, time_.now());
+    on_suspects_change_();
+}
+
+void gateway::on_peer_suspects(const vm_id& by,
+                               gsl::span<const routing::suspect_segment> suspects) {
+    const auto blocked = quarantine_.on_peer_suspects(suspects, time_.now());
+    if (quarantine_.has_changes()) {
+        on_suspects_change_();
+    }
+    end_requests_with(blocked, by);
+}
+
+void gateway::end_requests_with(gsl::span<const routing::segment_id> blocked, const vm_id& by) {
+    if (blocked.empty()) {
+        return;
+    }
+    for (const routing::segment_id it : blocked) {
+        telemetry::log_event(telemetry::severity::warning, "segment_blocked",
+                             {{"segment", routing::to_text(it)}, {"told_by", by}});
+    }
+    std::vector<std::shared_ptr<exchange>> all;
+    for (exchange* it : exchanges_) {
+        all.push_back(it->shared_from_this());
+    }
+    for (const auto& it : all) {
+        it->on_segments_blocked();
+    }
+}
+
 duration gateway::wait_for(const endpoint_id& id) const {
     const time_point now = time_.now();
     const duration for_limit = std::min<duration>(limits_.wait(id, now), max_limit_wait);
@@ -280,7 +350,8 @@
 }
 
 std::size_t gateway::unsent_limit() const {
-    const std::size_t share = settings_.max_total_unsent / std::max<std::size_t>(1, requests_);
+    const std::size_t share =
+        settings_.max_total_unsent / std::max<std::size_t>(1, exchanges_.size());
     return std::clamp(share, settings_.min_unsent, settings_.max_unsent);
 }
 
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
             out.target.model = std::string(target.substr(0, target.find('/')));
             out.target.adapter = std::string(target.substr(target.find('/') + 1));
         }
+        std::stringstream segments{std::string(find_header(headers, "X-Segments"))};
+        for (std::string id; std::getline(segments, id, ',');) {
+            out.segments.push_back({std::stoull(id, nullptr, 16), 100});
+        }
         const std::string_view deadline = find_header(headers, "X-Deadline");
         if (!deadline.empty()) {
             out.deadline = std::chrono::milliseconds(std::stoi(std::string(deadline)));
@@ -177,6 +182,14 @@
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
 
+    /// Ends like a process that was killed: its connections are reset and new ones refused.
+    void crash() {
+        acceptor_.close();
+        for (const auto& it : connections) {
+            it->reset();
+        }
+    }
+
     std::vector<std::string> requests;
     std::vector<std::shared_ptr<peer>> connections;
 
@@ -243,6 +256,9 @@
         return endpoints_.back();
     }
 
+    /// Returns the endpoint that was added as number `i`, from 0.
+    fake_endpoint& endpoint(std::size_t i) { return *std::next(endpoints_.begin(), i); }
+
     bool with_engines = false;
     std::chrono::milliseconds idle_timeout{15'000};
 
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -16,6 +16,7 @@
 #include "routing/account_limiter.h"
 #include "routing/endpoint_limits.h"
 #include "routing/request_attributes.h"
+#include "routing/segment_quarantine.h"
 #include "routing/work_table.h"
 
 namespace radishpulley::routing {
@@ -29,6 +30,8 @@
     demand_by_account demand;
     /// Limits that endpoints announced in their responses.
     std::vector<advertised_limit> limits;
+    /// Prompt segments that are accused of crashes.
+    std::vector<suspect_segment> suspects;
 };
 
 /// Adapter usage at one engine, sent to the engine's holder.
@@ -87,8 +90,13 @@
     std::vector<account_saturation> accounts;
 };
 
+/// Changes of what the sender knows of prompt segments that are accused of crashes.
+struct suspects_update {
+    std::vector<suspect_segment> suspects;
+};
+
 using hint = std::variant<vm_status, adapter_usage, load_request, adapter_hint, load_refusal,
-                          store_reports, account_usage_report, saturated_accounts>;
+                          store_reports, account_usage_report, saturated_accounts, suspects_update>;
 
 /// A hint with its sender.
 struct hint_message {
--- a/libs/routing/src/endpoint_limits.cpp
+++ b/libs/routing/src/endpoint_limits.cpp
@@ -1,20 +1,11 @@
 #include "routing/endpoint_limits.h"
 
 #include <algorithm>
-#include <limits>
 
+#include "details/age.h"
 #include "routing/rendezvous.h"
 
 namespace radishpulley::routing {
-namespace {
-
-std::uint32_t to_ms(duration it) {
-    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
-    constexpr std::int64_t max_ms = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, max_ms));
-}
-
-}  // namespace
 
 void endpoint_limits::set_vms(const vm_id& self, gsl::span<const vm_id> serving, time_point now) {
     self_ = self;
@@ -108,7 +99,7 @@
 std::vector<advertised_limit> endpoint_limits::advertised_limits(time_point now) const {
     std::vector<advertised_limit> out;
     for (const auto& [id, it] : records_) {
-        out.push_back({id, it.started_at_ms, it.rate, to_ms(now - it.as_of)});
+        out.push_back({id, it.started_at_ms, it.rate, details::age_ms(now - it.as_of)});
     }
     return out;
 }
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -91,6 +91,43 @@
     return out;
 }
 
+json to_json(const std::optional<std::uint32_t>& it) {
+    return it ? json(*it) : json();
+}
+
+std::optional<std::uint32_t> read_optional(const json& in) {
+    return in.is_null() ? std::nullopt : std::optional<std::uint32_t>(in.get<std::uint32_t>());
+}
+
+json to_json(const std::vector<suspect_segment>& suspects) {
+    json out = json::array();
+    for (const suspect_segment& it : suspects) {
+        json accusations = json::array();
+        for (const suspect_segment::accusation& accusation : it.accusations) {
+            accusations.push_back({accusation.crash, accusation.age_ms});
+        }
+        out.push_back({it.segment, std::move(accusations), to_json(it.answered_age_ms),
+                       to_json(it.trial_age_ms)});
+    }
+    return out;
+}
+
+std::vector<suspect_segment> read_suspects(const json& in) {
+    std::vector<suspect_segment> out;
+    for (const json& it : in) {
+        suspect_segment suspect;
+        suspect.segment = it.at(0).get<segment_id>();
+        for (const json& accusation : it.at(1)) {
+            suspect.accusations.push_back(
+                {accusation.at(0).get<crash_id>(), accusation.at(1).get<std::uint32_t>()});
+        }
+        suspect.answered_age_ms = read_optional(it.at(2));
+        suspect.trial_age_ms = read_optional(it.at(3));
+        out.push_back(std::move(suspect));
+    }
+    return out;
+}
+
 json to_json(const relay::copy_report& it) {
     json changes = json::array();
     for (const relay::reported_change& change : it.changes) {
@@ -169,7 +206,8 @@
         overloaded{
             [](const vm_status& p) {
                 return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
-                                    demand_to_json(p.demand), limits_to_json(p.limits)});
+                                    demand_to_json(p.demand), limits_to_json(p.limits),
+                                    to_json(p.suspects)});
             },
             [](const adapter_usage& u) {
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
@@ -182,8 +220,8 @@
                                     h.version, h.ordered, h.load_time_ms, h.concurrent_loads});
             },
             [](const load_refusal& r) {
-                return json::array({"r", r.engine.str(), to_json(r.adapter),
-                                    r.ready_in_ms ? json(*r.ready_in_ms) : json()});
+                return json::array(
+                    {"r", r.engine.str(), to_json(r.adapter), to_json(r.ready_in_ms)});
             },
             [](const store_reports& s) {
                 return json::array({"s", to_json(s)});
@@ -193,6 +231,9 @@
             },
             [](const saturated_accounts& c) {
                 return json::array({"c", to_json(c)});
+            },
+            [](const suspects_update& x) {
+                return json::array({"x", to_json(x.suspects)});
             }},
         it);
 }
@@ -204,11 +245,16 @@
                       in.at(2).get<bool>(),
                       read_work(in.at(3)),
                       read_demand(in.at(4)),
+                      {},
                       {}};
         // Daemons of older releases send no limits.
         if (in.size() > 5) {
             out.limits = read_limits(in.at(5));
         }
+        // Nor do they send suspects.
+        if (in.size() > 6) {
+            out.suspects = read_suspects(in.at(6));
+        }
         return out;
     }
     if (kind == "s") {
@@ -220,6 +266,9 @@
     if (kind == "c") {
         return read_saturated(in.at(1));
     }
+    if (kind == "x") {
+        return suspects_update{read_suspects(in.at(1))};
+    }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
         return adapter_usage{engine, read_choices(in.at(2)), read_choices(in.at(3))};
--- a/libs/routing/src/request_attributes.cpp
+++ b/libs/routing/src/request_attributes.cpp
@@ -4,13 +4,17 @@
 
 namespace radishpulley::routing {
 
+std::string to_text(std::uint64_t segment) {
+    char buf[20];
+    std::snprintf(buf, sizeof buf, "%llx", static_cast<unsigned long long>(segment));
+    return buf;
+}
+
 std::string to_text(gsl::span<const prompt_segment> segments) {
     std::string out;
     for (const prompt_segment& it : segments) {
-        char buf[20];
-        std::snprintf(buf, sizeof buf, "%llx", static_cast<unsigned long long>(it.id));
         out += out.empty() ? "" : ",";
-        out += buf;
+        out += to_text(it.id);
     }
     return out;
 }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "acceptor.h"
+#include "base/digest.h"
 #include "base/findings.h"
 #include "base/overloaded.h"
 #include "delayed_call.h"
@@ -39,6 +40,10 @@
 constexpr std::chrono::milliseconds large_prefill_delay{10};
 // Delay that coalesces status messages about the limits of several endpoints.
 constexpr std::chrono::milliseconds limits_delay{50};
+// Range of the delay that coalesces messages about prompt segments that are accused of crashes.
+// Each VM has its own, so that a fleet that could all speak for a segment does not do so at once.
+constexpr std::chrono::milliseconds min_suspects_delay{5};
+constexpr std::chrono::milliseconds max_suspects_delay{125};
 // Delay that coalesces reports about several copies of store collections.
 constexpr std::chrono::milliseconds store_reports_delay{5};
 // Minimum validity of a peer's statements about its work at endpoints and its accounts' demand.
@@ -63,6 +68,13 @@
     return out;
 }
 
+std::chrono::milliseconds suspects_delay(const vm_id& vm) {
+    const auto range =
+        static_cast<std::uint64_t>((max_suspects_delay - min_suspects_delay).count());
+    return min_suspects_delay +
+           std::chrono::milliseconds(stable_hash("suspects|" + vm.str()) % range);
+}
+
 member_settings member_settings_of(const settings::edge_settings& settings) {
     member_settings out;
     out.vm = settings.vm;
@@ -102,6 +114,11 @@
                               [this] { fleet_.send_status_nearby(current_status()); }),
           // Limits go to all VMs, because each may send requests to the endpoint.
           fleet_status_call_(loop_, limits_delay, [this] { fleet_.broadcast(current_status()); }),
+          suspects_call_(loop_, suspects_delay(settings.vm),
+                         [this] {
+                             fleet_.broadcast(routing::suspects_update{
+                                 data_path_.quarantine().take_changes(time_.now())});
+                         }),
           store_reports_call_(loop_, store_reports_delay, [this] { send_store_reports(); }),
           expiry_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(settings)),
@@ -157,6 +174,7 @@
         engines_.set_on_notice([this](const auto& from, const routing::endpoint_notice& it) {
             data_path_.on_notice(from, it);
         });
+        data_path_.set_on_suspects_change([this] { suspects_call_.request(); });
         data_path_.set_on_limit_change([this] { fleet_status_call_.request(); });
     }
 
@@ -441,8 +459,11 @@
             for (const routing::advertised_limit& limit : status->limits) {
                 data_path_.on_peer_limit(it.from.vm, limit);
             }
+            data_path_.on_peer_suspects(it.from.vm, status->suspects);
         } else if (const auto* reports = std::get_if<routing::store_reports>(&it.body)) {
             on_reports(*reports);
+        } else if (const auto* update = std::get_if<routing::suspects_update>(&it.body)) {
+            data_path_.on_peer_suspects(it.from.vm, update->suspects);
         } else if (const auto* uses = std::get_if<routing::account_usage_report>(&it.body)) {
             accounts_.on_hint(it.from, *uses);
         } else if (const auto* saturated = std::get_if<routing::saturated_accounts>(&it.body)) {
@@ -458,6 +479,7 @@
                                                  : 0);
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
         endpoints_limited_.set(static_cast<double>(data_path_.limits().count()));
+        segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count()));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
         vms_serving_.set(static_cast<double>(fleet_.serving(time_.now()).size()));
         store_calls_.set(static_cast<double>(store_.calls()));
@@ -483,6 +505,7 @@
         status.work = data_path_.work().own();
         status.demand = data_path_.limiter().demand(time_.now());
         status.limits = data_path_.limits().advertised_limits(time_.now());
+        status.suspects = data_path_.quarantine().suspects(time_.now());
         return status;
     }
 
@@ -493,6 +516,7 @@
         data_path_.pool().sweep();
         data_path_.sweep();
         data_path_.work().drop_expired(now);
+        data_path_.quarantine().drop_expired(now);
         if (now - settings_checked_ >= settings_check_interval) {
             reload();
         }
@@ -544,6 +568,7 @@
     boost::asio::steady_timer timer_;
     delayed_call nearby_status_call_;
     delayed_call fleet_status_call_;
+    delayed_call suspects_call_;
     delayed_call store_reports_call_;
     boost::asio::steady_timer expiry_timer_;
     telemetry::registry metrics_;
@@ -552,6 +577,9 @@
     telemetry::gauge& endpoints_known_ = add_gauge("endpoints", "Endpoints known.");
     telemetry::gauge& endpoints_limited_ =
         add_gauge("endpoints_limited", "Endpoints that name a limit in their answers.");
+    telemetry::gauge& segments_blocked_ =
+        add_gauge("prompt_segments_blocked",
+                  "Prompt segments whose requests are refused, as they crash engines.");
     telemetry::gauge& engines_held_ = add_gauge("engines_held", "Engines ordered by this VM.");
     telemetry::gauge& vms_serving_ = add_gauge("vms_serving", "VMs that serve callers.");
     telemetry::gauge& store_calls_ =
