Revisions of the store are ordered over its eras

Cause: revisions go back in a restore and are given out again. Answers and reports whose revision was not above the copy's were dropped as old, and a watch from a revision that the restored store had reached again got no 410. Class: a counter of another process that was trusted to grow only.

A watch from an earlier era ends as history gone and the collection is listed again; answers of an earlier era are dropped, writes under its revisions conflict, its acknowledgements are unknown outcomes. The first answer of a new era renews all watches; entries have the same grace as after an outage.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -57,8 +57,8 @@
     std::function<void(const object_change&)> on_change;
     /// The store has become reachable, or stopped being reachable.
     std::function<void(bool reachable)> on_reachable;
-    /// The store responds again after an outage, which is several calls without a result: a single
-    /// such call may have lost its connection while the store was up.
+    /// The store responds again after an outage, which is several calls without a result (a single
+    /// such call may have lost its connection while the store was up), or from an older copy.
     std::function<void()> on_outage_over = [] {};
     /// Whether readers need to learn of this change from reports; called once per change, before
     /// `on_change`.
--- a/libs/gateway/include/gateway/object_collections.h
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -15,9 +15,30 @@
 
 namespace radishpulley::gateway {
 
-/// Position in the total order of all changes of the store.
+/// Position in the total order of all changes of the store. A store that comes back from an older
+/// copy gives numbers out again; the upper bits hold its era, which counts such restores. So each
+/// revision of a later era is greater than all of an earlier one.
 using store_revision = std::uint64_t;
 
+/// Number of times that the store came back from an older copy.
+using store_era = std::uint64_t;
+
+/// Bits of a revision that hold the store's own number of the change.
+constexpr unsigned store_number_bits = 40;
+
+constexpr store_revision make_revision(store_era era, std::uint64_t number) {
+    return (era << store_number_bits) | number;
+}
+
+constexpr store_era era_of(store_revision it) {
+    return it >> store_number_bits;
+}
+
+/// Returns the store's own number of the change.
+constexpr std::uint64_t number_of(store_revision it) {
+    return it & ((store_revision{1} << store_number_bits) - 1);
+}
+
 /// A stored object.
 struct stored_object {
     std::string name;
@@ -66,7 +87,7 @@
 enum class read_failure {
     /// The store did not respond or is overloaded.
     unavailable,
-    /// The store no longer keeps the changes since that revision.
+    /// The store no longer keeps the changes since that revision, or has lost them in a restore.
     history_gone
 };
 
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -172,6 +172,10 @@
 void collection_follower::on_list(const list_result& result) {
     std::visit(overloaded{[this](const object_list& it) {
                               record_response();
+                              if (has_list_ && era_of(it.revision) != era_of(revision_)) {
+                                  // Entries may be missing until their writers write them again.
+                                  events_.on_outage_over();
+                              }
                               has_list_ = true;
                               needs_list_ = false;
                               revision_ = it.revision;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -166,6 +166,7 @@
             // The fault that broke the connections to the store may have broken those to endpoints.
             data_path_.pool().close_all_idle();
         });
+        store_.set_on_store_restored([this] { renew_watches(); });
         data_path_.set_broker(loads_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         data_path_.set_on_pause([this] { renew_watches(); });
