Fencing numbers, incarnations and entries hold over a restore of the store

What the copy lacked stayed lost: entries of VMs, the secret of hints, holders.

Cause: fencing numbers and incarnations are counted in the store, and the counts went back with it; nothing compared what a VM knew with what the store had lost.

Change: both counts begin at the store's era, shifted by 20 bits, in each era. What a VM knows of an earlier era with a higher number stays in force and is written again; entries with numbers of an earlier era are renewed with the same holder, by a VM that knew them before the restore, or by any after 10 s. Only what the store states confirms a holder after a pause. VMs that send hints are kept until they have registered again; each VM writes its own entry again, and the secret is written again or taken over.

Failed before, on the code without the change: fleet_tests what_a_restored_store_lacks_is_written_again, fencing_numbers_grow_over_a_restore_of_the_store (1 <= 1), incarnations_grow_over_a_restore_of_the_store (1 <= 1). The first of them found on the way that a VM missing from the restored list gave up its holdings: the failure detector now always has this VM.

--- a/libs/gateway/include/gateway/hint_socket.h
+++ b/libs/gateway/include/gateway/hint_socket.h
@@ -28,6 +28,7 @@
     /// Sets the secret that signs datagrams; nothing is sent or accepted before.
     void set_secret(std::string secret) { secret_ = std::move(secret); }
     bool has_secret() const { return !secret_.empty(); }
+    const std::string& secret() const { return secret_; }
     /// Returns the signed datagram of a message.
     std::string seal(const routing::hint_message& it) const;
     /// Sends a sealed datagram; drops it if the send buffer is full.
--- a/libs/ownership/include/ownership/holding.h
+++ b/libs/ownership/include/ownership/holding.h
@@ -20,7 +20,8 @@
 /// Index of one object of the table.
 using shard_index = std::uint32_t;
 
-/// One entry of the table. It outlives its holders, so fencing numbers never repeat.
+/// One entry of the table. It outlives its holders, so fencing numbers never repeat while the store
+/// loses nothing; `ownership_policy::set_min_fence` keeps that across a restore.
 struct holding {
     holding_id id;
     /// The VM name is empty while the entry has no holder.
--- a/libs/ownership/include/ownership/ownership_policy.h
+++ b/libs/ownership/include/ownership/ownership_policy.h
@@ -2,6 +2,7 @@
 /// returns planned updates.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,9 @@
     duration rank_delay = std::chrono::seconds(2);
     /// Shortest time between two handovers for load balancing.
     duration balance_interval = std::chrono::minutes(1);
+    /// Time for which a VM that has started since the store came back from an older copy leaves the
+    /// renewal of its entries to VMs that know what the copy lacks.
+    duration newcomer_delay = std::chrono::seconds(10);
     /// Holdings above the mean that a VM may have before it hands one over for load balancing.
     std::size_t balance_slack = 2;
 };
@@ -51,6 +55,10 @@
     vm_incarnation holder;
     /// Former holders that may still be running.
     std::vector<vm_incarnation> suspects;
+    /// The entry's new fencing number is at least this.
+    fencing_number min_fence = 0;
+
+    fencing_number fence() const { return std::max(expected_fence + 1, min_fence); }
 };
 
 /// One conditional update of one object of the table.
@@ -73,6 +81,9 @@
     void configure(std::vector<holding_spec> specs);
     /// Processes a shard as read. Copies older than the known one are ignored.
     void on_shard(const shard& it, time_point now);
+    /// Sets the fencing number that is greater than all that were given out before the store last
+    /// came back from an older copy. Entries with a lower one are renewed, with the same holder.
+    void set_min_fence(fencing_number min_fence, time_point now);
     /// Makes this VM ineligible as a holder, because it is leaving or shutting down.
     void leave();
 
@@ -98,6 +109,9 @@
     };
 
     const holding* find_entry(const holding_id& id) const;
+    /// Whether the entry may be one that the store gave out before it came back from a copy.
+    bool needs_renewal(const holding_spec& spec, time_point now) const;
+    assignment renew(const holding& it) const;
     bool replaceable(const holding_spec& spec, const holding& it, const failure_detector& detector,
                      time_point now) const;
     std::ptrdiff_t own_rank(shard_index index, const std::vector<vm_incarnation>& candidates) const;
@@ -115,6 +129,9 @@
     /// Time at which this VM first observed that an entry needs a holder.
     std::map<holding_id, time_point> needed_since_;
     time_point last_balance_{};
+    fencing_number min_fence_ = 0;
+    /// When this VM may renew entries: at once where it knows them from before a restore.
+    time_point renews_from_{};
     bool leaving_ = false;
 };
 
--- a/libs/ownership/include/ownership/ownership_store.h
+++ b/libs/ownership/include/ownership/ownership_store.h
@@ -22,6 +22,11 @@
 /// The outcome is unknown. The caller has to read the shard again before it relies on the update.
 struct indeterminate {};
 
+/// Returns the shard that a store has after it came back from an older copy, with the entries of
+/// `known` that the copy lacks or has with a lower fencing number: what the store has lost stays in
+/// force.
+shard merge_restored(const shard& known, const shard& restored);
+
 /// Returns the shard after all assignments of `update`, or nothing if one of its entries does not
 /// have the expected fencing number.
 std::optional<shard> try_apply(const shard& copy, const shard_update& update);
--- a/libs/ownership/src/ownership_policy.cpp
+++ b/libs/ownership/src/ownership_policy.cpp
@@ -63,6 +63,24 @@
     copies_[it.index] = std::move(copy);
 }
 
+void ownership_policy::set_min_fence(fencing_number min_fence, time_point now) {
+    if (min_fence <= min_fence_) {
+        return;
+    }
+    const bool is_newcomer = min_fence_ == 0;
+    renews_from_ = is_newcomer ? now + settings_.newcomer_delay : now;
+    min_fence_ = min_fence;
+}
+
+bool ownership_policy::needs_renewal(const holding_spec& spec, time_point now) const {
+    const holding* it = find_entry(spec.id);
+    return it != nullptr && !it->vacant() && it->fence < min_fence_ && now >= renews_from_;
+}
+
+assignment ownership_policy::renew(const holding& it) const {
+    return {it.id, it.fence, it.holder, it.suspects, min_fence_};
+}
+
 void ownership_policy::leave() {
     leaving_ = true;
 }
@@ -140,6 +158,7 @@
     result.holder =
         rendezvous_order(spec.id.str(), preferred.empty() ? candidates : preferred).front();
     const holding* entry = find_entry(spec.id);
+    result.min_fence = min_fence_;
     if (entry == nullptr) {
         return result;
     }
@@ -173,7 +192,9 @@
     std::map<shard_index, std::ptrdiff_t> ranks;
     for (const auto& [id, spec] : specs_) {
         const shard_index index = shard_of(id, settings_.shards);
-        if (copies_.count(index) == 0 || !needs_holder(spec, detector, now)) {
+        const bool is_read = copies_.count(index) != 0;
+        const bool lacks_holder = is_read && needs_holder(spec, detector, now);
+        if (!lacks_holder && !(is_read && needs_renewal(spec, now))) {
             needed_since_.erase(id);
             continue;
         }
@@ -185,7 +206,8 @@
         if (now >= since + rank->second * settings_.rank_delay) {
             shard_update& update = updates[index];
             update.index = index;
-            update.assignments.push_back(assign(spec, candidates, detector, now));
+            update.assignments.push_back(lacks_holder ? assign(spec, candidates, detector, now)
+                                                      : renew(*find_entry(id)));
         }
     }
     std::vector<shard_update> result;
@@ -224,7 +246,7 @@
     result.index = shard_of(id, settings_.shards);
     const holding* it = find_entry(id);
     if (it != nullptr && it->holder == self_) {
-        result.assignments.push_back({id, it->fence, {}, it->suspects});
+        result.assignments.push_back({id, it->fence, {}, it->suspects, min_fence_});
     }
     return result;
 }
--- a/libs/ownership/src/ownership_store.cpp
+++ b/libs/ownership/src/ownership_store.cpp
@@ -23,7 +23,7 @@
     if (fence == it.expected_fence) {
         return update_state::not_applied;
     }
-    const bool ours = fence == it.expected_fence + 1 && entry->holder == it.holder;
+    const bool ours = fence == it.fence() && entry->holder == it.holder;
     return ours ? update_state::applied : update_state::conflicting;
 }
 
@@ -49,7 +49,7 @@
         entry = &list.back();
     }
     entry->holder = it.holder;
-    entry->fence = it.expected_fence + 1;
+    entry->fence = it.fence();
     entry->suspects = it.suspects;
 }
 
@@ -62,6 +62,19 @@
 
 }  // namespace
 
+shard merge_restored(const shard& known, const shard& restored) {
+    shard out = restored;
+    for (const holding& it : known.holdings) {
+        holding* entry = find(out.holdings, it.id);
+        if (entry == nullptr) {
+            out.holdings.push_back(it);
+        } else if (entry->fence < it.fence) {
+            *entry = it;
+        }
+    }
+    return out;
+}
+
 std::optional<shard> try_apply(const shard& copy, const shard_update& update) {
     shard next = copy;
     if (state_of(next, update) != update_state::not_applied) {
--- a/libs/ownership/tests/ownership_tests.cpp
+++ b/libs/ownership/tests/ownership_tests.cpp
@@ -387,4 +387,54 @@
     BOOST_TEST(guard.may_act(engine, start + 1s).value() == 5U);
 }
 
+// Guards against a fencing number that two holders get, because the store came back from a copy in
+// which the first one's is missing.
+BOOST_AUTO_TEST_CASE(fencing_numbers_do_not_repeat_after_the_store_came_back_from_a_copy) {
+    ownership_settings settings;
+    settings.shards = one_shard;
+    ownership_policy policy(vm_a, settings);
+    policy.configure({{engine, replacement_rule::on_suspicion}});
+    failure_detector detector(vm_a, {});
+    detector.on_list(list_of({vm_a, vm_b}), start);
+    detector.on_incarnation_seen(vm_b, start);
+    detector.on_alive(vm_b, start);
+    const shard known{0, 7, {{engine, vm_b, 2, {}}}};
+    policy.set_min_fence(1, start);
+    policy.on_shard(known, start);
+
+    // The copy has the holder before vm_b, and its number.
+    constexpr fencing_number min_fence = 1'000;
+    const shard restored = merge_restored(known, {0, 100, {{engine, vm_c, 1, {}}}});
+    policy.set_min_fence(min_fence, start + 1s);
+    policy.on_shard(restored, start + 1s);
+    BOOST_REQUIRE(policy.find(engine).has_value());
+    BOOST_TEST((policy.find(engine)->holder == vm_b));
+
+    detector.on_alive(vm_b, start + 10s);
+    policy.plan(detector, start + 1s);
+    const auto updates = policy.plan(detector, start + 10s);
+    BOOST_REQUIRE_EQUAL(updates.size(), 1U);
+    const auto next = try_apply(restored, updates.front());
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST((next->holdings.front().holder == vm_b));
+    BOOST_TEST(next->holdings.front().fence >= min_fence);
+}
+
+// Guards against a VM that knows only the older copy and puts the holders of that copy in force.
+BOOST_AUTO_TEST_CASE(a_vm_that_started_after_a_restore_leaves_the_renewal_to_the_others) {
+    ownership_settings settings;
+    settings.shards = one_shard;
+    ownership_policy policy(vm_a, settings);
+    policy.configure({{engine, replacement_rule::on_suspicion}});
+    failure_detector detector(vm_a, {});
+    policy.set_min_fence(1'000, start);
+    policy.on_shard({0, 100, {{engine, vm_b, 1, {}}}}, start);
+    detector.on_list(list_of({vm_a, vm_b}), start);
+    for (time_point now = start; now < start + 9s; now += 1s) {
+        detector.on_incarnation_seen(vm_b, now);
+        detector.on_alive(vm_b, now);
+        BOOST_TEST(policy.plan(detector, now).empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -102,11 +102,24 @@
     void on_object(const gateway::stored_object& it);
     void on_removed(const std::string& name);
     void update_failure_detector();
+    /// Keeps VMs that send hints and are missing from a restored store's list, until they have
+    /// registered again.
+    void keep_unlisted_peers(const std::map<vm_id, peer>& previous);
     void register_self();
+    void register_if_needed();
+    /// Whether the store lacks the entry that this process wrote.
+    bool lacks_own_entry() const;
+    void write_own_entry();
+    void write_own_entry_if_missing();
+    /// Writes this VM's entry; `revision` is that of the present one, or 0 if there is none.
+    void put_entry(gateway::store_revision revision, incarnation_number incarnation,
+                   std::function<void(const gateway::write_result&)> done);
     void on_registered(const gateway::write_result& result, incarnation_number incarnation);
     template <typename Predicate>
     void send_where(const routing::hint& it, Predicate is_recipient);
     void read_secret();
+    /// Uses the stored secret; returns whether there is one.
+    bool take_secret(const gateway::object_list& list);
     void create_secret();
     void on_hint(const routing::hint_message& it, const std::string& sender_address);
     /// Handles a hint of a VM that this VM's copy of the list does not contain yet.
@@ -128,6 +141,7 @@
     /// Addresses of VMs that sent hints before they were listed.
     std::map<vm_id, std::string> unlisted_addresses_;
     std::uint64_t change_count_ = 0;
+    gateway::store_revision list_revision_ = 0;
     routing::status_schedule schedule_;
     time_point started_;
 };
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -88,6 +88,10 @@
     /// replaced it.
     void reread_holders();
     void ensure_policy();
+    /// Adds the shards that the store's list lacks.
+    void add_missing_shards();
+    /// Raises the fencing numbers above those that were given out before the store was restored.
+    void update_min_fence();
     /// Returns the capacity of a model engine, or null for other endpoints.
     const routing::engine_capacity* capacity_of(const routing::endpoint& it) const;
     void configure_policy();
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -22,6 +22,8 @@
 // VMs join in small numbers; the bound limits what replaced VMs leave behind.
 constexpr std::size_t max_unlisted_vms = 1'024;
 constexpr std::chrono::milliseconds retry_delay{500};
+// Bits of an incarnation below the store's era; a VM starts less often within an era.
+constexpr unsigned incarnations_of_era_bits = 20;
 // Tolerance for the jitter of the timer that calls send_status().
 constexpr std::chrono::milliseconds timer_tolerance{100};
 
@@ -68,21 +70,85 @@
 }
 
 void fleet_member::on_list(const gateway::object_list& it) {
+    const bool is_restored =
+        !peers_.empty() && gateway::era_of(it.revision) > gateway::era_of(list_revision_);
+    list_revision_ = it.revision;
     std::map<vm_id, peer> previous_peers = std::move(peers_);
     peers_.clear();
     for (const gateway::stored_object& object : it.objects) {
         const auto known = previous_peers.find(vm_id(object.name));
-        if (known != previous_peers.end()) {
+        if (known != previous_peers.end() && object.name != settings_.vm.str()) {
             peers_.insert(*known);
         }
         on_object(object);
     }
+    if (is_restored) {
+        keep_unlisted_peers(previous_peers);
+        read_secret();
+    }
     if (!self_) {
         register_self();
+    } else if (lacks_own_entry()) {
+        write_own_entry();
     }
     update_failure_detector();
 }
 
+void fleet_member::keep_unlisted_peers(const std::map<vm_id, peer>& previous) {
+    const time_point now = time_.now();
+    for (const auto& [vm, it] : previous) {
+        const bool is_listed = peers_.count(vm) != 0;
+        if (!is_listed && it.last_alive != time_point::min() && !is_silent(it, now)) {
+            peers_.emplace(vm, it).first->second.revision = 0;
+        }
+    }
+}
+
+bool fleet_member::lacks_own_entry() const {
+    const auto known = peers_.find(settings_.vm);
+    return known == peers_.end() || known->second.incarnation < self_->incarnation ||
+           known->second.revision == 0;
+}
+
+void fleet_member::write_own_entry() {
+    const auto known = peers_.find(settings_.vm);
+    telemetry::log_event(severity::warning, "registers_again",
+                         {{"vm", settings_.vm}, {"incarnation", self_->incarnation}});
+    put_entry(known == peers_.end() ? 0 : known->second.revision, self_->incarnation,
+              [this](const write_result& it) {
+                  if (const auto* done = std::get_if<gateway::write_done>(&it)) {
+                      on_object(done->object);
+                  }
+                  const auto* conflict = std::get_if<gateway::write_conflict>(&it);
+                  if (conflict != nullptr && conflict->current) {
+                      on_object(*conflict->current);
+                      peers_[settings_.vm].revision = conflict->current->revision;
+                  }
+                  if (lacks_own_entry()) {
+                      retry_later(&fleet_member::write_own_entry_if_missing);
+                  }
+              });
+}
+
+void fleet_member::write_own_entry_if_missing() {
+    if (self_ && lacks_own_entry()) {
+        write_own_entry();
+    }
+}
+
+void fleet_member::put_entry(gateway::store_revision revision, incarnation_number incarnation,
+                             std::function<void(const write_result&)> done) {
+    const json contents = {{"address", settings_.address},
+                           {"zone", settings_.zone.str()},
+                           {"region", settings_.region.str()},
+                           {"incarnation", incarnation}};
+    if (revision == 0) {
+        store_.create(vms_kind, settings_.vm.str(), contents.dump(), std::move(done));
+    } else {
+        store_.replace(vms_kind, settings_.vm.str(), revision, contents.dump(), std::move(done));
+    }
+}
+
 void fleet_member::on_object(const gateway::stored_object& it) {
     const json in = parse_contents(it);
     const bool is_readable = in.is_object() && in.contains("address") &&
@@ -141,6 +207,11 @@
     for (const auto& [vm, it] : peers_) {
         list.push_back({vm, it.zone, it.region, it.address, object_api::vm_state::live});
     }
+    if (peers_.count(settings_.vm) == 0) {
+        // A restored store lacks this VM's entry until it is written again.
+        list.push_back({settings_.vm, settings_.zone, settings_.region, settings_.address,
+                        object_api::vm_state::live});
+    }
     detector_->on_list(list, time_.now());
     for (const auto& it : peers_) {
         detector_->set_suspicion_timeout(it.first,
@@ -150,19 +221,12 @@
 
 void fleet_member::register_self() {
     const auto known = peers_.find(settings_.vm);
-    const incarnation_number incarnation =
-        known == peers_.end() ? 1 : known->second.incarnation + 1;
-    const json contents = {{"address", settings_.address},
-                           {"zone", settings_.zone.str()},
-                           {"region", settings_.region.str()},
-                           {"incarnation", incarnation}};
-    auto done = [this, incarnation](const write_result& it) { on_registered(it, incarnation); };
-    if (known == peers_.end()) {
-        store_.create(vms_kind, settings_.vm.str(), contents.dump(), std::move(done));
-    } else {
-        store_.replace(vms_kind, settings_.vm.str(), known->second.revision, contents.dump(),
-                       std::move(done));
-    }
+    // A store that came back from a copy may lack the entry of this VM's last start.
+    const incarnation_number lowest = gateway::era_of(list_revision_) << incarnations_of_era_bits;
+    const incarnation_number next = known == peers_.end() ? 1 : known->second.incarnation + 1;
+    const incarnation_number incarnation = std::max(lowest, next);
+    put_entry(known == peers_.end() ? 0 : known->second.revision, incarnation,
+              [this, incarnation](const write_result& it) { on_registered(it, incarnation); });
 }
 
 void fleet_member::on_registered(const write_result& result, incarnation_number incarnation) {
@@ -185,36 +249,35 @@
         }
     }
     // After an unknown outcome, the next attempt reads the entry with its incarnation incremented.
-    retry_later(&fleet_member::register_self);
+    retry_later(&fleet_member::register_if_needed);
 }
 
 void fleet_member::retry_later(void (fleet_member::*step)()) {
     retry_timer_.expires_after(retry_delay);
     retry_timer_.async_wait([this, step](const boost::system::error_code& ec) {
-        if (!ec && !self_) {
+        if (!ec) {
             (this->*step)();
         }
     });
 }
 
+void fleet_member::register_if_needed() {
+    if (!self_) {
+        register_self();
+    }
+}
+
 void fleet_member::read_secret() {
     store_.list(secrets_kind, [this](const gateway::list_result& result) {
         const auto* list = std::get_if<gateway::object_list>(&result);
-        if (list != nullptr) {
-            for (const gateway::stored_object& it : list->objects) {
-                const json in = parse_contents(it);
-                if (it.name == hints_secret && in.is_object()) {
-                    socket_.set_secret(in.value("secret", ""));
-                }
-            }
-            if (!socket_.has_secret()) {
-                create_secret();
-            }
+        const bool is_stored = list != nullptr && take_secret(*list);
+        if (list != nullptr && !is_stored) {
+            create_secret();
         }
-        if (!socket_.has_secret()) {
+        if (!is_stored) {
             secret_timer_.expires_after(retry_delay);
             secret_timer_.async_wait([this](const boost::system::error_code& ec) {
-                if (!ec && !socket_.has_secret()) {
+                if (!ec) {
                     read_secret();
                 }
             });
@@ -222,12 +285,26 @@
     });
 }
 
+bool fleet_member::take_secret(const gateway::object_list& list) {
+    for (const gateway::stored_object& it : list.objects) {
+        const json in = parse_contents(it);
+        if (it.name == hints_secret && in.is_object()) {
+            socket_.set_secret(in.value("secret", ""));
+            return socket_.has_secret();
+        }
+    }
+    return false;
+}
+
 void fleet_member::create_secret() {
-    const json contents = {{"secret", random_hex(secret_bytes)}};
+    // Where a restored copy of the store lacks the secret, the one in use is kept.
+    const json contents = {
+        {"secret", socket_.has_secret() ? socket_.secret() : random_hex(secret_bytes)}};
     // If another VM creates the secret first, this one reads it with the next attempt.
     store_.create(secrets_kind, hints_secret, contents.dump(),
                   [this, contents](const write_result& it) {
                       if (std::holds_alternative<gateway::write_done>(it)) {
+                          secret_timer_.cancel();
                           socket_.set_secret(contents["secret"].get<std::string>());
                       }
                   });
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -15,6 +15,8 @@
 
 constexpr const char* holders_kind = "engine-holders";
 constexpr ownership::shard_index shard_count = 4;
+// Bits of a fencing number below the store's era; holders change less often within an era.
+constexpr unsigned fences_of_era_bits = 20;
 constexpr duration rank_delay = std::chrono::milliseconds(400);
 // Long, because a handover for the sake of balance only interrupts loads.
 constexpr duration balance_interval = std::chrono::hours(24);
@@ -103,11 +105,8 @@
                          on_shard_object(object, follower_.read_began());
                      }
                      has_holder_list_ = true;
-                     for (ownership::shard_index i = 0; i < shard_count; ++i) {
-                         if (shards_.count(i) == 0) {
-                             apply_shard({i, 0, {}}, follower_.read_began());
-                         }
-                     }
+                     add_missing_shards();
+                     update_min_fence();
                  },
                  [this](const gateway::object_change& it) {
                      if (!it.removed) {
@@ -185,6 +184,26 @@
     });
 }
 
+void load_coordinator::add_missing_shards() {
+    for (ownership::shard_index i = 0; i < shard_count; ++i) {
+        const auto known = shards_.find(i);
+        if (known == shards_.end()) {
+            apply_shard({i, 0, {}}, follower_.read_began());
+        } else if (gateway::era_of(known->second.version) < gateway::era_of(follower_.revision())) {
+            // The store came back from a copy without this object, which has to be created again.
+            known->second.version = 0;
+        }
+    }
+}
+
+void load_coordinator::update_min_fence() {
+    const gateway::store_era era = gateway::era_of(follower_.revision());
+    if (policy_) {
+        const ownership::fencing_number lowest = 1;
+        policy_->set_min_fence(std::max(lowest, era << fences_of_era_bits), time_.now());
+    }
+}
+
 void load_coordinator::ensure_policy() {
     if (policy_ || !fleet_.self() || !has_holder_list_) {
         return;
@@ -195,6 +214,7 @@
     settings.balance_interval = balance_interval;
     policy_.emplace(*fleet_.self(), settings);
     guard_.emplace(*fleet_.self(), pause_limit);
+    update_min_fence();
     for (const auto& [index, it] : shards_) {
         apply_shard(it, follower_.read_began());
     }
@@ -217,12 +237,15 @@
     if (current != shards_.end() && it.version < current->second.version) {
         return;
     }
-    shards_[it.index] = it;
+    const bool is_restored = current != shards_.end() &&
+                             gateway::era_of(it.version) > gateway::era_of(current->second.version);
+    shards_[it.index] = is_restored ? ownership::merge_restored(current->second, it) : it;
     if (!policy_) {
         return;
     }
     const time_point now = time_.now();
-    policy_->on_shard(it, now);
+    policy_->on_shard(shards_[it.index], now);
+    // Only what the store states confirms a holder.
     for (const ownership::holding& entry : it.holdings) {
         guard_->on_entry(entry, read_began);
         if (!entry.vacant()) {
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -212,6 +212,65 @@
     BOOST_TEST(daemons[0]->member.self()->incarnation == 2U);
 }
 
+// Guards against entries, holders and the secret of hints that stay lost after the store came back
+// from a copy without them.
+BOOST_FIXTURE_TEST_CASE(what_a_restored_store_lacks_is_written_again, fixture) {
+    add("a");
+    store.back_up();
+    add("b");
+    run_until(
+        [&] { return holder() != nullptr && daemons[0]->hints > 0 && daemons[1]->hints > 0; });
+    const test_daemon* holder_before = holder();
+    const auto a_before = *daemons[0]->member.self();
+    const std::string secret = store.contents("fleet-secrets", "hints");
+    store.restore();
+    run_until([&] {
+        return !store.contents("entry-vms", "a").empty() &&
+               !store.contents("entry-vms", "b").empty() &&
+               !store.contents("fleet-secrets", "hints").empty();
+    });
+    BOOST_TEST(store.contents("fleet-secrets", "hints") == secret);
+    BOOST_TEST((*daemons[0]->member.self() == a_before));
+    const int hints_before = daemons[0]->hints;
+    run_until([&] { return daemons[0]->hints > hints_before; });
+    run_until([&] { return can_load(*holder(), {"m", "other"}) && engines.orders.size() > 0; });
+    BOOST_TEST(holder() == holder_before);
+}
+
+// Guards against an engine's fencing number that is given out twice, because the store came back
+// from a copy in which the holder that got it first is missing.
+BOOST_FIXTURE_TEST_CASE(fencing_numbers_grow_over_a_restore_of_the_store, fixture) {
+    store.back_up();
+    add("a");
+    run_until([&] {
+        return holder() != nullptr && can_load(*daemons[0], adapter) && !engines.holders.empty();
+    });
+    const auto fence_before = engines.holders.back().fencing_number;
+    daemons.clear();
+    store.restore();
+    add("b");
+    const std::size_t orders_before = engines.holders.size();
+    run_until([&] {
+        return holder() != nullptr && can_load(*daemons[0], adapter) &&
+               engines.holders.size() > orders_before;
+    });
+    BOOST_TEST(engines.holders.back().holder == "b");
+    BOOST_TEST(engines.holders.back().fencing_number > fence_before);
+}
+
+// Guards against an incarnation that two starts of a VM share, because the store lost the first.
+BOOST_FIXTURE_TEST_CASE(incarnations_grow_over_a_restore_of_the_store, fixture) {
+    store.back_up();
+    add("a");
+    run_until([&] { return daemons[0]->member.self().has_value(); });
+    const auto before = daemons[0]->member.self()->incarnation;
+    daemons.clear();
+    store.restore();
+    add("a");
+    run_until([&] { return daemons[0]->member.self().has_value(); });
+    BOOST_TEST(daemons[0]->member.self()->incarnation > before);
+}
+
 BOOST_FIXTURE_TEST_CASE(the_holder_loads_adapters_for_the_other_daemon, fixture) {
     add("a");
     add("b");
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -27,6 +27,24 @@
     /// While set, watches report no changes.
     bool withholds_changes = false;
 
+    /// Keeps a copy of all objects.
+    void back_up() {
+        backup_ = objects_;
+        backup_revision_ = revision_;
+    }
+    /// Comes back from that copy, in a new era.
+    void restore() {
+        const gateway::store_era era = gateway::era_of(revision_) + 1;
+        objects_ = backup_;
+        for (auto& [kind, objects] : objects_) {
+            for (auto& [name, it] : objects) {
+                it.revision = gateway::make_revision(era, gateway::number_of(it.revision));
+            }
+        }
+        revision_ = gateway::make_revision(era, gateway::number_of(backup_revision_));
+        history_.clear();
+    }
+
     /// Rewrites each object of a kind unchanged, which raises its revision.
     void rewrite_all(const std::string& kind) {
         const auto all = objects_[kind];
@@ -64,6 +82,10 @@
                 done(gateway::read_failure::unavailable);
                 return;
             }
+            if (gateway::era_of(since) != gateway::era_of(revision_)) {
+                done(gateway::read_failure::history_gone);
+                return;
+            }
             gateway::object_changes out;
             if (withholds_changes) {
                 out.revision = since;
@@ -119,8 +141,12 @@
     }
 
     /// Returns an object's contents, or an empty string.
-    std::string contents(const std::string& kind, const std::string& name) {
-        return objects_[kind][name].contents;
+    std::string contents(const std::string& kind, const std::string& name) const {
+        const auto objects = objects_.find(kind);
+        if (objects == objects_.end() || objects->second.count(name) == 0) {
+            return {};
+        }
+        return objects->second.at(name).contents;
     }
 
 private:
@@ -147,6 +173,8 @@
 
     boost::asio::io_context& loop_;
     std::map<std::string, std::map<std::string, gateway::stored_object>> objects_;
+    std::map<std::string, std::map<std::string, gateway::stored_object>> backup_;
+    gateway::store_revision backup_revision_ = 1;
     std::vector<recorded_change> history_;
     gateway::store_revision revision_ = 1;
 };
