--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -23,6 +23,8 @@
     header_list headers;
     /// Length of the body, if stated.
     std::optional<std::uint64_t> length;
+    /// Whether the body has neither a length nor chunks, so that only the connection's end ends it.
+    bool ends_with_connection = false;
 };
 
 /// Why a call ended without a complete response.
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -137,6 +137,7 @@
     if (parser_->content_length()) {
         head.length = *parser_->content_length();
     }
+    head.ends_with_connection = !head.length && !parser_->chunked();
     const std::string_view id = request_.id_header.empty()
                                     ? std::string_view()
                                     : find_header(head.headers, request_.id_header);
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "event_splitter.h"
 
+#include <algorithm>
+
 namespace radishpulley::gateway {
 namespace {
 
@@ -31,6 +33,16 @@
 
 }  // namespace
 
+void event_end_detector::append(std::string_view bytes) {
+    constexpr std::size_t longest_end = 4;
+    tail_.append(bytes.substr(bytes.size() - std::min(bytes.size(), longest_end)));
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), longest_end));
+}
+
+bool event_end_detector::is_at_event_end() const {
+    return !tail_.empty() && last_event_end(tail_) == tail_.size();
+}
+
 std::string event_splitter::append(std::string_view bytes) {
     incomplete_.append(bytes);
     const std::size_t border = last_event_end(incomplete_);
--- a/libs/gateway/src/event_splitter.h
+++ b/libs/gateway/src/event_splitter.h
@@ -7,6 +7,18 @@
 
 namespace radishpulley::gateway {
 
+/// Tells whether a stream has ended between two events, without buffering it.
+class event_end_detector {
+public:
+    void append(std::string_view bytes);
+    /// Whether the last event is complete; false before the first.
+    bool is_at_event_end() const;
+
+private:
+    /// Last bytes of the stream.
+    std::string tail_;
+};
+
 class event_splitter {
 public:
     /// Appends bytes; returns the complete events that can be relayed.
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -97,6 +97,8 @@
     void on_rejection(const response_head& head);
     void apply_notice(const response_head& head, const response_attributes& attributes);
     void relay_head(const response_head& head);
+    /// Watches for the last event's end where nothing else shows that the stream is complete.
+    void watch_stream_end(const response_head& head);
     /// If the call that ended produced no response for the caller, sends the request again or
     /// refuses it; returns whether that was the case.
     bool send_again_if_discarded();
@@ -189,6 +191,8 @@
     bool is_trial_ = false;
     time_point evidence_wait_ends_{};
     std::optional<event_splitter> events_;
+    /// Set for a stream whose end only the end of its connection marks.
+    std::optional<event_end_detector> unframed_events_;
     std::uint64_t relayed_ = 0;
     unsigned status_ = 0;
     time_point wait_began_{};
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -46,6 +46,7 @@
             return;
         }
         phase_ = phase::relaying;
+        watch_stream_end(head);
         return;
     }
     if (failed && may_run_again() && spend_retry()) {
@@ -73,8 +74,17 @@
     }
 }
 
+void exchange::watch_stream_end(const response_head& head) {
+    const bool is_stream = route_->kind == routing::request_kind::streaming;
+    unframed_events_.reset();
+    if (is_stream && head.ends_with_connection && head.status / 100 == 2) {
+        unframed_events_.emplace();
+    }
+}
+
 void exchange::relay_head(const response_head& head) {
     phase_ = phase::relaying;
+    watch_stream_end(head);
     head_sent_ = true;
     status_ = head.status;
     caller_response out;
@@ -131,6 +141,9 @@
         owner_.work_.on_prompt_read(number_);
     }
     relayed_ += bytes.size();
+    if (unframed_events_) {
+        unframed_events_->append(bytes);
+    }
     if (events_) {
         const std::string ready = events_->append(bytes);
         if (!ready.empty()) {
@@ -166,6 +179,11 @@
 
 void exchange::on_done() {
     const auto self = shared_from_this();
+    const bool is_cut = unframed_events_ && !unframed_events_->is_at_event_end();
+    if (is_cut && !discards_response_) {
+        on_failure(call_failure::broken);
+        return;
+    }
     on_call_ended();
     owner_.pool_.release(endpoint_, std::move(connection_));
     connection_.reset();
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -233,8 +233,8 @@
 };
 
 /// The gateway with its callers and endpoints. Requests go to /once/ (non-idempotent), /again/
-/// (idempotent), /events/ (a resumable stream) or /open/ (no key); all but the last need the key
-/// `k`.
+/// (idempotent), /events/ (a resumable stream), /stream/ (one that is not) or /open/ (no key); all
+/// but the last need the key `k`.
 class gateway_fixture {
 public:
     gateway_fixture()
@@ -265,7 +265,7 @@
     void configure(double rate = 0) {
         routing::configuration_content content;
         content.version = 1;
-        for (const char* name : {"once", "again", "events", "open"}) {
+        for (const char* name : {"once", "again", "events", "open", "stream"}) {
             routing::route it;
             it.name = name;
             it.host = "h";
@@ -279,6 +279,7 @@
         content.routes[2].kind = routing::request_kind::streaming;
         content.routes[2].resumable = true;
         content.routes[3].open = true;
+        content.routes[4].kind = routing::request_kind::streaming;
         routing::service service;
         service.id = service_id("s");
         if (with_engines) {
