Quarantine: a status repeats only blocks and recent accusations

Found in reading the change: an accusation of an ordinary crash stood in every status for ten minutes, some 40 bytes a segment, up to 16, with each of some 100 status messages a second at 380 VMs. Now it is repeated for 5 s, in case its own message was lost; blocks are repeated as long as they last. Test: a_status_repeats_only_blocks_and_recent_accusations. Also: a request leaves the list of requests before it ends its call; wording.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -50,8 +50,8 @@
 }
 
 exchange::~exchange() {
-    stop_call();
     owner_.exchanges_.erase(this);
+    stop_call();
     owner_.body_bytes_ -= request_.body.size();
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -184,8 +184,9 @@
     bool rejected_ = false;
     bool discards_response_ = false;
     bool first_body_ = true;
-    /// Whether the response of the current call has begun with its body, and gone on.
+    /// Whether a part of the body of the current call's response has arrived.
     bool has_body_ = false;
+    /// Whether an endpoint has begun to answer the prompt, and gone on.
     bool is_answered_ = false;
     /// Whether the request is sent to find out whether its blocked segment still crashes engines.
     bool is_trial_ = false;
--- a/libs/routing/include/routing/segment_quarantine.h
+++ b/libs/routing/include/routing/segment_quarantine.h
@@ -66,6 +66,8 @@
     duration trial_stagger = std::chrono::milliseconds(300);
     /// Time after which a trial without a result counts as lost.
     duration trial_timeout = std::chrono::seconds(10);
+    /// Time for which an accusation is repeated with each status, in case its message was lost.
+    duration repetition_time = std::chrono::seconds(5);
     /// Minimum time for which an accusation is kept.
     duration accusation_retention = std::chrono::minutes(10);
     std::size_t max_suspects = 512;
@@ -120,7 +122,7 @@
     bool is_suspect(gsl::span<const prompt_segment> segments) const;
     /// Whether take_changes() would return anything.
     bool has_changes() const;
-    /// Returns what VMs that have just joined must know: the most suspected segments.
+    /// Returns what each status repeats: the blocked segments, and those accused a moment ago.
     std::vector<suspect_segment> suspects(time_point now) const;
     std::size_t blocked_count() const;
 
--- a/libs/routing/src/segment_quarantine.cpp
+++ b/libs/routing/src/segment_quarantine.cpp
@@ -180,7 +180,8 @@
 std::vector<suspect_segment> segment_quarantine::suspects(time_point now) const {
     std::vector<std::pair<segment_id, const record*>> accused;
     for (const auto& [segment, it] : records_) {
-        if (!it.crashes.empty()) {
+        const bool is_recent = last_crash(it.crashes) > now - settings_.repetition_time;
+        if (is_blocked(it) || is_recent) {
             accused.emplace_back(segment, &it);
         }
     }
--- a/libs/routing/tests/segment_quarantine_tests.cpp
+++ b/libs/routing/tests/segment_quarantine_tests.cpp
@@ -200,6 +200,16 @@
     BOOST_TEST(it.messages <= 3U);
 }
 
+// Guards against status messages that carry each accusation of an ordinary crash for long.
+BOOST_AUTO_TEST_CASE(a_status_repeats_only_blocks_and_recent_accusations) {
+    segment_quarantine it;
+    it.on_crash(100, prompt({rare}), start);
+    BOOST_TEST(it.suspects(start + seconds(1)).size() == 1U);
+    BOOST_TEST(it.suspects(start + seconds(10)).empty());
+    it.on_crash(101, prompt({rare}), start + seconds(20));
+    BOOST_TEST(it.suspects(start + minutes(2)).size() == 1U);
+}
+
 // Guards against state and messages that grow with the number of different segments.
 BOOST_AUTO_TEST_CASE(state_and_messages_are_bounded) {
     const quarantine_settings settings;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -99,7 +99,9 @@
     for (const auto& [vm, it] : previous) {
         const bool is_listed = peers_.count(vm) != 0;
         if (!is_listed && it.last_alive != time_point::min() && !is_silent(it, now)) {
-            peers_.emplace(vm, it).first->second.revision = 0;
+            peer& kept = peers_[vm];
+            kept = it;
+            kept.revision = 0;
         }
     }
 }
