Responses without a request id are discarded on connections whose endpoint states ids

Cause: on a used connection a response without an id was taken for an invalid response to the request in progress. Class: an unattributable message that is judged as the one that was waited for.

Ruled out: copies with the id of the earlier request (discarded before, no failure in the tests).

Change: once a response on a connection has stated an id, one without it belongs to no request and is discarded like one with a foreign id, within the same bounds. On connections that have shown no id the call fails as before.

Failed before: broken_responses_tests a_repeated_rejection_without_an_id_costs_no_other_request (r2: 502 malformed_answer, route once).

--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -54,7 +54,8 @@
     /// Set for HEAD requests, whose response has no body whatever its head states.
     bool is_head = false;
     /// Response header that must have the value `id`, which detects responses to earlier requests
-    /// on the connection; empty for no check. Only the first response on a connection may lack it.
+    /// on the connection; empty for no check. Responses without it are discarded once another
+    /// response on the connection had one; before that, only the first may lack it.
     std::string id_header;
     std::string id;
 };
@@ -105,6 +106,8 @@
     bool discarding_ = false;
     bool paused_ = false;
     bool unusable_ = false;
+    /// Whether a response on this connection stated the id of its request.
+    bool states_ids_ = false;
     std::size_t responses_ = 0;
     std::size_t discarded_responses_ = 0;
     std::size_t discarded_bytes_ = 0;
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -141,7 +141,8 @@
     const std::string_view id = request_.id_header.empty()
                                     ? std::string_view()
                                     : find_header(head.headers, request_.id_header);
-    const bool is_foreign = !id.empty() && id != request_.id;
+    // An endpoint that states ids of its own responses leaves none out.
+    const bool is_foreign = id.empty() ? states_ids_ : id != request_.id;
     if (head.status / 100 == 1 || is_foreign) {
         discarding_ = true;
         if (++discarded_responses_ > max_discarded_responses) {
@@ -154,6 +155,7 @@
         fail(call_failure::malformed);
         return;
     }
+    states_ids_ = states_ids_ || !id.empty();
     note_keep_alive(head);
     handler_->on_head(head);
 }
--- a/libs/gateway/tests/broken_responses_tests.cpp
+++ b/libs/gateway/tests/broken_responses_tests.cpp
@@ -175,6 +175,38 @@
     }
 }
 
+// Guards against sound requests that fail beside repeated rejections: a copy without a request id
+// was taken for an invalid response to the request that runs.
+BOOST_AUTO_TEST_CASE(a_repeated_rejection_without_an_id_costs_no_other_request) {
+    for (const std::string route : {"once", "again", "stream"}) {
+        gateway_fixture fixture;
+        fixture.configure();
+        int runs = 0;
+        const auto& engine = fixture.add_endpoint("e1", [&](const std::string& request, peer& it) {
+            const std::string id = id_of(request);
+            if (id == "r1") {
+                it.send(response("503 Busy", id, "", "X-Not-Run: 1\r\n"));
+                return;
+            }
+            ++runs;
+            it.send("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" +
+                    response("200 OK", id, "done"));
+        });
+        const auto is_answered = [](const peer& it) {
+            return ends_with(it.received, "done") || ends_with(it.received, "}");
+        };
+        for (const std::string id : {"r1", "r2", "r3", "r4"}) {
+            const std::string got =
+                fixture.round_trip(request("POST /" + route + "/x", id, "", "x"), is_answered);
+            BOOST_TEST_CONTEXT(route << " " << id) {
+                BOOST_TEST(ends_with(got, id == "r1" ? "}" : "done"));
+            }
+        }
+        BOOST_TEST(runs == 3);
+        BOOST_TEST(engine.connections.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
