--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -233,7 +233,7 @@
     BOOST_TEST((*daemons[0]->member.self() == a_before));
     const int hints_before = daemons[0]->hints;
     run_until([&] { return daemons[0]->hints > hints_before; });
-    run_until([&] { return can_load(*holder(), {"m", "other"}) && engines.orders.size() > 0; });
+    run_until([&] { return can_load(*holder(), {"m", "other"}) && !engines.orders.empty(); });
     BOOST_TEST(holder() == holder_before);
 }
 
