Reads of the store time out on a lack of progress, not on their length

What callers saw: routes of an acknowledged configuration answered 404 for good at VMs with slow links, and dropped ones kept working there (CONFIG).

Cause: a call to the store had one timeout for its whole transfer, 0.5 s beyond the wait of a watch. A configuration that takes longer was given up, its bytes were dropped and the next call began anew, for ever. A hint of a newer version started a second watch beside one whose response was arriving, each second.

Why it works: a response that has begun is given up only once it brings less than 4 kB within the stall timeout, which is the response timeout that bounded silence before; silent connections are noticed as soon as before. A watch whose response is arriving is not renewed. store_call_failed states the bytes received.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -81,7 +81,7 @@
     void start();
     /// Starts a second watch beside the current one, whose connection may be dead. The first
     /// response of the two is used. A reader calls the store instead. Does nothing if the last
-    /// watch is younger than the longest backoff.
+    /// watch is younger than the longest backoff, or its response is arriving.
     void renew();
     /// Sets the rank of this VM, from 0, among the `vms` VMs of its zone.
     void set_rank(std::size_t rank, std::size_t vms);
@@ -123,6 +123,8 @@
     /// Whether a report announced changes that this copy lacks.
     bool misses_changes() const { return revision_ < unlisted_revision_; }
     void schedule_unlisted_fetch();
+    /// Whether parts of the response to the current watch arrived a moment ago.
+    bool is_receiving() const;
     void record_response();
     void fail(read_failure why);
     void run_after(std::chrono::milliseconds wait, void (collection_follower::*next)());
@@ -146,6 +148,8 @@
     /// Start of the watch before the current one, which may still be answered.
     time_point earlier_watch_began_{};
     time_point read_began_{};
+    /// When a part of a watch's response arrived last.
+    time_point progress_at_ = time_point::min();
     store_revision revision_ = 0;
     /// Newest revision of changes that a report announced without listing them.
     store_revision unlisted_revision_ = 0;
--- a/libs/gateway/include/gateway/object_collections.h
+++ b/libs/gateway/include/gateway/object_collections.h
@@ -74,13 +74,17 @@
     may_lag
 };
 
-/// Timeouts and freshness of a watch.
+/// Timeouts, freshness and size of a watch.
 struct watch_terms {
     /// Longest time for which the store waits for a change.
     std::chrono::milliseconds wait{4'000};
     /// Time beyond the wait after which the connection counts as silent.
     std::chrono::milliseconds response_timeout{1'500};
     read_freshness freshness = read_freshness::newest;
+    /// Bytes of changes that are read; more of them fail the watch as too large.
+    std::size_t max_bytes = 8'000'000;
+    /// Called as parts of the response arrive.
+    std::function<void()> on_progress = [] {};
 };
 
 /// Why a read has no result.
@@ -88,7 +92,9 @@
     /// The store did not respond or is overloaded.
     unavailable,
     /// The store no longer keeps the changes since that revision, or has lost them in a restore.
-    history_gone
+    history_gone,
+    /// The changes are larger than asked for; each holds its whole object.
+    too_large
 };
 
 /// The write took effect.
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -110,12 +110,20 @@
     const auto wait = probes ? probe_wait
                              : std::chrono::duration_cast<std::chrono::milliseconds>(
                                    schedule_.watch_wait(settings_.watch_wait));
-    store_.watch(kind_, revision_, {wait, settings_.response_timeout, settings_.freshness},
-                 [this, number, alive = alive_](const changes_result& it) {
-                     if (*alive) {
-                         on_watch_end(number, it);
-                     }
-                 });
+    watch_terms terms;
+    terms.wait = wait;
+    terms.response_timeout = settings_.response_timeout;
+    terms.freshness = settings_.freshness;
+    terms.on_progress = [this, alive = alive_] {
+        if (*alive) {
+            progress_at_ = time_.now();
+        }
+    };
+    store_.watch(kind_, revision_, terms, [this, number, alive = alive_](const changes_result& it) {
+        if (*alive) {
+            on_watch_end(number, it);
+        }
+    });
 }
 
 void collection_follower::on_watch_end(std::uint64_t number, const changes_result& result) {
@@ -131,8 +139,13 @@
     on_changes(result);
 }
 
+bool collection_follower::is_receiving() const {
+    return progress_at_ >= watch_began_ && time_.now() - progress_at_ < settings_.response_timeout;
+}
+
 void collection_follower::renew() {
-    if (time_.now() - watch_began_ < settings_.max_backoff) {
+    // A second call would take its part of the link from a response that is arriving.
+    if (time_.now() - watch_began_ < settings_.max_backoff || is_receiving()) {
         return;
     }
     if (!is_watching_ && has_list_ && schedule_.role() == relay::copy_role::reader) {
--- a/libs/gateway/src/simple_call.cpp
+++ b/libs/gateway/src/simple_call.cpp
@@ -5,6 +5,11 @@
 namespace radishpulley::gateway {
 namespace {
 
+// A response that brings less in a stall timeout counts as stalled.
+constexpr std::size_t min_progress_bytes = 4'096;
+// Stall timeouts after which a call is given up though its response still arrives.
+constexpr unsigned max_stall_timeouts = 60;
+
 class simple_call final : public call_handler, public std::enable_shared_from_this<simple_call> {
 public:
     simple_call(boost::asio::io_context& loop, endpoint_pool& pool, endpoint_id id,
@@ -20,7 +25,7 @@
         timer_.expires_after(request_.timeout);
         timer_.async_wait([self](const boost::system::error_code& ec) {
             if (!ec) {
-                self->fail(call_failure::broken, true);
+                self->fail_after_timeout();
             }
         });
         pool_.acquire(id_, address, [self, address](std::shared_ptr<endpoint_link> it) {
@@ -60,13 +65,38 @@
     void on_head(const response_head& head) override {
         answer_.status = head.status;
         answer_.headers = head.headers;
+        if (head.length.value_or(0) > request_.max_body_bytes) {
+            fail_as_too_large();
+            return;
+        }
+        watch_progress();
     }
 
     void on_body(std::string_view bytes) override {
         answer_.body.append(bytes);
         if (answer_.body.size() > request_.max_body_bytes) {
-            fail(call_failure::malformed);
+            fail_as_too_large();
+            return;
         }
+        request_.on_progress();
+    }
+
+    // Fails the call if the response stalls. How long it takes in all depends on its size and on
+    // the link.
+    void watch_progress() {
+        timer_.expires_after(request_.stall_timeout);
+        timer_.async_wait([self = shared_from_this(),
+                           received = answer_.body.size()](const boost::system::error_code& ec) {
+            if (ec) {
+                return;
+            }
+            const bool has_progressed = self->answer_.body.size() - received >= min_progress_bytes;
+            if (has_progressed && ++self->stall_timeouts_ < max_stall_timeouts) {
+                self->watch_progress();
+            } else {
+                self->fail_after_timeout();
+            }
+        });
     }
 
     void on_done() override {
@@ -77,8 +107,26 @@
 
     void on_failure(call_failure why) override { fail(why); }
 
-    void fail(call_failure why, bool timed_out = false) {
-        end(failed_call{why, timed_out, connection_ && connection_->responses() > 0});
+    failed_call describe_failure(call_failure why) const {
+        failed_call out;
+        out.why = why;
+        out.received_bytes = answer_.body.size();
+        out.on_kept_connection = connection_ && connection_->responses() > 0;
+        return out;
+    }
+
+    void fail(call_failure why) { end(describe_failure(why)); }
+
+    void fail_after_timeout() {
+        failed_call out = describe_failure(call_failure::broken);
+        out.timed_out = true;
+        end(out);
+    }
+
+    void fail_as_too_large() {
+        failed_call out = describe_failure(call_failure::malformed);
+        out.too_large = true;
+        end(out);
     }
 
     void end(simple_result result) {
@@ -104,6 +152,7 @@
     std::shared_ptr<endpoint_link> connection_;
     std::shared_ptr<simple_call> self_;
     simple_response answer_;
+    unsigned stall_timeouts_ = 0;
 };
 
 }  // namespace
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -344,6 +344,19 @@
     BOOST_TEST(store.watches.size() == 2U);
 }
 
+// Guards against a second call that takes half of the link from a response that is arriving: other
+// VMs' hints of a newer version renewed the watch each second.
+BOOST_FIXTURE_TEST_CASE(a_watch_whose_response_is_arriving_is_not_renewed, scripted_fixture) {
+    start(1);
+    time.advance(settings.max_backoff);
+    store.watches[0].terms.on_progress();
+    follower.renew();
+    BOOST_TEST(store.watches.size() == 1U);
+    time.advance(settings.response_timeout);
+    follower.renew();
+    BOOST_TEST(store.watches.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
