A follower lists a collection whose pending changes are larger than it

What callers saw: in a storm of changes of a large configuration, VMs fell further behind with each fetch (CONFIG).

Cause: a watch returns every change since its revision, each with its whole object. While one configuration was fetched the next ones gathered, and the next response held them all; beyond 8 MB it was refused for good.

Why it works: the response's length is known from its head. If it is more than twice the collection, the follower lists the collection instead, which holds each object once; so a fetch never takes longer than that.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -125,6 +125,8 @@
     void schedule_unlisted_fetch();
     /// Whether parts of the response to the current watch arrived a moment ago.
     bool is_receiving() const;
+    /// Bytes of changes beyond which listing the collection again takes less.
+    std::size_t max_change_bytes() const;
     void record_response();
     void fail(read_failure why);
     void run_after(std::chrono::milliseconds wait, void (collection_follower::*next)());
@@ -150,6 +152,8 @@
     time_point read_began_{};
     /// When a part of a watch's response arrived last.
     time_point progress_at_ = time_point::min();
+    /// Estimated bytes of a list of the collection.
+    std::size_t list_bytes_ = 0;
     store_revision revision_ = 0;
     /// Newest revision of changes that a report announced without listing them.
     store_revision unlisted_revision_ = 0;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -36,6 +36,19 @@
 constexpr std::chrono::milliseconds probe_wait{1};
 constexpr unsigned outage_failure_count = 2;
 constexpr std::chrono::milliseconds min_reader_wait{10};
+// Estimated bytes of an object in a list beside its name and contents.
+constexpr std::size_t bytes_around_object = 256;
+// Lists that a watch's changes may be as large as, and what they may be in any case.
+constexpr std::size_t lists_per_changes = 2;
+constexpr std::size_t min_change_bytes = 65'536;
+
+std::size_t estimate_list_bytes(const object_list& all) {
+    std::size_t out = 0;
+    for (const stored_object& it : all.objects) {
+        out += it.name.size() + it.contents.size() + bytes_around_object;
+    }
+    return out;
+}
 
 }  // namespace
 
@@ -114,6 +127,7 @@
     terms.wait = wait;
     terms.response_timeout = settings_.response_timeout;
     terms.freshness = settings_.freshness;
+    terms.max_bytes = max_change_bytes();
     terms.on_progress = [this, alive = alive_] {
         if (*alive) {
             progress_at_ = time_.now();
@@ -139,6 +153,10 @@
     on_changes(result);
 }
 
+std::size_t collection_follower::max_change_bytes() const {
+    return list_bytes_ * lists_per_changes + min_change_bytes;
+}
+
 bool collection_follower::is_receiving() const {
     return progress_at_ >= watch_began_ && time_.now() - progress_at_ < settings_.response_timeout;
 }
@@ -192,6 +210,7 @@
                               has_list_ = true;
                               needs_list_ = false;
                               revision_ = it.revision;
+                              list_bytes_ = estimate_list_bytes(it);
                               log_.restart(it.revision);
                               events_.on_list(it);
                               schedule_next_read(std::chrono::milliseconds(0));
@@ -339,9 +358,11 @@
 
 void collection_follower::fail(read_failure why) {
     was_interrupted_ = has_list_;
-    if (why == read_failure::history_gone) {
-        telemetry::log_event(telemetry::severity::info, "store_history_gone",
-                             {{"kind", kind_}, {"revision", revision_}});
+    if (why != read_failure::unavailable) {
+        const bool is_gone = why == read_failure::history_gone;
+        telemetry::log_event(
+            telemetry::severity::info, is_gone ? "store_history_gone" : "store_changes_too_large",
+            {{"kind", kind_}, {"revision", revision_}, {"limit", max_change_bytes()}});
         needs_list_ = true;
         list();
         return;
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -344,6 +344,25 @@
     BOOST_TEST(store.watches.size() == 2U);
 }
 
+// Guards against changes that gather while a large object is fetched: each holds the whole object,
+// so every fetch took longer than the one before.
+BOOST_FIXTURE_TEST_CASE(changes_larger_than_the_collection_are_replaced_by_a_list,
+                        scripted_fixture) {
+    start(1);
+    const std::size_t of_empty_collection = store.watches[0].terms.max_bytes;
+    store.watches[0].done(read_failure::too_large);
+    BOOST_REQUIRE(store.lists.size() == 2U);
+    object_list all;
+    all.objects.push_back({"main", 9, std::string(500'000, 'x')});
+    all.revision = 9;
+    store.lists[1](all);
+    BOOST_REQUIRE(store.watches.size() == 2U);
+    BOOST_TEST(store.watches[1].since == 9U);
+    BOOST_TEST(store.watches[1].terms.max_bytes >= 1'000'000U);
+    BOOST_TEST(store.watches[1].terms.max_bytes <= 1'100'000U + of_empty_collection);
+    BOOST_TEST(reachable.empty());
+}
+
 // Guards against a second call that takes half of the link from a response that is arriving: other
 // VMs' hints of a newer version renewed the watch each second.
 BOOST_FIXTURE_TEST_CASE(a_watch_whose_response_is_arriving_is_not_renewed, scripted_fixture) {
