Reports hold the difference to a large object, so that readers need not fetch it

Cause: a configuration did not fit into a report, so a report only said that there was a newer one: VMs x bytes x changes went over the store's link, and a VM without the store learned nothing.

A watcher reports the runs of the object before and the new text between them; a reader that has the same object before puts the new one together and checks its hash, one that has not fetches it as until now.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,15 @@
 
 namespace radishpulley::gateway {
 
+/// What a follower's reports tell of the objects that changed.
+enum class report_contents {
+    whole,
+    /// The difference to the object before, as an object may be larger than a datagram.
+    deltas,
+    /// Nothing; readers fetch changed objects from the store.
+    none
+};
+
 /// Timing of a follower.
 struct follower_settings {
     /// Longest wait of one watch.
@@ -34,8 +44,9 @@
     std::chrono::milliseconds response_timeout{1'500};
     std::chrono::milliseconds initial_backoff{100};
     std::chrono::milliseconds max_backoff{1'000};
-    /// Whether reports contain the changed objects; otherwise readers fetch them from the store.
-    bool reports_contents = true;
+    report_contents reports = report_contents::whole;
+    /// Largest delta in a report; readers fetch objects that changed more.
+    std::size_t max_delta_bytes = 8'000;
     /// Delay between a report of unlisted changes and fetching them, as another VM's report may
     /// list them.
     std::chrono::milliseconds unlisted_fetch_delay{200};
@@ -112,7 +123,14 @@
     void on_watch_end(std::uint64_t number, const changes_result& result);
     void on_changes(const changes_result& result);
     void take_changes(const object_changes& it);
-    void note_for_reports(relay::reported_change it);
+    /// Passes a change on, after it was noted for reports.
+    void apply(const object_change& it);
+    void keep_bases(const object_list& all);
+    /// Describes a change of the store for reports, or returns nothing if it is too large.
+    std::optional<relay::reported_change> describe(const object_change& it,
+                                                   store_revision revision) const;
+    /// Applies a reported change; returns false if this copy lacks the object that it builds on.
+    bool apply_reported(const relay::reported_change& it);
     std::chrono::milliseconds delay_after(const object_changes& it) const;
     /// Schedules the next read after a response.
     void schedule_next_read(std::chrono::milliseconds pause);
@@ -159,6 +177,8 @@
     store_revision unlisted_revision_ = 0;
     relay::copy_schedule schedule_;
     relay::change_log log_;
+    /// The objects that deltas build on, if reports contain deltas.
+    std::map<std::string, stored_object> bases_;
     bool has_list_ = false;
     /// Whether the collection must be listed before changes can be followed.
     bool needs_list_ = true;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -212,6 +212,7 @@
                               revision_ = it.revision;
                               list_bytes_ = estimate_list_bytes(it);
                               log_.restart(it.revision);
+                              keep_bases(it);
                               events_.on_list(it);
                               schedule_next_read(std::chrono::milliseconds(0));
                           },
@@ -240,18 +241,57 @@
         if (events_.is_reportable(*each)) {
             // A removal has no revision of its own.
             const store_revision revision = each->removed ? it.revision : each->object.revision;
-            note_for_reports({revision, each->object.name, each->removed,
-                              each->removed ? "" : each->object.contents});
+            if (auto described = describe(*each, revision)) {
+                log_.add(std::move(*described), time_.now());
+            } else {
+                log_.restart(revision);
+            }
         }
-        events_.on_change(*each);
+        apply(*each);
     }
 }
 
-void collection_follower::note_for_reports(relay::reported_change it) {
-    if (settings_.reports_contents) {
-        log_.add(std::move(it), time_.now());
-    } else {
-        log_.restart(it.revision);
+std::optional<relay::reported_change> collection_follower::describe(const object_change& it,
+                                                                    store_revision revision) const {
+    if (settings_.reports == report_contents::none) {
+        return std::nullopt;
+    }
+    relay::reported_change out{revision, it.object.name, it.removed, ""};
+    if (it.removed || settings_.reports == report_contents::whole) {
+        out.contents = it.removed ? "" : it.object.contents;
+        return out;
+    }
+    const auto base = bases_.find(it.object.name);
+    if (base == bases_.end()) {
+        return std::nullopt;
+    }
+    auto delta =
+        relay::make_delta(base->second.contents, it.object.contents, settings_.max_delta_bytes);
+    if (!delta) {
+        return std::nullopt;
+    }
+    out.delta = relay::object_delta{base->second.revision, std::move(*delta)};
+    return out;
+}
+
+void collection_follower::apply(const object_change& it) {
+    if (settings_.reports == report_contents::deltas) {
+        if (it.removed) {
+            bases_.erase(it.object.name);
+        } else {
+            bases_[it.object.name] = it.object;
+        }
+    }
+    events_.on_change(it);
+}
+
+void collection_follower::keep_bases(const object_list& all) {
+    bases_.clear();
+    if (settings_.reports != report_contents::deltas) {
+        return;
+    }
+    for (const stored_object& it : all.objects) {
+        bases_[it.name] = it;
     }
 }
 
@@ -276,21 +316,38 @@
         return;
     }
     const store_revision previous_revision = revision_;
-    revision_ = std::max(revision_, it.as_of);
     max_change_age_ = std::chrono::milliseconds(it.age_ms);
     for (const relay::reported_change& change : it.changes) {
-        if (change.revision <= previous_revision) {
-            continue;
+        if (change.revision > previous_revision && !apply_reported(change)) {
+            unlisted_revision_ = std::max(unlisted_revision_, it.as_of);
+            schedule_unlisted_fetch();
+            return;
         }
-        const object_change reported{{change.name, change.revision, change.contents},
-                                     change.removed};
-        note_for_reports(change);
-        events_.is_reportable(reported);
-        events_.on_change(reported);
     }
+    revision_ = std::max(revision_, it.as_of);
     confirmed_at_ = std::max(confirmed_at_, confirmed);
 }
 
+bool collection_follower::apply_reported(const relay::reported_change& it) {
+    object_change change{{it.name, it.revision, it.contents}, it.removed};
+    if (it.delta) {
+        const auto base = bases_.find(it.name);
+        const bool has_base =
+            base != bases_.end() && base->second.revision == it.delta->base_revision;
+        auto contents = has_base ? relay::apply_delta(base->second.contents, it.delta->to_contents)
+                                 : std::nullopt;
+        if (!contents) {
+            return false;
+        }
+        change.object.contents = std::move(*contents);
+    }
+    log_.add(it, time_.now());
+    revision_ = std::max(revision_, it.revision);
+    events_.is_reportable(change);
+    apply(change);
+    return true;
+}
+
 void collection_follower::schedule_unlisted_fetch() {
     if (unlisted_fetch_scheduled_ || schedule_.role() != relay::copy_role::reader) {
         // A watcher receives the changes from the store.
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -376,6 +376,98 @@
     BOOST_TEST(store.watches.size() == 2U);
 }
 
+// A collection of one large object, of which reports contain deltas.
+struct large_object_fixture : scripted_fixture {
+    large_object_fixture() {
+        settings.reports = report_contents::deltas;
+        follower.set_pace(settings);
+        follower.set_rank(5, 32);
+        follower.start();
+        object_list all;
+        all.revision = 1;
+        all.objects.push_back({"main", 1, contents(1)});
+        store.lists.back()(all);
+    }
+
+    static std::string contents(int version) {
+        std::string out = "{\"routes\":[";
+        for (int i = 0; i < 1'000; ++i) {
+            out += "{\"name\":\"r" + std::to_string(i) + "\"},";
+        }
+        return out + "{}],\"version\":" + std::to_string(version) + "}";
+    }
+
+    // Returns the report of a watcher that saw the version `to` after `from`.
+    static relay::copy_report report_of_change(int from, int to) {
+        auto delta = relay::make_delta(contents(from), contents(to), 8'000);
+        BOOST_REQUIRE(delta.has_value());
+        const auto base = static_cast<relay::revision_number>(from);
+        const auto revision = static_cast<relay::revision_number>(to);
+        relay::reported_change change{revision, "main", false, ""};
+        change.delta = relay::object_delta{base, std::move(*delta)};
+        return report(revision, 1, {change});
+    }
+};
+
+// Guards against changes of one route that every VM fetches with all routes: at 300 VMs, each
+// change of a large configuration took the store's link for seconds.
+BOOST_FIXTURE_TEST_CASE(a_reader_learns_a_change_of_a_large_object_from_a_delta,
+                        large_object_fixture) {
+    follower.on_report(report_of_change(1, 2));
+    follower.on_report(report_of_change(2, 3));
+    BOOST_TEST((received_changes == std::vector<std::string>{contents(2), contents(3)}));
+    BOOST_TEST(follower.revision() == 3U);
+    BOOST_TEST(store.watches.empty());
+}
+
+// Guards against a VM that the store turns away and that serves withdrawn keys and dropped routes
+// for as long, though its neighbours know better.
+BOOST_FIXTURE_TEST_CASE(a_vm_that_the_store_turns_away_learns_changes_of_a_large_object,
+                        large_object_fixture) {
+    time.advance(settings.max_backoff);
+    follower.renew();
+    BOOST_REQUIRE(store.watches.size() == 1U);
+    store.watches[0].done(read_failure::unavailable);
+    time.advance(milliseconds(10'000));
+    follower.on_report(report_of_change(1, 2));
+    BOOST_TEST((received_changes == std::vector<std::string>{contents(2)}));
+    BOOST_TEST((follower.age() == duration::zero()));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_watcher_reports_the_delta_of_a_large_object, large_object_fixture) {
+    time.advance(settings.max_backoff);
+    follower.renew();
+    send_change(0, 2, contents(2));
+    const auto it = follower.report();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->complete_after == 1U);
+    BOOST_REQUIRE(it->changes.size() == 1U);
+    BOOST_TEST(it->changes[0].contents.empty());
+    BOOST_REQUIRE(it->changes[0].delta.has_value());
+    BOOST_TEST(it->changes[0].delta->base_revision == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_change_beyond_the_largest_delta_is_fetched, large_object_fixture) {
+    time.advance(settings.max_backoff);
+    follower.renew();
+    send_change(0, 2, std::string(50'000, 'x'));
+    const auto it = follower.report();
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(it->complete_after == 2U);
+    BOOST_TEST(it->changes.empty());
+}
+
+// Guards against a lost report: the copy neither takes a delta to another base nor counts as newer.
+BOOST_FIXTURE_TEST_CASE(a_reader_that_missed_a_delta_fetches_the_object, large_object_fixture) {
+    follower.on_report(report_of_change(2, 3));
+    BOOST_TEST(received_changes.empty());
+    BOOST_TEST(follower.revision() == 1U);
+    run_until_watches(1);
+    BOOST_TEST(store.watches[0].since == 1U);
+    send_change(0, 3, contents(3));
+    BOOST_TEST((received_changes == std::vector<std::string>{contents(3)}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/relay/include/relay/copy_report.h
+++ b/libs/relay/include/relay/copy_report.h
@@ -2,22 +2,33 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "relay/text_delta.h"
+
 namespace radishpulley::relay {
 
 /// Position in the order of all changes of the store.
 using revision_number = std::uint64_t;
 
+/// Leads from an object as of an earlier change to its new contents.
+struct object_delta {
+    revision_number base_revision = 0;
+    text_delta to_contents;
+};
+
 /// One change of a collection.
 struct reported_change {
     /// Revision of the store at which the change was made.
     revision_number revision = 0;
     std::string name;
     bool removed = false;
-    /// Contents of the object as JSON text; empty if it was removed.
+    /// Contents of the object as JSON text; empty if it was removed, or if `delta` leads to them.
     std::string contents;
+    /// Set in place of the contents of a large object.
+    std::optional<object_delta> delta = std::nullopt;
 };
 
 /// State of a copy of one collection, as confirmed `age_ms` ago.
--- a/libs/relay/src/change_log.cpp
+++ b/libs/relay/src/change_log.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 std::size_t payload_size(const reported_change& it) {
-    return it.name.size() + it.contents.size();
+    const std::size_t delta = it.delta ? size_of(it.delta->to_contents) : 0;
+    return it.name.size() + it.contents.size() + delta;
 }
 
 }  // namespace
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -128,10 +128,55 @@
     return out;
 }
 
+// A part is [first, count] or new text.
+json to_json(const relay::object_delta& it) {
+    json parts = json::array();
+    for (const relay::delta_part& part : it.to_contents.parts) {
+        std::visit(overloaded{[&](const relay::base_run& run) {
+                                  parts.push_back({run.first, run.count});
+                              },
+                              [&](const std::string& text) { parts.push_back(text); }},
+                   part);
+    }
+    return {it.base_revision, it.to_contents.target_hash, std::move(parts)};
+}
+
+relay::object_delta read_delta(const json& in) {
+    relay::object_delta out;
+    out.base_revision = in.at(0).get<relay::revision_number>();
+    out.to_contents.target_hash = in.at(1).get<std::uint64_t>();
+    for (const json& it : in.at(2)) {
+        if (it.is_string()) {
+            out.to_contents.parts.emplace_back(it.get<std::string>());
+        } else {
+            out.to_contents.parts.emplace_back(
+                relay::base_run{it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>()});
+        }
+    }
+    return out;
+}
+
+json to_json(const relay::reported_change& it) {
+    json out = {it.revision, it.name, it.removed, it.contents};
+    if (it.delta) {
+        out.push_back(to_json(*it.delta));
+    }
+    return out;
+}
+
+relay::reported_change read_reported_change(const json& in) {
+    relay::reported_change out{in.at(0).get<relay::revision_number>(), in.at(1).get<std::string>(),
+                               in.at(2).get<bool>(), in.at(3).get<std::string>()};
+    if (in.size() > 4) {
+        out.delta = read_delta(in.at(4));
+    }
+    return out;
+}
+
 json to_json(const relay::copy_report& it) {
     json changes = json::array();
     for (const relay::reported_change& change : it.changes) {
-        changes.push_back({change.revision, change.name, change.removed, change.contents});
+        changes.push_back(to_json(change));
     }
     return {it.collection, it.as_of, it.complete_after, it.age_ms, std::move(changes)};
 }
@@ -143,8 +188,7 @@
                            in.at(3).get<std::uint32_t>(),
                            {}};
     for (const json& it : in.at(4)) {
-        out.changes.push_back({it.at(0).get<relay::revision_number>(), it.at(1).get<std::string>(),
-                               it.at(2).get<bool>(), it.at(3).get<std::string>()});
+        out.changes.push_back(read_reported_change(it));
     }
     return out;
 }
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -186,16 +186,30 @@
     const auto uses = decode_hint(encode({{vm_id("v"), 7}, adapter_usage{engine, {plans}, {}}}));
     BOOST_TEST((std::get<adapter_usage>(uses.body).sent == std::vector<model_ref>{plans}));
     const relay::copy_report report{
-        "servers", 9, 4, 120, {{7, "e1", false, "{}"}, {9, "e2", true, ""}}};
+        "servers",
+        9,
+        4,
+        120,
+        {{7, "e1", false, "{}"},
+         {9, "e2", true, ""},
+         {9, "c", false, "", relay::object_delta{6, {77, {relay::base_run{3, 2}, "text"}}}}}};
     const auto reports = decode_hint(encode({{vm_id("v"), 7}, store_reports{{report}}}));
     const relay::copy_report& decoded_report = std::get<store_reports>(reports.body).reports.at(0);
     BOOST_TEST(decoded_report.collection == "servers");
     BOOST_TEST(decoded_report.as_of == 9U);
     BOOST_TEST(decoded_report.complete_after == 4U);
     BOOST_TEST(decoded_report.age_ms == 120U);
-    BOOST_REQUIRE(decoded_report.changes.size() == 2U);
+    BOOST_REQUIRE(decoded_report.changes.size() == 3U);
     BOOST_TEST(decoded_report.changes[0].contents == "{}");
     BOOST_TEST(decoded_report.changes[1].removed);
+    BOOST_REQUIRE(decoded_report.changes[2].delta.has_value());
+    const relay::object_delta& delta = *decoded_report.changes[2].delta;
+    BOOST_TEST(delta.base_revision == 6U);
+    BOOST_TEST(delta.to_contents.target_hash == 77U);
+    BOOST_REQUIRE(delta.to_contents.parts.size() == 2U);
+    BOOST_TEST(std::get<relay::base_run>(delta.to_contents.parts[0]).first == 3U);
+    BOOST_TEST(std::get<relay::base_run>(delta.to_contents.parts[0]).count == 2U);
+    BOOST_TEST(std::get<std::string>(delta.to_contents.parts[1]) == "text");
     const auto request = decode_hint(encode({{vm_id("v"), 7}, load_request{engine, plans, 900}}));
     BOOST_TEST((std::get<load_request>(request.body).adapter == plans));
     BOOST_TEST(std::get<load_request>(request.body).max_wait_ms == 900U);
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -35,7 +35,7 @@
     out.watch_wait = std::chrono::milliseconds(10'000);
     out.pause = std::chrono::milliseconds(500);
     // A shard lists more holders than fit into a report.
-    out.reports_contents = false;
+    out.reports = gateway::report_contents::none;
     // Holders change in bursts while engines join and leave.
     out.unlisted_fetch_delay = std::chrono::milliseconds(1'500);
     return out;
--- a/radishpulley/edge/src/store_pace.h
+++ b/radishpulley/edge/src/store_pace.h
@@ -25,8 +25,7 @@
     const settings::edge_bounds_settings& it) {
     gateway::follower_settings out = gateway::pace_for_staleness(
         it.configuration_apply, follower_settings_with_pause(std::chrono::milliseconds(0)));
-    // A configuration may be larger than a datagram.
-    out.reports_contents = false;
+    out.reports = gateway::report_contents::deltas;
     return out;
 }
 
