A configuration is decoded at a pace; other VMs' hints of a newer one leave time for reports

Cause: each change decoded and indexed the whole configuration at once, and asked the store at the first hint.

Change: after decoding, the next decoding waits four times as long as the last took, 0.5 s at most, so that a storm takes at most a fifth of the processor. The store is asked for a version that others have once a quarter of the bound has passed.

--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -139,6 +139,7 @@
     std::uint64_t version() const { return content_.version; }
     const caller_limits& limits() const { return content_.limits; }
     const std::vector<client_account>& accounts() const { return content_.accounts; }
+    const std::vector<route>& routes() const { return content_.routes; }
     const std::vector<service>& services() const { return content_.services; }
     /// Whether routes require keys; without accounts none does.
     bool needs_keys() const { return !content_.accounts.empty(); }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -11,6 +11,7 @@
 #include "base/digest.h"
 #include "base/findings.h"
 #include "base/overloaded.h"
+#include "configuration_lag.h"
 #include "delayed_call.h"
 #include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
@@ -19,6 +20,7 @@
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
+#include "paced_call.h"
 #include "platform_adapter/decoders.h"
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
@@ -53,6 +55,9 @@
 constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
 // Part of the shutdown grace period that is left unused.
 constexpr duration grace_margin = std::chrono::milliseconds(400);
+// Part of the time in which a configuration must be in force that reports of other VMs are given to
+// bring it, before the store is asked.
+constexpr int bound_parts_for_reports = 4;
 constexpr double retry_fraction = 0.8;
 // The rest of the reserve covers requests that are larger than the remaining overdraft.
 constexpr double limit_fraction = 0.4;
@@ -120,6 +125,7 @@
                                  data_path_.quarantine().take_changes(time_.now())});
                          }),
           store_reports_call_(loop_, store_reports_delay, [this] { send_store_reports(); }),
+          configuration_call_(loop_, time_, {}, [this] { apply_configuration(); }),
           expiry_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(settings)),
           store_(loop_, time_, settings.store.address),
@@ -273,22 +279,25 @@
     }
 
     void on_configuration(const gateway::stored_object& it) {
-        if (it.name != platform_adapter::configuration_name) {
+        if (it.name == platform_adapter::configuration_name) {
+            arrived_configuration_ = it;
+            configuration_call_.request();
+        }
+    }
+
+    void apply_configuration() {
+        if (!arrived_configuration_) {
             return;
         }
+        const gateway::stored_object it = *std::exchange(arrived_configuration_, std::nullopt);
+        const time_point began = time_.now();
         try {
             auto content = platform_adapter::decode_configuration(it.contents);
             const auto& current = data_path_.configuration();
             if (current && content.version <= current->version()) {
                 return;
             }
-            telemetry::log_event(severity::info, "configuration_in_force",
-                                 {{"version", content.version},
-                                  {"revision", it.revision},
-                                  {"routes", content.routes.size()},
-                                  {"accounts", content.accounts.size()}});
-            data_path_.on_configuration(
-                std::make_shared<routing::configuration>(std::move(content)));
+            put_in_force(std::make_shared<routing::configuration>(std::move(content)), it, began);
         } catch (const invalid_input& e) {
             telemetry::log_event(
                 severity::error, "configuration_unreadable",
@@ -296,7 +305,27 @@
         }
     }
 
+    void put_in_force(const routing::configuration_ptr& configuration,
+                      const gateway::stored_object& from, time_point began) {
+        const time_point now = time_.now();
+        const duration lag = lag_.on_in_force(configuration->version(), now);
+        configuration_lags_.record(lag);
+        telemetry::log_event(severity::info, "configuration_in_force",
+                             {{"version", configuration->version()},
+                              {"revision", from.revision},
+                              {"routes", configuration->routes().size()},
+                              {"accounts", configuration->accounts().size()},
+                              {"bytes", from.contents.size()},
+                              {"decoded_in", now - began},
+                              {"lag", lag}});
+        data_path_.on_configuration(configuration);
+    }
+
     void on_configuration_confirmed() {
+        if (data_path_.awaits_confirmation()) {
+            // Requests are held until they can be handled by what the store has now.
+            configuration_call_.finish_pause();
+        }
         data_path_.on_configuration_confirmed(configuration_.read_began());
         schedule_store_reports();
     }
@@ -448,11 +477,8 @@
     void on_hint(const routing::hint_message& it) {
         data_path_.note_running();
         if (const auto* status = std::get_if<routing::vm_status>(&it.body)) {
-            const auto& current = data_path_.configuration();
-            if (current && current->version() < status->configuration_version) {
-                configuration_.renew();
-            }
             const time_point now = time_.now();
+            lag_.on_heard(status->configuration_version, now);
             const duration work_lifetime = fleet_.lifetime_of(it.from.vm, min_work_lifetime);
             const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, min_demand_lifetime);
             data_path_.work().on_peer_work(it.from.vm, status->work, now, work_lifetime);
@@ -474,6 +500,13 @@
         }
     }
 
+    // The store is asked if reports do not bring what other VMs have in force.
+    void renew_lagging_configuration(time_point now) {
+        if (lag_.lag(now) > settings_.bounds.configuration_apply / bound_parts_for_reports) {
+            configuration_.renew();
+        }
+    }
+
     void update_gauges() {
         const auto& configuration = data_path_.configuration();
         configuration_version_.set(configuration ? static_cast<double>(configuration->version())
@@ -521,6 +554,7 @@
         if (now - settings_checked_ >= settings_check_interval) {
             reload();
         }
+        renew_lagging_configuration(now);
         update_gauges();
         const auto [rank, vms] = fleet_.rank_in_zone(now);
         for (gateway::collection_follower* it : reported_copies()) {
@@ -571,6 +605,10 @@
     delayed_call fleet_status_call_;
     delayed_call suspects_call_;
     delayed_call store_reports_call_;
+    paced_call configuration_call_;
+    /// The newest configuration that arrived, until it is decoded.
+    std::optional<gateway::stored_object> arrived_configuration_;
+    configuration_lag lag_;
     boost::asio::steady_timer expiry_timer_;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
@@ -593,6 +631,11 @@
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
         "belief_age_seconds", "Time since the store last confirmed what is known.", {"what"});
+    telemetry::histogram& configuration_lags_ =
+        metrics_
+            .add_histograms("configuration_lag_seconds",
+                            "Time from hearing of a newer configuration to having it in force.", {})
+            .with({});
     load_time_monitor load_times_{metrics_};
     platform_adapter::wire_header_codec codec_;
     gateway::gateway data_path_;
