VMs send their configuration to one whose status states an older version

Cause: such a VM asked the store alone, and a delta helps only a copy that has the object before it.

Change: two VMs, by a hash, answer such a status with a full report, once a second: the configuration as a whole where it fits into a datagram, its last deltas otherwise. It carries the age of the sender's copy, as every report does.

Tests: collection_follower_tests/a_full_report_brings_a_copy_of_any_revision_up_to_date, configuration_pace_tests/two_vms_send_to_one_that_is_behind_once_a_second.

--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -100,6 +100,9 @@
     void on_report(const relay::copy_report& it);
     /// Returns this VM's report for others, or nothing if it has no copy.
     std::optional<relay::copy_report> report();
+    /// Returns a report for a VM with an older copy, whatever its revision: it lists all objects if
+    /// they take `max_bytes` at most, otherwise it is like report(). Requires reports with deltas.
+    std::optional<relay::copy_report> full_report(std::size_t max_bytes);
     /// Sets the timing of subsequent watches.
     void set_pace(follower_settings pace) { settings_ = pace; }
     /// Time since the store last confirmed the copy; the copy is at most that old.
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -305,6 +305,22 @@
                               static_cast<std::uint32_t>(age_ms), log_.changes()};
 }
 
+std::optional<relay::copy_report> collection_follower::full_report(std::size_t max_bytes) {
+    auto out = report();
+    std::size_t bytes = 0;
+    for (const auto& [name, it] : bases_) {
+        bytes += name.size() + it.contents.size();
+    }
+    if (out && bytes <= max_bytes) {
+        out->complete_after = 0;
+        out->changes.clear();
+        for (const auto& [name, it] : bases_) {
+            out->changes.push_back({it.revision, name, false, it.contents});
+        }
+    }
+    return out;
+}
+
 void collection_follower::on_report(const relay::copy_report& it) {
     if (!has_list_ || needs_list_) {
         return;
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -468,6 +468,26 @@
     BOOST_TEST((received_changes == std::vector<std::string>{contents(3)}));
 }
 
+// Guards against a VM that missed several changes while the store turned it away: no delta leads
+// from its copy to the newest.
+BOOST_FIXTURE_TEST_CASE(a_full_report_brings_a_copy_of_any_revision_up_to_date,
+                        large_object_fixture) {
+    scripted_fixture other;
+    other.settings.reports = report_contents::deltas;
+    other.follower.set_pace(other.settings);
+    other.follower.start();
+    object_list all;
+    all.revision = 9;
+    all.objects.push_back({"main", 8, contents(8)});
+    other.store.lists.back()(all);
+    BOOST_TEST(other.follower.full_report(1'000)->changes.empty());
+    const auto it = other.follower.full_report(100'000);
+    BOOST_REQUIRE(it.has_value());
+    follower.on_report(*it);
+    BOOST_TEST((received_changes == std::vector<std::string>{contents(8)}));
+    BOOST_TEST(follower.revision() == 9U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -11,6 +11,7 @@
 #include "base/digest.h"
 #include "base/findings.h"
 #include "base/overloaded.h"
+#include "catch_up_schedule.h"
 #include "configuration_lag.h"
 #include "delayed_call.h"
 #include "edge/account_watcher.h"
@@ -58,6 +59,8 @@
 // Part of the time in which a configuration must be in force that reports of other VMs are given to
 // bring it, before the store is asked.
 constexpr int bound_parts_for_reports = 4;
+// A configuration beyond this does not fit into a datagram; changes of it may.
+constexpr std::size_t max_whole_configuration_bytes = 40'000;
 constexpr double retry_fraction = 0.8;
 // The rest of the reserve covers requests that are larger than the remaining overdraft.
 constexpr double limit_fraction = 0.4;
@@ -365,6 +368,21 @@
         }
     }
 
+    // A VM that the store turns away learns the configuration from those that have it.
+    void help_to_catch_up(const vm_id& vm, std::uint64_t version) {
+        const auto& own = data_path_.configuration();
+        if (!own || version >= own->version()) {
+            return;
+        }
+        const time_point now = time_.now();
+        if (!catch_ups_.try_send(settings_.vm, vm, fleet_.serving(now), now)) {
+            return;
+        }
+        if (auto report = configuration_.full_report(max_whole_configuration_bytes)) {
+            fleet_.send(vm, routing::store_reports{{std::move(*report)}});
+        }
+    }
+
     bool is_relevant(const gateway::object_change& it) {
         const auto entry = it.removed ? std::nullopt : read_endpoint(it.object);
         if (entry) {
@@ -479,6 +497,7 @@
         if (const auto* status = std::get_if<routing::vm_status>(&it.body)) {
             const time_point now = time_.now();
             lag_.on_heard(status->configuration_version, now);
+            help_to_catch_up(it.from.vm, status->configuration_version);
             const duration work_lifetime = fleet_.lifetime_of(it.from.vm, min_work_lifetime);
             const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, min_demand_lifetime);
             data_path_.work().on_peer_work(it.from.vm, status->work, now, work_lifetime);
@@ -609,6 +628,7 @@
     /// The newest configuration that arrived, until it is decoded.
     std::optional<gateway::stored_object> arrived_configuration_;
     configuration_lag lag_;
+    catch_up_schedule catch_ups_;
     boost::asio::steady_timer expiry_timer_;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
--- a/radishpulley/edge/tests/configuration_pace_tests.cpp
+++ b/radishpulley/edge/tests/configuration_pace_tests.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "../src/catch_up_schedule.h"
 #include "../src/configuration_lag.h"
 #include "../src/paced_call.h"
 
@@ -87,6 +88,26 @@
     BOOST_TEST((it.lag(time.now()) == duration::zero()));
 }
 
+// Guards against hundreds of VMs that all send their configuration to one that is behind.
+BOOST_AUTO_TEST_CASE(two_vms_send_to_one_that_is_behind_once_a_second) {
+    virtual_clock time;
+    std::vector<vm_id> serving;
+    for (int i = 0; i < 100; ++i) {
+        serving.emplace_back("v" + std::to_string(i));
+    }
+    std::map<vm_id, catch_up_schedule> schedules;
+    const auto count_senders = [&] {
+        return std::count_if(serving.begin(), serving.end(), [&](const vm_id& it) {
+            return schedules[it].try_send(it, vm_id("behind"), serving, time.now());
+        });
+    };
+    BOOST_TEST(count_senders() == 2);
+    time.advance(milliseconds(999));
+    BOOST_TEST(count_senders() == 0);
+    time.advance(milliseconds(1));
+    BOOST_TEST(count_senders() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::edge::testing
