Quarantine of single requests that crash endpoints, beside that of prompt segments

An idempotent one ended three endpoints within 0.3 s at each coming.

Cause: a crash accused the shared segments of prompts only. A repeated request has the segments of sound ones, which free them, or none at an application service.

Both are counted, told and freed by the same request_quarantine. A request that broke off waits until it is known whether its endpoint crashed, and is not sent to a third endpoint after two crashes. Any complete answer frees the request, also a failure. Digests are computed only while some request is accused. New codes and names: request_blocked, requests_blocked, suspects_accused, suspect_trial, suspect_blocked, suspects in call_failed.

Why it works: two crashes under the same request at any VMs block it at all of them within a message's way; single trials at 5 s, 40 s, 320 s leave at most three more.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -30,7 +30,7 @@
 #include "routing/endpoint_limits.h"
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
-#include "routing/segment_quarantine.h"
+#include "routing/request_quarantine.h"
 #include "routing/work_table.h"
 #include "telemetry/metrics.h"
 
@@ -150,8 +150,8 @@
     void on_notice(const routing::endpoint_incarnation& from, const routing::endpoint_notice& it);
     /// Applies an endpoint's limit as reported by another VM.
     void on_peer_limit(const vm_id& by, const routing::advertised_limit& it);
-    /// Applies what another VM knows of segments that are accused of crashes.
-    void on_peer_suspects(const vm_id& by, gsl::span<const routing::suspect_segment> suspects);
+    /// Applies what another VM knows of suspects that are accused of crashes.
+    void on_peer_suspects(const vm_id& by, gsl::span<const routing::suspect> suspects);
     /// Sets the callback invoked when other VMs should receive quarantine().take_changes() soon.
     void set_on_suspects_change(std::function<void()> call) {
         on_suspects_change_ = std::move(call);
@@ -202,8 +202,8 @@
     routing::adapter_table& adapters() { return adapters_; }
     routing::adapter_load_times& load_times() { return load_times_; }
     const routing::endpoint_limits& limits() const { return limits_; }
-    routing::segment_quarantine& quarantine() { return quarantine_; }
-    const routing::segment_quarantine& quarantine() const { return quarantine_; }
+    routing::request_quarantine& quarantine() { return quarantine_; }
+    const routing::request_quarantine& quarantine() const { return quarantine_; }
     routing::account_limiter& limiter() { return limiter_; }
     const routing::account_limiter& limiter() const { return limiter_; }
     routing::work_table& work() { return work_; }
@@ -225,13 +225,13 @@
     void log_limit(const endpoint_id& id, const vm_id& by) const;
     /// A request broke off at the endpoint before it was answered.
     void on_unanswered(const routing::endpoint_incarnation& at,
-                       gsl::span<const routing::prompt_segment> shared_segments);
+                       std::vector<routing::suspect_id> suspects);
     void on_crash(const routing::endpoint_incarnation& crashed,
-                  const std::vector<std::vector<routing::prompt_segment>>& prompts);
-    void on_answered(gsl::span<const routing::prompt_segment> shared_segments);
-    void begin_trial(routing::segment_id segment, const request_id& request);
-    /// Ends the requests that hold a segment which is blocked now and are not answered yet.
-    void end_requests_with(gsl::span<const routing::segment_id> blocked, const vm_id& by);
+                  const std::vector<std::vector<routing::suspect_id>>& requests);
+    void on_answered(gsl::span<const routing::suspect_id> suspects);
+    void begin_trial(const routing::suspect_id& id, const request_id& request);
+    /// Ends the requests that have a suspect which is blocked now and are not answered yet.
+    void end_requests_with(gsl::span<const routing::suspect_id> blocked, const vm_id& by);
     /// Time until the endpoint accepts a request from this VM, by its stated limit and pause.
     duration wait_for(const endpoint_id& id) const;
     /// Shortest such time among a service's endpoints, if all of them require a wait.
@@ -255,7 +255,7 @@
     routing::endpoint_chooser chooser_;
     routing::account_limiter limiter_;
     endpoint_pool pool_;
-    routing::segment_quarantine quarantine_;
+    routing::request_quarantine quarantine_;
     std::unique_ptr<crash_detector> crashes_;
     /// All requests in progress.
     std::set<exchange*> exchanges_;
--- a/libs/gateway/src/crash_detector.cpp
+++ b/libs/gateway/src/crash_detector.cpp
@@ -27,7 +27,7 @@
     routing::endpoint_incarnation suspect;
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
-    std::vector<prompt> prompts;
+    std::vector<suspects> requests;
 };
 
 crash_detector::crash_detector(boost::asio::io_context& loop, crash_handler on_crash)
@@ -36,10 +36,10 @@
 crash_detector::~crash_detector() = default;
 
 void crash_detector::check(const routing::endpoint_incarnation& suspect, const std::string& address,
-                           prompt shared_segments) {
+                           suspects of_request) {
     const auto found = checks_.find(suspect.id);
     if (found != checks_.end()) {
-        found->second->prompts.push_back(std::move(shared_segments));
+        found->second->requests.push_back(std::move(of_request));
         return;
     }
     boost::asio::ip::tcp::endpoint to;
@@ -51,7 +51,7 @@
         return;
     }
     auto it = std::make_shared<pending_check>(loop_, suspect);
-    it->prompts.push_back(std::move(shared_segments));
+    it->requests.push_back(std::move(of_request));
     checks_[suspect.id] = it;
     it->timer.expires_after(connect_timeout);
     const std::weak_ptr<pending_check> weak = it;
@@ -75,9 +75,9 @@
     telemetry::log_event(severity::info, "crash_check",
                          {{"endpoint", it->suspect.id},
                           {"crashed", is_refused},
-                          {"unanswered_requests", it->prompts.size()}});
+                          {"unanswered_requests", it->requests.size()}});
     if (is_refused) {
-        on_crash_(it->suspect, it->prompts);
+        on_crash_(it->suspect, it->requests);
     }
 }
 
--- a/libs/gateway/src/crash_detector.h
+++ b/libs/gateway/src/crash_detector.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "routing/endpoint.h"
-#include "routing/request_attributes.h"
+#include "routing/suspect_id.h"
 
 namespace radishpulley::gateway {
 
@@ -19,11 +19,11 @@
 /// refuses the connection. All member functions run on the loop's thread.
 class crash_detector {
 public:
-    using prompt = std::vector<routing::prompt_segment>;
-    /// Receives the endpoint that crashed and the shared segments of the requests that it had not
-    /// begun to answer.
+    using suspects = std::vector<routing::suspect_id>;
+    /// Receives the endpoint that crashed and the suspects of each request that it had not begun to
+    /// answer.
     using crash_handler = std::function<void(const routing::endpoint_incarnation& crashed,
-                                             const std::vector<prompt>& prompts)>;
+                                             const std::vector<suspects>& requests)>;
 
     crash_detector(boost::asio::io_context& loop, crash_handler on_crash);
     ~crash_detector();
@@ -31,7 +31,7 @@
     /// Checks an endpoint at which a request broke off before it was answered. Requests that break
     /// off while the check is under way are added to it.
     void check(const routing::endpoint_incarnation& suspect, const std::string& address,
-               prompt shared_segments);
+               suspects of_request);
     /// Whether the check of this endpoint is under way.
     bool is_checking(const endpoint_id& id) const { return checks_.count(id) != 0; }
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -117,7 +117,7 @@
             self->on_deadline();
         }
     });
-    if (const auto blocked = blocked_segment()) {
+    if (const auto blocked = blocked_suspect()) {
         refuse_blocked(*blocked);
         return;
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -39,8 +39,8 @@
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
-    /// Ends the request if one of its segments is blocked now and it is not answered yet.
-    void on_segments_blocked();
+    /// Ends the request if one of its suspects is blocked now and it is not answered yet.
+    void on_suspects_blocked();
 
 private:
     enum class phase {
@@ -112,17 +112,27 @@
     /// string literal.
     void retry_within_budget(std::string_view why);
     void wait_for_budget(std::string_view why);
-    /// The segment for which the request may not be sent.
-    std::optional<routing::segment_blocked> blocked_segment() const;
-    void refuse_blocked(const routing::segment_blocked& it);
-    /// Makes the request the trial of its blocked segment if one is due; returns whether the
+    /// Digest of the request, which it has in common with its repetitions.
+    const routing::suspect_id& own_digest();
+    /// What a crash of the endpoint accuses: the shared segments and the request itself.
+    std::vector<routing::suspect_id> all_suspects();
+    /// The same, without the request itself where no crash accuses any request.
+    std::vector<routing::suspect_id> known_suspects();
+    /// The suspect for which the request may not be sent.
+    std::optional<routing::request_blocked> blocked_suspect();
+    void refuse_blocked(const routing::request_blocked& it);
+    /// Makes the request the trial of its blocked suspect if one is due; returns whether the
     /// request may be sent, and refuses it otherwise.
     bool prepare_trial();
     /// Records that the endpoint answers the prompt, and so does not crash because of it.
     void note_answered();
+    /// Records that the endpoint answered with a failure, and so did not crash.
+    void note_failed_answer();
     /// Waits until it is known whether the endpoint crashed because of this request.
     void wait_for_evidence();
     void send_again_unless_suspect();
+    /// Ends a request whose call broke and that is not sent again.
+    void give_up_broken_call(std::string_view reason);
     void stop_call();
     void on_call_ended();
     void refuse(const refusal& it);
@@ -188,9 +198,10 @@
     bool has_body_ = false;
     /// Whether an endpoint has begun to answer the prompt, and gone on.
     bool is_answered_ = false;
-    /// Whether the request is sent to find out whether its blocked segment still crashes engines.
+    /// Whether the request is sent to find out whether its blocked suspect still crashes endpoints.
     bool is_trial_ = false;
     time_point evidence_wait_ends_{};
+    std::optional<routing::suspect_id> own_digest_;
     std::optional<event_splitter> events_;
     /// Set for a stream whose end only the end of its connection marks.
     std::optional<event_end_detector> unframed_events_;
--- a/libs/gateway/src/exchange_quarantine.cpp
+++ b/libs/gateway/src/exchange_quarantine.cpp
@@ -1,4 +1,4 @@
-// Requests whose prompt may crash the endpoints that answer it.
+// Requests that may crash the endpoints that run them.
 #include "crash_detector.h"
 #include "exchange.h"
 #include "exchange_constants.h"
@@ -10,31 +10,58 @@
 using boost::system::error_code;
 using telemetry::severity;
 
-// Interval at which a request asks whether its segments are still suspect.
-constexpr std::chrono::milliseconds evidence_interval{50};
+// Interval at which a request asks whether its suspects still are.
+constexpr std::chrono::milliseconds evidence_interval{10};
 
 }  // namespace
 
-std::optional<routing::segment_blocked> exchange::blocked_segment() const {
-    const auto verdict =
-        owner_.quarantine_.check(attributes_.shared_segments(), owner_.time_.now());
-    const auto* blocked = std::get_if<routing::segment_blocked>(&verdict);
-    return blocked == nullptr || is_trial_ ? std::nullopt : std::make_optional(*blocked);
+const routing::suspect_id& exchange::own_digest() {
+    if (!own_digest_) {
+        own_digest_ = routing::suspect_of({account_ == nullptr ? client_account_id() : account_->id,
+                                           request_.method, find_header(request_.headers, "host"),
+                                           request_.target, request_.body});
+    }
+    return *own_digest_;
+}
+
+std::vector<routing::suspect_id> exchange::all_suspects() {
+    auto out = routing::suspects_of(attributes_.shared_segments());
+    out.push_back(own_digest());
+    return out;
 }
 
-void exchange::refuse_blocked(const routing::segment_blocked& it) {
+std::vector<routing::suspect_id> exchange::known_suspects() {
+    // The digest costs time in proportion to the body.
+    return owner_.quarantine_.knows_requests()
+               ? all_suspects()
+               : routing::suspects_of(attributes_.shared_segments());
+}
+
+std::optional<routing::request_blocked> exchange::blocked_suspect() {
+    if (is_trial_) {
+        return std::nullopt;
+    }
+    const auto verdict = owner_.quarantine_.check(known_suspects(), owner_.time_.now());
+    const auto* blocked = std::get_if<routing::request_blocked>(&verdict);
+    return blocked == nullptr ? std::nullopt : std::make_optional(*blocked);
+}
+
+void exchange::refuse_blocked(const routing::request_blocked& it) {
     telemetry::log_event(severity::info, "request_blocked",
                          {{"request", attributes_.id},
-                          {"segment", routing::to_text(it.segment)},
+                          {"suspect", routing::to_text(it.id)},
                           {"crashes", it.crashes}});
-    // Nobody knows when the segment can be served again, so there is no Retry-After.
-    refuse({status_unavailable, "segment_blocked", std::nullopt});
+    // Nobody knows when the suspect can be served again, so there is no Retry-After.
+    refuse({status_unavailable, it.id.is_request() ? "request_blocked" : "segment_blocked",
+            std::nullopt});
 }
 
-void exchange::on_segments_blocked() {
+void exchange::on_suspects_blocked() {
     const bool is_waiting = phase_ != phase::starting && phase_ != phase::ended && !is_answered_;
-    const auto blocked = blocked_segment();
-    if (is_waiting && blocked) {
+    if (!is_waiting) {
+        return;
+    }
+    if (const auto blocked = blocked_suspect()) {
         const auto self = shared_from_this();
         stop_call();
         refuse_blocked(*blocked);
@@ -42,15 +69,17 @@
 }
 
 bool exchange::prepare_trial() {
-    if (const auto blocked = blocked_segment()) {
+    if (is_trial_) {
+        return true;
+    }
+    const auto verdict = owner_.quarantine_.check(known_suspects(), owner_.time_.now());
+    if (const auto* blocked = std::get_if<routing::request_blocked>(&verdict)) {
         refuse_blocked(*blocked);
         return false;
     }
-    const auto verdict =
-        owner_.quarantine_.check(attributes_.shared_segments(), owner_.time_.now());
     if (const auto* trial = std::get_if<routing::trial_due>(&verdict)) {
         is_trial_ = true;
-        owner_.begin_trial(trial->segment, attributes_.id);
+        owner_.begin_trial(trial->id, attributes_.id);
     }
     return true;
 }
@@ -58,7 +87,15 @@
 void exchange::note_answered() {
     if (!is_answered_) {
         is_answered_ = true;
-        owner_.on_answered(attributes_.shared_segments());
+        owner_.on_answered(known_suspects());
+    }
+}
+
+void exchange::note_failed_answer() {
+    // The endpoint has survived this request; that says nothing of the segments, which it may not
+    // have begun to answer.
+    if (!is_answered_ && owner_.quarantine_.knows_requests()) {
+        owner_.on_answered({&own_digest(), 1});
     }
 }
 
@@ -74,16 +111,14 @@
 }
 
 void exchange::send_again_unless_suspect() {
-    const bool is_open = owner_.crashes_->is_checking(endpoint_) ||
-                         owner_.quarantine_.is_suspect(attributes_.shared_segments());
+    const bool is_open =
+        owner_.crashes_->is_checking(endpoint_) || owner_.quarantine_.is_suspect(known_suspects());
     if (is_open && owner_.time_.now() < evidence_wait_ends_) {
         wait_for_evidence();
     } else if (!is_open && may_run_again() && spend_retry()) {
         find_endpoint();
-    } else if (head_sent_) {
-        abort_response("connection_broken");
     } else {
-        refuse({status_bad_gateway, "connection_broken", std::nullopt});
+        give_up_broken_call("connection_broken");
     }
 }
 
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -190,7 +190,9 @@
     if (send_again_if_discarded()) {
         return;
     }
-    if (has_body_ && status_ / 100 == 2) {
+    if (status_ / 100 != 2) {
+        note_failed_answer();
+    } else if (has_body_) {
         note_answered();
     }
     if (events_ && !events_->incomplete().empty()) {
@@ -217,15 +219,14 @@
                           {"reason", reason},
                           {"sent", why != call_failure::not_sent},
                           {"relayed_bytes", relayed_},
-                          {"shared_segments", to_text(attributes_.shared_segments())},
+                          {"suspects", routing::to_text(all_suspects())},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
     if (send_again_if_discarded()) {
         return;
     }
-    const bool is_unanswered =
-        why == call_failure::broken && service_->engine.has_value() && !is_answered_;
+    const bool is_unanswered = why == call_failure::broken && !is_answered_;
     if (is_unanswered) {
-        owner_.on_unanswered({endpoint_, endpoint_started_at_ms_}, attributes_.shared_segments());
+        owner_.on_unanswered({endpoint_, endpoint_started_at_ms_}, all_suspects());
     }
     owner_.directory_.on_call(endpoint_,
                               why == call_failure::malformed ? routing::call_outcome::failed
@@ -245,15 +246,17 @@
     }
     excluded_.insert(endpoint_);
     is_trial_ = false;
-    if (may_run_again() && is_unanswered && !attributes_.shared_segments().empty()) {
+    if (may_run_again() && is_unanswered) {
         evidence_wait_ends_ = owner_.time_.now() + evidence_wait;
-        wait_for_evidence();
-        return;
-    }
-    if (may_run_again() && spend_retry()) {
+        send_again_unless_suspect();
+    } else if (may_run_again() && spend_retry()) {
         find_endpoint();
-        return;
+    } else {
+        give_up_broken_call(reason);
     }
+}
+
+void exchange::give_up_broken_call(std::string_view reason) {
     if (head_sent_) {
         abort_response(reason);
     } else {
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -258,7 +258,7 @@
         find_endpoint();
         return;
     }
-    if (service_->engine && !prepare_trial()) {
+    if (!prepare_trial()) {
         return;
     }
     phase_ = phase::connecting;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -28,7 +28,8 @@
       limiter_(settings_.limiter),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
-          loop, [this](const auto& crashed, const auto& prompts) { on_crash(crashed, prompts); })),
+          loop,
+          [this](const auto& crashed, const auto& requests) { on_crash(crashed, requests); })),
       responses_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                       {"account", "route", "status"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
@@ -132,46 +133,45 @@
 }
 
 void gateway::on_unanswered(const routing::endpoint_incarnation& at,
-                            gsl::span<const routing::prompt_segment> shared_segments) {
+                            std::vector<routing::suspect_id> suspects) {
     const routing::endpoint* known = directory_.find(at.id);
     // An endpoint that leaves breaks off what it has not finished.
     const bool may_have_crashed =
         known != nullptr && !known->draining && known->started_at_ms == at.started_at_ms;
-    if (may_have_crashed && !shared_segments.empty()) {
-        crashes_->check(at, known->address, {shared_segments.begin(), shared_segments.end()});
+    if (may_have_crashed) {
+        crashes_->check(at, known->address, std::move(suspects));
     }
 }
 
 void gateway::on_crash(const routing::endpoint_incarnation& crashed,
-                       const std::vector<std::vector<routing::prompt_segment>>& prompts) {
+                       const std::vector<std::vector<routing::suspect_id>>& requests) {
     const time_point now = time_.now();
-    std::vector<routing::segment_id> blocked;
-    for (const auto& segments : prompts) {
-        telemetry::log_event(telemetry::severity::warning, "segments_accused",
-                             {{"endpoint", crashed.id}, {"segments", to_text(segments)}});
-        const auto added = quarantine_.on_crash(routing::crash_of(crashed), segments, now);
+    std::vector<routing::suspect_id> blocked;
+    for (const auto& suspects : requests) {
+        telemetry::log_event(telemetry::severity::warning, "suspects_accused",
+                             {{"endpoint", crashed.id}, {"suspects", routing::to_text(suspects)}});
+        const auto added = quarantine_.on_crash(routing::crash_of(crashed), suspects, now);
         blocked.insert(blocked.end(), added.begin(), added.end());
     }
     on_suspects_change_();
     end_requests_with(blocked, vm_id());
 }
 
-void gateway::on_answered(gsl::span<const routing::prompt_segment> shared_segments) {
-    quarantine_.on_answered(shared_segments, time_.now());
+void gateway::on_answered(gsl::span<const routing::suspect_id> suspects) {
+    quarantine_.on_answered(suspects, time_.now());
     if (quarantine_.has_changes()) {
         on_suspects_change_();
     }
 }
 
-void gateway::begin_trial(routing::segment_id segment, const request_id& request) {
-    telemetry::log_event(telemetry::severity::warning, "segment_trial",
-                         {{"segment", routing::to_text(segment)}, {"request", request}});
-    quarantine_.begin_trial(segment, time_.now());
+void gateway::begin_trial(const routing::suspect_id& id, const request_id& request) {
+    telemetry::log_event(telemetry::severity::warning, "suspect_trial",
+                         {{"suspect", routing::to_text(id)}, {"request", request}});
+    quarantine_.begin_trial(id, time_.now());
     on_suspects_change_();
 }
 
-void gateway::on_peer_suspects(const vm_id& by,
-                               gsl::span<const routing::suspect_segment> suspects) {
+void gateway::on_peer_suspects(const vm_id& by, gsl::span<const routing::suspect> suspects) {
     const auto blocked = quarantine_.on_peer_suspects(suspects, time_.now());
     if (quarantine_.has_changes()) {
         on_suspects_change_();
@@ -179,20 +179,21 @@
     end_requests_with(blocked, by);
 }
 
-void gateway::end_requests_with(gsl::span<const routing::segment_id> blocked, const vm_id& by) {
+void gateway::end_requests_with(gsl::span<const routing::suspect_id> blocked, const vm_id& by) {
     if (blocked.empty()) {
         return;
     }
-    for (const routing::segment_id it : blocked) {
-        telemetry::log_event(telemetry::severity::warning, "segment_blocked",
-                             {{"segment", routing::to_text(it)}, {"told_by", by}});
+    for (const routing::suspect_id& it : blocked) {
+        telemetry::log_event(
+            telemetry::severity::warning, "suspect_blocked",
+            {{"suspect", routing::to_text(it)}, {"is_request", it.is_request()}, {"told_by", by}});
     }
     std::vector<std::shared_ptr<exchange>> all;
     for (exchange* it : exchanges_) {
         all.push_back(it->shared_from_this());
     }
     for (const auto& it : all) {
-        it->on_segments_blocked();
+        it->on_suspects_blocked();
     }
 }
 
--- a/libs/gateway/tests/segment_quarantine_tests.cpp
+++ b/libs/gateway/tests/request_quarantine_tests.cpp
@@ -69,7 +69,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(segment_quarantine_tests)
+BOOST_AUTO_TEST_SUITE(request_quarantine_tests)
 
 // Guards against a prompt segment that crashes one engine after the other.
 BOOST_FIXTURE_TEST_CASE(requests_with_a_segment_that_crashes_engines_stop_reaching_engines,
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -16,7 +16,7 @@
 #include "routing/account_limiter.h"
 #include "routing/endpoint_limits.h"
 #include "routing/request_attributes.h"
-#include "routing/segment_quarantine.h"
+#include "routing/request_quarantine.h"
 #include "routing/work_table.h"
 
 namespace radishpulley::routing {
@@ -31,7 +31,7 @@
     /// Limits that endpoints announced in their responses.
     std::vector<advertised_limit> limits;
     /// Prompt segments that are accused of crashes.
-    std::vector<suspect_segment> suspects;
+    std::vector<suspect> suspects;
 };
 
 /// Adapter usage at one engine, sent to the engine's holder.
@@ -92,7 +92,7 @@
 
 /// Changes of what the sender knows of prompt segments that are accused of crashes.
 struct suspects_update {
-    std::vector<suspect_segment> suspects;
+    std::vector<suspect> suspects;
 };
 
 using hint = std::variant<vm_status, adapter_usage, load_request, adapter_hint, load_refusal,
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -99,31 +99,41 @@
     return in.is_null() ? std::nullopt : std::optional<std::uint32_t>(in.get<std::uint32_t>());
 }
 
-json to_json(const std::vector<suspect_segment>& suspects) {
+// A segment is its id, a request both halves of its digest.
+json to_json(const suspect_id& it) {
+    return it.is_request() ? json::array({it.high, it.low}) : json(it.low);
+}
+
+suspect_id read_suspect_id(const json& in) {
+    return in.is_array() ? suspect_id{in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>()}
+                         : suspect_id{0, in.get<std::uint64_t>()};
+}
+
+json to_json(const std::vector<suspect>& suspects) {
     json out = json::array();
-    for (const suspect_segment& it : suspects) {
+    for (const suspect& it : suspects) {
         json accusations = json::array();
-        for (const suspect_segment::accusation& accusation : it.accusations) {
+        for (const suspect::accusation& accusation : it.accusations) {
             accusations.push_back({accusation.crash, accusation.age_ms});
         }
-        out.push_back({it.segment, std::move(accusations), to_json(it.answered_age_ms),
+        out.push_back({to_json(it.id), std::move(accusations), to_json(it.answered_age_ms),
                        to_json(it.trial_age_ms)});
     }
     return out;
 }
 
-std::vector<suspect_segment> read_suspects(const json& in) {
-    std::vector<suspect_segment> out;
+std::vector<suspect> read_suspects(const json& in) {
+    std::vector<suspect> out;
     for (const json& it : in) {
-        suspect_segment suspect;
-        suspect.segment = it.at(0).get<segment_id>();
+        suspect told;
+        told.id = read_suspect_id(it.at(0));
         for (const json& accusation : it.at(1)) {
-            suspect.accusations.push_back(
+            told.accusations.push_back(
                 {accusation.at(0).get<crash_id>(), accusation.at(1).get<std::uint32_t>()});
         }
-        suspect.answered_age_ms = read_optional(it.at(2));
-        suspect.trial_age_ms = read_optional(it.at(3));
-        out.push_back(std::move(suspect));
+        told.answered_age_ms = read_optional(it.at(2));
+        told.trial_age_ms = read_optional(it.at(3));
+        out.push_back(std::move(told));
     }
     return out;
 }
--- a/libs/routing/tests/segment_quarantine_tests.cpp
+++ b/libs/routing/tests/request_quarantine_tests.cpp
@@ -1,4 +1,4 @@
-#include "routing/segment_quarantine.h"
+#include "routing/request_quarantine.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,16 +15,13 @@
 using std::chrono::seconds;
 
 const time_point start{std::chrono::hours(1)};
-constexpr segment_id shared = 1;
-constexpr segment_id deadly = 0xdead;
-constexpr segment_id rare = 0xbeef;
+constexpr suspect_id shared{0, 1};
+constexpr suspect_id deadly{0, 0xdead};
+constexpr suspect_id rare{0, 0xbeef};
+constexpr suspect_id once_more{0xfeed, 0xdead};
 
-std::vector<prompt_segment> prompt(std::initializer_list<segment_id> ids) {
-    std::vector<prompt_segment> out;
-    for (const segment_id it : ids) {
-        out.push_back({it, 100});
-    }
-    return out;
+std::vector<suspect_id> prompt(std::initializer_list<suspect_id> ids) {
+    return ids;
 }
 
 // VMs that tell each other of suspects through encoded messages.
@@ -32,14 +29,14 @@
     explicit fleet(std::size_t n) {
         for (std::size_t i = 0; i < n; ++i) {
             ids.push_back(vm_id("v" + std::to_string(i)));
-            vms.push_back(std::make_unique<segment_quarantine>());
+            vms.push_back(std::make_unique<request_quarantine>());
         }
         for (std::size_t i = 0; i < n; ++i) {
             vms[i]->set_vms(ids[i], ids);
         }
     }
 
-    static std::vector<suspect_segment> transfer(const std::vector<suspect_segment>& it) {
+    static std::vector<suspect> transfer(const std::vector<suspect>& it) {
         const hint_message sent{{vm_id("v"), 1}, suspects_update{it}};
         return std::get<suspects_update>(decode_hint(encode(sent)).body).suspects;
     }
@@ -56,31 +53,31 @@
         }
     }
 
-    void crash(std::size_t vm, crash_id crash, const std::vector<prompt_segment>& segments,
+    void crash(std::size_t vm, crash_id crash, const std::vector<suspect_id>& suspects,
                time_point now) {
-        vms[vm]->on_crash(crash, segments, now);
+        vms[vm]->on_crash(crash, suspects, now);
         tell_changes(now + milliseconds(10));
     }
 
-    void answer(std::size_t vm, const std::vector<prompt_segment>& segments, time_point now) {
-        vms[vm]->on_answered(segments, now);
+    void answer(std::size_t vm, const std::vector<suspect_id>& suspects, time_point now) {
+        vms[vm]->on_answered(suspects, now);
         tell_changes(now + milliseconds(10));
     }
 
-    std::size_t blocking(segment_id segment, time_point now) const {
+    std::size_t blocking(const suspect_id& id, time_point now) const {
         return static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&](const auto& it) {
-            return std::holds_alternative<segment_blocked>(it->check(prompt({segment}), now));
+            return std::holds_alternative<request_blocked>(it->check(prompt({id}), now));
         }));
     }
 
     std::vector<vm_id> ids;
-    std::vector<std::unique_ptr<segment_quarantine>> vms;
+    std::vector<std::unique_ptr<request_quarantine>> vms;
     std::size_t messages = 0;
 };
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(segment_quarantine_tests)
+BOOST_AUTO_TEST_SUITE(request_quarantine_tests)
 
 // Guards against crashes that go on because no VM sees enough of them itself.
 BOOST_AUTO_TEST_CASE(vms_add_up_the_crashes_that_each_saw) {
@@ -151,7 +148,7 @@
     for (time_point now = start; now < start + minutes(30); now += milliseconds(100)) {
         const std::size_t vm = static_cast<std::size_t>((now - start) / milliseconds(100)) % 9;
         const auto verdict = it.vms[vm]->check(prompt({shared, deadly}), now);
-        if (std::holds_alternative<segment_blocked>(verdict)) {
+        if (std::holds_alternative<request_blocked>(verdict)) {
             continue;
         }
         if (std::holds_alternative<trial_due>(verdict)) {
@@ -170,11 +167,11 @@
     fleet it(3);
     it.vms[0]->on_crash(100, prompt({shared, deadly}), start);
     it.vms[0]->on_crash(101, prompt({shared, deadly}), start + seconds(1));
-    segment_quarantine joined;
+    request_quarantine joined;
     joined.on_peer_suspects(fleet::transfer(it.vms[0]->suspects(start + seconds(2))),
                             start + seconds(2));
-    BOOST_TEST(std::holds_alternative<segment_blocked>(
-        joined.check(prompt({deadly, 7}), start + seconds(2))));
+    BOOST_TEST(std::holds_alternative<request_blocked>(
+        joined.check(prompt({deadly, {0, 7}}), start + seconds(2))));
 }
 
 // Guards against a stale accusation of one VM that comes back after the answer that disproved it.
@@ -202,7 +199,7 @@
 
 // Guards against status messages that carry each accusation of an ordinary crash for long.
 BOOST_AUTO_TEST_CASE(a_status_repeats_only_blocks_and_recent_accusations) {
-    segment_quarantine it;
+    request_quarantine it;
     it.on_crash(100, prompt({rare}), start);
     BOOST_TEST(it.suspects(start + seconds(1)).size() == 1U);
     BOOST_TEST(it.suspects(start + seconds(10)).empty());
@@ -213,17 +210,102 @@
 // Guards against state and messages that grow with the number of different segments.
 BOOST_AUTO_TEST_CASE(state_and_messages_are_bounded) {
     const quarantine_settings settings;
-    segment_quarantine it;
-    for (segment_id i = 0; i < 50'000; ++i) {
-        it.on_answered(prompt({i}), start);
-        it.on_crash(i, prompt({1'000'000 + i, 2'000'000 + i}), start + milliseconds(i));
+    request_quarantine it;
+    for (crash_id i = 0; i < 50'000; ++i) {
+        it.on_answered(prompt({{0, i}}), start);
+        it.on_crash(i, prompt({{0, 1'000'000 + i}, {7, 2'000'000 + i}}), start + milliseconds(i));
     }
     const time_point now = start + seconds(60);
-    BOOST_TEST(it.suspects(now).size() <= settings.max_suspects_told);
-    BOOST_TEST(it.take_changes(now).size() <= settings.max_suspects_told);
+    BOOST_TEST(it.suspects(now).size() <= settings.max_suspects_repeated);
+    BOOST_TEST(it.take_changes(now).size() <= settings.max_changes_told);
     BOOST_TEST(encode({{vm_id("v"), 1}, suspects_update{it.suspects(now)}}).size() < 4'096U);
 }
 
+// Guards against a request of an application service, which no part of a prompt stands for, that
+// crashes one endpoint after the other.
+BOOST_AUTO_TEST_CASE(vms_add_up_the_crashes_by_a_request_that_comes_again) {
+    fleet it(9);
+    it.crash(0, 100, prompt({once_more}), start);
+    BOOST_TEST(it.blocking(once_more, start) == 0U);
+    BOOST_TEST(!it.vms[0]->is_suspect(prompt({once_more})));
+    it.crash(4, 101, prompt({once_more, shared}), start + milliseconds(60));
+    BOOST_TEST(it.blocking(once_more, start + seconds(1)) == 9U);
+    BOOST_TEST(it.vms[0]->is_suspect(prompt({once_more})));
+}
+
+// Guards against trials that go on crashing endpoints: after the third crash at most three requests
+// may reach them.
+BOOST_AUTO_TEST_CASE(trials_of_a_deadly_request_grow_rare) {
+    fleet it(9);
+    crash_id crash = 100;
+    std::size_t after_third = 0;
+    for (time_point now = start; now < start + minutes(30); now += milliseconds(100)) {
+        const std::size_t vm = static_cast<std::size_t>((now - start) / milliseconds(100)) % 9;
+        const auto verdict = it.vms[vm]->check(prompt({shared, once_more}), now);
+        if (std::holds_alternative<request_blocked>(verdict)) {
+            continue;
+        }
+        if (std::holds_alternative<trial_due>(verdict)) {
+            it.vms[vm]->begin_trial(once_more, now);
+            it.tell_changes(now);
+        }
+        after_third += crash - 100 >= 3 ? 1 : 0;
+        it.crash(vm, ++crash, prompt({shared, once_more}), now + milliseconds(50));
+        it.answer(vm, prompt({shared}), now + milliseconds(60));
+    }
+    BOOST_TEST(after_third <= 3U);
+}
+
+// Guards against a block of a request that many callers repeat, such as one for a status page: it
+// is in flight at every crash.
+BOOST_AUTO_TEST_CASE(an_answer_frees_a_request_that_was_in_flight_at_crashes_of_other_causes) {
+    fleet it(9);
+    for (int i = 0; i < 20; ++i) {
+        const time_point now = start + seconds(i);
+        it.crash(static_cast<std::size_t>(i) % 9, 100 + static_cast<crash_id>(i),
+                 prompt({once_more}), now);
+        BOOST_TEST(it.blocking(once_more, now) == 0U);
+        it.answer(4, prompt({once_more}), now + milliseconds(20));
+    }
+}
+
+// Guards against messages that grow with the requests in flight at a crash, and against one of them
+// that no VM hears of.
+BOOST_AUTO_TEST_CASE(all_requests_in_flight_at_a_crash_are_told_in_several_messages) {
+    fleet it(2);
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        it.vms[0]->on_crash(100, prompt({{9, i}}), start);
+    }
+    std::size_t messages = 0;
+    while (it.vms[0]->has_changes()) {
+        it.vms[1]->on_peer_suspects(fleet::transfer(it.vms[0]->take_changes(start)), start);
+        ++messages;
+    }
+    BOOST_TEST(messages == 4U);
+    it.crash(1, 101, prompt({{9, 199}}), start + seconds(1));
+    BOOST_TEST(it.blocking({9, 199}, start + seconds(1)) == 2U);
+}
+
+// Guards against a sound request that is taken for a deadly one, and against a deadly one that is
+// not recognised because its id is new each time.
+BOOST_AUTO_TEST_CASE(requests_are_told_apart_by_caller_path_and_body) {
+    const client_account_id acme("acme");
+    const request_content content{acme, "POST", "h", "/a/b?c", "body"};
+    const suspect_id id = suspect_of(content);
+    BOOST_TEST(id.is_request());
+    BOOST_TEST((id == suspect_of(content)));
+    const std::vector<request_content> others{
+        {client_account_id("other"), "POST", "h", "/a/b?c", "body"},
+        {acme, "PUT", "h", "/a/b?c", "body"},
+        {acme, "POST", "g", "/a/b?c", "body"},
+        {acme, "POST", "h", "/a/b?d", "body"},
+        {acme, "POST", "h", "/a/b?", "cbody"},
+        {acme, "POST", "h", "/a/b?c", "bodies"}};
+    for (const request_content& it : others) {
+        BOOST_TEST((id != suspect_of(it)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -122,11 +122,7 @@
                               [this] { fleet_.send_status_nearby(current_status()); }),
           // Limits go to all VMs, because each may send requests to the endpoint.
           fleet_status_call_(loop_, limits_delay, [this] { fleet_.broadcast(current_status()); }),
-          suspects_call_(loop_, suspects_delay(settings.vm),
-                         [this] {
-                             fleet_.broadcast(routing::suspects_update{
-                                 data_path_.quarantine().take_changes(time_.now())});
-                         }),
+          suspects_call_(loop_, suspects_delay(settings.vm), [this] { send_suspects(); }),
           store_reports_call_(loop_, store_reports_delay, [this] { send_store_reports(); }),
           configuration_call_(loop_, time_, {}, [this] { apply_configuration(); }),
           expiry_timer_(loop_),
@@ -392,6 +388,14 @@
         return true;
     }
 
+    void send_suspects() {
+        routing::request_quarantine& quarantine = data_path_.quarantine();
+        fleet_.broadcast(routing::suspects_update{quarantine.take_changes(time_.now())});
+        if (quarantine.has_changes()) {
+            suspects_call_.request();
+        }
+    }
+
     void on_store_recovered() {
         data_path_.directory().on_store_recovered(time_.now());
         expiry_timer_.expires_after(data_path_.directory().recovery_grace());
@@ -532,7 +536,8 @@
                                                  : 0);
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
         endpoints_limited_.set(static_cast<double>(data_path_.limits().count()));
-        segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count()));
+        requests_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(true)));
+        segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(false)));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
         vms_serving_.set(static_cast<double>(fleet_.serving(time_.now()).size()));
         store_calls_.set(static_cast<double>(store_.calls()));
@@ -636,6 +641,8 @@
     telemetry::gauge& endpoints_known_ = add_gauge("endpoints", "Endpoints known.");
     telemetry::gauge& endpoints_limited_ =
         add_gauge("endpoints_limited", "Endpoints that name a limit in their answers.");
+    telemetry::gauge& requests_blocked_ =
+        add_gauge("requests_blocked", "Single requests that are refused, as they crash endpoints.");
     telemetry::gauge& segments_blocked_ =
         add_gauge("prompt_segments_blocked",
                   "Prompt segments whose requests are refused, as they crash engines.");
