--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -35,6 +35,13 @@
     return json::parse(it.contents, nullptr, false);
 }
 
+// Returns an empty text where the field is missing or of another type, as in other writers'
+// objects.
+std::string text_field(const json& in, const char* name) {
+    const auto found = in.find(name);
+    return found != in.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
 }  // namespace
 
 fleet_member::fleet_member(boost::asio::io_context& loop, const clock& time,
@@ -163,8 +170,8 @@
     unlisted_addresses_.erase(vm_id(it.name));
     peer& known = peers_[vm_id(it.name)];
     known.address = in["address"].get<std::string>();
-    known.zone = zone_id(in.value("zone", ""));
-    known.region = region_id(in.value("region", ""));
+    known.zone = zone_id(text_field(in, "zone"));
+    known.region = region_id(text_field(in, "region"));
     const auto incarnation = in["incarnation"].get<incarnation_number>();
     if (incarnation > known.incarnation) {
         known.incarnation = incarnation;
@@ -291,7 +298,7 @@
     for (const gateway::stored_object& it : list.objects) {
         const json in = parse_contents(it);
         if (it.name == hints_secret && in.is_object()) {
-            socket_.set_secret(in.value("secret", ""));
+            socket_.set_secret(text_field(in, "secret"));
             return socket_.has_secret();
         }
     }
