A daemon that stops accepts only requests that end before it does, and answers what is left

What operators of similar systems saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them such that may not be repeated.

Here: between the third second and half of the grace every request was taken, also one whose deadline lies beyond the end; whatever was left was cut by the end of the process. Late in the grace everything was refused, also what could still end in time.

Change: from three eighths of the grace on a request is accepted if its deadline lies before the end, however late it comes, and refused otherwise (503, Retry-After, Connection: close, also on a kept connection). 0.3 s before the daemon ends, what is left gets its final response: 504 if it may have run, 503 if not, an abort for a stream that has begun.

Tests: gateway_tests/a_stopping_daemon_accepts_only_what_ends_before_it_does, requests_left_at_the_end_of_a_stop_get_a_response. The code before took the request at 3.5 s with 5 s left (it refused from half of the grace on), and had no answer at the end.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -116,6 +116,14 @@
                                       const routing::model_ref& adapter) = 0;
 };
 
+/// Which requests a daemon that stops still accepts.
+struct stop_limits {
+    /// From then on, only requests that end by `ends_at` are accepted, whatever happens to them.
+    time_point careful_from{};
+    /// When this daemon ends the requests that are left.
+    time_point ends_at{};
+};
+
 class crash_detector;
 class exchange;
 
@@ -170,10 +178,11 @@
     void on_load_refused(const endpoint_id& engine, const routing::model_ref& adapter,
                          std::optional<duration> ready_in);
 
-    /// From now on, responses ask callers to close their connections.
-    void begin_stop() { stopping_ = true; }
-    /// From now on, requests are refused because they could not finish before this daemon ends.
-    void refuse_requests() { refusing_ = true; }
+    /// From now on, responses ask callers to close their connections, and requests are refused as
+    /// the limits say.
+    void begin_stop(const stop_limits& limits) { stop_ = limits; }
+    /// Gives every request that is left its final response.
+    void end_requests();
     /// Accepts a caller's connection.
     void accept(link::socket socket);
     /// Closes callers' connections that have no request in progress.
@@ -194,7 +203,7 @@
 
     caller_service::limits caller_limits() const override;
     std::shared_ptr<request_work> start(caller_request request, response_writer& out) override;
-    bool is_stopping() const override { return stopping_; }
+    bool is_stopping() const override { return stop_.has_value(); }
     void on_closed(const std::shared_ptr<caller_link>& it) override;
 
     const routing::configuration_ptr& configuration() const { return configuration_; }
@@ -256,6 +265,7 @@
     routing::account_limiter limiter_;
     endpoint_pool pool_;
     routing::request_quarantine quarantine_;
+    std::optional<stop_limits> stop_;
     std::unique_ptr<crash_detector> crashes_;
     /// All requests in progress.
     std::set<exchange*> exchanges_;
@@ -278,8 +288,6 @@
     std::size_t fleet_size_ = 1;
     std::size_t body_bytes_ = 0;
     routing::request_number last_number_ = 0;
-    bool stopping_ = false;
-    bool refusing_ = false;
 };
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -85,10 +85,6 @@
         refuse({status_unavailable, "no_configuration", startup_retry_after});
         return;
     }
-    if (owner_.refusing_) {
-        refuse({status_unavailable, "stopping", shutdown_retry_after});
-        return;
-    }
     route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
     if (route_ == nullptr) {
         refuse_unknown(status_not_found, "no_route");
@@ -110,6 +106,10 @@
         refuse({status_unavailable, "no_time_left", default_retry_after});
         return;
     }
+    if (may_outlast_daemon()) {
+        refuse({status_unavailable, "stopping", shutdown_retry_after});
+        return;
+    }
     deadline_timer_.expires_after(time_left());
     deadline_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
         const auto self = weak.lock();
@@ -198,15 +198,30 @@
 }
 
 void exchange::on_deadline() {
+    give_up(may_have_run() ? "deadline" : "deadline_before_sending", default_retry_after);
+}
+
+bool exchange::may_outlast_daemon() const {
+    return owner_.stop_ && owner_.time_.now() >= owner_.stop_->careful_from &&
+           *deadline_ > owner_.stop_->ends_at;
+}
+
+void exchange::on_stop() {
+    if (phase_ != phase::ended) {
+        give_up("stopping", shutdown_retry_after);
+    }
+}
+
+void exchange::give_up(std::string_view reason, duration retry_after) {
     const auto self = shared_from_this();
     const bool was_sent = may_have_run();
     stop_call();
     if (head_sent_) {
-        abort_response("deadline");
+        abort_response(reason);
     } else if (was_sent) {
-        refuse({status_gateway_timeout, "deadline", std::nullopt});
+        refuse({status_gateway_timeout, reason, std::nullopt});
     } else {
-        refuse({status_unavailable, "deadline_before_sending", default_retry_after});
+        refuse({status_unavailable, reason, retry_after});
     }
 }
 
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -39,6 +39,8 @@
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
+    /// Gives the request its final response, because this daemon ends.
+    void on_stop();
     /// Ends the request if one of its suspects is blocked now and it is not answered yet.
     void on_suspects_blocked();
 
@@ -67,6 +69,10 @@
     /// Refuses for a reason that a newer configuration may have removed.
     void refuse_unknown(unsigned status, std::string_view reason);
     bool admit();
+    /// Whether this daemon stops before the request is certain to have ended.
+    bool may_outlast_daemon() const;
+    /// Ends the request, which may have been sent, with its final response.
+    void give_up(std::string_view reason, duration retry_after);
     void find_endpoint();
     std::optional<routing::endpoint_choice> choose_endpoint() const;
     /// Returns the engine that can load the adapter first, among those that refused to load it
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -327,6 +327,16 @@
     }
 }
 
+void gateway::end_requests() {
+    std::vector<std::shared_ptr<exchange>> all;
+    for (exchange* it : exchanges_) {
+        all.push_back(it->shared_from_this());
+    }
+    for (const auto& it : all) {
+        it->on_stop();
+    }
+}
+
 void gateway::close_callers() {
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -330,6 +330,11 @@
         BOOST_REQUIRE(done());
     }
 
+    /// Returns the limits of a stop that begins now.
+    stop_limits stop_in(duration careful_after, duration ends_after) const {
+        return {time.now() + careful_after, time.now() + ends_after};
+    }
+
     gateway& proxy() { return proxy_; }
     stub_broker& broker() { return broker_; }
 
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -361,7 +361,7 @@
     caller->send(request("GET /again/x", "r1"));
     run_until([&] { return contains(caller->received, "\r\n\r\nha"); });
     // The head is sent already, without `Connection: close`.
-    proxy().begin_stop();
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
     waiting->send("lf");
     run_until([&] { return caller->ended; });
     BOOST_TEST(ends_with(caller->received, "half"));
@@ -373,7 +373,7 @@
     configure();
     add_endpoint("e1",
                  [](const std::string&, peer& it) { it.send(response("200 OK", "r1", "done")); });
-    proxy().begin_stop();
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
     const auto caller = connect();
     caller->send(request("GET /again/x", "r1"));
     run_until([&] { return proxy().request_count() == 1; });
@@ -474,15 +474,65 @@
     configure();
     add_endpoint("e1",
                  [](const std::string&, peer& it) { it.send(response("200 OK", "r1", "done")); });
-    proxy().begin_stop();
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
     const std::string got = round_trip(request("GET /again/x", "r1"), received_until("never"));
     BOOST_TEST(contains(got, "Connection: close\r\n"));
     BOOST_TEST(ends_with(got, "done"));
-    proxy().refuse_requests();
+    // Its route allows 5 s.
+    time.jump(std::chrono::seconds(4));
     BOOST_TEST(
         contains(round_trip(request("GET /again/x", "r1"), received_until("never")), " 503 "));
 }
 
+// Guards against requests that are accepted late in a planned stop and cut at its end without a
+// response: one that may outlast the daemon reaches no endpoint, also on a kept connection.
+BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_accepts_only_what_ends_before_it_does, gateway_fixture) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string& request, peer& it) {
+        it.send(response("200 OK", id_of(request), "done"));
+    });
+    const auto caller = connect();
+    caller->send(request("GET /once/x", "r1"));
+    run_until([&] { return contains(caller->received, "done"); });
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
+    time.jump(std::chrono::milliseconds(3'500));
+    caller->received.clear();
+    caller->send(request("GET /once/x", "r2", "X-Deadline: 5000\r\n"));
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(contains(caller->received, " 503 "));
+    BOOST_TEST(contains(caller->received, "\"stopping\""));
+    BOOST_TEST(contains(caller->received, "Retry-After: "));
+    BOOST_TEST(contains(caller->received, "Connection: close\r\n"));
+    BOOST_TEST(engine.requests.size() == 1U);
+    time.jump(std::chrono::milliseconds(2'500));
+    const std::string got =
+        round_trip(request("GET /once/x", "r3", "X-Deadline: 900\r\n"), received_until("never"));
+    BOOST_TEST(ends_with(got, "done"));
+}
+
+// Guards against the same for requests that were accepted before.
+BOOST_FIXTURE_TEST_CASE(requests_left_at_the_end_of_a_stop_get_a_response, gateway_fixture) {
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string& request, peer& it) {
+        if (contains(request, "GET /stream/")) {
+            it.send("HTTP/1.1 200 OK\r\nX-Id: " + id_of(request) +
+                    "\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+        }
+    });
+    const auto runs = connect();
+    runs->send(request("GET /once/x", "r1"));
+    const auto streams = connect();
+    streams->send(request("GET /stream/x", "r2"));
+    run_until([&] { return engine.requests.size() == 2 && contains(streams->received, "abc"); });
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
+    proxy().end_requests();
+    run_until([&] { return runs->ended && streams->ended; });
+    BOOST_TEST(contains(runs->received, " 504 "));
+    BOOST_TEST(contains(runs->received, "\"stopping\""));
+    // It must not look complete.
+    BOOST_TEST(!ends_with(streams->received, "0\r\n\r\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(callers_that_send_connection_close_get_complete_responses,
                         gateway_fixture) {
     configure();
--- a/libs/gateway/tests/misbehaving_peers_tests.cpp
+++ b/libs/gateway/tests/misbehaving_peers_tests.cpp
@@ -342,7 +342,7 @@
                  [](const std::string&, peer& it) { it.send(response("200 OK", "r1", "done")); });
     const auto caller = connect();
     run_until([&] { return proxy().caller_count() == 1; });
-    proxy().begin_stop();
+    proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
     caller->send(request("POST /once/a", "r1", "", "x"));
     proxy().close_idle_callers();
     run_until([&] { return caller->ended; });
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -54,8 +54,11 @@
 constexpr duration min_demand_lifetime = std::chrono::seconds(10);
 // Time after SIGTERM during which the platform's balancer may still open new connections.
 constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
-// Part of the shutdown grace period that is left unused.
+// Part of the shutdown grace period after which no request is accepted that may outlast it.
+constexpr double careful_part = 0.375;
+// Part of the grace period that is left unused, and time before it for the last responses.
 constexpr duration grace_margin = std::chrono::milliseconds(400);
+constexpr duration last_responses_time = std::chrono::milliseconds(300);
 // Part of the time in which a configuration must be in force that reports of other VMs are given to
 // bring it, before the store is asked.
 constexpr int bound_parts_for_reports = 4;
@@ -126,6 +129,7 @@
           store_reports_call_(loop_, store_reports_delay, [this] { send_store_reports(); }),
           configuration_call_(loop_, time_, {}, [this] { apply_configuration(); }),
           expiry_timer_(loop_),
+          stop_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(settings)),
           store_(loop_, time_, settings.store.address),
           engines_(loop_, data_path_.pool()),
@@ -259,11 +263,27 @@
         telemetry::log_event(
             severity::info, "stopping",
             {{"requests", data_path_.request_count()}, {"callers", data_path_.caller_count()}});
-        data_path_.begin_stop();
+        const duration grace = settings_.bounds.shutdown_grace;
+        const duration ends_after = grace - grace_margin - last_responses_time;
+        const auto careful_after = std::chrono::duration_cast<duration>(grace * careful_part);
+        data_path_.begin_stop({*stop_began_ + careful_after, *stop_began_ + ends_after});
+        run_after(ends_after, [this] {
+            data_path_.end_requests();
+            run_after(last_responses_time, [this] { loop_.stop(); });
+        });
         loads_.leave();
         fleet_.broadcast(current_status());
     }
 
+    void run_after(duration wait, std::function<void()> step) {
+        stop_timer_.expires_after(wait);
+        stop_timer_.async_wait([step = std::move(step)](const boost::system::error_code& ec) {
+            if (!ec) {
+                step();
+            }
+        });
+    }
+
     status_answer readiness() const {
         const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list();
         return {ready ? gateway::status_ok : gateway::status_unavailable, ""};
@@ -603,17 +623,11 @@
     // Advances the shutdown; returns true once the daemon may exit.
     bool advance_stop(time_point now) {
         const duration time_stopping = now - *stop_began_;
-        if (time_stopping >= settings_.bounds.shutdown_grace - grace_margin) {
-            return true;
-        }
         if (time_stopping < balancer_delay) {
             return false;
         }
         callers_.close();
         data_path_.close_idle_callers();
-        if (time_stopping >= settings_.bounds.shutdown_grace / 2) {
-            data_path_.refuse_requests();
-        }
         return data_path_.request_count() == 0 && data_path_.caller_count() == 0 &&
                !data_path_.is_sending_last_answers();
     }
@@ -635,6 +649,7 @@
     configuration_lag lag_;
     catch_up_schedule catch_ups_;
     boost::asio::steady_timer expiry_timer_;
+    boost::asio::steady_timer stop_timer_;
     telemetry::registry metrics_;
     telemetry::gauge& configuration_version_ =
         add_gauge("configuration_version", "Version of the configuration in force.");
