Messages with deltas and suspected requests stay readable for daemons of older releases

Change: what older releases can't read stands in elements that they don't look at; a report with deltas lists for them only what follows the last one, so that they fetch the rest. Test: tables_tests/older_releases_read_what_they_know_of_a_message (failed: the report's element 2 was 4, its list held the delta).

--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -1,5 +1,8 @@
 #include "routing/hints.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <nlohmann/json.hpp>
 
 #include "base/findings.h"
@@ -109,9 +112,13 @@
                          : suspect_id{0, in.get<std::uint64_t>()};
 }
 
-json to_json(const std::vector<suspect>& suspects) {
+// Older releases read only the suspects that are segments, so those that are requests stand apart.
+json to_json(const std::vector<suspect>& suspects, bool requests) {
     json out = json::array();
     for (const suspect& it : suspects) {
+        if (it.id.is_request() != requests) {
+            continue;
+        }
         json accusations = json::array();
         for (const suspect::accusation& accusation : it.accusations) {
             accusations.push_back({accusation.crash, accusation.age_ms});
@@ -122,8 +129,7 @@
     return out;
 }
 
-std::vector<suspect> read_suspects(const json& in) {
-    std::vector<suspect> out;
+void read_suspects(const json& in, std::vector<suspect>& out) {
     for (const json& it : in) {
         suspect told;
         told.id = read_suspect_id(it.at(0));
@@ -135,7 +141,6 @@
         told.trial_age_ms = read_optional(it.at(3));
         out.push_back(std::move(told));
     }
-    return out;
 }
 
 // A part is [first, count] or new text.
@@ -183,12 +188,31 @@
     return out;
 }
 
+json to_json(gsl::span<const relay::reported_change> changes) {
+    json out = json::array();
+    for (const relay::reported_change& it : changes) {
+        out.push_back(to_json(it));
+    }
+    return out;
+}
+
+// Number of changes up to the last one that is told by a delta.
+std::size_t count_to_last_delta(const std::vector<relay::reported_change>& changes) {
+    const auto last = std::find_if(changes.rbegin(), changes.rend(),
+                                   [](const auto& it) { return it.delta.has_value(); });
+    return static_cast<std::size_t>(std::distance(last, changes.rend()));
+}
+
 json to_json(const relay::copy_report& it) {
-    json changes = json::array();
-    for (const relay::reported_change& change : it.changes) {
-        changes.push_back(to_json(change));
+    const gsl::span<const relay::reported_change> all = it.changes;
+    const std::size_t n = count_to_last_delta(it.changes);
+    if (n == 0) {
+        return {it.collection, it.as_of, it.complete_after, it.age_ms, to_json(all)};
     }
-    return {it.collection, it.as_of, it.complete_after, it.age_ms, std::move(changes)};
+    // Older releases can't apply deltas: for them the report lists only what follows the last one,
+    // so that they fetch the rest from the store.
+    return {it.collection,           it.as_of,          all[n - 1].revision, it.age_ms,
+            to_json(all.subspan(n)), it.complete_after, to_json(all)};
 }
 
 relay::copy_report read_report(const json& in) {
@@ -197,7 +221,11 @@
                            in.at(2).get<relay::revision_number>(),
                            in.at(3).get<std::uint32_t>(),
                            {}};
-    for (const json& it : in.at(4)) {
+    const bool has_deltas = in.size() > 6;
+    if (has_deltas) {
+        out.complete_after = in.at(5).get<relay::revision_number>();
+    }
+    for (const json& it : in.at(has_deltas ? 6 : 4)) {
         out.changes.push_back(read_reported_change(it));
     }
     return out;
@@ -261,7 +289,7 @@
             [](const vm_status& p) {
                 return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
                                     demand_to_json(p.demand), limits_to_json(p.limits),
-                                    to_json(p.suspects)});
+                                    to_json(p.suspects, false), to_json(p.suspects, true)});
             },
             [](const adapter_usage& u) {
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
@@ -287,7 +315,7 @@
                 return json::array({"c", to_json(c)});
             },
             [](const suspects_update& x) {
-                return json::array({"x", to_json(x.suspects)});
+                return json::array({"x", to_json(x.suspects, false), to_json(x.suspects, true)});
             }},
         it);
 }
@@ -307,7 +335,10 @@
         }
         // Nor do they send suspects.
         if (in.size() > 6) {
-            out.suspects = read_suspects(in.at(6));
+            read_suspects(in.at(6), out.suspects);
+        }
+        if (in.size() > 7) {
+            read_suspects(in.at(7), out.suspects);
         }
         return out;
     }
@@ -321,7 +352,12 @@
         return read_saturated(in.at(1));
     }
     if (kind == "x") {
-        return suspects_update{read_suspects(in.at(1))};
+        suspects_update out;
+        read_suspects(in.at(1), out.suspects);
+        if (in.size() > 2) {
+            read_suspects(in.at(2), out.suspects);
+        }
+        return out;
     }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "base/findings.h"
 #include "routing/adapter_table.h"
@@ -249,6 +250,32 @@
     BOOST_TEST(prompt({}).shared_segments().empty());
 }
 
+// Guards against a rolling update in which VMs of the older release take a delta for the contents
+// of a configuration, or drop whole messages that name requests as suspects.
+BOOST_AUTO_TEST_CASE(older_releases_read_what_they_know_of_a_message) {
+    const relay::reported_change whole{7, "a", false, "{}"};
+    const relay::reported_change delta{8, "c", false, "",
+                                       relay::object_delta{6, {77, {relay::base_run{3, 2}}}}};
+    const relay::reported_change after{9, "b", false, "[]"};
+    const auto report = nlohmann::json::from_cbor(encode(
+        {{vm_id("v"), 7}, store_reports{{{"config", 9, 4, 120, {whole, delta, after}}}}}))[2][1][0];
+    BOOST_TEST(report[2].get<int>() == 8);
+    BOOST_REQUIRE(report[4].size() == 1U);
+    BOOST_TEST(report[4][0][3].get<std::string>() == "[]");
+
+    suspect segment;
+    segment.id = {0, 5};
+    suspect request;
+    request.id = {1, 2};
+    const auto update = nlohmann::json::from_cbor(
+        encode({{vm_id("v"), 7}, suspects_update{{request, segment}}}))[2];
+    BOOST_REQUIRE(update[1].size() == 1U);
+    BOOST_TEST(update[1][0][0].get<int>() == 5);
+    const auto decoded =
+        decode_hint(encode({{vm_id("v"), 7}, suspects_update{{request, segment}}}));
+    BOOST_TEST(std::get<suspects_update>(decoded.body).suspects.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
