--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -12,7 +12,7 @@
 #include "base/findings.h"
 #include "base/overloaded.h"
 #include "catch_up_schedule.h"
-#include "configuration_lag.h"
+#include "configuration_intake.h"
 #include "delayed_call.h"
 #include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
@@ -21,7 +21,6 @@
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
-#include "paced_call.h"
 #include "platform_adapter/decoders.h"
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
@@ -127,7 +126,6 @@
           fleet_status_call_(loop_, limits_delay, [this] { fleet_.broadcast(current_status()); }),
           suspects_call_(loop_, suspects_delay(settings.vm), [this] { send_suspects(); }),
           store_reports_call_(loop_, store_reports_delay, [this] { send_store_reports(); }),
-          configuration_call_(loop_, time_, {}, [this] { apply_configuration(); }),
           expiry_timer_(loop_),
           stop_timer_(loop_),
           data_path_(loop_, time_, codec_, metrics_, data_path_settings(settings)),
@@ -140,7 +138,7 @@
           accounts_(loop_, time_, settings.vm, fleet_, data_path_),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_follower_settings(settings.bounds),
-                         for_each_object([this](const auto& it) { on_configuration(it); },
+                         for_each_object([this](const auto& it) { intake_.on_object(it); },
                                          [this] { on_configuration_confirmed(); })),
           endpoints_(loop_, time_, store_, platform_adapter::endpoints_kind,
                      endpoints_follower_settings(settings.bounds),
@@ -297,53 +295,10 @@
         loads_.renew();
     }
 
-    void on_configuration(const gateway::stored_object& it) {
-        if (it.name == platform_adapter::configuration_name) {
-            arrived_configuration_ = it;
-            configuration_call_.request();
-        }
-    }
-
-    void apply_configuration() {
-        if (!arrived_configuration_) {
-            return;
-        }
-        const gateway::stored_object it = *std::exchange(arrived_configuration_, std::nullopt);
-        const time_point began = time_.now();
-        try {
-            auto content = platform_adapter::decode_configuration(it.contents);
-            const auto& current = data_path_.configuration();
-            if (current && content.version <= current->version()) {
-                return;
-            }
-            put_in_force(std::make_shared<routing::configuration>(std::move(content)), it, began);
-        } catch (const invalid_input& e) {
-            telemetry::log_event(
-                severity::error, "configuration_unreadable",
-                {{"revision", it.revision}, {"reason", std::string_view(e.what())}});
-        }
-    }
-
-    void put_in_force(const routing::configuration_ptr& configuration,
-                      const gateway::stored_object& from, time_point began) {
-        const time_point now = time_.now();
-        const duration lag = lag_.on_in_force(configuration->version(), now);
-        configuration_lags_.record(lag);
-        telemetry::log_event(severity::info, "configuration_in_force",
-                             {{"version", configuration->version()},
-                              {"revision", from.revision},
-                              {"routes", configuration->routes().size()},
-                              {"accounts", configuration->accounts().size()},
-                              {"bytes", from.contents.size()},
-                              {"decoded_in", now - began},
-                              {"lag", lag}});
-        data_path_.on_configuration(configuration);
-    }
-
     void on_configuration_confirmed() {
         if (data_path_.awaits_confirmation()) {
             // Requests are held until they can be handled by what the store has now.
-            configuration_call_.finish_pause();
+            intake_.finish_pause();
         }
         data_path_.on_configuration_confirmed(configuration_.read_began());
         schedule_store_reports();
@@ -520,7 +475,7 @@
         data_path_.note_running();
         if (const auto* status = std::get_if<routing::vm_status>(&it.body)) {
             const time_point now = time_.now();
-            lag_.on_heard(status->configuration_version, now);
+            intake_.on_peer_version(status->configuration_version);
             help_to_catch_up(it.from.vm, status->configuration_version);
             const duration work_lifetime = fleet_.lifetime_of(it.from.vm, min_work_lifetime);
             const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, min_demand_lifetime);
@@ -544,8 +499,8 @@
     }
 
     // The store is asked if reports do not bring what other VMs have in force.
-    void renew_lagging_configuration(time_point now) {
-        if (lag_.lag(now) > settings_.bounds.configuration_apply / bound_parts_for_reports) {
+    void renew_lagging_configuration() {
+        if (intake_.lag() > settings_.bounds.configuration_apply / bound_parts_for_reports) {
             configuration_.renew();
         }
     }
@@ -598,7 +553,7 @@
         if (now - settings_checked_ >= settings_check_interval) {
             reload();
         }
-        renew_lagging_configuration(now);
+        renew_lagging_configuration();
         update_gauges();
         const auto [rank, vms] = fleet_.rank_in_zone(now);
         for (gateway::collection_follower* it : reported_copies()) {
@@ -643,10 +598,6 @@
     delayed_call fleet_status_call_;
     delayed_call suspects_call_;
     delayed_call store_reports_call_;
-    paced_call configuration_call_;
-    /// The newest configuration that arrived, until it is decoded.
-    std::optional<gateway::stored_object> arrived_configuration_;
-    configuration_lag lag_;
     catch_up_schedule catch_ups_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer stop_timer_;
@@ -673,11 +624,9 @@
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
         "belief_age_seconds", "Time since the store last confirmed what is known.", {"what"});
-    telemetry::histogram& configuration_lags_ =
-        metrics_
-            .add_histograms("configuration_lag_seconds",
-                            "Time from hearing of a newer configuration to having it in force.", {})
-            .with({});
+    configuration_intake intake_{
+        loop_, time_, metrics_,
+        [this](const routing::configuration_ptr& it) { data_path_.on_configuration(it); }};
     load_time_monitor load_times_{metrics_};
     platform_adapter::wire_header_codec codec_;
     gateway::gateway data_path_;
