No configuration is sent to a VM that has none yet; operations page: a configuration that is late

A VM that starts states version 0 until its first list and takes no reports before: the datagrams were for nothing.

--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -342,7 +342,9 @@
     // A VM that the store turns away learns the configuration from those that have it.
     void help_to_catch_up(const vm_id& vm, std::uint64_t version) {
         const auto& own = data_path_.configuration();
-        if (!own || version >= own->version()) {
+        // A VM that has none yet is listing it, and takes no reports before.
+        const bool is_behind = version != 0 && own && version < own->version();
+        if (!is_behind) {
             return;
         }
         const time_point now = time_.now();
