--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -239,6 +239,8 @@
                   const std::vector<std::vector<routing::suspect_id>>& requests);
     void on_answered(gsl::span<const routing::suspect_id> suspects);
     void begin_trial(const routing::suspect_id& id, const request_id& request);
+    /// Returns the requests in progress; a request that ends meanwhile is kept.
+    std::vector<std::shared_ptr<exchange>> requests_in_progress() const;
     /// Ends the requests that have a suspect which is blocked now and are not answered yet.
     void end_requests_with(gsl::span<const routing::suspect_id> blocked, const vm_id& by);
     /// Time until the endpoint accepts a request from this VM, by its stated limit and pause.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -216,9 +216,7 @@
     const auto self = shared_from_this();
     const bool was_sent = may_have_run();
     stop_call();
-    if (head_sent_) {
-        abort_response(reason);
-    } else if (was_sent) {
+    if (was_sent) {
         refuse({status_gateway_timeout, reason, std::nullopt});
     } else {
         refuse({status_unavailable, reason, retry_after});
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -137,10 +137,9 @@
     /// Waits until it is known whether the endpoint crashed because of this request.
     void wait_for_evidence();
     void send_again_unless_suspect();
-    /// Ends a request whose call broke and that is not sent again.
-    void give_up_broken_call(std::string_view reason);
     void stop_call();
     void on_call_ended();
+    /// Responds with the refusal, or aborts the response if it has begun.
     void refuse(const refusal& it);
     void abort_response(std::string_view why);
     void on_deadline();
--- a/libs/gateway/src/exchange_quarantine.cpp
+++ b/libs/gateway/src/exchange_quarantine.cpp
@@ -118,7 +118,7 @@
     } else if (!is_open && may_run_again() && spend_retry()) {
         find_endpoint();
     } else {
-        give_up_broken_call("connection_broken");
+        refuse({status_bad_gateway, "connection_broken", std::nullopt});
     }
 }
 
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -251,14 +251,6 @@
         send_again_unless_suspect();
     } else if (may_run_again() && spend_retry()) {
         find_endpoint();
-    } else {
-        give_up_broken_call(reason);
-    }
-}
-
-void exchange::give_up_broken_call(std::string_view reason) {
-    if (head_sent_) {
-        abort_response(reason);
     } else {
         refuse({status_bad_gateway, reason, std::nullopt});
     }
@@ -295,8 +287,6 @@
         find_endpoint();
     } else if (may_send && !may_have_run() && load_wait_limit() > budget_wait) {
         wait_for_budget(why);
-    } else if (head_sent_) {
-        abort_response(why);
     } else {
         refuse({status_unavailable, why, default_retry_after});
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -188,15 +188,19 @@
             telemetry::severity::warning, "suspect_blocked",
             {{"suspect", routing::to_text(it)}, {"is_request", it.is_request()}, {"told_by", by}});
     }
-    std::vector<std::shared_ptr<exchange>> all;
-    for (exchange* it : exchanges_) {
-        all.push_back(it->shared_from_this());
-    }
-    for (const auto& it : all) {
+    for (const auto& it : requests_in_progress()) {
         it->on_suspects_blocked();
     }
 }
 
+std::vector<std::shared_ptr<exchange>> gateway::requests_in_progress() const {
+    std::vector<std::shared_ptr<exchange>> out;
+    for (exchange* it : exchanges_) {
+        out.push_back(it->shared_from_this());
+    }
+    return out;
+}
+
 duration gateway::wait_for(const endpoint_id& id) const {
     const time_point now = time_.now();
     const duration for_limit = std::min<duration>(limits_.wait(id, now), max_limit_wait);
@@ -328,11 +332,7 @@
 }
 
 void gateway::end_requests() {
-    std::vector<std::shared_ptr<exchange>> all;
-    for (exchange* it : exchanges_) {
-        all.push_back(it->shared_from_this());
-    }
-    for (const auto& it : all) {
+    for (const auto& it : requests_in_progress()) {
         it->on_stop();
     }
 }
