A request's suspects are built once; what the quarantine of requests left without use goes

Each request built its list of suspects at its start, at each send and at its answer, also where nothing is accused. make_delta bounded in two ways what its last check bounds, to_text of segments had no caller but a test, which asks the same of the text of suspects. Two comments still said segments; a test named a collection of the platform. No change of behaviour.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -234,7 +234,7 @@
     void log_limit(const endpoint_id& id, const vm_id& by) const;
     /// A request broke off at the endpoint before it was answered.
     void on_unanswered(const routing::endpoint_incarnation& at,
-                       std::vector<routing::suspect_id> suspects);
+                       gsl::span<const routing::suspect_id> suspects);
     void on_crash(const routing::endpoint_incarnation& crashed,
                   const std::vector<std::vector<routing::suspect_id>>& requests);
     void on_answered(gsl::span<const routing::suspect_id> suspects);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -81,6 +81,7 @@
 
 void exchange::start() {
     attributes_ = owner_.codec_.read_request(request_.headers);
+    suspects_ = routing::suspects_of(attributes_.shared_segments());
     if (!configuration_) {
         refuse({status_unavailable, "no_configuration", startup_retry_after});
         return;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -118,12 +118,12 @@
     /// string literal.
     void retry_within_budget(std::string_view why);
     void wait_for_budget(std::string_view why);
-    /// Digest of the request, which it has in common with its repetitions.
-    const routing::suspect_id& own_digest();
-    /// What a crash of the endpoint accuses: the shared segments and the request itself.
-    std::vector<routing::suspect_id> all_suspects();
+    std::size_t shared_segment_count() const { return attributes_.shared_segments().size(); }
+    /// What a crash of the endpoint accuses: the shared segments and, last, the request itself,
+    /// whose digest takes time in proportion to its body.
+    gsl::span<const routing::suspect_id> all_suspects();
     /// The same, without the request itself where no crash accuses any request.
-    std::vector<routing::suspect_id> known_suspects();
+    gsl::span<const routing::suspect_id> known_suspects();
     /// The suspect for which the request may not be sent.
     std::optional<routing::request_blocked> blocked_suspect();
     void refuse_blocked(const routing::request_blocked& it);
@@ -206,7 +206,8 @@
     /// Whether the request is sent to find out whether its blocked suspect still crashes endpoints.
     bool is_trial_ = false;
     time_point evidence_wait_ends_{};
-    std::optional<routing::suspect_id> own_digest_;
+    /// The shared segments, and the request itself once its digest was needed.
+    std::vector<routing::suspect_id> suspects_;
     std::optional<event_splitter> events_;
     /// Set for a stream whose end only the end of its connection marks.
     std::optional<event_end_detector> unframed_events_;
--- a/libs/gateway/src/exchange_quarantine.cpp
+++ b/libs/gateway/src/exchange_quarantine.cpp
@@ -15,26 +15,20 @@
 
 }  // namespace
 
-const routing::suspect_id& exchange::own_digest() {
-    if (!own_digest_) {
-        own_digest_ = routing::suspect_of({account_ == nullptr ? client_account_id() : account_->id,
-                                           request_.method, find_header(request_.headers, "host"),
-                                           request_.target, request_.body});
+gsl::span<const routing::suspect_id> exchange::all_suspects() {
+    if (suspects_.size() == shared_segment_count()) {
+        suspects_.push_back(routing::suspect_of(
+            {account_ == nullptr ? client_account_id() : account_->id, request_.method,
+             find_header(request_.headers, "host"), request_.target, request_.body}));
     }
-    return *own_digest_;
+    return suspects_;
 }
 
-std::vector<routing::suspect_id> exchange::all_suspects() {
-    auto out = routing::suspects_of(attributes_.shared_segments());
-    out.push_back(own_digest());
-    return out;
-}
-
-std::vector<routing::suspect_id> exchange::known_suspects() {
-    // The digest costs time in proportion to the body.
-    return owner_.quarantine_.knows_requests()
-               ? all_suspects()
-               : routing::suspects_of(attributes_.shared_segments());
+gsl::span<const routing::suspect_id> exchange::known_suspects() {
+    if (owner_.quarantine_.knows_requests()) {
+        return all_suspects();
+    }
+    return gsl::span<const routing::suspect_id>(suspects_).first(shared_segment_count());
 }
 
 std::optional<routing::request_blocked> exchange::blocked_suspect() {
@@ -95,7 +89,7 @@
     // The endpoint has survived this request; that says nothing of the segments, which it may not
     // have begun to answer.
     if (!is_answered_ && owner_.quarantine_.knows_requests()) {
-        owner_.on_answered({&own_digest(), 1});
+        owner_.on_answered(all_suspects().last(1));
     }
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -133,13 +133,13 @@
 }
 
 void gateway::on_unanswered(const routing::endpoint_incarnation& at,
-                            std::vector<routing::suspect_id> suspects) {
+                            gsl::span<const routing::suspect_id> suspects) {
     const routing::endpoint* known = directory_.find(at.id);
     // An endpoint that leaves breaks off what it has not finished.
     const bool may_have_crashed =
         known != nullptr && !known->draining && known->started_at_ms == at.started_at_ms;
     if (may_have_crashed) {
-        crashes_->check(at, known->address, std::move(suspects));
+        crashes_->check(at, known->address, {suspects.begin(), suspects.end()});
     }
 }
 
--- a/libs/relay/src/text_delta.cpp
+++ b/libs/relay/src/text_delta.cpp
@@ -101,16 +101,11 @@
     const std::vector<std::string_view> base_pieces = split(base);
     piece_finder finder(base_pieces);
     text_delta out;
-    std::size_t new_bytes = 0;
     for (const std::string_view piece : split(target)) {
         if (const auto index = finder.find(piece)) {
             append_run(out.parts, *index);
         } else {
             append_text(out.parts, piece);
-            new_bytes += piece.size();
-        }
-        if (new_bytes > max_bytes || out.parts.size() * run_bytes > max_bytes * 2) {
-            return std::nullopt;
         }
     }
     if (size_of(out) > max_bytes) {
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -30,7 +30,7 @@
     demand_by_account demand;
     /// Limits that endpoints announced in their responses.
     std::vector<advertised_limit> limits;
-    /// Prompt segments that are accused of crashes.
+    /// Segments and requests that are accused of crashes.
     std::vector<suspect> suspects;
 };
 
@@ -90,7 +90,7 @@
     std::vector<account_saturation> accounts;
 };
 
-/// Changes of what the sender knows of prompt segments that are accused of crashes.
+/// Changes of what the sender knows of segments and requests that are accused of crashes.
 struct suspects_update {
     std::vector<suspect> suspects;
 };
--- a/libs/routing/include/routing/request_attributes.h
+++ b/libs/routing/include/routing/request_attributes.h
@@ -60,7 +60,4 @@
 /// Returns a segment's id for a log line, in hexadecimal.
 std::string to_text(std::uint64_t segment);
 
-/// Returns the ids of `segments` for a log line, in hexadecimal, separated by commas.
-std::string to_text(gsl::span<const prompt_segment> segments);
-
 }  // namespace radishpulley::routing
--- a/libs/routing/include/routing/suspect_id.h
+++ b/libs/routing/include/routing/suspect_id.h
@@ -57,6 +57,7 @@
 
 /// Returns an id for a log line, in hexadecimal.
 std::string to_text(const suspect_id& it);
+/// Returns several ids, separated by commas.
 std::string to_text(gsl::span<const suspect_id> ids);
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/request_attributes.cpp
+++ b/libs/routing/src/request_attributes.cpp
@@ -10,13 +10,4 @@
     return buf;
 }
 
-std::string to_text(gsl::span<const prompt_segment> segments) {
-    std::string out;
-    for (const prompt_segment& it : segments) {
-        out += out.empty() ? "" : ",";
-        out += to_text(it.id);
-    }
-    return out;
-}
-
 }  // namespace radishpulley::routing
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -246,7 +246,7 @@
 BOOST_AUTO_TEST_CASE(the_last_segment_of_a_prompt_is_not_shared) {
     const request_attributes it = prompt({{0x1f, 800}, {0xab, 400}, {7, 20}});
     BOOST_TEST(it.shared_segments().size() == 2U);
-    BOOST_TEST(to_text(it.shared_segments()) == "1f,ab");
+    BOOST_TEST(to_text(suspects_of(it.shared_segments())) == "1f,ab");
     BOOST_TEST(prompt({}).shared_segments().empty());
 }
 
@@ -258,7 +258,7 @@
                                        relay::object_delta{6, {77, {relay::base_run{3, 2}}}}};
     const relay::reported_change after{9, "b", false, "[]"};
     const auto report = nlohmann::json::from_cbor(encode(
-        {{vm_id("v"), 7}, store_reports{{{"config", 9, 4, 120, {whole, delta, after}}}}}))[2][1][0];
+        {{vm_id("v"), 7}, store_reports{{{"things", 9, 4, 120, {whole, delta, after}}}}}))[2][1][0];
     BOOST_TEST(report[2].get<int>() == 8);
     BOOST_REQUIRE(report[4].size() == 1U);
     BOOST_TEST(report[4][0][3].get<std::string>() == "[]");
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -42,8 +42,8 @@
 constexpr std::chrono::milliseconds large_prefill_delay{10};
 // Delay that coalesces status messages about the limits of several endpoints.
 constexpr std::chrono::milliseconds limits_delay{50};
-// Range of the delay that coalesces messages about prompt segments that are accused of crashes.
-// Each VM has its own, so that a fleet that could all speak for a segment does not do so at once.
+// Range of the delay that coalesces messages about suspects that are accused of crashes.
+// Each VM has its own, so that a fleet that could all speak for a suspect does not do so at once.
 constexpr std::chrono::milliseconds min_suspects_delay{5};
 constexpr std::chrono::milliseconds max_suspects_delay{125};
 // Delay that coalesces reports about several copies of store collections.
