A VM works out once a second, not at each status, whether it helps another to catch up

Each status that was behind made the list of serving VMs and ranked all of them; the list is set with each round, as for the other schedules, and the answer is kept for the interval. Who sends is as before.

--- a/radishpulley/edge/src/catch_up_schedule.h
+++ b/radishpulley/edge/src/catch_up_schedule.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <gsl/span>
 
@@ -15,12 +16,17 @@
 
 class catch_up_schedule {
 public:
-    /// Returns whether this VM sends now; then it does not send to that VM again for a while.
-    bool try_send(const vm_id& self, const vm_id& to, gsl::span<const vm_id> serving,
-                  time_point now) {
+    /// Sets the VMs that serve callers, including this one; they take turns.
+    void set_vms(const vm_id& self, gsl::span<const vm_id> serving) {
+        self_ = self;
+        vms_.assign(serving.begin(), serving.end());
+    }
+
+    /// Returns whether this VM sends to that one now. Says no for a while once it was asked.
+    bool try_send(const vm_id& to, time_point now) {
         drop_old(now);
-        const std::size_t rank = routing::rendezvous_rank("catch-up|" + to.str(), self, serving);
-        return rank < senders && sent_.emplace(to, now).second;
+        const bool is_first = asked_.emplace(to, now).second;
+        return is_first && routing::rendezvous_rank("catch-up|" + to.str(), self_, vms_) < senders;
     }
 
 private:
@@ -29,12 +35,14 @@
     static constexpr duration interval = std::chrono::seconds(1);
 
     void drop_old(time_point now) {
-        for (auto it = sent_.begin(); it != sent_.end();) {
-            it = now - it->second >= interval ? sent_.erase(it) : std::next(it);
+        for (auto it = asked_.begin(); it != asked_.end();) {
+            it = now - it->second >= interval ? asked_.erase(it) : std::next(it);
         }
     }
 
-    std::map<vm_id, time_point> sent_;
+    vm_id self_;
+    std::vector<vm_id> vms_;
+    std::map<vm_id, time_point> asked_;
 };
 
 }  // namespace radishpulley::edge
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -347,8 +347,7 @@
         if (!is_behind) {
             return;
         }
-        const time_point now = time_.now();
-        if (!catch_ups_.try_send(settings_.vm, vm, fleet_.serving(now), now)) {
+        if (!catch_ups_.try_send(vm, time_.now())) {
             return;
         }
         if (auto report = configuration_.full_report(max_whole_configuration_bytes)) {
@@ -563,6 +562,7 @@
         }
         const std::vector<vm_id> serving = fleet_.serving(now);
         data_path_.set_serving(settings_.vm, serving);
+        catch_ups_.set_vms(settings_.vm, serving);
         accounts_.set_serving(serving);
         fleet_.send_status(current_status());
         if (stop_began_ && advance_stop(now)) {
--- a/radishpulley/edge/tests/configuration_pace_tests.cpp
+++ b/radishpulley/edge/tests/configuration_pace_tests.cpp
@@ -96,9 +96,12 @@
         serving.emplace_back("v" + std::to_string(i));
     }
     std::map<vm_id, catch_up_schedule> schedules;
+    for (const vm_id& it : serving) {
+        schedules[it].set_vms(it, serving);
+    }
     const auto count_senders = [&] {
         return std::count_if(serving.begin(), serving.end(), [&](const vm_id& it) {
-            return schedules[it].try_send(it, vm_id("behind"), serving, time.now());
+            return schedules[it].try_send(vm_id("behind"), time.now());
         });
     };
     BOOST_TEST(count_senders() == 2);
