--- a/libs/routing/tests/request_quarantine_tests.cpp
+++ b/libs/routing/tests/request_quarantine_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -75,6 +76,32 @@
     std::size_t messages = 0;
 };
 
+// Requests with the suspect come for half an hour, and each that is sent crashes an endpoint.
+// Returns how many are sent after that many crashes.
+std::size_t sent_after_crashes(
+    std::size_t crashes, const suspect_id& suspect,
+    const std::function<void(fleet&, std::size_t vm, time_point now)>& after_each) {
+    fleet it(9);
+    const crash_id first = 100;
+    crash_id crash = first;
+    std::size_t out = 0;
+    for (time_point now = start; now < start + minutes(30); now += milliseconds(100)) {
+        const std::size_t vm = static_cast<std::size_t>((now - start) / milliseconds(100)) % 9;
+        const auto verdict = it.vms[vm]->check(prompt({shared, suspect}), now);
+        if (std::holds_alternative<request_blocked>(verdict)) {
+            continue;
+        }
+        if (std::holds_alternative<trial_due>(verdict)) {
+            it.vms[vm]->begin_trial(suspect, now);
+            it.tell_changes(now);
+        }
+        out += crash - first >= crashes ? 1 : 0;
+        it.crash(vm, ++crash, prompt({shared, suspect}), now + milliseconds(50));
+        after_each(it, vm, now);
+    }
+    return out;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(request_quarantine_tests)
@@ -142,23 +169,7 @@
 // Guards against trials that go on crashing engines: after the fifth crash at most three requests
 // may reach engines.
 BOOST_AUTO_TEST_CASE(trials_of_a_deadly_segment_grow_rare) {
-    fleet it(9);
-    crash_id crash = 100;
-    std::size_t after_fifth = 0;
-    for (time_point now = start; now < start + minutes(30); now += milliseconds(100)) {
-        const std::size_t vm = static_cast<std::size_t>((now - start) / milliseconds(100)) % 9;
-        const auto verdict = it.vms[vm]->check(prompt({shared, deadly}), now);
-        if (std::holds_alternative<request_blocked>(verdict)) {
-            continue;
-        }
-        if (std::holds_alternative<trial_due>(verdict)) {
-            it.vms[vm]->begin_trial(deadly, now);
-            it.tell_changes(now);
-        }
-        after_fifth += crash - 100 >= 5 ? 1 : 0;
-        it.crash(vm, ++crash, prompt({shared, deadly}), now + milliseconds(50));
-    }
-    BOOST_TEST(after_fifth <= 3U);
+    BOOST_TEST(sent_after_crashes(5, deadly, [](fleet&, std::size_t, time_point) {}) <= 3U);
 }
 
 // Guards against a block that a VM misses because the messages about the crashes were lost, or
@@ -236,24 +247,10 @@
 // Guards against trials that go on crashing endpoints: after the third crash at most three requests
 // may reach them.
 BOOST_AUTO_TEST_CASE(trials_of_a_deadly_request_grow_rare) {
-    fleet it(9);
-    crash_id crash = 100;
-    std::size_t after_third = 0;
-    for (time_point now = start; now < start + minutes(30); now += milliseconds(100)) {
-        const std::size_t vm = static_cast<std::size_t>((now - start) / milliseconds(100)) % 9;
-        const auto verdict = it.vms[vm]->check(prompt({shared, once_more}), now);
-        if (std::holds_alternative<request_blocked>(verdict)) {
-            continue;
-        }
-        if (std::holds_alternative<trial_due>(verdict)) {
-            it.vms[vm]->begin_trial(once_more, now);
-            it.tell_changes(now);
-        }
-        after_third += crash - 100 >= 3 ? 1 : 0;
-        it.crash(vm, ++crash, prompt({shared, once_more}), now + milliseconds(50));
+    const auto free_shared = [](fleet& it, std::size_t vm, time_point now) {
         it.answer(vm, prompt({shared}), now + milliseconds(60));
-    }
-    BOOST_TEST(after_third <= 3U);
+    };
+    BOOST_TEST(sent_after_crashes(3, once_more, free_shared) <= 3U);
 }
 
 // Guards against a block of a request that many callers repeat, such as one for a status page: it
