--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "http/free_port.h"
+#include "platform_adapter/decoders.h"
 
 namespace radishpulley::soak {
 namespace {
@@ -138,17 +139,19 @@
 }
 
 void edge_fleet::publish_ready(edge_endpoint& it) {
-    store_.put("servers", it.standin->id(), it.standin->entry(it.proxy->address(), it.zone, false));
+    store_.put(platform_adapter::endpoints_kind, it.standin->id(),
+               it.standin->entry(it.proxy->address(), it.zone, false));
     it.leaving_since.reset();
 }
 
 void edge_fleet::publish_leaving(edge_endpoint& it) {
-    store_.put("servers", it.standin->id(), it.standin->entry(it.proxy->address(), it.zone, true));
+    store_.put(platform_adapter::endpoints_kind, it.standin->id(),
+               it.standin->entry(it.proxy->address(), it.zone, true));
     it.leaving_since = time_.now();
 }
 
 void edge_fleet::remove_entry(edge_endpoint& it) {
-    store_.erase("servers", it.standin->id());
+    store_.erase(platform_adapter::endpoints_kind, it.standin->id());
     it.leaving_since = time_.now();
 }
 
--- a/tools/soak/soak_run.cpp
+++ b/tools/soak/soak_run.cpp
@@ -7,6 +7,7 @@
 
 #include "draw.h"
 #include "gateway/http_status.h"
+#include "platform_adapter/decoders.h"
 
 namespace radishpulley::soak {
 namespace {
@@ -241,7 +242,8 @@
     const plain_configuration it = next_configuration();
     ++report_.versions;
     history_.on_sent(it, time_.now());
-    fleet_.store().put("config", "main", to_document(it));
+    fleet_.store().put(platform_adapter::configuration_kind, platform_adapter::configuration_name,
+                       to_document(it));
     history_.on_acknowledged(it.version, time_.now());
 }
 
