--- a/build.sh
+++ b/build.sh
@@ -17,6 +17,7 @@
   measure   build, then print the measurements of the decisions; arguments go to each
   faults    build, then run the fault matrix; arguments go to it
   soak      build, then run the real daemons under faults; arguments go to it
+  overload  build, then measure a daemon short of processor time; arguments go to it
   bench-day play a day of the users' bench, which USERS_BENCH names: SITE-FILE DAY [arguments]
   format    rewrite all sources with clang-format
   check     check format and lint without changing anything
@@ -119,6 +120,11 @@
         build
         "$build_dir/tools/soak/soak" --daemon="$build_dir/radishpulley/daemon/radishpulleyd" "$@"
         ;;
+    overload)
+        shift
+        build
+        "$build_dir/tools/overload/overload" --daemon="$build_dir/radishpulley/daemon/radishpulleyd" "$@"
+        ;;
     bench-day) shift && bench_day "$@" ;;
     format) sources | xargs clang-format -i ;;
     check) check ;;
