A VM that the holder's list lacks hears of adapter changes, not only of the answer to its request

Callers: a request that waits for an adapter at such a VM goes on waiting until its wait expires, then asks again. Cause: the holder answers a load request with a load that is only meant as long as its order is under way, and tells of the order by a broadcast, which goes to listed VMs only. The VM learned of the order if a second request of it was handled after the order, so it depended on when datagrams are read.

--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -376,6 +376,14 @@
 
 void fleet_member::broadcast(const routing::hint& it) {
     send_where(it, [](const peer&) { return true; });
+    if (std::holds_alternative<routing::adapter_hint>(it)) {
+        // VMs that the list lacks may have asked for the adapter.
+        for (const auto& [vm, address] : unlisted_addresses_) {
+            if (peers_.count(vm) == 0) {
+                send(vm, it);
+            }
+        }
+    }
 }
 
 void fleet_member::send_status(const routing::vm_status& it) {
