Datagrams that wait are handled in one turn of the event loop, not one a turn

Cause: the socket was read once a turn, while each turn handles the input of all connections. The longer a turn, the fewer datagrams a second are read; hints of newer versions and reports of changes wait in the socket, and the operating system drops what does not fit.

Now up to 64 a turn.

--- a/libs/gateway/include/gateway/hint_socket.h
+++ b/libs/gateway/include/gateway/hint_socket.h
@@ -38,6 +38,8 @@
 
 private:
     void receive();
+    /// Handles the datagrams that have arrived already, up to a limit.
+    void receive_waiting();
     void handle_datagram(std::string_view datagram);
 
     boost::asio::ip::udp::socket socket_;
--- a/libs/gateway/src/hint_socket.cpp
+++ b/libs/gateway/src/hint_socket.cpp
@@ -10,6 +10,9 @@
 
 // Number of hexadecimal digits of the signature at the start of a datagram.
 constexpr std::size_t signature_size = 16;
+// Datagrams handled in one turn of the event loop. With one only, they would wait the longer the
+// busier the process is with other input, until the operating system drops them.
+constexpr int max_datagrams_per_turn = 64;
 
 boost::asio::ip::udp::endpoint udp_address(const std::string& text) {
     const auto it = parse_address(text);
@@ -55,11 +58,23 @@
                                    }
                                    if (!ec) {
                                        handle_datagram({buffer_.data(), n});
+                                       receive_waiting();
                                    }
                                    receive();
                                });
 }
 
+void hint_socket::receive_waiting() {
+    boost::system::error_code ec;
+    for (int i = 1; i < max_datagrams_per_turn; ++i) {
+        const std::size_t n = socket_.receive_from(boost::asio::buffer(buffer_), from_, 0, ec);
+        if (ec) {
+            return;
+        }
+        handle_datagram({buffer_.data(), n});
+    }
+}
+
 void hint_socket::handle_datagram(std::string_view datagram) {
     if (secret_.empty() || datagram.size() <= signature_size) {
         return;
