Connections that wait are accepted in one turn of the event loop, not one a turn

Callers: requests lie unread in the accept queue for seconds while the process handles the input of connections that it has accepted (GONE, and CONFIG of timeouts). Cause: one connection was accepted in each turn, however long the turn.

--- a/radishpulley/edge/src/acceptor.cpp
+++ b/radishpulley/edge/src/acceptor.cpp
@@ -1,11 +1,15 @@
 #include "acceptor.h"
 
+#include <limits>
+
 #include "gateway/endpoint_pool.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::edge {
 namespace {
 
+// Connections accepted in one turn of the event loop, so that none waits for many turns.
+constexpr int max_accepts_per_turn = 64;
 // Delay before the next accept after one failed, for example because no descriptors were left.
 constexpr std::chrono::milliseconds accept_retry_delay{20};
 
@@ -18,6 +22,7 @@
     socket_.set_option(boost::asio::socket_base::reuse_address(true));
     socket_.bind(endpoint);
     socket_.listen(boost::asio::socket_base::max_listen_connections);
+    socket_.non_blocking(true);
     accept();
 }
 
@@ -29,6 +34,7 @@
             }
             if (!ec) {
                 on_connection_(std::move(socket));
+                accept_waiting(max_accepts_per_turn - 1);
                 accept();
                 return;
             }
@@ -43,20 +49,23 @@
         });
 }
 
-void acceptor::close() {
+void acceptor::accept_waiting(int max_count) {
     boost::system::error_code ec;
-    if (!socket_.is_open()) {
-        return;
-    }
-    // The operating system has already established the connections in the accept queue.
-    socket_.non_blocking(true, ec);
-    while (!ec) {
+    for (int i = 0; i < max_count && !ec && socket_.is_open(); ++i) {
         boost::asio::ip::tcp::socket socket(loop_);
         socket_.accept(socket, ec);
         if (!ec) {
             on_connection_(std::move(socket));
         }
     }
+}
+
+void acceptor::close() {
+    if (!socket_.is_open()) {
+        return;
+    }
+    // The operating system has already established the connections in the accept queue.
+    accept_waiting(std::numeric_limits<int>::max());
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
--- a/radishpulley/edge/src/acceptor.h
+++ b/radishpulley/edge/src/acceptor.h
@@ -22,6 +22,8 @@
 
 private:
     void accept();
+    /// Accepts up to `max_count` of the connections that the operating system has established.
+    void accept_waiting(int max_count);
 
     boost::asio::io_context& loop_;
     boost::asio::ip::tcp::acceptor socket_;
