A request whose caller has left unread is not passed on (GONE)

Callers: engines worked for callers that had left. Cause: the kernel holds what the process has not read. A request whose caller sent it and left is accepted and read before the connection's end is, and was passed on at once where a kept connection to the endpoint was free; its end was seen a turn of the event loop later, and the call cancelled. Under more load than a VM bears, most of its time went into such requests.

Change: before a request is passed on, the operating system is asked whether the caller has closed its side (TCP_INFO), read or not. Any wait before that (for a load, a budget, a connection) is covered, as the question is asked last.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -49,6 +49,8 @@
     virtual void abort() = 0;
     /// Number of response bytes that the caller has not taken yet.
     virtual std::size_t unsent() const = 0;
+    /// Whether the caller has disconnected, even if its end has not been read yet.
+    virtual bool has_caller_left() const = 0;
 };
 
 /// The processing of one request; destroyed when its response is complete or the caller
@@ -101,6 +103,7 @@
     bool is_busy() const;
     /// Closes at once.
     void close();
+    bool has_caller_left() const override { return link_->receiving().has_ended; }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -38,6 +38,14 @@
     virtual void on_written() {}
 };
 
+/// What the operating system states about the receiving side of a connection.
+struct receive_status {
+    /// The peer has closed its side or reset the connection, whether that has been read or not.
+    bool has_ended = false;
+    /// Time since bytes arrived last, whether they have been read or not; zero if unknown.
+    std::chrono::milliseconds idle{0};
+};
+
 /// Options of a connection.
 struct link_options {
     /// Time without acknowledgement from the peer after which the connection is closed.
@@ -83,6 +91,8 @@
     bool is_open() const { return socket_.is_open() && !ended_; }
     /// Whether received bytes have not been read from the socket yet.
     bool has_unread() const;
+    /// Asks the operating system about what has arrived.
+    receive_status receiving();
     /// Whether reading continues before input is consumed.
     bool has_room() const { return input_.size() < options_.max_input; }
 
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -301,6 +301,11 @@
         return;
     }
     if (time_left() < owner_.settings_.min_time_left) {
+    if (out_->has_caller_left()) {
+        owner_.pool_.release(endpoint_, std::move(connection));
+        on_caller_left();
+        return;
+    }
         owner_.pool_.release(endpoint_, std::move(connection));
         on_deadline();
         return;
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -185,6 +185,19 @@
     return !ec && n > 0;
 }
 
+receive_status link::receiving() {
+    if (!is_open()) {
+        return {true, std::chrono::milliseconds(0)};
+    }
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return {};
+    }
+    return {info.tcpi_state != TCP_ESTABLISHED,
+            std::chrono::milliseconds(info.tcpi_last_data_recv)};
+}
+
 void link::abort() {
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- /dev/null
+++ b/libs/gateway/tests/unread_requests_tests.cpp
@@ -0,0 +1,79 @@
+// Requests that lie unread while the process does not run, or is busy with other work.
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+bool is_answered(const peer& it) {
+    return ends_with(it.received, "done") || ends_with(it.received, "}");
+}
+
+struct fixture : gateway_fixture {
+    fixture() {
+        configure();
+        add_endpoint("e1", [this](const std::string& request, peer& it) {
+            sent.push_back(id_of(request));
+            it.send(response("200 OK", id_of(request), "done"));
+        });
+    }
+
+    // Leaves a kept connection to the endpoint behind, on which requests are sent at once.
+    void warm_up() { round_trip(request("GET /again/x", "warm"), is_answered); }
+
+    // Serves one more request, by which time all earlier ones have been handled.
+    void serve_another() { round_trip(request("GET /again/x", "last"), is_answered); }
+
+    bool was_sent(const std::string& id) const {
+        return std::find(sent.begin(), sent.end(), id) != sent.end();
+    }
+
+    std::vector<std::string> sent;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(unread_requests_tests)
+
+// Guards against work for callers that left while their requests lay unread.
+BOOST_FIXTURE_TEST_CASE(a_request_whose_caller_left_before_it_was_read_is_not_sent, fixture) {
+    warm_up();
+    const auto caller = connect_without_reading();
+    caller->send(request("GET /again/x", "left"));
+    caller->close();
+    serve_another();
+    BOOST_TEST(!was_sent("left"));
+    BOOST_TEST(was_sent("last"));
+}
+
+// Guards against the same where the caller leaves while its request waits, and its end lies unread
+// when the wait is over.
+BOOST_FIXTURE_TEST_CASE(a_request_whose_caller_left_unnoticed_during_a_wait_is_not_sent, fixture) {
+    with_engines = true;
+    configure();
+    routing::endpoint entry = *proxy().directory().find(endpoint_id("e1"));
+    entry.heartbeat = 1;
+    entry.models = {{"m", 1, {}}};
+    proxy().on_endpoint(entry);
+    warm_up();
+    bool is_waiting = false;
+    broker().on_load_request = [&](const auto&, const auto&, duration) -> load_request_result {
+        is_waiting = true;
+        return load_requested{};
+    };
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "left", "X-Model: m/a\r\n"));
+    run_until([&] { return is_waiting; });
+    caller->close();
+    proxy().on_adapter(endpoint_id("e1"), {"m", "a"},
+                       {routing::adapter_state::loaded, time.now(), 1, true});
+    serve_another();
+    BOOST_TEST(!was_sent("left"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
