--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -23,7 +23,7 @@
     std::string target;
     header_list headers;
     std::string body;
-    /// Arrival time of the first byte.
+    /// When it arrived, which may be long before it was read.
     time_point received{};
 };
 
@@ -80,6 +80,8 @@
     virtual std::shared_ptr<request_work> start(caller_request request, response_writer& out) = 0;
     /// Whether responses should ask callers to close their connections.
     virtual bool is_stopping() const = 0;
+    /// Longest time for which input that is handled now can have lain unread.
+    virtual duration max_unread() const { return duration::zero(); }
     virtual void on_closed(const std::shared_ptr<class caller_link>& it) = 0;
 };
 
@@ -97,13 +99,13 @@
     void start();
     /// Number of response bytes that the caller has not taken yet.
     std::size_t unsent() const override { return link_->unsent(); }
+    bool has_caller_left() const override { return link_->receiving().has_ended; }
     /// Whether the operating system has not taken all written bytes yet.
     bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
     /// Whether a request is being read or processed.
     bool is_busy() const;
     /// Closes at once.
     void close();
-    bool has_caller_left() const override { return link_->receiving().has_ended; }
 
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -121,6 +123,8 @@
     void parse();
     void dispatch();
     void refuse(unsigned status, std::string_view reason);
+    /// When the bytes arrived that are being handled, at the earliest.
+    time_point arrival_time();
     void set_timeout(std::chrono::milliseconds time);
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/caller_link.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/header_codec.h"
+#include "gateway/loop_turns.h"
 #include "gateway/pause_monitor.h"
 #include "requests/retry_budget.h"
 #include "routing/account_limiter.h"
@@ -143,8 +144,8 @@
     void set_configuration_age(std::function<duration()> age) {
         configuration_age_ = std::move(age);
     }
-    /// Records that this process is running. After a pause, new requests are held until the
-    /// configuration is confirmed.
+    /// Records that this process is running and handles input. After a pause, new requests are held
+    /// until the configuration is confirmed.
     void note_running();
     /// Sets the callback invoked after a pause has ended.
     void set_on_pause(std::function<void()> call) { on_pause_ = std::move(call); }
@@ -204,6 +205,7 @@
     caller_service::limits caller_limits() const override;
     std::shared_ptr<request_work> start(caller_request request, response_writer& out) override;
     bool is_stopping() const override { return stop_.has_value(); }
+    duration max_unread() const override { return turns_.max_unread(); }
     void on_closed(const std::shared_ptr<caller_link>& it) override;
 
     const routing::configuration_ptr& configuration() const { return configuration_; }
@@ -227,6 +229,7 @@
     /// Number of adapters that are loading at all engines, as of a moment ago.
     std::size_t fleet_loads() const;
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
+    void on_turn(duration length);
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
     void on_stated_limit(const routing::endpoint_incarnation& from,
@@ -278,6 +281,9 @@
     std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
     telemetry::counter_family& responses_;
     telemetry::histogram_family& latencies_;
+    telemetry::histogram& unread_times_;
+    telemetry::histogram& turn_times_;
+    loop_turns turns_;
     pause_monitor pauses_;
     bool awaits_confirmation_ = false;
     time_point pause_ended_{};
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -88,6 +88,12 @@
                            std::chrono::milliseconds(0), idle));
 }
 
+time_point caller_link::arrival_time() {
+    const time_point by_loop = time_.now() - service_.max_unread();
+    const time_point by_system = time_.now() - link_->receiving().idle;
+    return std::min(by_loop, by_system);
+}
+
 void caller_link::set_timeout(std::chrono::milliseconds time) {
     timer_.expires_after(time);
     timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
@@ -122,7 +128,7 @@
     while (input.size() > 0 && !work_ && !closed_) {
         if (!reading_request_) {
             reading_request_ = true;
-            first_byte_ = time_.now();
+            first_byte_ = arrival_time();
             set_timeout(service_.caller_limits().header_timeout);
         }
         error_code ec;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -45,6 +45,8 @@
       deadline_timer_(owner.loop_),
       wait_timer_(owner.loop_),
       silence_timer_(owner.loop_) {
+    unread_ = elapsed();
+    owner_.unread_times_.record(unread_);
     owner_.exchanges_.insert(this);
     owner_.body_bytes_ += request_.body.size();
 }
@@ -317,6 +319,7 @@
          {"configuration_age_ms", to_ms(owner_.configuration_age_()).count()},
          {"sends", sends_},
          {"load_wait_ms", to_ms(load_wait_).count()},
+         {"unread_ms", to_ms(unread_).count()},
          {"sent_after_ms",
           sent_at_ == time_point{} ? -1 : to_ms(sent_at_ - request_.received).count()},
          {"target_ms", route_ == nullptr ? 0 : route_->target_latency.count()},
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -217,6 +217,8 @@
     time_point sent_at_{};
     duration first_byte_time_{};
     duration load_wait_{};
+    /// Time for which the request lay unread or was arriving.
+    duration unread_{};
 };
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -16,6 +16,7 @@
 
 void exchange::on_head(const response_head& head) {
     const auto self = shared_from_this();
+    owner_.turns_.note_input();
     const response_attributes attributes = owner_.codec_.read_response(head.status, head.headers);
     apply_notice(head, attributes);
     if (attributes.not_run) {
@@ -119,6 +120,7 @@
 
 void exchange::on_body(std::string_view bytes) {
     const auto self = shared_from_this();
+    owner_.turns_.note_input();
     if (discards_response_) {
         discarded_bytes_ += bytes.size();
         if (discarded_bytes_ > max_discarded_bytes) {
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -47,6 +47,7 @@
                           {"rate_limit", owner_.limits_.rate(choice->id).value_or(-1)},
                           {"refused_loads", load_refused_by_.size()},
                           {"excluded", excluded_.size()},
+                          {"unread_ms", to_ms(unread_).count()},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
     if (choice->needs_load) {
         wait_for_load(*choice);
@@ -300,12 +301,12 @@
         try_another_endpoint();
         return;
     }
-    if (time_left() < owner_.settings_.min_time_left) {
     if (out_->has_caller_left()) {
         owner_.pool_.release(endpoint_, std::move(connection));
         on_caller_left();
         return;
     }
+    if (time_left() < owner_.settings_.min_time_left) {
         owner_.pool_.release(endpoint_, std::move(connection));
         on_deadline();
         return;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -13,6 +13,8 @@
 // Longest wait stated for an endpoint of whose limit this VM has no share; another VM may accept
 // the request.
 constexpr duration max_limit_wait = std::chrono::seconds(1);
+// Length of a turn of the loop from which it is logged.
+constexpr duration late_turn = std::chrono::milliseconds(250);
 // Interval at which the loads of all engines are counted.
 constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
@@ -34,6 +36,15 @@
                                       {"account", "route", "status"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
                                         {"account", "route"})),
+      unread_times_(
+          metrics
+              .add_histograms("request_unread_seconds", "Time for which requests lay unread.", {})
+              .with({})),
+      turn_times_(metrics
+                      .add_histograms("loop_turn_seconds",
+                                      "Time of a turn of the event loop that handled input.", {})
+                      .with({})),
+      turns_(loop, time, [this](duration it) { on_turn(it); }),
       pauses_(settings_.pause_limit),
       confirmation_timer_(loop) {}
 
@@ -50,6 +61,7 @@
 }
 
 void gateway::note_running() {
+    turns_.note_input();
     const time_point now = time_.now();
     if (!pauses_.on_running(now)) {
         return;
@@ -315,7 +327,18 @@
     return budgets_.emplace(id, requests::retry_budget(limits, 1)).first->second;
 }
 
+void gateway::on_turn(duration length) {
+    turn_times_.record(length);
+    if (length > late_turn) {
+        telemetry::log_event(telemetry::severity::warning, "loop_late",
+                             {{"turn", length},
+                              {"callers", callers_.size()},
+                              {"requests", exchanges_.size()}});
+    }
+}
+
 void gateway::accept(link::socket socket) {
+    turns_.note_input();
     auto connection = std::make_shared<link>(std::move(socket), link_options{});
     auto it = std::make_shared<caller_link>(std::move(connection), loop_, time_, *this);
     callers_.insert(it);
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -46,6 +46,9 @@
     void append_call_attributes(const call_attributes& it, std::string& out) const override {
         append_header(out, "X-Expect", it.expected.str());
         append_header(out, "X-Account", it.account.str());
+        if (it.time_left) {
+            append_header(out, "X-Time-Left", std::to_string(it.time_left->count()));
+        }
         if (it.last_event) {
             append_header(out, "Last-Event-Id", *it.last_event);
         }
--- a/libs/gateway/tests/unread_requests_tests.cpp
+++ b/libs/gateway/tests/unread_requests_tests.cpp
@@ -1,5 +1,6 @@
 // Requests that lie unread while the process does not run, or is busy with other work.
 #include <algorithm>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +9,10 @@
 namespace radishpulley::gateway::testing {
 namespace {
 
+using std::chrono::milliseconds;
+
+constexpr auto unread_time = milliseconds(400);
+
 bool is_answered(const peer& it) {
     return ends_with(it.received, "done") || ends_with(it.received, "}");
 }
@@ -74,6 +79,45 @@
     BOOST_TEST(!was_sent("left"));
 }
 
+// Guards against requests that get their whole timeout, and pass it on, after they lay unread.
+BOOST_FIXTURE_TEST_CASE(a_request_that_lay_unread_past_its_deadline_is_refused, fixture) {
+    warm_up();
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "late", "X-Deadline: 300\r\n"));
+    std::this_thread::sleep_for(unread_time);
+    run_until([&] { return is_answered(*caller); });
+    BOOST_TEST(caller->received.find(" 503 ") != std::string::npos);
+    BOOST_TEST(caller->received.find("no_time_left") != std::string::npos);
+    BOOST_TEST(!was_sent("late"));
+}
+
+// Guards against the same on a connection that served an earlier request.
+BOOST_FIXTURE_TEST_CASE(a_request_unread_on_a_kept_connection_is_refused_past_its_deadline,
+                        fixture) {
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "early"));
+    run_until([&] { return is_answered(*caller); });
+    caller->received.clear();
+    caller->send(request("GET /again/x", "late", "X-Deadline: 300\r\n"));
+    std::this_thread::sleep_for(unread_time);
+    run_until([&] { return is_answered(*caller); });
+    BOOST_TEST(caller->received.find("no_time_left") != std::string::npos);
+    BOOST_TEST(!was_sent("late"));
+}
+
+// Guards against endpoints that are told of more time than is left after a request lay unread.
+BOOST_FIXTURE_TEST_CASE(the_time_passed_on_lacks_the_time_that_a_request_lay_unread, fixture) {
+    warm_up();
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "late", "X-Deadline: 2000\r\n"));
+    std::this_thread::sleep_for(unread_time);
+    run_until([&] { return is_answered(*caller); });
+    const std::string& passed_on = endpoint(0).requests.back();
+    const std::size_t at = passed_on.find("X-Time-Left: ");
+    BOOST_REQUIRE(at != std::string::npos);
+    BOOST_TEST(std::stoi(passed_on.substr(at + 13)) <= 2'000 - unread_time.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/tools/soak/tests/edge_process_tests.cpp
+++ b/tools/soak/tests/edge_process_tests.cpp
@@ -100,8 +100,13 @@
         return is_met();
     }
 
-    static std::string request_text(const std::string& id, const std::string& service) {
-        return to_text(plain_request{id, route_host, "/" + service + "/x", "k", 30'000ms});
+    static std::string request_text(const std::string& id, const std::string& service,
+                                    std::chrono::milliseconds deadline = 30'000ms) {
+        return to_text(plain_request{id, route_host, "/" + service + "/x", "k", deadline});
+    }
+
+    static bool is_answered(const caller& it) {
+        return it.has_ended() || it.received().find("\r\n\r\n") != std::string::npos;
     }
 
     // Sends requests until one is answered with success.
@@ -109,9 +114,7 @@
         return run_until([&] {
             caller it(loop, vm().callers_address);
             it.send(request_text("r" + std::to_string(++requests), service));
-            run_until([&] {
-                return it.has_ended() || it.received().find("\r\n\r\n") != std::string::npos;
-            });
+            run_until([&] { return is_answered(it); });
             return it.received().rfind("HTTP/1.1 200 ", 0) == 0;
         });
     }
@@ -191,6 +194,34 @@
     BOOST_TEST(vm().process->wait() == 0);
 }
 
+// Guards against a daemon that, having been without processor time for a moment, serves the callers
+// that left meanwhile, and gives the others their whole timeout once more.
+BOOST_FIXTURE_TEST_CASE(a_daemon_short_of_processor_time_serves_no_callers_that_left, fixture) {
+    constexpr std::size_t caller_count = 40;
+    fleet.start(vm());
+    BOOST_REQUIRE(is_served("a"));
+    fleet.suspend(vm());
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        caller it(loop, vm().callers_address);
+        it.send(request_text("left" + std::to_string(i), "a"));
+    }
+    caller late(loop, vm().callers_address);
+    late.send(request_text("late", "a", 300ms));
+    caller waiting(loop, vm().callers_address);
+    waiting.send(request_text("waiting", "a"));
+    run_for(1s);
+    fleet.resume(vm());
+    BOOST_TEST(run_until([&] { return is_answered(late) && is_answered(waiting); }));
+    BOOST_TEST(late.received().rfind("HTTP/1.1 503 ", 0) == 0U);
+    BOOST_TEST(waiting.received().rfind("HTTP/1.1 200 ", 0) == 0U);
+    BOOST_TEST(is_served("a"));
+    const auto& runs = fleet.runs().runs;
+    BOOST_TEST(runs.count("late") == 0U);
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        BOOST_TEST(runs.count("left" + std::to_string(i)) == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::soak
