New work is taken by turns: answers and ends first, the newest request first, old ones refused unread under overload

Callers: on a VM that gets more requests than it has processor time for, nearly all of them were answered late or after their callers had left (GONE, CONFIG of timeouts). Cause: every connection was read, and every request started, as soon as the event loop came to it, in the order of arrival. Turns grew with the load, and each request took several of them.

Change: accepted connections and read requests wait in queues; each turn reads or starts 16 of them, urgent and new ones first (requests::start_queue), after all responses and ends that were ready. Connections whose callers have left are closed unread. If every turn for 250 ms leaves work over, connections that waited longer get 503 with Retry-After without being parsed, and requests that waited for half of their time are refused, 16 of each a turn. A burst or a pause shorter than that refuses nothing.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -96,7 +96,11 @@
     caller_link(const caller_link&) = delete;
     caller_link& operator=(const caller_link&) = delete;
 
-    void start();
+    /// Starts reading. `established` is when the connection was established, at the latest: what
+    /// can be read already may be as old.
+    void start(time_point established);
+    /// Starts reading a connection that was established a moment ago.
+    void start() { start(time_.now()); }
     /// Number of response bytes that the caller has not taken yet.
     std::size_t unsent() const override { return link_->unsent(); }
     bool has_caller_left() const override { return link_->receiving().has_ended; }
@@ -137,6 +141,8 @@
     caller_service& service_;
     std::unique_ptr<parser> parser_;
     std::shared_ptr<request_work> work_;
+    /// Since when input can have lain unread that was there before reading began.
+    std::optional<time_point> unread_since_;
     time_point first_byte_{};
     time_point body_began_{};
     bool reading_request_ = false;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -4,6 +4,7 @@
 /// on the event loop's thread, so the tables need no locks.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
 #include "gateway/loop_turns.h"
 #include "gateway/pause_monitor.h"
 #include "requests/retry_budget.h"
+#include "requests/start_queue.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_table.h"
 #include "routing/configuration.h"
@@ -79,6 +81,18 @@
     /// If the store does not respond in time, it counts as unavailable and the last known
     /// configuration stays in use.
     std::chrono::milliseconds confirmation_wait{300};
+    /// Number of new connections that are read and requests that are started in one turn of the
+    /// loop, before responses, disconnected callers and other input are handled.
+    std::size_t new_work_per_turn = 16;
+    /// Number of requests, of those that are left over and waited too long, that are refused in one
+    /// turn.
+    std::size_t refusals_per_turn = 16;
+    /// Time for which new work may be left over in every turn before this process counts as
+    /// overloaded, and for which a connection may lie unread from then on.
+    std::chrono::milliseconds max_unread{250};
+    /// Part of its time for which a request may wait for its start while this process is
+    /// overloaded. Beyond it, its caller is better off at another VM.
+    double max_start_wait_share = 0.5;
     /// Remaining time until a caller's deadline below which a request is not sent.
     std::chrono::milliseconds min_time_left{15};
 };
@@ -184,7 +198,7 @@
     void begin_stop(const stop_limits& limits) { stop_ = limits; }
     /// Gives every request that is left its final response.
     void end_requests();
-    /// Accepts a caller's connection.
+    /// Accepts a caller's connection. Its requests are read when the process has time for them.
     void accept(link::socket socket);
     /// Closes callers' connections that have no request in progress.
     void close_idle_callers();
@@ -193,8 +207,14 @@
     void close_callers();
     /// Removes expired load waiters and connections that have finished sending.
     void sweep();
-    std::size_t caller_count() const { return callers_.size(); }
+    std::size_t caller_count() const { return callers_.size() + accepted_.size(); }
     std::size_t request_count() const { return exchanges_.size(); }
+    /// Number of requests that were read and wait for this process to start them.
+    std::size_t queued_count() const { return queue_.size(); }
+    /// Number of connections whose callers left before they were read, since the start.
+    std::uint64_t callers_left_unread() const { return callers_left_unread_; }
+    /// Number of requests that were refused without being read, since the start.
+    std::uint64_t refused_unread() const { return refused_unread_; }
     /// Whether a connection that closes after its last response is still sending it.
     bool is_sending_last_answers() const;
     /// Number of response bytes that callers have not taken yet.
@@ -224,11 +244,36 @@
 private:
     friend class exchange;
     using load_key = std::pair<endpoint_id, routing::model_ref>;
+    /// A connection that is not read yet.
+    struct accepted_connection {
+        std::shared_ptr<link> connection;
+        /// When it was established, at the latest.
+        time_point established{};
+    };
 
     requests::retry_budget& budget_of(const service_id& id);
     /// Number of adapters that are loading at all engines, as of a moment ago.
     std::size_t fleet_loads() const;
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
+    /// Starts the request after what is ready now: other requests' responses and ends first.
+    void queue_start(const std::shared_ptr<exchange>& it);
+    /// Calls do_new_work() after what is ready now.
+    void schedule_new_work();
+    /// Starts requests and reads new connections, the newest first, and refuses what has waited too
+    /// long if there is more than this process has time for.
+    void do_new_work();
+    /// Starts one request or reads one connection; returns false if there is none.
+    bool start_next();
+    /// Starts reading the newest connection whose caller has not left; returns false if there is
+    /// none.
+    bool read_newest();
+    void start_reading(accepted_connection it);
+    /// Whether there has been more new work than this process has time for, for a while.
+    bool is_overloaded(time_point now) const;
+    void refuse_expired(time_point now);
+    /// Refuses what the connection has sent without reading it, or reads on if that is nothing.
+    void refuse_unread(accepted_connection it);
+    bool has_caller_left(const accepted_connection& it);
     void on_turn(duration length);
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
@@ -279,6 +324,15 @@
     /// Connections that close once their last response is sent.
     std::vector<std::shared_ptr<caller_link>> finishing_;
     std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
+    /// Requests that were read and are not started yet.
+    requests::start_queue<std::weak_ptr<exchange>> queue_;
+    /// Connections that are not read yet, the newest last.
+    std::deque<accepted_connection> accepted_;
+    bool is_new_work_scheduled_ = false;
+    /// Since when each turn has left new work over.
+    std::optional<time_point> left_over_since_;
+    std::uint64_t callers_left_unread_ = 0;
+    std::uint64_t refused_unread_ = 0;
     telemetry::counter_family& responses_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_link.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
@@ -39,7 +40,10 @@
     }
 }
 
-void caller_link::start() {
+void caller_link::start(time_point established) {
+    if (established < time_.now() && link_->has_unread()) {
+        unread_since_ = established;
+    }
     link_->set_handler(this);
     begin_request();
     link_->start();
@@ -91,7 +95,8 @@
 time_point caller_link::arrival_time() {
     const time_point by_loop = time_.now() - service_.max_unread();
     const time_point by_system = time_.now() - link_->receiving().idle;
-    return std::min(by_loop, by_system);
+    const time_point by_connection = std::exchange(unread_since_, std::nullopt).value_or(by_loop);
+    return std::min({by_loop, by_system, by_connection});
 }
 
 void caller_link::set_timeout(std::chrono::milliseconds time) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -125,9 +125,35 @@
         return;
     }
     owner_.budget_of(service_->id).count_request();
+    phase_ = phase::queued;
+    owner_.queue_start(shared_from_this());
+}
+
+requests::start_queue<std::weak_ptr<exchange>>::terms exchange::start_terms() const {
+    const bool is_prioritized = account_ != nullptr && account_->priority;
+    const duration wait = std::chrono::duration_cast<duration>(
+        (*deadline_ - request_.received) * owner_.settings_.max_start_wait_share);
+    return {is_prioritized ? *account_->priority : route_->priority, request_.received + wait};
+}
+
+void exchange::on_turn_to_start() {
+    if (phase_ != phase::queued) {
+        return;
+    }
+    if (out_->has_caller_left()) {
+        on_caller_left();
+        return;
+    }
     find_endpoint();
 }
 
+void exchange::refuse_overloaded() {
+    if (phase_ == phase::queued) {
+        refuse({status_unavailable, "overloaded",
+                std::max(default_retry_after, owner_.turns_.max_unread())});
+    }
+}
+
 void exchange::on_configuration_confirmed() {
     if (phase_ == phase::ended) {
         return;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -33,6 +33,12 @@
     void start();
     /// Starts the request, which was held until the configuration was confirmed.
     void on_configuration_confirmed();
+    /// The terms on which the request waits until it is placed at an endpoint.
+    requests::start_queue<std::weak_ptr<exchange>>::terms start_terms() const;
+    /// Places the request at an endpoint, unless its caller has left.
+    void on_turn_to_start();
+    /// Refuses the request because it waited too long for its start.
+    void refuse_overloaded();
     void on_caller_ready() override;
     void on_caller_left() override;
     /// The adapter that this request waits for is loaded on the engine, or will be at `ready_at`.
@@ -47,6 +53,8 @@
 private:
     enum class phase {
         starting,
+        /// Read, but the process is busy with other work.
+        queued,
         /// A load request was sent to the engine's holder.
         asking_for_load,
         /// The adapter is being loaded.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,8 +1,11 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "crash_detector.h"
 #include "exchange.h"
 #include "telemetry/event_log.h"
@@ -15,6 +18,10 @@
 constexpr duration max_limit_wait = std::chrono::seconds(1);
 // Length of a turn of the loop from which it is logged.
 constexpr duration late_turn = std::chrono::milliseconds(250);
+// The response to a request that was not read.
+constexpr std::string_view overloaded_response =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n"
+    "Connection: close\r\n\r\n";
 // Interval at which the loads of all engines are counted.
 constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
@@ -333,16 +340,119 @@
         telemetry::log_event(telemetry::severity::warning, "loop_late",
                              {{"turn", length},
                               {"callers", callers_.size()},
-                              {"requests", exchanges_.size()}});
+                              {"requests", exchanges_.size()},
+                              {"queued", queue_.size()}});
+    }
+}
+
+void gateway::queue_start(const std::shared_ptr<exchange>& it) {
+    queue_.add(it, it->start_terms());
+    schedule_new_work();
+}
+
+void gateway::schedule_new_work() {
+    if (!is_new_work_scheduled_) {
+        is_new_work_scheduled_ = true;
+        boost::asio::post(loop_, [this] { do_new_work(); });
+    }
+}
+
+void gateway::do_new_work() {
+    is_new_work_scheduled_ = false;
+    for (std::size_t i = 0; i < settings_.new_work_per_turn && start_next(); ++i) {
+    }
+    if (queue_.empty() && accepted_.empty()) {
+        left_over_since_.reset();
+        return;
+    }
+    const time_point now = time_.now();
+    left_over_since_ = left_over_since_.value_or(now);
+    if (is_overloaded(now)) {
+        refuse_expired(now);
+    }
+    schedule_new_work();
+}
+
+bool gateway::start_next() {
+    if (const auto next = queue_.take()) {
+        if (const auto request = next->lock()) {
+            request->on_turn_to_start();
+        }
+        return true;
     }
+    return read_newest();
+}
+
+bool gateway::read_newest() {
+    while (!accepted_.empty()) {
+        accepted_connection it = std::move(accepted_.back());
+        accepted_.pop_back();
+        if (!has_caller_left(it)) {
+            start_reading(std::move(it));
+            return true;
+        }
+    }
+    return false;
+}
+
+bool gateway::is_overloaded(time_point now) const {
+    return left_over_since_ && now - *left_over_since_ >= settings_.max_unread;
+}
+
+void gateway::refuse_expired(time_point now) {
+    for (const auto& it : queue_.take_expired(now, settings_.refusals_per_turn)) {
+        if (const auto request = it.lock()) {
+            request->refuse_overloaded();
+        }
+    }
+    const std::uint64_t refused_before = refused_unread_;
+    const time_point oldest = now - settings_.max_unread;
+    while (!accepted_.empty() && accepted_.front().established < oldest &&
+           refused_unread_ - refused_before < settings_.refusals_per_turn) {
+        accepted_connection it = std::move(accepted_.front());
+        accepted_.pop_front();
+        if (!has_caller_left(it)) {
+            refuse_unread(std::move(it));
+        }
+    }
+    if (refused_unread_ != refused_before) {
+        telemetry::log_event(telemetry::severity::warning, "refused_unread",
+                             {{"requests", refused_unread_ - refused_before},
+                              {"reason", "overloaded"},
+                              {"overloaded_for", now - *left_over_since_},
+                              {"left_unread", accepted_.size()},
+                              {"queued", queue_.size()}});
+    }
+}
+
+void gateway::refuse_unread(accepted_connection it) {
+    if (!it.connection->has_unread()) {
+        start_reading(std::move(it));
+        return;
+    }
+    ++refused_unread_;
+    it.connection->start();
+    it.connection->write(std::string(overloaded_response));
+    it.connection->finish();
+}
+
+bool gateway::has_caller_left(const accepted_connection& it) {
+    const bool has_left = it.connection->receiving().has_ended;
+    callers_left_unread_ += has_left ? 1 : 0;
+    return has_left;
 }
 
 void gateway::accept(link::socket socket) {
     turns_.note_input();
-    auto connection = std::make_shared<link>(std::move(socket), link_options{});
-    auto it = std::make_shared<caller_link>(std::move(connection), loop_, time_, *this);
+    accepted_.push_back({std::make_shared<link>(std::move(socket), link_options{}),
+                         time_.now() - turns_.max_unread()});
+    schedule_new_work();
+}
+
+void gateway::start_reading(accepted_connection accepted) {
+    auto it = std::make_shared<caller_link>(std::move(accepted.connection), loop_, time_, *this);
     callers_.insert(it);
-    it->start();
+    it->start(accepted.established);
 }
 
 void gateway::close_idle_callers() {
@@ -361,6 +471,7 @@
 }
 
 void gateway::close_callers() {
+    accepted_.clear();
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
         it->close();
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -94,6 +94,12 @@
     return out;
 }
 
+duration processor_time() {
+    timespec it{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
+    return std::chrono::seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec);
+}
+
 // Returns the callbacks of a follower that ignores removals.
 gateway::follower_events for_each_object(std::function<void(const gateway::stored_object&)> handle,
                                          std::function<void()> on_confirmed) {
@@ -520,6 +526,10 @@
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
+        requests_queued_.set(static_cast<double>(data_path_.queued_count()));
+        callers_left_unread_.set(static_cast<double>(data_path_.callers_left_unread()));
+        refused_unread_.set(static_cast<double>(data_path_.refused_unread()));
+        processor_seconds_.set(std::chrono::duration<double>(processor_time()).count());
         load_times_.update(data_path_.load_times(),
                            data_path_.adapters().loads_under_way(time_.now()));
         set_age("configuration", configuration_);
@@ -624,6 +634,14 @@
         add_gauge("unsent_bytes", "Answer bytes that wait for callers to read.");
     telemetry::gauge& hints_dropped_ =
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
+    telemetry::gauge& requests_queued_ =
+        add_gauge("requests_queued", "Requests that were read and wait for their start.");
+    telemetry::gauge& callers_left_unread_ =
+        add_gauge("callers_left_unread", "Connections whose callers left before they were read.");
+    telemetry::gauge& refused_unread_ =
+        add_gauge("requests_refused_unread", "Requests refused unread, as the VM was overloaded.");
+    telemetry::gauge& processor_seconds_ =
+        add_gauge("processor_seconds", "Processor time of the process since its start.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
         "belief_age_seconds", "Time since the store last confirmed what is known.", {"what"});
     configuration_intake intake_{
