--- a/radishpulley/edge/tests/acceptor_tests.cpp
+++ b/radishpulley/edge/tests/acceptor_tests.cpp
@@ -5,28 +5,41 @@
 #include "../src/acceptor.h"
 
 namespace radishpulley::edge::testing {
+namespace {
 
-BOOST_AUTO_TEST_SUITE(acceptor_tests)
+using tcp = boost::asio::ip::tcp;
 
-// Guards against resets at shutdown of connections that the operating system has established but
-// the daemon has not accepted yet.
-BOOST_AUTO_TEST_CASE(connections_in_the_accept_queue_are_served_during_shutdown) {
-    using tcp = boost::asio::ip::tcp;
-    constexpr std::size_t client_count = 20;
-    boost::asio::io_context loop;
-    std::uint16_t port = 0;
-    {
-        tcp::acceptor probe(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        port = probe.local_endpoint().port();
+constexpr std::size_t client_count = 20;
+
+// An acceptor whose accept queue holds the connections of its clients.
+struct fixture {
+    fixture() {
+        for (std::size_t i = 0; i < client_count; ++i) {
+            clients.emplace_back(loop);
+            clients.back().connect({boost::asio::ip::address_v4::loopback(), port});
+        }
     }
+
+    static std::uint16_t free_port(boost::asio::io_context& loop) {
+        const tcp::acceptor probe(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        return probe.local_endpoint().port();
+    }
+
+    boost::asio::io_context loop;
+    std::uint16_t port = free_port(loop);
     std::vector<tcp::socket> accepted;
-    acceptor it(loop, "127.0.0.1:" + std::to_string(port),
-                [&](tcp::socket socket) { accepted.push_back(std::move(socket)); });
+    acceptor it{loop, "127.0.0.1:" + std::to_string(port),
+                [this](tcp::socket socket) { accepted.push_back(std::move(socket)); }};
     std::vector<tcp::socket> clients;
-    for (std::size_t i = 0; i < client_count; ++i) {
-        clients.emplace_back(loop);
-        clients.back().connect({boost::asio::ip::address_v4::loopback(), port});
-    }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(acceptor_tests)
+
+// Guards against resets at shutdown of connections that the operating system has established but
+// the daemon has not accepted yet.
+BOOST_FIXTURE_TEST_CASE(connections_in_the_accept_queue_are_served_during_shutdown, fixture) {
     it.close();
     BOOST_TEST(accepted.size() == client_count);
     tcp::socket late_client(loop);
@@ -38,23 +51,7 @@
 
 // Guards against connections that wait one turn of the event loop each, and their requests unread
 // for seconds, where other input makes turns long.
-BOOST_AUTO_TEST_CASE(connections_that_wait_are_accepted_in_one_turn) {
-    using tcp = boost::asio::ip::tcp;
-    constexpr std::size_t client_count = 20;
-    boost::asio::io_context loop;
-    std::uint16_t port = 0;
-    {
-        tcp::acceptor probe(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        port = probe.local_endpoint().port();
-    }
-    std::vector<tcp::socket> accepted;
-    acceptor it(loop, "127.0.0.1:" + std::to_string(port),
-                [&](tcp::socket socket) { accepted.push_back(std::move(socket)); });
-    std::vector<tcp::socket> clients;
-    for (std::size_t i = 0; i < client_count; ++i) {
-        clients.emplace_back(loop);
-        clients.back().connect({boost::asio::ip::address_v4::loopback(), port});
-    }
+BOOST_FIXTURE_TEST_CASE(connections_that_wait_are_accepted_in_one_turn, fixture) {
     loop.run_one();
     BOOST_TEST(accepted.size() == client_count);
 }
