--- a/libs/gateway/tests/unread_requests_tests.cpp
+++ b/libs/gateway/tests/unread_requests_tests.cpp
@@ -105,6 +105,38 @@
     BOOST_TEST(!was_sent("late"));
 }
 
+// Guards against requests that wait for ever, or are served and refused both, where a lasting
+// overload makes the gateway refuse requests that it has not read.
+BOOST_FIXTURE_TEST_CASE(a_lasting_overload_answers_every_caller_once, fixture) {
+    constexpr std::size_t caller_count = 100;
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    std::vector<std::shared_ptr<peer>> callers;
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        tcp::socket socket(loop);
+        socket.connect(acceptor.local_endpoint());
+        callers.push_back(std::make_shared<peer>(std::move(socket)));
+        callers.back()->start();
+        callers.back()->send(request("GET /again/x", "r" + std::to_string(i)));
+        proxy().accept(acceptor.accept());
+    }
+    // One turn starts a part of them; the rest is left over for longer than a burst may take.
+    for (int i = 0; i < 3; ++i) {
+        loop.poll_one();
+    }
+    time.jump(milliseconds(300));
+    const auto has_response = [](const auto& it) {
+        return is_answered(*it) || ends_with(it->received, "\r\n\r\n");
+    };
+    run_until([&] { return std::all_of(callers.begin(), callers.end(), has_response); });
+    const auto refused = std::count_if(callers.begin(), callers.end(), [](const auto& it) {
+        return it->received.find(" 503 ") != std::string::npos &&
+               it->received.find("Retry-After: ") != std::string::npos;
+    });
+    BOOST_TEST(proxy().refused_unread() > 0U);
+    BOOST_TEST(static_cast<std::uint64_t>(refused) == proxy().refused_unread());
+    BOOST_TEST(sent.size() + static_cast<std::size_t>(refused) == caller_count);
+}
+
 // Guards against endpoints that are told of more time than is left after a request lay unread.
 BOOST_FIXTURE_TEST_CASE(the_time_passed_on_lacks_the_time_that_a_request_lay_unread, fixture) {
     warm_up();
