--- a/review/build.sh
+++ b/review/build.sh
@@ -3,17 +3,24 @@
 # libraries it uses. The results are under target/review.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review
-includes="-Ireview/standins -Iplatform/include -Iplatform/standins/include"
+out=target/review
+mkdir -p "$out"
+flags="-std=c++17 -O1 -Ireview/standins -Iplatform/include -Iplatform/standins/include"
 for it in libs/*/include; do
-    includes="$includes -I$it"
+    flags="$flags -I$it"
 done
+objects=""
+for source in platform/standins/src/*.cpp libs/standins/src/child_process.cpp; do
+    object="$out/$(basename "$source" .cpp).o"
+    # shellcheck disable=SC2086
+    g++ $flags -c -o "$object" "$source" &
+    objects="$objects $object"
+done
+wait
 libs=$(find target -name 'librp_*.a' | sort)
-for case in review/*/case.cpp; do
-    name=$(basename "$(dirname "$case")")
+for source in review/*/case.cpp; do
+    name="case$(basename "$(dirname "$source")")"
     # shellcheck disable=SC2086
-    g++ -std=c++17 -O1 $includes -o "target/review/case$name" "$case" \
-        platform/standins/src/*.cpp libs/standins/src/child_process.cpp \
-        -Wl,--start-group $libs -Wl,--end-group \
+    g++ $flags -o "$out/$name" "$source" $objects -Wl,--start-group $libs -Wl,--end-group \
         $(pkg-config --libs libglog openssl) -pthread
 done
--- a/review/standins/small_fleet.h
+++ b/review/standins/small_fleet.h
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "faulty_server.h"
 #include "http/free_port.h"
 #include "model_engine.h"
 #include "platform_standins/service_standin.h"
@@ -49,10 +50,12 @@
     const json engine = {{"slots", 32},       {"kvCapacity", 189'887}, {"models", json::array({model})},
                          {"weightsMb", 16'500}, {"maxAdapters", 8},     {"loadsPerS", 2.1}};
     return {{"version", 7},
-            {"routes", {route("ask", "assist", "streaming"), route("deposit", "desk", "non_idempotent")}},
+            {"routes", {route("ask", "assist", "streaming"), route("deposit", "desk", "non_idempotent"),
+              route("stock", "stock", "idempotent")}},
             {"services",
              {{{"name", "assist"}, {"healthPath", "/healthz"}, {"engine", engine}},
-              {{"name", "desk"}, {"healthPath", "/healthz"}}}},
+              {{"name", "desk"}, {"healthPath", "/healthz"}},
+              {{"name", "stock"}, {"healthPath", "/healthz"}}}},
             {"tenants", json::array({{{"name", "acme"}, {"apiKeys", {key}}}})},
             {"limits",
              {{"maxHeaderBytes", 16'384}, {"maxBodyBytes", 4'194'304}, {"headerTimeoutMs", 3'000},
@@ -130,13 +133,20 @@
 class small_fleet {
 public:
     /// `daemon` is the program, `directory` an empty one for settings and logs.
+    /// The server of the stock gives `stock_answer` to every request; none if it is empty.
     small_fleet(const std::string& daemon, const std::string& directory,
-                std::chrono::milliseconds deposit_time)
+                std::chrono::milliseconds deposit_time, const std::string& stock_answer = "")
         : store_(loop_, time_), desk_(loop_, time_, "i-desk", "desk", runs_) {
         store_.page_size = 500;
         desk_.run_time = deposit_time;
         store_.put("config", "main", configuration());
         store_.put("servers", desk_.id(), desk_.entry(desk_.address(), zone_of(0), false));
+        if (!stock_answer.empty()) {
+            stock_ = std::make_unique<faulty_server>(loop_, stock_answer);
+            json entry = desk_.entry(stock_->address(), zone_of(0), false);
+            entry["service"] = "stock";
+            store_.put("servers", "i-stock", entry);
+        }
         for (int n = 0; n < vm_count; ++n) {
             engines_.push_back(std::make_unique<model_engine>(loop_, time_, "i-llm" + std::to_string(n)));
             store_.put("servers", engines_.back()->id(), engines_.back()->entry(zone_of(n)));
@@ -198,6 +208,7 @@
     run_record runs_;
     store_standin store_;
     service_standin desk_;
+    std::unique_ptr<faulty_server> stock_;
     std::vector<std::unique_ptr<model_engine>> engines_;
     std::thread thread_;
     std::vector<vm> vms_;
