--- a/review/standins/small_fleet.h
+++ b/review/standins/small_fleet.h
@@ -101,6 +101,19 @@
             in.append(buf, static_cast<std::size_t>(n));
         }
     }
+    /// Returns the next response's head, or what came of it before the connection ended.
+    std::string receive_head() {
+        std::string in;
+        char buf[4'096];
+        while (in.find("\r\n\r\n") == std::string::npos) {
+            const auto n = recv(fd_, buf, sizeof buf, 0);
+            if (n <= 0) {
+                break;
+            }
+            in.append(buf, static_cast<std::size_t>(n));
+        }
+        return in.substr(0, in.find("\r\n\r\n"));
+    }
 
 private:
     static bool is_complete(const std::string& in, std::size_t body) {
