--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -85,7 +85,8 @@
         }
     }
     const bool broken = lost > allowed_losses;
-    std::fprintf(record, "requests that ran and were lost: %d; processes that ended: %d; the rule %s\n",
+    std::fprintf(record,
+                 "requests that ran and were lost: %d; processes that ended: %d; the rule %s\n",
                  lost, ended, broken ? "was broken" : "held");
     std::fclose(record);
     return broken ? 1 : 0;
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -13,9 +13,11 @@
 bool is_status_line(const std::string& line) {
     const std::string version = "HTTP/1.1 ";
     const std::string status = line.substr(std::min(line.size(), version.size()), 4);
-    const auto is_digit = [&](std::size_t i) { return std::isdigit(static_cast<unsigned char>(status[i])) != 0; };
-    return line.compare(0, version.size(), version) == 0 && status.size() == 4 && status[3] == ' ' &&
-           status[0] >= '1' && status[0] <= '5' && is_digit(1) && is_digit(2);
+    const auto is_digit = [&](std::size_t i) {
+        return std::isdigit(static_cast<unsigned char>(status[i])) != 0;
+    };
+    return line.compare(0, version.size(), version) == 0 && status.size() == 4 &&
+           status[3] == ' ' && status[0] >= '1' && status[0] <= '5' && is_digit(1) && is_digit(2);
 }
 
 }  // namespace
@@ -29,10 +31,11 @@
     const bool trouble = trouble_text == nullptr || std::string(trouble_text) != "0";
     std::FILE* const record = std::fopen(argv[3], "w");
     const std::string status = trouble ? "042" : "200";
-    small_fleet fleet(argv[1], argv[2], std::chrono::milliseconds(20),
-                      "HTTP/1.1 " + status +
-                          " OK\r\nRadishpulley-Attempt-Id: %ID%\r\n"
-                          "Radishpulley-Response-Signature: stand-in\r\nContent-Length: 3\r\n\r\nabc");
+    small_fleet fleet(
+        argv[1], argv[2], std::chrono::milliseconds(20),
+        "HTTP/1.1 " + status +
+            " OK\r\nRadishpulley-Attempt-Id: %ID%\r\n"
+            "Radishpulley-Response-Signature: stand-in\r\nContent-Length: 3\r\n\r\nabc");
     if (!fleet.wait_until_ready()) {
         std::fprintf(record, "the daemons did not become ready\n");
         return 2;
@@ -46,7 +49,8 @@
         const std::string head = from.receive_head();
         const std::string line = head.substr(0, head.find("\r\n"));
         broken += !line.empty() && !is_status_line(line) ? 1 : 0;
-        std::fprintf(record, "%s: the server's answer begins \"HTTP/1.1 %s OK\", the caller's \"%s\"\n",
+        std::fprintf(record,
+                     "%s: the server's answer begins \"HTTP/1.1 %s OK\", the caller's \"%s\"\n",
                      id.c_str(), status.c_str(), line.c_str());
         if (line.empty()) {
             return 2;
--- a/review/standins/faulty_server.h
+++ b/review/standins/faulty_server.h
@@ -42,8 +42,8 @@
     }
 
     void read(const std::shared_ptr<connection>& it) {
-        boost::asio::async_read_until(it->socket, boost::asio::dynamic_buffer(it->input), "\r\n\r\n",
-                                      [this, it](auto ec, std::size_t n) {
+        boost::asio::async_read_until(it->socket, boost::asio::dynamic_buffer(it->input),
+                                      "\r\n\r\n", [this, it](auto ec, std::size_t n) {
                                           if (!ec) {
                                               reply(it, it->input.substr(0, n));
                                               it->input.erase(0, n);
--- a/review/standins/model_engine.h
+++ b/review/standins/model_engine.h
@@ -34,10 +34,9 @@
 
     /// The engine's entry in the platform's store.
     nlohmann::json entry(const std::string& zone) const {
-        return {{"service", "assist"}, {"address", address()}, {"zone", zone},
-                {"version", "1"},      {"slots", slots},       {"state", "ready"},
-                {"sequence", 1},       {"born", born},         {"phase", "both"},
-                {"models", models()}};
+        return {{"service", "assist"}, {"address", address()}, {"zone", zone},  {"version", "1"},
+                {"slots", slots},      {"state", "ready"},     {"sequence", 1}, {"born", born},
+                {"phase", "both"},     {"models", models()}};
     }
 
 private:
@@ -66,10 +65,17 @@
             return work;
         }
         if (request.target == "/v1/report") {
-            const nlohmann::json report = {
-                {"phase", "both"}, {"models", models()}, {"busy", false},    {"sequence", sequence_},
-                {"queued", 0},     {"active", 0},        {"kvUsage", 0},     {"kvLimit", 90'000},
-                {"handles", 0},    {"born", born},       {"pending", nlohmann::json::array()}};
+            const nlohmann::json report = {{"phase", "both"},
+                                           {"models", models()},
+                                           {"busy", false},
+                                           {"sequence", sequence_},
+                                           {"queued", 0},
+                                           {"active", 0},
+                                           {"kvUsage", 0},
+                                           {"kvLimit", 90'000},
+                                           {"handles", 0},
+                                           {"born", born},
+                                           {"pending", nlohmann::json::array()}};
             work->send(head, report.dump());
             return work;
         }
@@ -112,8 +118,9 @@
 
     void run(const caller_request& request, caller_response head,
              const std::shared_ptr<pending_response>& work) {
-        head.headers.push_back({"Radishpulley-Attempt-Id",
-                                std::string(find_header(request.headers, "Radishpulley-Attempt-Id"))});
+        head.headers.push_back(
+            {"Radishpulley-Attempt-Id",
+             std::string(find_header(request.headers, "Radishpulley-Attempt-Id"))});
         const std::string target(find_header(request.headers, "Radishpulley-Model"));
         const std::string adapter = target.substr(std::min(target.size(), target.find('/') + 1));
         if (std::find(adapters_.begin(), adapters_.end(), adapter) == adapters_.end()) {
--- a/review/standins/small_fleet.h
+++ b/review/standins/small_fleet.h
@@ -2,9 +2,9 @@
 // three model engines and an application server.
 #pragma once
 
-#include <sys/socket.h>
-#include <netinet/in.h>
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <cstdlib>
 #include <fstream>
@@ -21,11 +21,11 @@
 
 namespace review {
 
+using nlohmann::json;
 using radishpulley::platform_adapter::standins::run_record;
 using radishpulley::platform_adapter::standins::service_standin;
 using radishpulley::platform_adapter::standins::store_standin;
 using radishpulley::standins::child_process;
-using nlohmann::json;
 
 constexpr int vm_count = 3;
 constexpr const char* host = "desk.example";
@@ -41,16 +41,27 @@
 
 inline json configuration() {
     const auto route = [](const char* name, const char* service, const char* type) {
-        return json{{"name", name},      {"host", host},     {"pathPrefix", std::string("/") + name + "/"},
-                    {"service", service}, {"type", type},     {"timeoutMs", 5'000},
-                    {"targetLatencyMs", 1'000}, {"maxAttempts", 1}, {"priority", 1}};
+        return json{{"name", name},
+                    {"host", host},
+                    {"pathPrefix", std::string("/") + name + "/"},
+                    {"service", service},
+                    {"type", type},
+                    {"timeoutMs", 5'000},
+                    {"targetLatencyMs", 1'000},
+                    {"maxAttempts", 1},
+                    {"priority", 1}};
     };
-    const json model = {{"name", "m0"},       {"weightsMb", 16'100}, {"loadTimeS", 0.6},
-                        {"adapters", 3'000},  {"adapterSizeMb", 14}};
-    const json engine = {{"slots", 32},       {"kvCapacity", 189'887}, {"models", json::array({model})},
-                         {"weightsMb", 16'500}, {"maxAdapters", 8},     {"loadsPerS", 2.1}};
+    const json model = {{"name", "m0"},
+                        {"weightsMb", 16'100},
+                        {"loadTimeS", 0.6},
+                        {"adapters", 3'000},
+                        {"adapterSizeMb", 14}};
+    const json engine = {
+        {"slots", 32},         {"kvCapacity", 189'887}, {"models", json::array({model})},
+        {"weightsMb", 16'500}, {"maxAdapters", 8},      {"loadsPerS", 2.1}};
     return {{"version", 7},
-            {"routes", {route("ask", "assist", "streaming"), route("deposit", "desk", "non_idempotent"),
+            {"routes",
+             {route("ask", "assist", "streaming"), route("deposit", "desk", "non_idempotent"),
               route("stock", "stock", "idempotent")}},
             {"services",
              {{{"name", "assist"}, {"healthPath", "/healthz"}, {"engine", engine}},
@@ -58,7 +69,9 @@
               {{"name", "stock"}, {"healthPath", "/healthz"}}}},
             {"tenants", json::array({{{"name", "acme"}, {"apiKeys", {key}}}})},
             {"limits",
-             {{"maxHeaderBytes", 16'384}, {"maxBodyBytes", 4'194'304}, {"headerTimeoutMs", 3'000},
+             {{"maxHeaderBytes", 16'384},
+              {"maxBodyBytes", 4'194'304},
+              {"headerTimeoutMs", 3'000},
               {"idleTimeoutMs", 15'000}}}};
 }
 
@@ -130,7 +143,8 @@
 
 inline std::string request_text(const std::string& method, const std::string& path,
                                 const std::string& id, const std::string& more = "") {
-    return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nRadishpulley-Attempt-Id: " + id +
+    return method + " " + path + " HTTP/1.1\r\nHost: " + host +
+           "\r\nRadishpulley-Attempt-Id: " + id +
            "\r\nRadishpulley-Deadline-Ms: 4000\r\nRadishpulley-Key: " + key +
            "\r\nContent-Length: 0\r\n" + more + "\r\n";
 }
@@ -161,7 +175,8 @@
             store_.put("servers", "i-stock", entry);
         }
         for (int n = 0; n < vm_count; ++n) {
-            engines_.push_back(std::make_unique<model_engine>(loop_, time_, "i-llm" + std::to_string(n)));
+            engines_.push_back(
+                std::make_unique<model_engine>(loop_, time_, "i-llm" + std::to_string(n)));
             store_.put("servers", engines_.back()->id(), engines_.back()->entry(zone_of(n)));
         }
         thread_ = std::thread([this] { loop_.run(); });
@@ -210,14 +225,16 @@
     /// Number of times that the application server ran the request.
     unsigned runs(const std::string& id) {
         std::promise<unsigned> out;
-        boost::asio::post(loop_, [&] { out.set_value(runs_.runs.count(id) ? runs_.runs[id].count : 0); });
+        boost::asio::post(loop_,
+                          [&] { out.set_value(runs_.runs.count(id) ? runs_.runs[id].count : 0); });
         return out.get_future().get();
     }
 
 private:
     radishpulley::system_clock time_;
     boost::asio::io_context loop_{1};
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{loop_.get_executor()};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
+        loop_.get_executor()};
     run_record runs_;
     store_standin store_;
     service_standin desk_;
