--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -5,34 +5,24 @@
 
 namespace {
 
-constexpr int callers_per_vm = 4;
-// Over the platform's contactMs, so that all daemons are in touch.
-constexpr std::chrono::seconds settle_time{5};
-constexpr std::chrono::milliseconds deposit_time{1'500};
+constexpr int callers_per_vm = 6;
+constexpr std::chrono::milliseconds deposit_time{400};
 // Closed connections that the rule allows.
 constexpr int allowed_losses = 3;
 
-}  // namespace
+constexpr const char* spoilt_answer =
+    "HTTP/1.1 200 OK\r\nRadishpulley-Attempt-Id: %ID%\r\n"
+    "Radishpulley-Response-Signature: stand-in\r\nContent-Length: 4000000000000000000\r\n\r\nabc";
+constexpr const char* sound_answer =
+    "HTTP/1.1 200 OK\r\nRadishpulley-Attempt-Id: %ID%\r\n"
+    "Radishpulley-Response-Signature: stand-in\r\nContent-Length: 3\r\n\r\nabc";
 
-int main(int argc, char** argv) {
-    if (argc != 4) {
-        return 2;
-    }
+int run(review::small_fleet& fleet, std::FILE* record) {
     using namespace review;
-    const char* const trouble_text = std::getenv("TROUBLE");
-    const bool trouble = trouble_text == nullptr || std::string(trouble_text) != "0";
-    std::FILE* const record = std::fopen(argv[3], "w");
-    const std::string length = trouble ? "4000000000000000000" : "3";
-    small_fleet fleet(argv[1], argv[2], deposit_time,
-                      "HTTP/1.1 200 OK\r\nRadishpulley-Attempt-Id: %ID%\r\n"
-                      "Radishpulley-Response-Signature: stand-in\r\nContent-Length: " +
-                          length + "\r\n\r\nabc");
-    if (!fleet.wait_until_ready()) {
+    if (!fleet.wait_until_settled()) {
         std::fprintf(record, "the daemons did not become ready\n");
         return 2;
     }
-    std::this_thread::sleep_for(settle_time);
-
     std::vector<std::unique_ptr<caller>> callers;
     std::vector<std::string> ids;
     for (const vm& it : fleet.vms()) {
@@ -41,53 +31,63 @@
             ids.push_back(it.name + "-deposit-" + std::to_string(n));
         }
     }
+    check_stock(fleet, answers_per_spoilt_one - 1, record);
     // The first request makes each connection a kept one.
     for (std::size_t i = 0; i < callers.size(); ++i) {
         callers[i]->send(request_text("POST", "/deposit/1", ids[i] + "-a"));
     }
     for (std::size_t i = 0; i < callers.size(); ++i) {
-        const int status = callers[i]->receive();
-        std::fprintf(record, "%s-a: answered %d\n", ids[i].c_str(), status);
-        if (status != 200) {
+        const std::string line = first_line(callers[i]->receive());
+        std::fprintf(record, "%s-a: answered \"%s\"\n", ids[i].c_str(), line.c_str());
+        if (line.rfind("HTTP/1.1 200", 0) != 0) {
             return 2;
         }
     }
     for (std::size_t i = 0; i < callers.size(); ++i) {
         callers[i]->send(request_text("POST", "/deposit/1", ids[i] + "-b"));
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-
-    caller other(fleet.vms()[0].callers);
-    other.send(request_text("GET", "/stock/1", "stock-1"));
-    std::fprintf(record, "stock-1: sent once to %s, the server states a length of %s\n",
-                 fleet.vms()[0].name.c_str(), length.c_str());
-    std::fprintf(record, "stock-1: answered %d\n", other.receive());
-
+    std::this_thread::sleep_for(deposit_time / 4);
+    check_stock(fleet, answers_per_spoilt_one, record);
+    if (fleet.stock_answers() < answers_per_spoilt_one) {
+        std::fprintf(record, "the server's answer %d was not asked for\n", answers_per_spoilt_one);
+        return 2;
+    }
     int lost = 0;
     for (std::size_t i = 0; i < callers.size(); ++i) {
-        const int status = callers[i]->receive();
+        const std::string line = first_line(callers[i]->receive());
         const unsigned runs = fleet.runs(ids[i] + "-b");
-        lost += status == 0 && runs > 0 ? 1 : 0;
-        std::fprintf(record, "%s-b: ran %u times, %s %d\n", ids[i].c_str(), runs,
-                     status == 0 ? "connection closed without an answer" : "answered", status);
+        const bool is_lost = line.empty() && callers[i]->is_closed() && runs > 0;
+        lost += is_lost ? 1 : 0;
+        std::fprintf(record, "%s-b: ran %u times, %s\n", ids[i].c_str(), runs,
+                     is_lost ? "connection closed without an answer" : line.c_str());
     }
-    int ended = 0;
     for (const vm& it : fleet.vms()) {
         const bool has_ended = it.process->has_ended();
-        ended += has_ended ? 1 : 0;
         std::fprintf(record, "%s: process %s\n", it.name.c_str(),
                      has_ended ? "has ended by itself" : "runs");
-        std::ifstream log(std::string(argv[2]) + "/" + it.name + ".log");
+        std::ifstream log(it.log);
         for (std::string line; has_ended && std::getline(log, line);) {
             if (line.rfind("radishpulleyd:", 0) == 0) {
                 std::fprintf(record, "%s: its last words: %s\n", it.name.c_str(), line.c_str());
             }
         }
     }
-    const bool broken = lost > allowed_losses;
-    std::fprintf(record,
-                 "requests that ran and were lost: %d; processes that ended: %d; the rule %s\n",
-                 lost, ended, broken ? "was broken" : "held");
+    const bool is_broken = lost > allowed_losses;
+    std::fprintf(record, "requests that ran and were lost: %d; the rule %s\n", lost,
+                 is_broken ? "was broken" : "held");
+    return is_broken ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::FILE* const record = argc == 4 ? std::fopen(argv[3], "w") : nullptr;
+    if (record == nullptr) {
+        return 2;
+    }
+    review::small_fleet fleet(argv[1], argv[2],
+                              review::has_trouble() ? spoilt_answer : sound_answer, deposit_time);
+    const int status = run(fleet, record);
     std::fclose(record);
-    return broken ? 1 : 0;
+    return status;
 }
