gateway: a spoilt response head is no response

Cause: the parser accepts any three digits and any coding, and nothing behind it checked what it had parsed. Ruled out: the writing side, which prints what it is given.

Change: response_checks says in one place which heads that parse are no responses (RFC 9110, 15; RFC 9112, 6). endpoint_link fails such a call as malformed, so it counts as a failure of the endpoint, a request that may be repeated tries another one, the others get 502, and the log states the reason. Orders, reports, liveness checks and the store's answers come through the same link.

--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include "response_checks.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::gateway {
@@ -132,6 +133,10 @@
         head.length = *parser_->content_length();
     }
     head.ends_with_connection = !head.length && !parser_->chunked();
+    if (const auto fault = find_fault(head, {parser_->version(), parser_->chunked()})) {
+        fail_malformed(*fault);
+        return;
+    }
     const std::string_view id = request_.id_header.empty()
                                     ? std::string_view()
                                     : find_header(head.headers, request_.id_header);
--- a/libs/gateway/tests/misbehaving_peers_tests.cpp
+++ b/libs/gateway/tests/misbehaving_peers_tests.cpp
@@ -197,6 +197,104 @@
     }
 }
 
+// Guards against spoilt heads that reach the caller as a response, or as bytes that no client can
+// parse: an endpoint's "042" was sent on as "42". Such a response counts as a failure of the
+// endpoint, and a request that may be repeated is sent to another one.
+BOOST_AUTO_TEST_CASE(a_spoilt_response_head_is_no_response) {
+    const std::string rest = "X-Id: r1\r\n" + signed_head;
+    const std::string sized = rest + "Content-Length: 3\r\n\r\nabc";
+    const std::vector<std::string> spoilt = {
+        "HTTP/1.1 000 OK\r\n" + sized,
+        "HTTP/1.1 001 OK\r\n" + sized,
+        "HTTP/1.1 042 OK\r\n" + sized,
+        "HTTP/1.1 099 OK\r\n" + sized,
+        "HTTP/1.1 600 OK\r\n" + sized,
+        "HTTP/1.1 999 OK\r\n" + sized,
+        "HTTP/1.1 101 Switching\r\n" + rest + "Upgrade: x\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\n" + sized,
+        "HTTP/1.1 20 OK\r\n" + sized,
+        "HTTP/1.1 -20 OK\r\n" + sized,
+        "HTTP/1.1 2x0 OK\r\n" + sized,
+        "HTTP/7.3 200 OK\r\n" + sized,
+        "HTTP/1.1\t200 OK\r\n" + sized,
+        "HTP/1.1 200 OK\r\n" + sized,
+        "http/1.1 200 OK\r\n" + sized,
+        std::string("HTTP/1.1 200 O\0K\r\n", 19) + sized,
+        "HTTP/1.1 200 O\x01K\r\n" + sized,
+        "HTTP/1.1 200 OK\r\nX-A\x80: b\r\n" + sized,
+        "HTTP/1.1 200 OK\r\nX A: b\r\n" + sized,
+        "HTTP/1.1 200 OK\r\n: b\r\n" + sized,
+        "HTTP/1.1 200 OK\r\nX-A: b\x02\r\n" + sized,
+        "HTTP/1.1 200 OK\r\nX-A: b\rX-B: c\r\n" + sized,
+        "HTTP/1.1 200 OK\r\n" + rest + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "HTTP/1.1 200 OK\r\n" + rest + "Content-Length: 3, 4\r\n\r\nabcd",
+        "HTTP/1.1 200 OK\r\n" + rest + "Content-Length: -3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\n" + rest + "Content-Length: 0x3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\n" + rest +
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + rest +
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + rest + "Transfer-Encoding: gzip\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\n" + rest +
+            "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n" + sized,
+        "HTTP/1.1 204 No Content\r\n" + rest +
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"};
+    for (const std::string& bytes : spoilt) {
+        for (const bool may_repeat : {false, true}) {
+            gateway_fixture it;
+            it.configure();
+            it.add_endpoint("e1", [&](const std::string&, peer& to) { to.send(bytes); });
+            if (may_repeat) {
+                it.add_endpoint("e2", [&](const std::string&, peer& to) {
+                    to.send(response("200 OK", "r1", "sound"));
+                });
+            }
+            const auto caller = it.connect();
+            caller->send(request(may_repeat ? "POST /again/a" : "POST /once/a", "r1", "", "x"));
+            BOOST_TEST_CONTEXT(bytes) {
+                it.run_until(
+                    [&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
+                BOOST_TEST(has_status(*caller, may_repeat ? "200" : "502"));
+                BOOST_TEST(caller->received.find("abc") == std::string::npos);
+            }
+        }
+    }
+}
+
+// Guards against sound heads that are taken for spoilt ones.
+BOOST_AUTO_TEST_CASE(unusual_but_valid_response_heads_are_relayed) {
+    const std::string rest = "X-Id: r1\r\n" + signed_head;
+    struct head_case {
+        std::string bytes;
+        std::string status;
+    };
+    const std::vector<head_case> valid = {
+        {"HTTP/1.1 200 \r\n" + rest + "Content-Length: 3\r\n\r\nabc", "200"},
+        {"HTTP/1.0 200 OK\r\n" + rest + "Content-Length: 3\r\n\r\nabc", "200"},
+        {"HTTP/1.1 200 Caf\xe9\r\n" + rest + "Content-Length: 3\r\n\r\nabc", "200"},
+        {"HTTP/1.1 599 Odd\r\n" + rest + "Content-Length: 3\r\n\r\nabc", "599"},
+        {"HTTP/1.1 204 No Content\r\n" + rest + "Content-Length: 0\r\n\r\n", "204"},
+        {"HTTP/1.1 304 Not Modified\r\n" + rest + "Content-Length: 3\r\n\r\n", "304"},
+        {"HTTP/1.1 200 OK\r\n" + rest + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "200"},
+        {"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + rest + "Content-Length: 3\r\n\r\nabc",
+         "200"},
+        {"HTTP/1.1 200 OK\r\n" + rest + "Transfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         "200"}};
+    for (const head_case& it : valid) {
+        gateway_fixture fixture;
+        fixture.configure();
+        fixture.add_endpoint("e1", [&](const std::string&, peer& to) { to.send(it.bytes); });
+        const auto caller = fixture.connect();
+        caller->send(request("POST /once/a", "r1", "", "x"));
+        BOOST_TEST_CONTEXT(it.bytes) {
+            fixture.run_until(
+                [&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
+            BOOST_TEST(has_status(*caller, it.status));
+        }
+    }
+}
+
 // Guards against a request that ends the process, or is given memory, by the length that it states.
 BOOST_AUTO_TEST_CASE(an_absurd_stated_length_of_a_request_is_rejected) {
     for (const char* length : {"4000000000000000000", "18446744073709551615", "10001"}) {
