limits: the parts of VMs that do not hear each other sum to the limit

Cause: a VM's part was own / (own + what the others last said), so within a cut each side saw its own demand grow and the other's stand still; a statement expired after 10 s and the VM that made it stopped counting after 10 s of silence, which let each side grow to the whole limit.

Change: peer_contacts tracks who hears whom, in each direction; statuses state what stays out. While contact with a VM is lost, it is left the part that it had when both last heard each other, then an equal part; the rest is shared by demand among the VMs that lost the same contacts. Where one VM still hears another that a second one lost, the second counts no more demand than the lost one has heard of. Statements don't expire. Limits of accounts and of endpoints are divided among members: VMs that are listed and not marked as gone in the store. A VM that was silent for 15 s is marked by one of the others; one that was only cut off takes the mark back within the 5 s before the mark counts. VMs that were silent for 30 s get statuses again, so that both sides meet after a long cut. Contacts lost and regained are logged.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -167,8 +167,11 @@
     void on_configuration_confirmed(time_point read_began);
     /// Whether the configuration has not been confirmed since the last pause.
     bool awaits_confirmation() const { return awaits_confirmation_; }
-    /// Sets the VMs that serve callers; `self` is one of them.
+    /// Sets the VMs that are known to serve callers; `self` is one of them.
     void set_serving(const vm_id& self, gsl::span<const vm_id> vms);
+    /// Sets the VMs among which limits are divided, also those that were not heard lately; `self`
+    /// is one of them.
+    void set_members(const vm_id& self, gsl::span<const vm_id> vms);
     /// Applies a notice that an endpoint sent in a response to this VM's own call.
     void on_notice(const routing::endpoint_incarnation& from, const routing::endpoint_notice& it);
     /// Applies an endpoint's limit as reported by another VM.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -105,10 +105,15 @@
 }
 
 void gateway::set_serving(const vm_id& self, gsl::span<const vm_id> vms) {
+    quarantine_.set_vms(self, vms);
+}
+
+void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms) {
     fleet_size_ = std::max<std::size_t>(1, vms.size());
-    limiter_.set_fleet_size(vms.size());
+    std::vector<vm_id> others(vms.begin(), vms.end());
+    others.erase(std::remove(others.begin(), others.end(), self), others.end());
+    limiter_.set_members(others);
     limits_.set_vms(self, vms, time_.now());
-    quarantine_.set_vms(self, vms);
 }
 
 void gateway::on_notice(const routing::endpoint_incarnation& from,
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -1,8 +1,16 @@
 /// Enforces the rate and burst of client accounts across all VMs.
 ///
 /// Each VM has a share of every account's rate in proportion to the demand that it sees; the VMs
-/// exchange their demand. A VM that falls silent keeps its share until its last message expires. A
-/// request is admitted until the bucket has used up the permitted overdraft, so the last one may
+/// exchange their demand.
+///
+/// VMs that lost contact with each other don't learn how the other's demand grows, so each side
+/// leaves the other its part of the rate: at first the part that it had when they last heard each
+/// other, and later one part per VM of equal size. Within its side a VM shares the rest by demand
+/// while all VMs of that side lost the same contacts. Otherwise it counts no more demand than the
+/// VMs that it lost may have heard of. The shares of all VMs thus sum to at most 1, whoever hears
+/// whom.
+///
+/// A request is admitted until the bucket has used up the permitted overdraft, so the last one may
 /// exceed it; the debt is paid back before the next one. While the account's monitor reports
 /// saturation, shares are computed from the demand that the monitor sees, and a request is admitted
 /// only once half of its cost has accumulated, so that the overdrafts of all VMs cancel out. Small
@@ -10,14 +18,18 @@
 /// calls. Pure; not thread-safe.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include <gsl/span>
+
 #include "base/clock.h"
 #include "routing/account_monitor.h"
 #include "routing/configuration.h"
+#include "routing/peer_contacts.h"
 
 namespace radishpulley::routing {
 
@@ -67,13 +79,16 @@
 
     /// Applies new limits; buckets keep their fill as far as the new limits allow.
     void configure(const std::vector<client_account>& accounts, time_point now);
-    /// Sets the number of VMs that serve callers, including this one.
-    void set_fleet_size(std::size_t vms);
+    /// Sets the VMs that may serve callers, without this one.
+    void set_members(gsl::span<const vm_id> others);
     /// Sets the overdraft of all VMs together.
     void set_overdraft(double units) { settings_.overdraft = units; }
-    /// Records the demand that another VM sees; it expires after `lifetime`.
-    void on_peer_demand(const vm_id& peer, demand_by_account demand, time_point now,
-                        duration lifetime);
+    /// Records the demand that another VM states; it counts until the VM is no member any more.
+    void on_peer_demand(const vm_id& peer, demand_by_account demand);
+    /// Sets the members with which this VM exchanges no messages in both directions.
+    void set_lost_contacts(gsl::span<const lost_contact> lost);
+    /// Records that the demand as it is now was stated to the other VMs.
+    void note_demand_stated(time_point now);
 
     /// Records a monitor's report that an account is at its limit; returns whether the account was
     /// not saturated before.
@@ -87,7 +102,7 @@
     /// Returns the units that a request did not use.
     void refund(const client_account_id& account, double units);
 
-    /// Returns the demand that this VM sees.
+    /// Returns the demand of this VM as the others are to count it.
     demand_by_account demand(time_point now) const;
     /// Returns this VM's current fraction of an account's rate, from 0 to 1.
     double share(const client_account_id& account, time_point now) const;
@@ -113,16 +128,44 @@
         account_saturation saturation;
         time_point saturated_until = time_point::min();
     };
-    struct peer_demand {
+    /// What was known when contact with a member was lost.
+    struct loss {
+        lost_contact contact;
+        /// This VM's demand that the member has heard of.
+        demand_by_account heard_demand;
+        /// The member's share of each account's rate.
+        std::map<client_account_id, double> shares;
+    };
+    struct stated_demand {
+        time_point at{};
         demand_by_account demand;
-        time_point ends_at{};
+    };
+    /// The other VMs' claims on an account.
+    struct contention {
+        /// Demand with which this VM's demand competes, in units per second.
+        double remote = 0;
+        /// Fraction of the rate that is left to VMs without contact.
+        double reserved = 0;
+        /// Most of its own demand that this VM counts.
+        double demand_cap = 0;
     };
 
     double decayed_demand(const bucket& it, time_point now) const;
     double min_demand(const bucket& it) const;
-    /// Returns the demand that other VMs see, given that this VM sees `own`.
-    double remote_demand(const client_account_id& account, const bucket& it, double own,
-                         time_point now) const;
+    /// Returns the demand of each VM if all have the same.
+    double equal_demand(const bucket& it) const;
+    /// Returns the claims of others, given that this VM sees `own`.
+    contention contention_of(const client_account_id& account, const bucket& it, double own,
+                             time_point now) const;
+    /// Adds the claims of the members with which contact is lost.
+    void add_lost(const client_account_id& account, const bucket& it, time_point now,
+                  contention& out) const;
+    /// Returns the fraction of the rate that a lost member may use.
+    double part_of_lost(const client_account_id& account, const loss& lost, time_point now) const;
+    loss loss_of(const lost_contact& it) const;
+    /// Returns the least demand that was stated around the time of the last contact.
+    demand_by_account demand_heard_by(const lost_contact& it) const;
+    double stated_by(const vm_id& peer, const client_account_id& account) const;
     /// Returns this VM's average share since the last refill.
     double mean_share(const client_account_id& account, const bucket& it, time_point now) const;
     void refill(const client_account_id& account, bucket& it, time_point now);
@@ -134,7 +177,12 @@
     limiter_settings settings_;
     std::size_t fleet_size_ = 1;
     std::map<client_account_id, bucket> buckets_;
-    std::map<vm_id, peer_demand> peers_;
+    std::vector<vm_id> members_;
+    std::map<vm_id, demand_by_account> peers_;
+    std::map<vm_id, loss> lost_;
+    bool is_contested_ = false;
+    /// What this VM stated recently, oldest first.
+    std::deque<stated_demand> stated_;
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -15,6 +15,7 @@
 #include "relay/copy_report.h"
 #include "routing/account_limiter.h"
 #include "routing/endpoint_limits.h"
+#include "routing/peer_contacts.h"
 #include "routing/request_attributes.h"
 #include "routing/request_quarantine.h"
 #include "routing/work_table.h"
@@ -32,6 +33,8 @@
     std::vector<advertised_limit> limits;
     /// Segments and requests that are accused of crashes.
     std::vector<suspect> suspects;
+    /// Members with which the sender exchanges no messages in both directions.
+    stated_losses losses{};
 };
 
 /// Adapter usage at one engine, sent to the engine's holder.
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
+#include <set>
 #include <utility>
 
 namespace radishpulley::routing {
@@ -15,6 +18,18 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+// After a loss of contact, in tolerances of the contact: a VM with more than an equal part gives up
+// the rest well before one with less takes it, as they may have noticed the loss at different
+// times.
+constexpr int yields_after = 2;
+constexpr int equal_parts_after = 4;
+// Longer than it takes to notice a loss of contact.
+constexpr duration stated_demand_retention = std::chrono::seconds(60);
+
+bool is_over(const lost_contact& it, int tolerances, time_point now) {
+    return it.since == time_point::min() || now - it.since > it.tolerance * tolerances;
+}
+
 }  // namespace
 
 account_limiter::account_limiter(limiter_settings settings) : settings_(settings) {}
@@ -44,13 +59,58 @@
     buckets_ = std::move(next);
 }
 
-void account_limiter::set_fleet_size(std::size_t vms) {
-    fleet_size_ = std::max<std::size_t>(1, vms);
+void account_limiter::set_members(gsl::span<const vm_id> others) {
+    members_.assign(others.begin(), others.end());
+    fleet_size_ = members_.size() + 1;
+    const std::set<vm_id> known(members_.begin(), members_.end());
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        it = known.count(it->first) == 0 ? peers_.erase(it) : std::next(it);
+    }
 }
 
-void account_limiter::on_peer_demand(const vm_id& peer, demand_by_account demand, time_point now,
-                                     duration lifetime) {
-    peers_[peer] = {std::move(demand), now + lifetime};
+void account_limiter::on_peer_demand(const vm_id& peer, demand_by_account demand) {
+    peers_[peer] = std::move(demand);
+}
+
+void account_limiter::set_lost_contacts(gsl::span<const lost_contact> lost) {
+    std::map<vm_id, loss> next;
+    is_contested_ = false;
+    for (const lost_contact& it : lost) {
+        is_contested_ = is_contested_ || it.contested;
+        const auto known = lost_.find(it.vm);
+        const bool is_same = known != lost_.end() && known->second.contact.since == it.since;
+        next[it.vm] = is_same ? std::move(known->second) : loss_of(it);
+        next[it.vm].contact = it;
+    }
+    lost_ = std::move(next);
+}
+
+void account_limiter::note_demand_stated(time_point now) {
+    stated_.push_back({now, demand(now)});
+    while (now - stated_.front().at > stated_demand_retention) {
+        stated_.pop_front();
+    }
+}
+
+demand_by_account account_limiter::demand_heard_by(const lost_contact& it) const {
+    demand_by_account least;
+    bool is_first = true;
+    for (const stated_demand& stated : stated_) {
+        const bool is_near = stated.at >= it.since - it.tolerance * 2 && stated.at <= it.since;
+        if (it.since == time_point::min() || !is_near) {
+            continue;
+        }
+        if (is_first) {
+            least = stated.demand;
+        }
+        is_first = false;
+        for (auto at = least.begin(); at != least.end();) {
+            const auto found = stated.demand.find(at->first);
+            at->second = std::min(at->second, found == stated.demand.end() ? 0 : found->second);
+            at = at->second == 0 ? least.erase(at) : std::next(at);
+        }
+    }
+    return least;
 }
 
 double account_limiter::decayed_demand(const bucket& it, time_point now) const {
@@ -62,27 +122,90 @@
     return it.rate * settings_.min_demand / static_cast<double>(fleet_size_);
 }
 
-double account_limiter::remote_demand(const client_account_id& account, const bucket& it,
-                                      double own, time_point now) const {
+double account_limiter::equal_demand(const bucket& it) const {
+    return it.rate / static_cast<double>(fleet_size_);
+}
+
+double account_limiter::stated_by(const vm_id& peer, const client_account_id& account) const {
+    const auto known = peers_.find(peer);
+    if (known == peers_.end()) {
+        return 0;
+    }
+    const auto demand = known->second.find(account);
+    return demand == known->second.end() ? 0 : demand->second;
+}
+
+double account_limiter::part_of_lost(const client_account_id& account, const loss& lost,
+                                     time_point now) const {
+    const double equal_part = 1 / static_cast<double>(fleet_size_);
+    const auto known = lost.shares.find(account);
+    const bool is_equal =
+        known == lost.shares.end() || is_over(lost.contact, equal_parts_after, now);
+    return is_equal ? equal_part : std::max(equal_part, known->second);
+}
+
+account_limiter::loss account_limiter::loss_of(const lost_contact& it) const {
+    loss out{it, demand_heard_by(it), {}};
+    for (const auto& [account, bucket] : buckets_) {
+        const double minimum = min_demand(bucket);
+        const auto own = out.heard_demand.find(account);
+        double total = minimum * static_cast<double>(fleet_size_) +
+                       (own == out.heard_demand.end() ? 0 : own->second);
+        for (const auto& [vm, demand] : peers_) {
+            total += stated_by(vm, account);
+        }
+        out.shares[account] = total > 0 ? (stated_by(it.vm, account) + minimum) / total : 1;
+    }
+    return out;
+}
+
+void account_limiter::add_lost(const client_account_id& account, const bucket& it, time_point now,
+                               contention& out) const {
+    const double minimum = min_demand(it);
+    const double equal = equal_demand(it);
+    for (const auto& [vm, lost] : lost_) {
+        if (!is_contested_) {
+            out.reserved += part_of_lost(account, lost, now);
+            continue;
+        }
+        const auto own = lost.heard_demand.find(account);
+        const double heard = own == lost.heard_demand.end() ? 0 : own->second;
+        const double stated = stated_by(vm, account);
+        if (is_over(lost.contact, equal_parts_after, now)) {
+            out.remote += minimum + equal;
+            out.demand_cap = std::min(out.demand_cap, equal);
+        } else {
+            out.remote += minimum + std::max(stated, equal);
+            out.demand_cap =
+                std::min(out.demand_cap,
+                         is_over(lost.contact, yields_after, now) ? std::min(heard, equal) : heard);
+        }
+    }
+    out.reserved = std::min(1.0, out.reserved);
+}
+
+account_limiter::contention account_limiter::contention_of(const client_account_id& account,
+                                                           const bucket& it, double own,
+                                                           time_point now) const {
+    contention out;
+    out.demand_cap = std::numeric_limits<double>::infinity();
     const double minimum = min_demand(it);
-    double total = 0;
-    std::size_t reporting_vms = 1;
-    for (const auto& [vm, peer] : peers_) {
-        if (now > peer.ends_at) {
+    std::size_t unheard_vms = 0;
+    for (const vm_id& vm : members_) {
+        if (lost_.count(vm) != 0) {
             continue;
         }
-        ++reporting_vms;
-        const auto demand = peer.demand.find(account);
-        total += minimum + (demand == peer.demand.end() ? 0 : demand->second);
+        out.remote += minimum + stated_by(vm, account);
+        unheard_vms += peers_.count(vm) == 0 ? 1 : 0;
     }
+    add_lost(account, it, now, out);
     if (is_saturated(it, now)) {
-        return std::max(total, it.saturation.demand - own);
-    }
-    // A VM that has not reported yet may see as much demand as this one.
-    if (reporting_vms < fleet_size_) {
-        total += static_cast<double>(fleet_size_ - reporting_vms) * (own + minimum);
+        out.remote = std::max(out.remote, it.saturation.demand - own);
+    } else {
+        // A VM that has not stated its demand yet may see as much as this one.
+        out.remote += static_cast<double>(unheard_vms) * own;
     }
-    return total;
+    return out;
 }
 
 double account_limiter::share(const client_account_id& account, time_point now) const {
@@ -91,8 +214,9 @@
         return 1.0 / static_cast<double>(fleet_size_);
     }
     const double demand = decayed_demand(found->second, now);
-    const double own = demand + min_demand(found->second);
-    return own / (own + remote_demand(account, found->second, demand, now));
+    const contention others = contention_of(account, found->second, demand, now);
+    const double own = std::min(demand, others.demand_cap) + min_demand(found->second);
+    return (1 - others.reserved) * own / (own + others.remote);
 }
 
 double account_limiter::mean_share(const client_account_id& account, const bucket& it,
@@ -105,16 +229,20 @@
     const double window = seconds_of(settings_.demand_window);
     const double initial_demand = decayed_demand(it, it.filled_at);
     const double decay = std::exp(-elapsed / window);
-    const double remote = remote_demand(account, it, initial_demand * (1 + decay) / 2, now);
+    const contention others = contention_of(account, it, initial_demand * (1 + decay) / 2, now);
+    if (initial_demand > others.demand_cap) {
+        return share(account, now);
+    }
+    const double remote = others.remote;
     const double remote_and_minimum = min_demand(it) + remote;
     if (remote_and_minimum <= 0) {
-        return 1;
+        return 1 - others.reserved;
     }
     const double remote_integral =
         remote / remote_and_minimum *
         (elapsed + window * std::log((remote_and_minimum + initial_demand * decay) /
                                      (remote_and_minimum + initial_demand)));
-    return 1 - remote_integral / elapsed;
+    return (1 - others.reserved) * (1 - remote_integral / elapsed);
 }
 
 void account_limiter::refill(const client_account_id& account, bucket& it, time_point now) {
@@ -215,7 +343,8 @@
 demand_by_account account_limiter::demand(time_point now) const {
     demand_by_account out;
     for (const auto& [account, it] : buckets_) {
-        const double demand = decayed_demand(it, now);
+        const double seen = decayed_demand(it, now);
+        const double demand = std::min(seen, contention_of(account, it, seen, now).demand_cap);
         if (demand > it.rate * 1e-3) {
             out[account] = demand;
         }
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -231,6 +231,30 @@
     return out;
 }
 
+json to_json(const std::vector<vm_id>& list) {
+    json out = json::array();
+    for (const vm_id& it : list) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+std::vector<vm_id> read_vms(const json& in) {
+    std::vector<vm_id> out;
+    for (const json& it : in) {
+        out.push_back(vm_id(it.get<std::string>()));
+    }
+    return out;
+}
+
+json to_json(const stated_losses& it) {
+    return {it.more, to_json(it.unheard), to_json(it.deaf)};
+}
+
+stated_losses read_losses(const json& in) {
+    return {read_vms(in.at(1)), read_vms(in.at(2)), in.at(0).get<bool>()};
+}
+
 json to_json(const store_reports& it) {
     json out = json::array();
     for (const relay::copy_report& report : it.reports) {
@@ -289,7 +313,8 @@
             [](const vm_status& p) {
                 return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
                                     demand_to_json(p.demand), limits_to_json(p.limits),
-                                    to_json(p.suspects, false), to_json(p.suspects, true)});
+                                    to_json(p.suspects, false), to_json(p.suspects, true),
+                                    to_json(p.losses)});
             },
             [](const adapter_usage& u) {
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
@@ -328,6 +353,7 @@
                       read_work(in.at(3)),
                       read_demand(in.at(4)),
                       {},
+                      {},
                       {}};
         // Daemons of older releases send no limits.
         if (in.size() > 5) {
@@ -340,6 +366,10 @@
         if (in.size() > 7) {
             read_suspects(in.at(7), out.suspects);
         }
+        // Nor do they send losses of contact.
+        if (in.size() > 8) {
+            out.losses = read_losses(in.at(8));
+        }
         return out;
     }
     if (kind == "s") {
--- a/libs/routing/tests/account_limiter_tests.cpp
+++ b/libs/routing/tests/account_limiter_tests.cpp
@@ -128,7 +128,7 @@
     BOOST_TEST(short_calls == 100);
 }
 
-BOOST_AUTO_TEST_CASE(a_silent_vm_keeps_its_share_for_a_while) {
+BOOST_AUTO_TEST_CASE(a_silent_vm_keeps_its_share_until_it_is_no_member) {
     fleet all(2, 1'000, 1'000);
     for (auto& vm : all.vms) {
         vm->admit(acme, 500, start);
@@ -136,10 +136,15 @@
     all.exchange(start);
     const double before = all.vms[0]->share(acme, start);
     BOOST_TEST(before == 0.5, boost::test_tools::tolerance(0.01));
-    all.vms[0]->admit(acme, 500, start + seconds(9));
-    BOOST_TEST(all.vms[0]->share(acme, start + seconds(9)) < 0.7);
-    all.vms[0]->set_fleet_size(1);
-    BOOST_TEST(all.vms[0]->share(acme, start + seconds(11)) > 0.99);
+    const std::vector<lost_contact> lost = {{vm_name(1), start, seconds(1), false}};
+    all.vms[0]->set_lost_contacts(lost);
+    for (const int second : {2, 9, 60}) {
+        all.vms[0]->admit(acme, 500, start + seconds(second));
+        BOOST_TEST(all.vms[0]->share(acme, start + seconds(second)) < 0.51);
+    }
+    all.set_members(0, 1);
+    all.vms[0]->set_lost_contacts({});
+    BOOST_TEST(all.vms[0]->share(acme, start + seconds(61)) > 0.99);
 }
 
 BOOST_AUTO_TEST_CASE(a_refusal_states_the_retry_delay) {
--- a/libs/routing/tests/limiter_fleet.h
+++ b/libs/routing/tests/limiter_fleet.h
@@ -28,24 +28,36 @@
     return std::holds_alternative<admitted>(it);
 }
 
-constexpr duration demand_lifetime = std::chrono::seconds(10);
+inline vm_id vm_name(std::size_t i) {
+    return vm_id("v" + std::to_string(i));
+}
 
 /// A fleet whose VMs exchange their demand every 400 ms.
 struct fleet {
     explicit fleet(std::size_t n, double rate, double burst, limiter_settings settings = {}) {
         for (std::size_t i = 0; i < n; ++i) {
             vms.push_back(std::make_unique<account_limiter>(settings));
-            vms.back()->set_fleet_size(n);
+            set_members(i, n);
             vms.back()->configure({account(rate, burst)}, start);
         }
     }
 
+    /// Sets the first `n` VMs as the members that VM `self` knows.
+    void set_members(std::size_t self, std::size_t n) {
+        std::vector<vm_id> others;
+        for (std::size_t i = 0; i < n; ++i) {
+            if (i != self) {
+                others.push_back(vm_name(i));
+            }
+        }
+        vms[self]->set_members(others);
+    }
+
     void exchange(time_point now) {
         for (std::size_t from = 0; from < vms.size(); ++from) {
             for (std::size_t to = 0; to < vms.size(); ++to) {
                 if (from != to) {
-                    vms[to]->on_peer_demand(vm_id("v" + std::to_string(from)),
-                                            vms[from]->demand(now), now, demand_lifetime);
+                    vms[to]->on_peer_demand(vm_name(from), vms[from]->demand(now));
                 }
             }
         }
@@ -60,7 +72,7 @@
                 continue;
             }
             for (const account_usage& it : uses) {
-                monitor.on_usage_report({vm_id("v" + std::to_string(i)), 1}, it, now);
+                monitor.on_usage_report({vm_name(i), 1}, it, now);
             }
         }
         for (const account_saturation& it : monitor.take_saturated(now)) {
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -35,6 +35,11 @@
     duration suspicion_timeout = std::chrono::milliseconds(3'200);
     /// Time without a hint from another VM after which it no longer counts as serving callers.
     duration serving_timeout = std::chrono::seconds(10);
+    /// Time without a hint from another VM after which its entry is marked as gone.
+    duration gone_timeout = std::chrono::seconds(15);
+    /// Time for which a VM that is marked as gone still counts as a member, so that one that is
+    /// only cut off from others can take the mark back.
+    duration gone_grace = std::chrono::seconds(5);
 };
 
 /// Registers this VM in the store, follows the entries of the others, and sends and receives hints.
@@ -77,8 +82,15 @@
     std::uint64_t change_count() const { return change_count_; }
     /// Returns the VMs of an availability zone.
     std::set<vm_id> vms_in(const zone_id& zone) const;
-    /// Returns the VMs that serve callers now, including this one.
+    /// Returns the VMs that are known to serve callers now, including this one.
     std::vector<vm_id> serving(time_point now) const;
+    /// Returns the VMs that may serve callers, including this one. A VM that was not heard lately
+    /// is one of them, as it may only be cut off, until its entry in the store is marked as gone.
+    std::vector<vm_id> members(time_point now) const;
+    /// Returns the interval at which statuses of another VM are expected.
+    duration status_interval(const vm_id& vm) const;
+    /// Marks the entries of VMs that were silent for long as gone.
+    void mark_gone_vms();
 
 private:
     struct peer {
@@ -91,6 +103,9 @@
         /// When the next status of this VM is due to be sent to it.
         time_point next_status = time_point::min();
         gateway::store_revision revision = 0;
+        /// Since when the entry is marked as gone.
+        std::optional<time_point> gone_since;
+        bool mark_in_flight = false;
     };
 
     routing::peer_distance distance_of(const peer& it) const;
@@ -111,6 +126,11 @@
     bool lacks_own_entry() const;
     void write_own_entry();
     void write_own_entry_if_missing();
+    /// When the last hint of a VM arrived; for one that never sent any, when this daemon started.
+    time_point last_heard(const peer& it) const;
+    bool is_silent_for_long(const peer& it, time_point now) const;
+    bool is_member(const peer& it, time_point now) const;
+    void mark_gone(const vm_id& vm);
     /// Writes this VM's entry; `revision` is that of the present one, or 0 if there is none.
     void put_entry(gateway::store_revision revision, incarnation_number incarnation,
                    std::function<void(const gateway::write_result&)> done);
@@ -136,6 +156,7 @@
     boost::asio::steady_timer retry_timer_;
     boost::asio::steady_timer secret_timer_;
     std::optional<vm_incarnation> self_;
+    bool own_write_in_flight_ = false;
     std::optional<ownership::failure_detector> detector_;
     std::map<vm_id, peer> peers_;
     /// Addresses of VMs that sent hints before they were listed.
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -48,9 +48,8 @@
 constexpr std::chrono::milliseconds max_suspects_delay{125};
 // Delay that coalesces reports about several copies of store collections.
 constexpr std::chrono::milliseconds store_reports_delay{5};
-// Minimum validity of a peer's statements about its work at endpoints and its accounts' demand.
+// Minimum validity of a peer's statements about its work at endpoints.
 constexpr duration min_work_lifetime = std::chrono::seconds(2);
-constexpr duration min_demand_lifetime = std::chrono::seconds(10);
 // Time after SIGTERM during which the platform's balancer may still open new connections.
 constexpr duration balancer_delay = std::chrono::milliseconds(2'600);
 // Part of the shutdown grace period after which no request is accepted that may outlast it.
@@ -485,9 +484,9 @@
             intake_.on_peer_version(status->configuration_version);
             help_to_catch_up(it.from.vm, status->configuration_version);
             const duration work_lifetime = fleet_.lifetime_of(it.from.vm, min_work_lifetime);
-            const duration demand_lifetime = fleet_.lifetime_of(it.from.vm, min_demand_lifetime);
             data_path_.work().on_peer_work(it.from.vm, status->work, now, work_lifetime);
-            data_path_.limiter().on_peer_demand(it.from.vm, status->demand, now, demand_lifetime);
+            data_path_.limiter().on_peer_demand(it.from.vm, status->demand);
+            contacts_.on_status(it.from.vm, status->losses, now);
             for (const routing::advertised_limit& limit : status->limits) {
                 data_path_.on_peer_limit(it.from.vm, limit);
             }
@@ -541,18 +540,58 @@
         ages_.with({what}).set(std::chrono::duration<double>(it.age()).count());
     }
 
-    routing::vm_status current_status() const {
+    routing::vm_status current_status() {
         routing::vm_status status;
         status.configuration_version =
             data_path_.configuration() ? data_path_.configuration()->version() : 0;
         status.leaving = stop_began_.has_value();
         status.work = data_path_.work().own();
         status.demand = data_path_.limiter().demand(time_.now());
+        data_path_.limiter().note_demand_stated(time_.now());
         status.limits = data_path_.limits().advertised_limits(time_.now());
         status.suspects = data_path_.quarantine().suspects(time_.now());
+        status.losses = contacts_.to_state(time_.now());
         return status;
     }
 
+    // Divides limits among all members, whether they are heard or not.
+    void update_contacts(time_point now) {
+        const std::vector<vm_id> members = fleet_.members(now);
+        std::vector<routing::peer_contacts::member> others;
+        for (const vm_id& vm : members) {
+            if (vm != settings_.vm) {
+                others.push_back({vm, fleet_.status_interval(vm)});
+            }
+        }
+        contacts_.set_members(others, now);
+        data_path_.set_members(settings_.vm, members);
+        const std::vector<routing::lost_contact> lost = contacts_.lost(now);
+        data_path_.limiter().set_lost_contacts(lost);
+        if (lost.size() != lost_contacts_) {
+            lost_contacts_ = lost.size();
+            log_contacts(lost, members.size(), now);
+        }
+    }
+
+    static void log_contacts(gsl::span<const routing::lost_contact> lost, std::size_t members,
+                             time_point now) {
+        std::string vms;
+        bool is_contested = false;
+        duration longest{};
+        for (const routing::lost_contact& it : lost) {
+            vms += (vms.empty() ? "" : ",") + it.vm.str();
+            is_contested = is_contested || it.contested;
+            const bool was_heard = it.since != time_point::min();
+            longest = std::max(longest, was_heard ? now - it.since : duration::zero());
+        }
+        telemetry::log_event(lost.empty() ? severity::info : severity::warning, "contacts_changed",
+                             {{"lost", lost.size()},
+                              {"vms", vms},
+                              {"longest", longest},
+                              {"contested", is_contested},
+                              {"members", members}});
+    }
+
     void housekeep() {
         const time_point now = time_.now();
         data_path_.note_running();
@@ -572,6 +611,8 @@
         }
         const std::vector<vm_id> serving = fleet_.serving(now);
         data_path_.set_serving(settings_.vm, serving);
+        update_contacts(now);
+        fleet_.mark_gone_vms();
         catch_ups_.set_vms(settings_.vm, serving);
         accounts_.set_serving(serving);
         fleet_.send_status(current_status());
@@ -656,6 +697,8 @@
     load_coordinator loads_;
     account_watcher accounts_;
     routing::entry_change_filter entry_changes_;
+    routing::peer_contacts contacts_{settings_.vm};
+    std::size_t lost_contacts_ = 0;
     gateway::collection_follower configuration_;
     gateway::collection_follower endpoints_;
     gateway::collection_follower versions_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -6,6 +6,7 @@
 
 #include "base/digest.h"
 #include "base/overloaded.h"
+#include "routing/rendezvous.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::edge {
@@ -18,6 +19,8 @@
 constexpr const char* vms_kind = "entry-vms";
 constexpr const char* secrets_kind = "fleet-secrets";
 constexpr const char* hints_secret = "hints";
+// Set in the entry of a VM that others have not heard for long.
+constexpr const char* gone_field = "gone";
 constexpr std::size_t secret_bytes = 32;
 // VMs join in small numbers; the bound limits what replaced VMs leave behind.
 constexpr std::size_t max_unlisted_vms = 1'024;
@@ -64,6 +67,7 @@
                      } else {
                          on_object(it.object);
                      }
+                     write_own_entry_if_missing();
                      update_failure_detector();
                  },
                  [](bool) {}}),
@@ -116,15 +120,20 @@
 bool fleet_member::lacks_own_entry() const {
     const auto known = peers_.find(settings_.vm);
     return known == peers_.end() || known->second.incarnation < self_->incarnation ||
-           known->second.revision == 0;
+           known->second.revision == 0 || known->second.gone_since;
 }
 
 void fleet_member::write_own_entry() {
+    if (own_write_in_flight_) {
+        return;
+    }
+    own_write_in_flight_ = true;
     const auto known = peers_.find(settings_.vm);
     telemetry::log_event(severity::warning, "registers_again",
                          {{"vm", settings_.vm}, {"incarnation", self_->incarnation}});
     put_entry(known == peers_.end() ? 0 : known->second.revision, self_->incarnation,
               [this](const write_result& it) {
+                  own_write_in_flight_ = false;
                   if (const auto* done = std::get_if<gateway::write_done>(&it)) {
                       on_object(done->object);
                   }
@@ -178,6 +187,16 @@
         known.leaving = false;
     }
     known.revision = it.revision;
+    const auto gone = in.find(gone_field);
+    if (gone == in.end() || !gone->is_boolean() || !gone->get<bool>()) {
+        known.gone_since.reset();
+    } else if (!known.gone_since) {
+        known.gone_since = time_.now();
+        telemetry::log_event(severity::info, "vm_marked_gone",
+                             {{"vm", it.name},
+                              {"incarnation", known.incarnation},
+                              {"silent", time_.now() - last_heard(known)}});
+    }
     if (detector_) {
         detector_->on_incarnation_seen({vm_id(it.name), incarnation}, time_.now());
     }
@@ -370,8 +389,8 @@
 
 bool fleet_member::is_silent(const peer& it, time_point now) const {
     // A VM that never sent a hint may not have seen this VM's entry yet.
-    const time_point since = it.last_alive != time_point::min() ? it.last_alive : started_;
-    return now - since > schedule_.lifetime(distance_of(it), settings_.serving_timeout) * 3;
+    return now - last_heard(it) >
+           schedule_.lifetime(distance_of(it), settings_.serving_timeout) * 3;
 }
 
 void fleet_member::broadcast(const routing::hint& it) {
@@ -430,12 +449,95 @@
     const std::string datagram = socket_.seal({*self_, it});
     const time_point now = time_.now();
     for (auto& [vm, peer] : peers_) {
-        if (vm != settings_.vm && !is_silent(peer, now) && is_recipient(peer)) {
+        // A member that is silent may be cut off; it has to be heard again once the cut ends.
+        const bool is_reachable = !is_silent(peer, now) || is_member(peer, now);
+        if (vm != settings_.vm && is_reachable && is_recipient(peer)) {
             socket_.send(peer.address, datagram);
         }
     }
 }
 
+time_point fleet_member::last_heard(const peer& it) const {
+    return it.last_alive != time_point::min() ? it.last_alive : started_;
+}
+
+bool fleet_member::is_silent_for_long(const peer& it, time_point now) const {
+    return now - last_heard(it) > schedule_.lifetime(distance_of(it), settings_.gone_timeout);
+}
+
+bool fleet_member::is_member(const peer& it, time_point now) const {
+    const bool has_left =
+        it.leaving &&
+        now - last_heard(it) > schedule_.lifetime(distance_of(it), settings_.suspicion_timeout);
+    // A datagram that is read late must not keep a VM that is gone.
+    const bool is_gone = it.gone_since && is_silent_for_long(it, now) &&
+                         now - *it.gone_since >= settings_.gone_grace;
+    return !has_left && !is_gone;
+}
+
+std::vector<vm_id> fleet_member::members(time_point now) const {
+    std::vector<vm_id> out{settings_.vm};
+    for (const auto& [vm, it] : peers_) {
+        if (vm != settings_.vm && is_member(it, now)) {
+            out.push_back(vm);
+        }
+    }
+    return out;
+}
+
+duration fleet_member::status_interval(const vm_id& vm) const {
+    const auto known = peers_.find(vm);
+    return schedule_.interval(known == peers_.end() ? routing::peer_distance::far
+                                                    : distance_of(known->second));
+}
+
+void fleet_member::mark_gone_vms() {
+    if (!self_) {
+        return;
+    }
+    const time_point now = time_.now();
+    const std::vector<vm_id> heard = serving(now);
+    std::vector<vm_id> silent;
+    for (const auto& [vm, it] : peers_) {
+        // One VM writes; another one takes its place if that is silent, too.
+        const bool is_due = vm != settings_.vm && is_silent_for_long(it, now) && !it.gone_since &&
+                            !it.mark_in_flight && it.revision != 0 &&
+                            routing::rendezvous_first(vm.str(), heard) == settings_.vm;
+        if (is_due) {
+            silent.push_back(vm);
+        }
+    }
+    for (const vm_id& vm : silent) {
+        mark_gone(vm);
+    }
+}
+
+void fleet_member::mark_gone(const vm_id& vm) {
+    peer& it = peers_[vm];
+    it.mark_in_flight = true;
+    const json contents = {{"address", it.address},
+                           {"zone", it.zone.str()},
+                           {"region", it.region.str()},
+                           {"incarnation", it.incarnation},
+                           {gone_field, true}};
+    store_.replace(vms_kind, vm.str(), it.revision, contents.dump(),
+                   [this, vm](const write_result& result) {
+                       const auto known = peers_.find(vm);
+                       if (known == peers_.end()) {
+                           return;
+                       }
+                       known->second.mark_in_flight = false;
+                       const auto* conflict = std::get_if<gateway::write_conflict>(&result);
+                       if (const auto* done = std::get_if<gateway::write_done>(&result)) {
+                           if (!done->object.name.empty()) {
+                               on_object(done->object);
+                           }
+                       } else if (conflict != nullptr && conflict->current) {
+                           on_object(*conflict->current);
+                       }
+                   });
+}
+
 std::set<vm_id> fleet_member::vms_in(const zone_id& zone) const {
     std::set<vm_id> out;
     for (const auto& [vm, it] : peers_) {
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -410,6 +410,67 @@
     run_until([&] { return a.loads.engines_held() == 1; });
 }
 
+// Guards against a VM that is only cut off from the others and whose part of a limit they take: it
+// stays a member, as it takes the mark of a VM that is gone back.
+BOOST_FIXTURE_TEST_CASE(a_vm_that_is_only_cut_off_stays_a_member, fixture) {
+    test_daemon& a = add("a");
+    test_daemon& b = add("b");
+    run_until([&] { return a.hints > 0 && b.hints > 0; });
+    const auto run_without_hints = [&](const std::function<bool()>& done) {
+        constexpr int max_steps = 3'000;
+        for (int i = 0; i < max_steps && !done(); ++i) {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(3));
+            BOOST_TEST(a.member.members(a.time.now()).size() == 2U);
+        }
+        BOOST_REQUIRE(done());
+    };
+    const std::string before = store.contents("entry-vms", "b");
+    a.time.jump(std::chrono::seconds(20));
+    a.member.mark_gone_vms();
+    run_without_hints([&] { return store.contents("entry-vms", "b") != before; });
+    run_without_hints([&] { return store.contents("entry-vms", "b") == before; });
+    // The changes that the store told of have to arrive.
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(50));
+    a.time.jump(std::chrono::seconds(20));
+    BOOST_TEST(a.member.members(a.time.now()).size() == 2U);
+}
+
+// Guards against a VM that is gone for good and whose part of each limit nobody can use.
+BOOST_FIXTURE_TEST_CASE(a_vm_that_is_gone_is_no_member_after_a_while, fixture) {
+    test_daemon& a = add("a");
+    add("b");
+    run_until([&] { return a.hints > 0 && daemons[1]->hints > 0; });
+    daemons.pop_back();
+    a.time.jump(std::chrono::seconds(10));
+    a.member.mark_gone_vms();
+    a.time.jump(std::chrono::seconds(4));
+    BOOST_TEST(a.member.members(a.time.now()).size() == 2U);
+    a.time.jump(std::chrono::seconds(2));
+    a.member.mark_gone_vms();
+    run_until([&] { return store.contents("entry-vms", "b").find("gone") != std::string::npos; });
+    run_until([&] {
+        a.time.jump(std::chrono::milliseconds(100));
+        return a.member.members(a.time.now()).size() == 1U;
+    });
+    test_daemon& again = add("b");
+    run_until([&] { return again.hints > 0 && a.member.members(a.time.now()).size() == 2U; });
+    BOOST_TEST(again.member.self()->incarnation == 2U);
+}
+
+// Guards against a long cut after which no VM sends to the others any more.
+BOOST_FIXTURE_TEST_CASE(vms_hear_each_other_again_after_a_long_cut, fixture) {
+    test_daemon& a = add("a");
+    test_daemon& b = add("b");
+    run_until([&] { return a.hints > 0 && b.hints > 0; });
+    a.time.jump(std::chrono::minutes(5));
+    b.time.jump(std::chrono::minutes(5));
+    const int a_before = a.hints;
+    const int b_before = b.hints;
+    run_until([&] { return a.hints > a_before + 1 && b.hints > b_before + 1; });
+}
+
 // Guards against outdated shares of an account on the other VMs after its demand rises at one VM.
 BOOST_FIXTURE_TEST_CASE(the_watcher_announces_a_saturated_account_to_all_vms, fixture) {
     add("a");
@@ -417,7 +478,7 @@
     run_until([&] { return daemons[0]->hints > 0 && daemons[1]->hints > 0; });
     for (const auto& it : daemons) {
         const std::vector<vm_id> serving = {vm_id("a"), vm_id("b")};
-        it->data_path.set_serving(it->member.self()->vm, serving);
+        it->data_path.set_members(it->member.self()->vm, serving);
         it->accounts.set_serving(serving);
     }
     routing::account_limiter& idle_limiter = daemons[1]->data_path.limiter();
