limits: only VMs that hear most others take the part of one that is gone

Change: a VM marks others as gone only while it hears most members. One that has not heard most members for as long, and whose view of the store is older than 4 s, may have been marked without its knowledge: it admits nothing for limited accounts and refuses with a Retry-After of 0.5 s, as other VMs may accept. Neither side of an even cut takes the other's part.

Cost: while most VMs are gone for good and not replaced, the rest use their equal parts only.

--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -87,6 +87,8 @@
     void on_peer_demand(const vm_id& peer, demand_by_account demand);
     /// Sets the members with which this VM exchanges no messages in both directions.
     void set_lost_contacts(gsl::span<const lost_contact> lost);
+    /// Gives up this VM's parts, because the others may have taken it for gone.
+    void set_yielding(bool yields) { yields_ = yields; }
     /// Records that the demand as it is now was stated to the other VMs.
     void note_demand_stated(time_point now);
 
@@ -181,6 +183,7 @@
     std::map<vm_id, demand_by_account> peers_;
     std::map<vm_id, loss> lost_;
     bool is_contested_ = false;
+    bool yields_ = false;
     /// What this VM stated recently, oldest first.
     std::deque<stated_demand> stated_;
 };
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -23,6 +23,8 @@
 // times.
 constexpr int yields_after = 2;
 constexpr int equal_parts_after = 4;
+// Another VM may accept the request.
+constexpr duration yield_retry_after = std::chrono::milliseconds(500);
 // Longer than it takes to notice a loss of contact.
 constexpr duration stated_demand_retention = std::chrono::seconds(60);
 
@@ -209,6 +211,9 @@
 }
 
 double account_limiter::share(const client_account_id& account, time_point now) const {
+    if (yields_) {
+        return 0;
+    }
     const auto found = buckets_.find(account);
     if (found == buckets_.end()) {
         return 1.0 / static_cast<double>(fleet_size_);
@@ -222,7 +227,7 @@
 double account_limiter::mean_share(const client_account_id& account, const bucket& it,
                                    time_point now) const {
     const double elapsed = seconds_of(now - it.filled_at);
-    if (elapsed <= 0) {
+    if (elapsed <= 0 || yields_) {
         return share(account, now);
     }
     // Integral of the share while this VM's demand decays and the remote demand stays constant.
@@ -271,6 +276,9 @@
 }
 
 bool account_limiter::try_take(bucket& it, double units, time_point now) const {
+    if (yields_) {
+        return false;
+    }
     const bool is_small = units <= it.burst * settings_.small_request_size;
     if (is_small && it.small_fill >= units) {
         it.small_fill -= units;
@@ -300,6 +308,9 @@
         return admitted{};
     }
     const double own_share = share(account, now);
+    if (yields_) {
+        return over_limit{yield_retry_after, it.rate, own_share, it.fill};
+    }
     const double rate = std::max(1e-9, it.rate * own_share);
     // While demand exceeds the rate, other requests consume a part of the refill.
     const double contention = std::max(1.0, it.demand / rate);
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -89,8 +89,11 @@
     std::vector<vm_id> members(time_point now) const;
     /// Returns the interval at which statuses of another VM are expected.
     duration status_interval(const vm_id& vm) const;
-    /// Marks the entries of VMs that were silent for long as gone.
+    /// Marks the entries of VMs that were silent for long as gone, if this VM hears most members.
     void mark_gone_vms();
+    /// Whether most members, which this VM has not heard for long, may have marked its entry as
+    /// gone without its knowledge. `store_age` is the age of what it knows of the store.
+    bool may_be_marked_gone(duration store_age) const;
 
 private:
     struct peer {
@@ -105,6 +108,8 @@
         gateway::store_revision revision = 0;
         /// Since when the entry is marked as gone.
         std::optional<time_point> gone_since;
+        /// When the VM took such a mark back.
+        time_point confirmed_at = time_point::min();
         bool mark_in_flight = false;
     };
 
@@ -131,6 +136,8 @@
     bool is_silent_for_long(const peer& it, time_point now) const;
     bool is_member(const peer& it, time_point now) const;
     void mark_gone(const vm_id& vm);
+    /// Returns how many other members were silent for long.
+    std::size_t silent_members(time_point now) const;
     /// Writes this VM's entry; `revision` is that of the present one, or 0 if there is none.
     void put_entry(gateway::store_revision revision, incarnation_number incarnation,
                    std::function<void(const gateway::write_result&)> done);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -567,6 +567,18 @@
         data_path_.set_members(settings_.vm, members);
         const std::vector<routing::lost_contact> lost = contacts_.lost(now);
         data_path_.limiter().set_lost_contacts(lost);
+        const bool yields =
+            fleet_.may_be_marked_gone(std::min(configuration_.age(), endpoints_.age()));
+        if (yields != yields_limits_) {
+            yields_limits_ = yields;
+            telemetry::log_event(severity::warning, "limits_yielded",
+                                 {{"yields", yields},
+                                  {"lost", lost.size()},
+                                  {"members", members.size()},
+                                  {"configuration_age", configuration_.age()},
+                                  {"endpoints_age", endpoints_.age()}});
+        }
+        data_path_.limiter().set_yielding(yields);
         if (lost.size() != lost_contacts_) {
             lost_contacts_ = lost.size();
             log_contacts(lost, members.size(), now);
@@ -699,6 +711,7 @@
     routing::entry_change_filter entry_changes_;
     routing::peer_contacts contacts_{settings_.vm};
     std::size_t lost_contacts_ = 0;
+    bool yields_limits_ = false;
     gateway::collection_follower configuration_;
     gateway::collection_follower endpoints_;
     gateway::collection_follower versions_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -25,6 +25,9 @@
 // VMs join in small numbers; the bound limits what replaced VMs leave behind.
 constexpr std::size_t max_unlisted_vms = 1'024;
 constexpr std::chrono::milliseconds retry_delay{500};
+// Age of what is known of the store from which a mark in an entry may be unknown; less than the
+// time after which a mark counts.
+constexpr duration max_store_age = std::chrono::seconds(4);
 // Bits of an incarnation below the store's era; a VM starts less often within an era.
 constexpr unsigned incarnations_of_era_bits = 20;
 // Tolerance for the jitter of the timer that calls send_status().
@@ -189,6 +192,9 @@
     known.revision = it.revision;
     const auto gone = in.find(gone_field);
     if (gone == in.end() || !gone->is_boolean() || !gone->get<bool>()) {
+        if (known.gone_since) {
+            known.confirmed_at = time_.now();
+        }
         known.gone_since.reset();
     } else if (!known.gone_since) {
         known.gone_since = time_.now();
@@ -462,7 +468,8 @@
 }
 
 bool fleet_member::is_silent_for_long(const peer& it, time_point now) const {
-    return now - last_heard(it) > schedule_.lifetime(distance_of(it), settings_.gone_timeout);
+    return now - std::max(last_heard(it), it.confirmed_at) >
+           schedule_.lifetime(distance_of(it), settings_.gone_timeout);
 }
 
 bool fleet_member::is_member(const peer& it, time_point now) const {
@@ -491,11 +498,25 @@
                                                     : distance_of(known->second));
 }
 
+std::size_t fleet_member::silent_members(time_point now) const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+            return it.first != settings_.vm && is_member(it.second, now) &&
+                   is_silent_for_long(it.second, now);
+        }));
+}
+
+bool fleet_member::may_be_marked_gone(duration store_age) const {
+    const time_point now = time_.now();
+    return store_age > max_store_age && silent_members(now) * 2 > members(now).size();
+}
+
 void fleet_member::mark_gone_vms() {
-    if (!self_) {
+    const time_point now = time_.now();
+    const bool hears_most = silent_members(now) * 2 < members(now).size();
+    if (!self_ || !hears_most) {
         return;
     }
-    const time_point now = time_.now();
     const std::vector<vm_id> heard = serving(now);
     std::vector<vm_id> silent;
     for (const auto& [vm, it] : peers_) {
