gateway, edge: an exception ends the work on one event, not the process

Cause, as a class: each exception that left a handler of the event loop left main() too, with all callers' requests.

Change: telemetry::run_guarded logs (exception_contained, with the place and the reason) and counts what leaves a handler. Guarded are: input, end and written bytes of every connection, of callers, endpoints and the store; an endpoint's response, whose call then fails at once; a datagram; an accepted connection; a list and a change of the store; housekeeping, accounts and loads, whose timers are set again; and the loop itself.

Evidence: misbehaving_peers_tests/an_exception_ends_only_the_connection_ that_caused_it and an_exception_on_an_endpoints_answer_ends_only_its_call; without the guards the test program ends in the first one.

--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -88,6 +88,7 @@
 
     void on_input() override;
     void on_end(link_end how) override;
+    void take_input();
     void begin_response();
     bool parse();
     void take_head();
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -101,6 +101,7 @@
     void read();
     void on_read(const boost::system::error_code& ec, std::size_t n);
     void write_next();
+    void note_written();
     void end(link_end how);
     void linger();
 
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -8,6 +8,7 @@
 
 #include "base/overloaded.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -213,7 +214,7 @@
                               list_bytes_ = estimate_list_bytes(it);
                               log_.restart(it.revision);
                               keep_bases(it);
-                              events_.on_list(it);
+                              telemetry::run_guarded("store list", [&] { events_.on_list(it); });
                               schedule_next_read(std::chrono::milliseconds(0));
                           },
                           [this](read_failure why) { fail(why); }},
@@ -282,7 +283,7 @@
             bases_[it.object.name] = it.object;
         }
     }
-    events_.on_change(it);
+    telemetry::run_guarded("store change", [&] { events_.on_change(it); });
 }
 
 void collection_follower::keep_bases(const object_list& all) {
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -6,6 +6,7 @@
 
 #include "response_checks.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -72,6 +73,12 @@
 
 void endpoint_link::on_input() {
     const auto self = shared_from_this();
+    if (!telemetry::run_guarded("response", [this] { take_input(); })) {
+        fail(call_failure::malformed);
+    }
+}
+
+void endpoint_link::take_input() {
     if (handler_ == nullptr) {
         // Unsolicited bytes make the connection unusable.
         unusable_ = true;
@@ -203,8 +210,10 @@
 void endpoint_link::on_end(link_end how) {
     const auto self = shared_from_this();
     paused_ = false;
-    while (handler_ != nullptr && parse()) {
-    }
+    telemetry::run_guarded("last response", [this] {
+        while (handler_ != nullptr && parse()) {
+        }
+    });
     if (handler_ == nullptr) {
         unusable_ = true;
         return;
--- a/libs/gateway/src/hint_socket.cpp
+++ b/libs/gateway/src/hint_socket.cpp
@@ -4,6 +4,7 @@
 #include "base/findings.h"
 #include "gateway/endpoint_pool.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -85,13 +86,16 @@
         ++dropped_;
         return;
     }
+    routing::hint_message message;
     try {
-        on_message_(routing::decode_hint(body), address_text(from_));
+        message = routing::decode_hint(body);
     } catch (const invalid_input& e) {
         ++dropped_;
         telemetry::log_event(telemetry::severity::warning, "hint_unreadable",
                              {{"reason", std::string_view(e.what())}});
+        return;
     }
+    telemetry::run_guarded("hint", [&] { on_message_(message, address_text(from_)); });
 }
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -8,11 +8,14 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "telemetry/guarded.h"
+
 namespace radishpulley::gateway {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using telemetry::run_guarded;
 
 constexpr std::size_t read_size = 16'384;
 // Time for which a half-closed connection waits for the peer to close.
@@ -65,7 +68,7 @@
         } else {
             self->ended_ = true;
         }
-        done(connected);
+        run_guarded("connect", [&] { done(connected); });
     });
 }
 
@@ -98,8 +101,9 @@
     }
     if (finishing_) {
         input_.consume(input_.size());
-    } else if (handler_ != nullptr) {
-        handler_->on_input();
+    } else if (handler_ != nullptr && !run_guarded("input", [&] { handler_->on_input(); })) {
+        end(link_end::broken);
+        return;
     }
     read();
 }
@@ -112,7 +116,7 @@
     auto self = shared_from_this();
     link_handler* handler = handler_;
     if (handler != nullptr) {
-        handler->on_end(how);
+        run_guarded("end of a connection", [&] { handler->on_end(how); });
     }
     close();
 }
@@ -150,11 +154,17 @@
                           } else if (self->finishing_) {
                               self->linger();
                           } else if (self->handler_ != nullptr) {
-                              self->handler_->on_written();
+                              self->note_written();
                           }
                       });
 }
 
+void link::note_written() {
+    if (!run_guarded("written", [&] { handler_->on_written(); })) {
+        end(link_end::broken);
+    }
+}
+
 void link::finish() {
     if (ended_ || finishing_) {
         return;
--- a/libs/gateway/tests/misbehaving_peers_tests.cpp
+++ b/libs/gateway/tests/misbehaving_peers_tests.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "gateway_fixture.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::gateway::testing {
 namespace {
@@ -295,6 +296,38 @@
     }
 }
 
+// Guards against an exception in the handling of one connection that ends the process with all
+// callers' requests in it. The codec of this test throws on a deadline that is no number.
+BOOST_FIXTURE_TEST_CASE(an_exception_ends_only_the_connection_that_caused_it, gateway_fixture) {
+    configure();
+    std::shared_ptr<peer> held;
+    add_endpoint("e1", [&](const std::string&, peer& to) { held = to.shared_from_this(); });
+    const auto other = connect();
+    other->send(request("POST /once/a", "other", "", "x"));
+    run_until([&] { return held != nullptr; });
+    const std::uint64_t contained_before = telemetry::contained_exceptions();
+    const auto caller = connect();
+    caller->send(request("POST /once/a", "r1", "X-Deadline: soon\r\n", "x"));
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(telemetry::contained_exceptions() == contained_before + 1);
+    held->send(response("200 OK", "other", "done"));
+    run_until([&] { return ends_with(other->received, "done"); });
+    BOOST_TEST(proxy().request_count() == 0U);
+}
+
+// Guards against the same on an endpoint's connection: the codec of this test throws on a limit
+// that is no number.
+BOOST_FIXTURE_TEST_CASE(an_exception_on_an_endpoints_answer_ends_only_its_call, gateway_fixture) {
+    configure();
+    add_endpoint("e1", [](const std::string&, peer& to) {
+        to.send(response("200 OK", "r1", "done", "X-Signature: s\r\nX-Limit: many\r\n"));
+    });
+    const auto caller = connect();
+    caller->send(request("POST /once/a", "r1", "X-Deadline: 300\r\n", "x"));
+    run_until([&] { return caller->received.find("\r\n\r\n") != std::string::npos; });
+    BOOST_TEST((has_status(*caller, "502") || has_status(*caller, "504")));
+}
+
 // Guards against a request that ends the process, or is given memory, by the length that it states.
 BOOST_AUTO_TEST_CASE(an_absurd_stated_length_of_a_request_is_rejected) {
     for (const char* length : {"4000000000000000000", "18446744073709551615", "10001"}) {
--- a/radishpulley/edge/include/edge/account_watcher.h
+++ b/radishpulley/edge/include/edge/account_watcher.h
@@ -31,6 +31,7 @@
 
 private:
     void tick();
+    void update();
     void report_usage();
     void announce_saturated();
 
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -81,6 +81,7 @@
     };
 
     void tick();
+    void update();
     /// Applies a stored shard that was read by a call started at `read_began`.
     void on_shard_object(const gateway::stored_object& it, time_point read_began);
     void apply_shard(const ownership::shard& it, time_point read_began);
--- a/radishpulley/edge/src/acceptor.cpp
+++ b/radishpulley/edge/src/acceptor.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/endpoint_pool.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::edge {
 namespace {
@@ -33,7 +34,7 @@
                 return;
             }
             if (!ec) {
-                on_connection_(std::move(socket));
+                hand_over(std::move(socket));
                 accept_waiting(max_accepts_per_turn - 1);
                 accept();
                 return;
@@ -49,13 +50,17 @@
         });
 }
 
+void acceptor::hand_over(boost::asio::ip::tcp::socket socket) {
+    telemetry::run_guarded("accept", [&] { on_connection_(std::move(socket)); });
+}
+
 void acceptor::accept_waiting(int max_count) {
     boost::system::error_code ec;
     for (int i = 0; i < max_count && !ec && socket_.is_open(); ++i) {
         boost::asio::ip::tcp::socket socket(loop_);
         socket_.accept(socket, ec);
         if (!ec) {
-            on_connection_(std::move(socket));
+            hand_over(std::move(socket));
         }
     }
 }
--- a/radishpulley/edge/src/account_watcher.cpp
+++ b/radishpulley/edge/src/account_watcher.cpp
@@ -4,6 +4,7 @@
 
 #include "routing/rendezvous.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::edge {
 namespace {
@@ -27,12 +28,7 @@
 }
 
 void account_watcher::tick() {
-    if (configuration_ != data_path_.configuration()) {
-        configuration_ = data_path_.configuration();
-        monitor_.configure(configuration_->accounts(), time_.now());
-    }
-    report_usage();
-    announce_saturated();
+    telemetry::run_guarded("accounts", [this] { update(); });
     timer_.expires_after(monitor_interval);
     timer_.async_wait([this](const boost::system::error_code& ec) {
         if (!ec) {
@@ -41,6 +37,15 @@
     });
 }
 
+void account_watcher::update() {
+    if (configuration_ != data_path_.configuration()) {
+        configuration_ = data_path_.configuration();
+        monitor_.configure(configuration_->accounts(), time_.now());
+    }
+    report_usage();
+    announce_saturated();
+}
+
 void account_watcher::report_usage() {
     const auto& self = fleet_.self();
     if (!self) {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -30,6 +30,7 @@
 #include "status_server.h"
 #include "store_pace.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::edge {
 namespace {
@@ -205,7 +206,8 @@
         loads_.start();
         accounts_.start();
         housekeep();
-        loop_.run();
+        while (!telemetry::run_guarded("event loop", [this] { loop_.run(); })) {
+        }
         const std::size_t left = data_path_.request_count();
         data_path_.close_callers();
         telemetry::log_event(severity::info, "stopped",
@@ -222,12 +224,12 @@
             if (ec) {
                 return;
             }
+            wait_for_signal();
             if (signal == SIGHUP) {
                 reload();
             } else {
                 begin_stop();
             }
-            wait_for_signal();
         });
     }
 
@@ -526,6 +528,7 @@
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
         requests_queued_.set(static_cast<double>(data_path_.queued_count()));
+        exceptions_.set(static_cast<double>(telemetry::contained_exceptions()));
         callers_left_unread_.set(static_cast<double>(data_path_.callers_left_unread()));
         refused_unread_.set(static_cast<double>(data_path_.refused_unread()));
         processor_seconds_.set(std::chrono::duration<double>(processor_time()).count());
@@ -605,6 +608,20 @@
     }
 
     void housekeep() {
+        telemetry::run_guarded("housekeeping", [this] { update(); });
+        if (stop_began_ && advance_stop(time_.now())) {
+            loop_.stop();
+            return;
+        }
+        timer_.expires_after(housekeeping_interval);
+        timer_.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec) {
+                housekeep();
+            }
+        });
+    }
+
+    void update() {
         const time_point now = time_.now();
         data_path_.note_running();
         drop_expired_endpoints();
@@ -628,16 +645,6 @@
         catch_ups_.set_vms(settings_.vm, serving);
         accounts_.set_serving(serving);
         fleet_.send_status(current_status());
-        if (stop_began_ && advance_stop(now)) {
-            loop_.stop();
-            return;
-        }
-        timer_.expires_after(housekeeping_interval);
-        timer_.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec) {
-                housekeep();
-            }
-        });
     }
 
     // Advances the shutdown; returns true once the daemon may exit.
@@ -693,6 +700,8 @@
         add_gauge("callers_left_unread", "Connections whose callers left before they were read.");
     telemetry::gauge& refused_unread_ =
         add_gauge("requests_refused_unread", "Requests refused unread, as the VM was overloaded.");
+    telemetry::gauge& exceptions_ =
+        add_gauge("exceptions_contained", "Exceptions that left the handler of one event.");
     telemetry::gauge& processor_seconds_ =
         add_gauge("processor_seconds", "Processor time of the process since its start.");
     telemetry::gauge_family& ages_ = metrics_.add_gauges(
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -6,6 +6,7 @@
 #include "base/overloaded.h"
 #include "ownership/ownership_store.h"
 #include "telemetry/event_log.h"
+#include "telemetry/guarded.h"
 
 namespace radishpulley::edge {
 namespace {
@@ -125,6 +126,16 @@
 }
 
 void load_coordinator::tick() {
+    telemetry::run_guarded("loads", [this] { update(); });
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void load_coordinator::update() {
     const time_point now = time_.now();
     ensure_policy();
     if (policy_) {
@@ -153,12 +164,6 @@
     for (const endpoint_id& id : engines) {
         send_next_call(id);
     }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait([this](const boost::system::error_code& ec) {
-        if (!ec) {
-            tick();
-        }
-    });
 }
 
 void load_coordinator::reread_holders() {
