versions: each version of an adapter is judged from its own announcement

Causes: (1) the table kept the time of the newest version alone, so each newer one gave the older ones their grace anew, in what requests require and in which engines may be chosen. (2) What a process read first, after a start or in a list after lost history, counted as announced that moment. (3) A request that was sent in time may wait at its engine until long after. Told apart by lines that were missing: old_version says what the engine held, what was required and why; adapter_version has the age.

Change: the table keeps each announcement. A request requires the version that its engine is known to hold if that may still be used, else the newest. Versions that a process reads first count as in force; a list counts the time since the last answer. A request that still waits at an engine with an older version shortly before the bound is taken back: sent again if it may be, else answered 504.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,6 +76,14 @@
     /// Age of the configuration up to which an unknown route or key is treated as nonexistent.
     /// Beyond it, a newer version may contain it.
     duration authoritative_age = duration::max();
+    /// Time from the announcement of a version until no request may begin on an older one.
+    duration version_apply = std::chrono::seconds(5);
+    /// Part of that time after which requests require a version that is not older; what is sent
+    /// before may still wait at its engine.
+    double version_grace_share = 0.6;
+    /// Part of that time after which a request that still waits at an engine with an older version
+    /// is taken back.
+    double version_wait_share = 0.9;
     /// Longest gap between runs of this process that does not count as a pause.
     std::chrono::milliseconds pause_limit{1'500};
     /// Time for which requests are held after a pause until the store confirms the configuration.
@@ -172,6 +181,8 @@
     /// Sets the VMs among which limits are divided, also those that were not heard lately; `self`
     /// is one of them.
     void set_members(const vm_id& self, gsl::span<const vm_id> vms);
+    /// Applies the announcement of an adapter's version, made at `at` or earlier.
+    void on_version(const routing::model_ref& adapter, std::uint64_t version, time_point at);
     /// Applies a notice that an endpoint sent in a response to this VM's own call.
     void on_notice(const routing::endpoint_incarnation& from, const routing::endpoint_notice& it);
     /// Applies an endpoint's limit as reported by another VM.
@@ -320,6 +331,8 @@
     routing::request_quarantine quarantine_;
     std::optional<stop_limits> stop_;
     std::unique_ptr<crash_detector> crashes_;
+    /// Each runs until no request may begin on an older version than one that was announced.
+    std::list<boost::asio::steady_timer> version_timers_;
     /// All requests in progress.
     std::set<exchange*> exchanges_;
     std::map<service_id, requests::retry_budget> budgets_;
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -203,7 +203,10 @@
 
 void collection_follower::on_list(const list_result& result) {
     std::visit(overloaded{[this](const object_list& it) {
+                              const duration gap = has_list_ ? age() : duration::zero();
                               record_response();
+                              // A list also brings what changed unnoticed since the last response.
+                              max_change_age_ = std::max(max_change_age_, gap);
                               if (has_list_ && era_of(it.revision) != era_of(revision_)) {
                                   // Entries may be missing until their writers write them again.
                                   events_.on_outage_over();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -47,6 +47,8 @@
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
     /// Gives the request its final response, because this daemon ends.
     void on_stop();
+    /// Takes the request back if it still waits at an engine with an older version.
+    void on_version_in_force(const routing::model_ref& adapter, std::uint64_t version);
     /// Ends the request if one of its suspects is blocked now and it is not answered yet.
     void on_suspects_blocked();
 
@@ -108,6 +110,8 @@
     void send_to(const endpoint_id& id);
     void on_connected(std::shared_ptr<endpoint_link> connection);
     std::string build_request() const;
+    /// Returns the version of the adapter that the request requires at its engine, or 0 for any.
+    std::uint64_t version_to_require() const;
     void on_rejection(const response_head& head);
     void apply_notice(const response_head& head, const response_attributes& attributes);
     void relay_head(const response_head& head);
@@ -196,6 +200,8 @@
     /// Endpoints that already rejected this request. A second copy of the rejection may arrive late
     /// on a connection to them, so a new connection is used.
     std::set<endpoint_id> rejected_by_;
+    /// Version of the adapter that the request required when it was sent; 0 for any.
+    std::uint64_t required_version_ = 0;
     /// Number of discarded response bytes.
     std::size_t discarded_bytes_ = 0;
     unsigned sends_ = 0;
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -13,9 +13,6 @@
 using routing::milliseconds;
 using telemetry::severity;
 
-// Age of a new adapter version from which requests require it and no longer accept the old one.
-constexpr duration version_grace = std::chrono::milliseconds(3'000);
-
 }  // namespace
 
 void exchange::find_endpoint() {
@@ -327,6 +324,7 @@
             owner_.broker_->note_request_start(endpoint_, attributes_.target);
         }
     }
+    required_version_ = version_to_require();
     call_request call;
     call.bytes = build_request();
     call.is_head = request_.method == "HEAD";
@@ -338,6 +336,54 @@
     call_connection->call(std::move(call), *this);
 }
 
+std::uint64_t exchange::version_to_require() const {
+    const std::uint64_t newest = owner_.adapters_.newest_version(attributes_.target);
+    if (!service_->engine || newest == 0) {
+        return 0;
+    }
+    const time_point now = owner_.time_.now();
+    const auto grace = std::chrono::duration_cast<duration>(owner_.settings_.version_apply *
+                                                            owner_.settings_.version_grace_share);
+    const std::uint64_t least = owner_.adapters_.version_after(attributes_.target, grace, now);
+    const auto view = owner_.adapters_.view(endpoint_, attributes_.target, now);
+    const bool is_held = view.state == routing::adapter_state::loaded && view.version >= least;
+    const std::uint64_t required = is_held ? view.version : newest;
+    if (view.version != newest) {
+        telemetry::log_event(severity::info, "old_version",
+                             {{"request", attributes_.id},
+                              {"endpoint", endpoint_},
+                              {"adapter", attributes_.target.adapter},
+                              {"held", view.version},
+                              {"newest", newest},
+                              {"least", least},
+                              {"required", least == 0 ? 0 : required}});
+    }
+    return least == 0 ? 0 : required;
+}
+
+void exchange::on_version_in_force(const routing::model_ref& adapter, std::uint64_t version) {
+    const bool waits = phase_ == phase::sent && attributes_.target == adapter &&
+                       required_version_ < version && !discards_response_;
+    const auto view = owner_.adapters_.view(endpoint_, adapter, owner_.time_.now());
+    if (!waits || view.version >= version) {
+        return;
+    }
+    const auto self = shared_from_this();
+    telemetry::log_event(severity::warning, "version_wait_ended",
+                         {{"request", attributes_.id},
+                          {"endpoint", endpoint_},
+                          {"held", view.version},
+                          {"required", required_version_},
+                          {"in_force", version},
+                          {"waited", owner_.time_.now() - sent_at_}});
+    stop_call();
+    if (may_run_again() && spend_retry()) {
+        find_endpoint();
+    } else {
+        refuse({status_gateway_timeout, "version_replaced", std::nullopt});
+    }
+}
+
 std::string exchange::build_request() const {
     std::string out = request_.method + " " + request_.target + " HTTP/1.1\r\n";
     for (const header& it : end_to_end_headers(request_.headers)) {
@@ -355,10 +401,8 @@
     if (service_->engine) {
         attributes.priority =
             account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
-        const std::uint64_t newest = owner_.adapters_.newest_version(attributes_.target);
-        const duration age = owner_.time_.now() - owner_.adapters_.announced_at(attributes_.target);
-        if (newest != 0 && age > version_grace) {
-            attributes.adapter_version = newest;
+        if (required_version_ != 0) {
+            attributes.adapter_version = required_version_;
         }
     }
     attributes.last_event = attributes_.last_event;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -130,6 +130,27 @@
     }
 }
 
+void gateway::on_version(const routing::model_ref& adapter, std::uint64_t version, time_point at) {
+    if (version <= adapters_.newest_version(adapter)) {
+        return;
+    }
+    adapters_.on_version(adapter, version, at);
+    const auto wait = std::chrono::duration_cast<duration>(settings_.version_apply *
+                                                           settings_.version_wait_share);
+    const duration left = std::max(duration::zero(), wait - (time_.now() - at));
+    version_timers_.emplace_front(loop_, left);
+    const auto timer = version_timers_.begin();
+    timer->async_wait([this, timer, adapter, version](const boost::system::error_code& ec) {
+        if (ec) {
+            return;
+        }
+        version_timers_.erase(timer);
+        for (const auto& it : requests_in_progress()) {
+            it->on_version_in_force(adapter, version);
+        }
+    });
+}
+
 void gateway::on_stated_limit(const routing::endpoint_incarnation& from,
                               const routing::limit_observation& observation) {
     if (limits_.on_response(from, observation)) {
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -49,6 +49,9 @@
         if (it.time_left) {
             append_header(out, "X-Time-Left", std::to_string(it.time_left->count()));
         }
+        if (it.adapter_version) {
+            append_header(out, "X-Version", std::to_string(*it.adapter_version));
+        }
         if (it.last_event) {
             append_header(out, "Last-Event-Id", *it.last_event);
         }
--- a/libs/routing/include/routing/adapter_table.h
+++ b/libs/routing/include/routing/adapter_table.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "routing/endpoint.h"
@@ -41,8 +42,8 @@
     /// Records that an engine refused a request because it does not hold the adapter.
     void on_missing(const endpoint_id& engine, const model_ref& adapter, time_point now);
     void on_removed(const endpoint_id& engine);
-    /// Records an announced version of an adapter.
-    void on_version(const model_ref& adapter, std::uint64_t version, time_point now);
+    /// Records a version of an adapter that was announced at `at`, or earlier.
+    void on_version(const model_ref& adapter, std::uint64_t version, time_point at);
 
     /// Returns the state of an adapter at an engine; a load whose expected time has passed counts
     /// as loaded.
@@ -56,8 +57,10 @@
     bool is_cached(const endpoint_id& engine, const model_ref& adapter) const;
     /// Returns the newest announced version, or 0.
     std::uint64_t newest_version(const model_ref& adapter) const;
-    /// Returns when the newest version was announced to this daemon.
-    time_point announced_at(const model_ref& adapter) const;
+    /// Returns the newest version that was announced at least `age` ago, or 0. Each version that
+    /// is older than that one has been replaced for at least as long, also while newer versions
+    /// follow each other quickly.
+    std::uint64_t version_after(const model_ref& adapter, duration age, time_point now) const;
 
 private:
     struct adapter_record {
@@ -80,7 +83,8 @@
 
     std::size_t cache_size_ = 40;
     std::map<endpoint_id, engine_record> engines_;
-    std::map<model_ref, announced_version> versions_;
+    /// Announced versions by adapter, oldest first.
+    std::map<model_ref, std::vector<announced_version>> versions_;
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/adapter_table.cpp
+++ b/libs/routing/src/adapter_table.cpp
@@ -8,6 +8,8 @@
 
 // Maximum delay of the directory behind an engine.
 constexpr duration directory_lag = std::chrono::milliseconds(2'500);
+// Most versions of one adapter that are remembered.
+constexpr std::size_t max_announced_versions = 16;
 
 }  // namespace
 
@@ -74,10 +76,15 @@
     engines_.erase(engine);
 }
 
-void adapter_table::on_version(const model_ref& adapter, std::uint64_t version, time_point now) {
-    announced_version& known = versions_[adapter];
-    if (version > known.version) {
-        known = {version, now};
+void adapter_table::on_version(const model_ref& adapter, std::uint64_t version, time_point at) {
+    std::vector<announced_version>& known = versions_[adapter];
+    if (!known.empty() && version <= known.back().version) {
+        return;
+    }
+    known.push_back({version, at});
+    if (known.size() > max_announced_versions) {
+        // The oldest one stays, so that a version is required however quickly they follow.
+        known.erase(known.begin() + 1);
     }
 }
 
@@ -118,12 +125,19 @@
 
 std::uint64_t adapter_table::newest_version(const model_ref& adapter) const {
     const auto found = versions_.find(adapter);
-    return found == versions_.end() ? 0 : found->second.version;
+    return found == versions_.end() ? 0 : found->second.back().version;
 }
 
-time_point adapter_table::announced_at(const model_ref& adapter) const {
+std::uint64_t adapter_table::version_after(const model_ref& adapter, duration age,
+                                           time_point now) const {
     const auto found = versions_.find(adapter);
-    return found == versions_.end() ? time_point::min() : found->second.at;
+    std::uint64_t newest = 0;
+    if (found != versions_.end()) {
+        for (const announced_version& it : found->second) {
+            newest = it.at <= now - age ? it.version : newest;
+        }
+    }
+    return newest;
 }
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -72,7 +72,7 @@
     const std::uint64_t newest = adapters_.newest_version(target);
     const bool replaced = view.version < newest;
     const bool outdated =
-        replaced && now - adapters_.announced_at(target) > settings_.old_version_lifetime;
+        view.version < adapters_.version_after(target, settings_.old_version_lifetime, now);
     if (replaced) {
         out.penalty += settings_.old_version_penalty;
     }
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -130,6 +130,17 @@
     BOOST_TEST(!choose(start + seconds(3)).has_value());
 }
 
+// Guards against an old version that stays in use while newer ones follow each other quickly.
+BOOST_FIXTURE_TEST_CASE(newer_versions_do_not_prolong_the_use_of_an_old_one, fixture) {
+    hold("e1");
+    load_excluded = {endpoint_id("e1"), endpoint_id("e2"), endpoint_id("e3"), endpoint_id("e4")};
+    for (unsigned i = 0; i < 40; ++i) {
+        adapters.on_version(plans, 2 + i, start + milliseconds(500) * i);
+    }
+    BOOST_TEST(choose(start + seconds(1))->id.str() == "e1");
+    BOOST_TEST(!choose(start + seconds(3)).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(an_engine_with_failed_calls_is_deprioritized, fixture) {
     hold("e1");
     hold("e3");
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -74,7 +74,8 @@
     it.on_version(plans, 3, start);
     it.on_version(plans, 2, start + seconds(1));
     BOOST_TEST(it.newest_version(plans) == 3U);
-    BOOST_TEST((it.announced_at(plans) == start));
+    BOOST_TEST(it.version_after(plans, seconds(1), start + milliseconds(900)) == 0U);
+    BOOST_TEST(it.version_after(plans, seconds(1), start + seconds(1)) == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(work_is_added_and_subtracted) {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -73,6 +73,7 @@
     out.retry_ratio = settings.bounds.retry_ratio * retry_fraction;
     out.retry_reserve = settings.bounds.retry_reserve * retry_fraction;
     out.limiter.overdraft = settings.bounds.limit_reserve * limit_fraction;
+    out.version_apply = settings.bounds.version_apply;
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
@@ -160,9 +161,7 @@
                       [this](const gateway::object_change& it) { return is_relevant(it); },
                       [this] { schedule_store_reports(); }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind,
-                    versions_follower_settings(settings.bounds),
-                    for_each_object([this](const auto& it) { on_version(it); },
-                                    [this] { schedule_store_reports(); })),
+                    versions_follower_settings(settings.bounds), version_events()),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
                           [this] {
@@ -462,16 +461,31 @@
         loads_.on_endpoint_removed(id);
     }
 
+    gateway::follower_events version_events() {
+        gateway::follower_events out = for_each_object([this](const auto& it) { on_version(it); },
+                                                       [this] { schedule_store_reports(); });
+        out.on_list = [this](const gateway::object_list& it) {
+            for (const gateway::stored_object& object : it.objects) {
+                on_version(object);
+            }
+            has_versions_ = true;
+        };
+        return out;
+    }
+
     void on_version(const gateway::stored_object& it) {
         try {
             const auto announced = platform_adapter::decode_version(it.contents);
-            data_path_.adapters().on_version(announced.adapter, announced.version,
-                                             time_.now() - versions_.max_change_age());
+            // How old what this process reads first is can't be known: it counts as in force.
+            const duration age =
+                has_versions_ ? versions_.max_change_age() : settings_.bounds.version_apply;
+            data_path_.on_version(announced.adapter, announced.version, time_.now() - age);
             loads_.on_version(announced.adapter, announced.version);
             telemetry::log_event(severity::info, "adapter_version",
                                  {{"model", announced.adapter.model},
                                   {"adapter", announced.adapter.adapter},
                                   {"version", announced.version},
+                                  {"age", age},
                                   {"revision", it.revision}});
         } catch (const invalid_input& e) {
             telemetry::log_event(severity::warning, "version_unreadable",
@@ -721,6 +735,8 @@
     routing::peer_contacts contacts_{settings_.vm};
     std::size_t lost_contacts_ = 0;
     bool yields_limits_ = false;
+    /// Whether the versions that were announced before this process started were read.
+    bool has_versions_ = false;
     gateway::collection_follower configuration_;
     gateway::collection_follower endpoints_;
     gateway::collection_follower versions_;
