streams: an event without end is bounded and searched once

Change: only what arrived is searched, with the three bytes before it; an event longer than the part of the buffer that a slow caller would get ends the call as malformed (event_too_long), so the stream is resumed elsewhere or aborted at once.

Not measured: the times of neighbours with the real program.

--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -5,6 +5,9 @@
 namespace radishpulley::gateway {
 namespace {
 
+// Length of the longest sequence that ends an event.
+constexpr std::size_t empty_line = 4;
+
 // Returns the id in the last `id:` line of `events`, or an empty text.
 std::string_view find_last_id(std::string_view events) {
     std::size_t at = events.rfind("\nid:");
@@ -34,9 +37,8 @@
 }  // namespace
 
 void event_end_detector::append(std::string_view bytes) {
-    constexpr std::size_t longest_end = 4;
-    tail_.append(bytes.substr(bytes.size() - std::min(bytes.size(), longest_end)));
-    tail_.erase(0, tail_.size() - std::min(tail_.size(), longest_end));
+    tail_.append(bytes.substr(bytes.size() - std::min(bytes.size(), empty_line)));
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), empty_line));
 }
 
 bool event_end_detector::is_at_event_end() const {
@@ -44,8 +46,11 @@
 }
 
 std::string event_splitter::append(std::string_view bytes) {
+    // What was searched before holds no empty line, but may hold the beginning of one.
+    const std::size_t searched = incomplete_.size() - std::min(incomplete_.size(), empty_line - 1);
     incomplete_.append(bytes);
-    const std::size_t border = last_event_end(incomplete_);
+    const std::size_t end = last_event_end(std::string_view(incomplete_).substr(searched));
+    const std::size_t border = end == 0 ? 0 : searched + end;
     std::string ready = incomplete_.substr(0, border);
     incomplete_.erase(0, border);
     const std::string_view id = find_last_id(ready);
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -151,6 +151,16 @@
         if (!ready.empty()) {
             out_->send_body(ready);
         }
+        if (events_->incomplete().size() > owner_.unsent_limit()) {
+            telemetry::log_event(severity::warning, "event_too_long",
+                                 {{"request", attributes_.id},
+                                  {"endpoint", endpoint_},
+                                  {"bytes", events_->incomplete().size()},
+                                  {"limit", owner_.unsent_limit()}});
+            stop_call();
+            on_failure(call_failure::malformed);
+            return;
+        }
     } else {
         out_->send_body(bytes);
     }
