gateway, platform: foreign names, numbers and codings are checked where they come in

By reading: a keep-alive time of many digits and a deadline overflow; "Transfer- Encoding: gzip" on a request made its body the next request; answers to orders and reports were kept up to 8 MB each.

Change: names of models and adapters are visible ASCII of up to 256 bytes, in requests (400 bad_model_name) and in messages between VMs; an order's encoding does not throw. A request with an unknown coding gets 400 and its connection ends. A caller's input buffer follows the configured header limit.

--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -71,6 +71,8 @@
     /// Sets the receiver of events; null for none.
     void set_handler(link_handler* handler) { handler_ = handler; }
 
+    /// Sets the unconsumed input beyond which reading stops.
+    void set_max_input(std::size_t bytes) { options_.max_input = bytes; }
     /// Bytes received and not consumed yet.
     boost::beast::flat_buffer& input() { return input_; }
     /// Continues reading; must be called after input is consumed.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -77,6 +77,8 @@
 void caller_link::begin_request() {
     const caller_service::limits limits = service_.caller_limits();
     body_.clear();
+    // A head has to fit into the input buffer, with a part of what follows it.
+    link_->set_max_input(std::max(link_options{}.max_input, limits.max_header_bytes * 2));
     const std::size_t header_limit = std::min(limits.max_header_bytes, max_header_limit);
     parser_ = std::make_unique<parser>(message_limits{
         static_cast<std::uint32_t>(header_limit) + header_limit_slack, limits.max_body_bytes});
@@ -153,6 +155,12 @@
             head_seen_ = true;
             parser_->eager(true);
             body_began_ = time_.now();
+            const std::string_view coding = find_header(parser_->headers(), "transfer-encoding");
+            if (!coding.empty() && !same_name(coding, "chunked")) {
+                // Its body can't be told from the next request.
+                refuse(status_bad_request, "the transfer coding is unknown");
+                return;
+            }
             set_body_timeout();
             if (same_name(find_header(parser_->headers(), "expect"), "100-continue")) {
                 link_->write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpoint_link.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <boost/beast/http/error.hpp>
 
@@ -18,6 +19,7 @@
 constexpr message_limits response_limits{65'536, std::uint64_t{1} << 36};
 // An idle connection is not reused shortly before its endpoint closes it.
 constexpr std::chrono::milliseconds keep_alive_margin{700};
+constexpr std::chrono::milliseconds max_keep_alive = std::chrono::hours(1);
 // Limits on responses, and their bytes, that are skipped while waiting for the one to the request.
 constexpr std::size_t max_discarded_responses = 16;
 constexpr std::size_t max_discarded_bytes = 1'048'576;
@@ -169,14 +171,19 @@
 void endpoint_link::note_keep_alive(const response_head& head) {
     const std::string_view text = find_header(head.headers, "keep-alive");
     const std::size_t at = text.find("timeout=");
-    int seconds = 0;
     if (at == std::string_view::npos) {
         return;
     }
-    for (std::size_t i = at + 8; i < text.size() && text[i] >= '0' && text[i] <= '9'; ++i) {
-        seconds = seconds * 10 + (text[i] - '0');
+    const std::string_view digits = text.substr(at + std::string_view("timeout=").size());
+    std::uint32_t seconds = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (ec == std::errc::invalid_argument) {
+        return;
     }
-    const std::chrono::milliseconds stated = std::chrono::seconds(seconds);
+    const std::chrono::milliseconds stated =
+        ec == std::errc()
+            ? std::min<std::chrono::milliseconds>(std::chrono::seconds(seconds), max_keep_alive)
+            : max_keep_alive;
     keep_alive_ = std::max(stated - keep_alive_margin, stated / 3);
 }
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -97,6 +97,10 @@
         refuse({status_bad_request, "no_request_id", std::nullopt});
         return;
     }
+    if (!routing::is_valid(attributes_.target)) {
+        refuse({status_bad_request, "bad_model_name", std::nullopt});
+        return;
+    }
     if (!admit()) {
         return;
     }
--- a/libs/gateway/tests/misbehaving_peers_tests.cpp
+++ b/libs/gateway/tests/misbehaving_peers_tests.cpp
@@ -1,6 +1,7 @@
 // Endpoints and callers that misbehave in ways known from similar systems.
 #include <boost/test/unit_test.hpp>
 
+#include "../src/event_splitter.h"
 #include "gateway_fixture.h"
 #include "telemetry/guarded.h"
 
@@ -340,6 +341,114 @@
     }
 }
 
+// Guards against one request that ends the daemon which holds an engine: the name of its adapter
+// went into an order, whose encoding threw on bytes that are no UTF-8.
+BOOST_FIXTURE_TEST_CASE(an_adapter_name_that_cannot_be_passed_on_is_rejected, gateway_fixture) {
+    with_engines = true;
+    configure();
+    auto& engine = add_endpoint("e1", [](const std::string& got, peer& to) {
+        to.send(response("200 OK", id_of(got), "done"));
+    });
+    for (const std::string& name :
+         {std::string("m/\xff\xfe"), std::string("m/a\tb"), std::string("\xc3\x28/a"),
+          "m/" + std::string(1'000, 'a'), std::string("m/a b")}) {
+        const auto caller = connect();
+        caller->send(request("POST /once/a", "r1", "X-Model: " + name + "\r\n", "x"));
+        BOOST_TEST_CONTEXT(name) {
+            run_until([&] { return has_status(*caller, "400"); });
+            run_until([&] { return ends_with(caller->received, "bad_model_name\"}"); });
+        }
+    }
+    BOOST_TEST(engine.requests.empty());
+}
+
+// Guards against a header that a configuration allows and that the HTTP library's fields can't
+// hold: they threw from 65,534 bytes on.
+BOOST_FIXTURE_TEST_CASE(a_header_as_long_as_the_configuration_allows_is_relayed, gateway_fixture) {
+    max_header_bytes = 131'072;
+    configure();
+    std::size_t got_bytes = 0;
+    add_endpoint("e1", [&](const std::string& got, peer& to) {
+        got_bytes = got.size();
+        to.send(response("200 OK", "r1", "done"));
+    });
+    for (const std::size_t n : {65'532U, 65'534U, 65'536U, 130'000U}) {
+        const auto caller = connect();
+        caller->send(request("POST /once/a", "r1", "X-Long: " + std::string(n, 'v') + "\r\n", "x"));
+        run_until([&] { return ends_with(caller->received, "done"); });
+        BOOST_TEST(got_bytes > n);
+    }
+    const auto caller = connect();
+    caller->send(
+        request("POST /once/a", "r1", "X-Long: " + std::string(140'000, 'v') + "\r\n", "x"));
+    run_until([&] { return has_status(*caller, "431"); });
+}
+
+// Guards against a request inside the body of another one, whose transfer coding is not known.
+BOOST_FIXTURE_TEST_CASE(a_request_with_an_unknown_transfer_coding_is_rejected, gateway_fixture) {
+    configure();
+    auto& endpoint = add_endpoint("e1", [](const std::string& got, peer& to) {
+        to.send(response("200 OK", id_of(got), "done"));
+    });
+    for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity"}) {
+        const auto caller = connect();
+        caller->send(
+            "POST /once/a HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: k\r\nTransfer-Encoding: " +
+            std::string(coding) + "\r\n\r\n" + request("POST /once/a", "r2", "", "x"));
+        run_until([&] { return caller->ended; });
+        BOOST_TEST(has_status(*caller, "400"));
+    }
+    BOOST_TEST(endpoint.requests.empty());
+}
+
+// Guards against a stated keep-alive time that overflows.
+BOOST_FIXTURE_TEST_CASE(a_keep_alive_time_without_end_is_bounded, gateway_fixture) {
+    configure();
+    auto& endpoint = add_endpoint("e1", [](const std::string& got, peer& to) {
+        to.send(
+            response("200 OK", id_of(got), "done",
+                     "X-Signature: s\r\nKeep-Alive: timeout=" + std::string(400, '9') + "\r\n"));
+    });
+    for (const char* id : {"r1", "r2"}) {
+        const auto caller = connect();
+        caller->send(request("POST /once/a", id, "", "x"));
+        run_until([&] { return ends_with(caller->received, "done"); });
+    }
+    BOOST_TEST(endpoint.connections.size() == 1U);
+}
+
+// Guards against a stream without an event's end that is kept whole in memory and searched whole
+// for each part that arrives: it slowed down all others on the VM.
+BOOST_FIXTURE_TEST_CASE(a_stream_without_an_event_end_is_ended, gateway_fixture) {
+    configure();
+    auto& bad = add_endpoint("e1", [](const std::string&, peer& it) {
+        it.send(head_of("r1", "Transfer-Encoding: chunked\r\n"));
+        it.flood("1000\r\n" + std::string(0x1000, 'x') + "\r\n");
+    });
+    const auto caller = connect();
+    caller->send(request("POST /events/a", "r1", "X-Deadline: 60000\r\n", "x"));
+    run_until([&] { return caller->ended && bad.connections[0]->ended; });
+    BOOST_TEST(!ends_with(caller->received, "0\r\n\r\n"));
+    BOOST_TEST(proxy().request_count() == 0U);
+}
+
+// Guards against event ends that are missed where they arrive in parts.
+BOOST_FIXTURE_TEST_CASE(events_that_arrive_byte_by_byte_are_relayed, gateway_fixture) {
+    configure();
+    for (const char* end : {"\n\n", "\r\n\r\n"}) {
+        event_splitter splitter;
+        std::string relayed;
+        const std::string stream =
+            std::string("id: 1") + end + "id: 2" + end + "data: a\nid: 3" + end + "id: 4";
+        for (const char c : stream) {
+            relayed += splitter.append({&c, 1});
+        }
+        BOOST_TEST(relayed == stream.substr(0, stream.size() - 5));
+        BOOST_TEST(splitter.incomplete() == "id: 4");
+        BOOST_TEST(splitter.last_id() == "3");
+    }
+}
+
 // Guards against bytes past the stated length of a body, which belong to no request.
 BOOST_FIXTURE_TEST_CASE(bytes_past_the_stated_length_are_discarded, gateway_fixture) {
     configure();
--- a/libs/routing/include/routing/request_attributes.h
+++ b/libs/routing/include/routing/request_attributes.h
@@ -34,6 +34,13 @@
     }
 };
 
+/// Longest name of a model or an adapter, in bytes.
+constexpr std::size_t max_name_length = 256;
+
+/// Whether both names consist of visible ASCII characters and are not too long. Others can't be
+/// passed on in orders and messages.
+bool is_valid(const model_ref& it);
+
 /// Attributes of one request.
 struct request_attributes {
     request_id id;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -18,7 +18,13 @@
 }
 
 model_ref read_choice(const json& in) {
-    return {in.at(0).get<std::string>(), in.at(1).get<std::string>()};
+    model_ref out{in.at(0).get<std::string>(), in.at(1).get<std::string>()};
+    if (!is_valid(out)) {
+        findings found;
+        found.add("hint", "the name of an adapter is not valid");
+        throw invalid_input(found);
+    }
+    return out;
 }
 
 json to_json(const std::vector<model_ref>& list) {
