--- a/libs/gateway/tests/misbehaving_peers_tests.cpp
+++ b/libs/gateway/tests/misbehaving_peers_tests.cpp
@@ -221,7 +221,7 @@
         "HTTP/1.1\t200 OK\r\n" + sized,
         "HTP/1.1 200 OK\r\n" + sized,
         "http/1.1 200 OK\r\n" + sized,
-        std::string("HTTP/1.1 200 O\0K\r\n", 19) + sized,
+        std::string("HTTP/1.1 200 O\0K\r\n", 18) + sized,
         "HTTP/1.1 200 O\x01K\r\n" + sized,
         "HTTP/1.1 200 OK\r\nX-A\x80: b\r\n" + sized,
         "HTTP/1.1 200 OK\r\nX A: b\r\n" + sized,
