limits: the demand that others state is added up when they state it

Each request looked up each member three times, in four maps. In a fleet of hundreds that is hundreds of lookups a request. The sums follow each statement now, and are made anew when the members with contact change.

Not measured on its own. partitions_tests, account_limiter_tests and account_monitor_tests pass unchanged.

--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -20,6 +20,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -168,6 +169,8 @@
     /// Returns the least demand that was stated around the time of the last contact.
     demand_by_account demand_heard_by(const lost_contact& it) const;
     double stated_by(const vm_id& peer, const client_account_id& account) const;
+    /// Adds up the stated demand anew.
+    void recount_heard();
     /// Returns this VM's average share since the last refill.
     double mean_share(const client_account_id& account, const bucket& it, time_point now) const;
     void refill(const client_account_id& account, bucket& it, time_point now);
@@ -182,6 +185,11 @@
     std::vector<vm_id> members_;
     std::map<vm_id, demand_by_account> peers_;
     std::map<vm_id, loss> lost_;
+    /// Members with which there is contact, and their stated demand by account.
+    std::set<vm_id> heard_members_;
+    demand_by_account heard_demand_;
+    /// How many of them have not stated their demand yet.
+    std::size_t unstated_members_ = 0;
     bool is_contested_ = false;
     bool yields_ = false;
     /// What this VM stated recently, oldest first.
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <iterator>
 #include <limits>
-#include <set>
 #include <utility>
 
 namespace radishpulley::routing {
@@ -64,13 +63,51 @@
 void account_limiter::set_members(gsl::span<const vm_id> others) {
     members_.assign(others.begin(), others.end());
     fleet_size_ = members_.size() + 1;
-    const std::set<vm_id> known(members_.begin(), members_.end());
+    const std::set<vm_id> known(others.begin(), others.end());
     for (auto it = peers_.begin(); it != peers_.end();) {
         it = known.count(it->first) == 0 ? peers_.erase(it) : std::next(it);
     }
+    recount_heard();
+}
+
+void account_limiter::recount_heard() {
+    std::set<vm_id> heard;
+    for (const vm_id& vm : members_) {
+        if (lost_.count(vm) == 0) {
+            heard.insert(vm);
+        }
+    }
+    if (heard == heard_members_) {
+        return;
+    }
+    heard_members_ = std::move(heard);
+    heard_demand_.clear();
+    unstated_members_ = 0;
+    for (const vm_id& vm : heard_members_) {
+        const auto stated = peers_.find(vm);
+        if (stated == peers_.end()) {
+            ++unstated_members_;
+            continue;
+        }
+        for (const auto& [account, units] : stated->second) {
+            heard_demand_[account] += units;
+        }
+    }
 }
 
 void account_limiter::on_peer_demand(const vm_id& peer, demand_by_account demand) {
+    const auto known = peers_.find(peer);
+    if (heard_members_.count(peer) != 0) {
+        unstated_members_ -= known == peers_.end() ? 1 : 0;
+        for (const auto& [account, units] : demand) {
+            heard_demand_[account] += units;
+        }
+        if (known != peers_.end()) {
+            for (const auto& [account, units] : known->second) {
+                heard_demand_[account] -= units;
+            }
+        }
+    }
     peers_[peer] = std::move(demand);
 }
 
@@ -85,6 +122,7 @@
         next[it.vm].contact = it;
     }
     lost_ = std::move(next);
+    recount_heard();
 }
 
 void account_limiter::note_demand_stated(time_point now) {
@@ -191,21 +229,15 @@
                                                            time_point now) const {
     contention out;
     out.demand_cap = std::numeric_limits<double>::infinity();
-    const double minimum = min_demand(it);
-    std::size_t unheard_vms = 0;
-    for (const vm_id& vm : members_) {
-        if (lost_.count(vm) != 0) {
-            continue;
-        }
-        out.remote += minimum + stated_by(vm, account);
-        unheard_vms += peers_.count(vm) == 0 ? 1 : 0;
-    }
+    const auto stated = heard_demand_.find(account);
+    out.remote = min_demand(it) * static_cast<double>(heard_members_.size()) +
+                 (stated == heard_demand_.end() ? 0 : std::max(0.0, stated->second));
     add_lost(account, it, now, out);
     if (is_saturated(it, now)) {
         out.remote = std::max(out.remote, it.saturation.demand - own);
     } else {
         // A VM that has not stated its demand yet may see as much as this one.
-        out.remote += static_cast<double>(unheard_vms) * own;
+        out.remote += static_cast<double>(unstated_members_) * own;
     }
     return out;
 }
