limits: a fleet of more than 33 VMs that starts together finds contact

Cause: a status lists 32 VMs that are unheard and 32 that don't hear the sender, and said of both with one flag that there are more. At a start each VM has more than 32 unheard ones; whoever reads that counts as not heard, states more than 32 deaf ones in turn, and so on for good.

Change: two flags; only more unheard ones mean that the reader may be one.

--- a/libs/routing/include/routing/peer_contacts.h
+++ b/libs/routing/include/routing/peer_contacts.h
@@ -33,10 +33,12 @@
 struct stated_losses {
     /// VMs whose messages stay out; at most `max_stated_losses`.
     std::vector<vm_id> unheard;
+    /// Whether there are more of these.
+    bool more_unheard = false;
     /// VMs whose messages arrive and that state that this VM's stay out; at most as many.
     std::vector<vm_id> deaf;
-    /// Whether there are more of either.
-    bool more = false;
+    /// Whether there are more of these.
+    bool more_deaf = false;
 };
 
 constexpr std::size_t max_stated_losses = 32;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -254,11 +254,11 @@
 }
 
 json to_json(const stated_losses& it) {
-    return {it.more, to_json(it.unheard), to_json(it.deaf)};
+    return {it.more_unheard, to_json(it.unheard), it.more_deaf, to_json(it.deaf)};
 }
 
 stated_losses read_losses(const json& in) {
-    return {read_vms(in.at(1)), read_vms(in.at(2)), in.at(0).get<bool>()};
+    return {read_vms(in.at(1)), in.at(0).get<bool>(), read_vms(in.at(3)), in.at(2).get<bool>()};
 }
 
 json to_json(const store_reports& it) {
--- a/libs/routing/src/peer_contacts.cpp
+++ b/libs/routing/src/peer_contacts.cpp
@@ -37,8 +37,8 @@
     record& it = known->second;
     it.heard_at = now;
     it.losses = std::set<vm_id>(its_losses.unheard.begin(), its_losses.unheard.end());
-    it.more_losses = its_losses.more;
-    it.hears_self = !its_losses.more && it.losses.count(self_) == 0;
+    it.more_losses = its_losses.more_unheard || its_losses.more_deaf;
+    it.hears_self = !its_losses.more_unheard && it.losses.count(self_) == 0;
     it.losses.insert(its_losses.deaf.begin(), its_losses.deaf.end());
     if (it.hears_self) {
         it.mutual_at = now;
@@ -85,11 +85,11 @@
             continue;
         }
         std::vector<vm_id>& list = stays_out ? out.unheard : out.deaf;
-        if (list.size() == max_stated_losses) {
-            out.more = true;
-            break;
+        if (list.size() < max_stated_losses) {
+            list.push_back(vm);
+        } else {
+            (stays_out ? out.more_unheard : out.more_deaf) = true;
         }
-        list.push_back(vm);
     }
     return out;
 }
--- a/libs/routing/tests/partitioned_fleet.h
+++ b/libs/routing/tests/partitioned_fleet.h
@@ -78,6 +78,9 @@
         }
         return sum;
     }
+    std::size_t lost_contacts(std::size_t vm, time_point now) const {
+        return vms_[vm].contacts->lost(now).size();
+    }
     double share(std::size_t vm, time_point now) const {
         return vms_[vm].limiter->share(acme, now);
     }
--- a/libs/routing/tests/partitions_tests.cpp
+++ b/libs/routing/tests/partitions_tests.cpp
@@ -210,6 +210,18 @@
     }
 }
 
+// Guards against a large fleet whose VMs start together and take each other for lost for good: none
+// could list all VMs that it had not heard yet.
+BOOST_AUTO_TEST_CASE(vms_of_a_large_fleet_that_start_together_find_contact) {
+    partitioned_fleet fleet(100, rate, platform_settings());
+    for (int ms = 0; ms <= 4'000; ms += status_interval_ms) {
+        fleet.exchange(start + milliseconds(ms));
+    }
+    for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+        BOOST_TEST(fleet.lost_contacts(vm, start + milliseconds(4'000)) == 0U);
+    }
+}
+
 // Guards against a VM that is refused its part for as long as another one is gone.
 BOOST_AUTO_TEST_CASE(a_vm_that_all_others_lost_costs_no_more_than_an_equal_part) {
     partitioned_fleet fleet(7, rate, platform_settings());
