One place each: entry contents, units of an account, codings, bodiless statuses

An entry's fields were written out twice in fleet_member (entry_contents now); the look-up of an account's units stood five times in account_limiter, once with a second look-up of a map at hand (units_of); the question for an unknown transfer coding stood in caller_link and in response_checks (has_unknown_coding), that for statuses without a body likewise (has_no_body). The parser's optional body limit was always set, and its two body handlers were one. A doc comment of acceptor.h stood at the wrong function.

Behaviour is the same but for one check that gets stricter: a request with an empty Transfer-Encoding gets 400, as a response with one was no response already.

Run: gateway misbehaving_peers_tests; routing partitions, account_limiter, account_monitor and tables tests; edge fleet_tests.

--- a/libs/gateway/include/gateway/http_status.h
+++ b/libs/gateway/include/gateway/http_status.h
@@ -3,6 +3,7 @@
 
 namespace radishpulley::gateway {
 
+constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_accepted = 202;
 constexpr unsigned status_no_content = 204;
@@ -22,4 +23,9 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
+/// Whether responses of this status end with their head.
+constexpr bool has_no_body(unsigned status) {
+    return status < status_ok || status == status_no_content || status == status_not_modified;
+}
+
 }  // namespace radishpulley::gateway
--- a/libs/gateway/include/gateway/http_text.h
+++ b/libs/gateway/include/gateway/http_text.h
@@ -21,6 +21,10 @@
 /// Returns the value of the first header with that name, or an empty text.
 std::string_view find_header(const header_list& headers, std::string_view name);
 
+/// Whether a transfer coding other than `chunked` is stated, so that the end of the body is
+/// unknown.
+bool has_unknown_coding(const header_list& headers);
+
 /// Returns the headers without the hop-by-hop ones and those that frame the body.
 header_list end_to_end_headers(const header_list& headers);
 
--- a/libs/gateway/include/gateway/message_parser.h
+++ b/libs/gateway/include/gateway/message_parser.h
@@ -7,7 +7,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,8 +21,8 @@
 struct message_limits {
     /// Bytes of the start line and the headers together.
     std::uint32_t head_bytes = 65'536;
-    /// Bytes of the body without its framing; unlimited if absent.
-    std::optional<std::uint64_t> body_bytes;
+    /// Bytes of the body without its framing.
+    std::uint64_t body_bytes = 0;
 };
 
 /// Parses one message. The body is handed out in the parts in which it arrives.
@@ -32,8 +31,7 @@
 public:
     explicit message_parser(const message_limits& limits) {
         this->header_limit(limits.head_bytes);
-        this->body_limit(limits.body_bytes ? boost::optional<std::uint64_t>(*limits.body_bytes)
-                                           : boost::none);
+        this->body_limit(limits.body_bytes);
         this->eager(false);
     }
 
@@ -92,10 +90,8 @@
     void on_chunk_header_impl(std::uint64_t /*size*/, text /*extensions*/,
                               error_code& /*ec*/) override {}
 
-    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, text bytes,
-                                   error_code& /*ec*/) override {
-        body_.append(bytes.data(), bytes.size());
-        return bytes.size();
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, text bytes, error_code& ec) override {
+        return on_body_impl(bytes, ec);
     }
 
     void on_finish_impl(error_code& /*ec*/) override {}
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -155,8 +155,7 @@
             head_seen_ = true;
             parser_->eager(true);
             body_began_ = time_.now();
-            const std::string_view coding = find_header(parser_->headers(), "transfer-encoding");
-            if (!coding.empty() && !same_name(coding, "chunked")) {
+            if (has_unknown_coding(parser_->headers())) {
                 // Its body can't be told from the next request.
                 refuse(status_bad_request, "the transfer coding is unknown");
                 return;
@@ -216,7 +215,7 @@
     if (service_.is_stopping()) {
         keep_alive_ = false;
     }
-    no_body_ = is_head_ || head.status == status_no_content || head.status == status_not_modified;
+    no_body_ = is_head_ || has_no_body(head.status);
     chunked_ = !head.length && !no_body_ && is_http11_;
     if (!head.length && !no_body_ && !is_http11_) {
         keep_alive_ = false;
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -61,6 +61,12 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+bool has_unknown_coding(const header_list& headers) {
+    return std::any_of(headers.begin(), headers.end(), [](const header& it) {
+        return same_name(it.name, "transfer-encoding") && !same_name(it.value, "chunked");
+    });
+}
+
 header_list end_to_end_headers(const header_list& headers) {
     const std::vector<std::string> listed = connection_header_names(headers);
     header_list out;
--- a/libs/routing/include/routing/peer_contacts.h
+++ b/libs/routing/include/routing/peer_contacts.h
@@ -7,8 +7,8 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <gsl/span>
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -27,6 +27,11 @@
 // Longer than it takes to notice a loss of contact.
 constexpr duration stated_demand_retention = std::chrono::seconds(60);
 
+double units_of(const demand_by_account& demand, const client_account_id& account) {
+    const auto found = demand.find(account);
+    return found == demand.end() ? 0 : found->second;
+}
+
 bool is_over(const lost_contact& it, int tolerances, time_point now) {
     return it.since == time_point::min() || now - it.since > it.tolerance * tolerances;
 }
@@ -145,8 +150,7 @@
         }
         is_first = false;
         for (auto at = least.begin(); at != least.end();) {
-            const auto found = stated.demand.find(at->first);
-            at->second = std::min(at->second, found == stated.demand.end() ? 0 : found->second);
+            at->second = std::min(at->second, units_of(stated.demand, at->first));
             at = at->second == 0 ? least.erase(at) : std::next(at);
         }
     }
@@ -168,11 +172,7 @@
 
 double account_limiter::stated_by(const vm_id& peer, const client_account_id& account) const {
     const auto known = peers_.find(peer);
-    if (known == peers_.end()) {
-        return 0;
-    }
-    const auto demand = known->second.find(account);
-    return demand == known->second.end() ? 0 : demand->second;
+    return known == peers_.end() ? 0 : units_of(known->second, account);
 }
 
 double account_limiter::part_of_lost(const client_account_id& account, const loss& lost,
@@ -188,11 +188,10 @@
     loss out{it, demand_heard_by(it), {}};
     for (const auto& [account, bucket] : buckets_) {
         const double minimum = min_demand(bucket);
-        const auto own = out.heard_demand.find(account);
-        double total = minimum * static_cast<double>(fleet_size_) +
-                       (own == out.heard_demand.end() ? 0 : own->second);
+        double total =
+            minimum * static_cast<double>(fleet_size_) + units_of(out.heard_demand, account);
         for (const auto& [vm, demand] : peers_) {
-            total += stated_by(vm, account);
+            total += units_of(demand, account);
         }
         out.shares[account] = total > 0 ? (stated_by(it.vm, account) + minimum) / total : 1;
     }
@@ -208,8 +207,7 @@
             out.reserved += part_of_lost(account, lost, now);
             continue;
         }
-        const auto own = lost.heard_demand.find(account);
-        const double heard = own == lost.heard_demand.end() ? 0 : own->second;
+        const double heard = units_of(lost.heard_demand, account);
         const double stated = stated_by(vm, account);
         if (is_over(lost.contact, equal_parts_after, now)) {
             out.remote += minimum + equal;
@@ -229,9 +227,8 @@
                                                            time_point now) const {
     contention out;
     out.demand_cap = std::numeric_limits<double>::infinity();
-    const auto stated = heard_demand_.find(account);
     out.remote = min_demand(it) * static_cast<double>(heard_members_.size()) +
-                 (stated == heard_demand_.end() ? 0 : std::max(0.0, stated->second));
+                 std::max(0.0, units_of(heard_demand_, account));
     add_lost(account, it, now, out);
     if (is_saturated(it, now)) {
         out.remote = std::max(out.remote, it.saturation.demand - own);
--- a/radishpulley/edge/src/acceptor.h
+++ b/radishpulley/edge/src/acceptor.h
@@ -22,8 +22,8 @@
 
 private:
     void accept();
-    /// Accepts up to `max_count` of the connections that the operating system has established.
     void hand_over(boost::asio::ip::tcp::socket socket);
+    /// Accepts up to `max_count` of the connections that the operating system has established.
     void accept_waiting(int max_count);
 
     boost::asio::io_context& loop_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -41,6 +41,14 @@
     return json::parse(it.contents, nullptr, false);
 }
 
+json entry_contents(const std::string& address, const zone_id& zone, const region_id& region,
+                    incarnation_number incarnation) {
+    return {{"address", address},
+            {"zone", zone.str()},
+            {"region", region.str()},
+            {"incarnation", incarnation}};
+}
+
 // Returns an empty text where the field is missing or of another type, as in other writers'
 // objects.
 std::string text_field(const json& in, const char* name) {
@@ -159,10 +167,8 @@
 
 void fleet_member::put_entry(gateway::store_revision revision, incarnation_number incarnation,
                              std::function<void(const write_result&)> done) {
-    const json contents = {{"address", settings_.address},
-                           {"zone", settings_.zone.str()},
-                           {"region", settings_.region.str()},
-                           {"incarnation", incarnation}};
+    const json contents =
+        entry_contents(settings_.address, settings_.zone, settings_.region, incarnation);
     if (revision == 0) {
         store_.create(vms_kind, settings_.vm.str(), contents.dump(), std::move(done));
     } else {
@@ -536,11 +542,8 @@
 void fleet_member::mark_gone(const vm_id& vm) {
     peer& it = peers_[vm];
     it.mark_in_flight = true;
-    const json contents = {{"address", it.address},
-                           {"zone", it.zone.str()},
-                           {"region", it.region.str()},
-                           {"incarnation", it.incarnation},
-                           {gone_field, true}};
+    json contents = entry_contents(it.address, it.zone, it.region, it.incarnation);
+    contents[gone_field] = true;
     store_.replace(vms_kind, vm.str(), it.revision, contents.dump(),
                    [this, vm](const write_result& result) {
                        const auto known = peers_.find(vm);
