Regions of routes and accounts, evacuation of availability zones

Routes and client accounts may name the regions in which their requests may be processed, and the operator may evacuate a zone; neither was known to the code, so requests reached engines outside of the allowed regions and engines of evacuated zones.

The choice of an endpoint skips zones that are not permitted, and the same check is repeated directly before a send, with the newest configuration. Requests that wait for an adapter in such a zone move at once. Evacuations are followed where the settings bound the time (evacuation_ms); a VM serves nothing before it knows them.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -36,6 +36,7 @@
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
 #include "routing/work_table.h"
+#include "routing/zone_evacuations.h"
 #include "telemetry/metrics.h"
 
 namespace radishpulley::gateway {
@@ -104,6 +105,8 @@
     double max_start_wait_share = 0.5;
     /// Remaining time until a caller's deadline below which a request is not sent.
     std::chrono::milliseconds min_time_left{15};
+    /// Whether requests are refused until the evacuated availability zones are known.
+    bool requires_evacuations = false;
 };
 
 /// The load was requested; the response follows by gateway::on_adapter() or on_load_refused().
@@ -195,6 +198,11 @@
     }
     /// Sets the callback invoked when other VMs should receive a changed limit soon.
     void set_on_limit_change(std::function<void()> call) { on_limit_change_ = std::move(call); }
+    /// Applies the complete list of evacuated availability zones.
+    routing::evacuation_changes on_evacuations(gsl::span<const zone_id> zones);
+    /// The evacuation of an availability zone has begun or ended.
+    routing::evacuation_changes on_evacuation(const zone_id& zone, bool begun);
+    const routing::zone_evacuations& evacuations() const { return evacuations_; }
     /// Applies new settings to subsequent requests.
     void reconfigure(gateway_settings settings);
     /// Applies an endpoint's entry in the directory.
@@ -307,8 +315,19 @@
     void end_requests_with(gsl::span<const routing::suspect_id> blocked, const vm_id& by);
     /// Time until the endpoint accepts a request from this VM, by its stated limit and pause.
     duration wait_for(const endpoint_id& id) const;
-    /// Shortest such time among a service's endpoints, if all of them require a wait.
-    std::optional<duration> wait_for_any(const service_id& id) const;
+    /// Shortest such time among a service's endpoints in permitted zones, if all of them require a
+    /// wait.
+    std::optional<duration> wait_for_any(const service_id& id,
+                                         const routing::zone_filter& zones) const;
+    /// Whether the service has endpoints in allowed regions and all of them are evacuated.
+    bool are_all_evacuated(const service_id& id, const routing::zone_filter& zones) const;
+    void apply_evacuations(const routing::evacuation_changes& changes);
+    /// Requests that wait for an endpoint to which they may not be sent any more choose another.
+    void move_waiting_requests();
+    /// Whether it is not known yet which availability zones are evacuated.
+    bool awaits_evacuations() const {
+        return settings_.requires_evacuations && !are_evacuations_known_;
+    }
 
     boost::asio::io_context& loop_;
     const clock& time_;
@@ -318,6 +337,8 @@
     routing::configuration_ptr configuration_;
     std::function<duration()> configuration_age_ = [] { return duration::zero(); };
     routing::endpoint_directory directory_;
+    routing::zone_evacuations evacuations_;
+    bool are_evacuations_known_ = false;
     routing::endpoint_limits limits_;
     routing::adapter_table adapters_;
     routing::adapter_load_times load_times_;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -88,6 +88,10 @@
         refuse({status_unavailable, "no_configuration", startup_retry_after});
         return;
     }
+    if (owner_.awaits_evacuations()) {
+        refuse({status_unavailable, "evacuations_unknown", startup_retry_after});
+        return;
+    }
     route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
     if (route_ == nullptr) {
         refuse_unknown(status_not_found, "no_route");
@@ -191,6 +195,10 @@
         refuse({status_unavailable, "no_service", startup_retry_after});
         return false;
     }
+    if (allowed_regions().allows_none()) {
+        refuse({status_unavailable, "no_allowed_region", operator_retry_after});
+        return false;
+    }
     if (owner_.body_bytes_ > owner_.settings_.max_buffered_body_bytes) {
         refuse({status_unavailable, "too_many_bodies", default_retry_after});
         return false;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -51,6 +51,8 @@
     void on_version_in_force(const routing::model_ref& adapter, std::uint64_t version);
     /// Ends the request if one of its suspects is blocked now and it is not answered yet.
     void on_suspects_blocked();
+    /// Chooses another endpoint if the request waits for one to which it may not be sent any more.
+    void on_zones_changed();
 
 private:
     enum class phase {
@@ -84,6 +86,11 @@
     /// Ends the request, which may have been sent, with its final response.
     void give_up(std::string_view reason, duration retry_after);
     void find_endpoint();
+    /// Regions in which the request may be processed by the newest configuration. A route or
+    /// account that it no longer contains keeps its last restriction.
+    routing::allowed_regions allowed_regions() const;
+    /// The availability zones to which the request may be sent now.
+    routing::zone_filter zones() const;
     std::optional<routing::endpoint_choice> choose_endpoint() const;
     /// Returns the engine that can load the adapter first, among those that refused to load it
     /// soon, if the request can wait for it.
--- a/libs/gateway/src/exchange_constants.h
+++ b/libs/gateway/src/exchange_constants.h
@@ -10,6 +10,9 @@
 /// Retry-After of refusals whose cause has no known end.
 constexpr duration default_retry_after = std::chrono::milliseconds(250);
 
+/// Retry-After of refusals that last until the operator changes something.
+constexpr duration operator_retry_after = std::chrono::seconds(1);
+
 /// Longest wait of a request that broke off for other VMs to say that its segments are answered
 /// elsewhere.
 constexpr duration evidence_wait = std::chrono::milliseconds(400);
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -55,20 +55,57 @@
     }
 }
 
+routing::allowed_regions exchange::allowed_regions() const {
+    const routing::route* route = route_;
+    const routing::client_account* account = account_;
+    const auto& newest = owner_.configuration_;
+    if (newest != configuration_) {
+        const auto* same_route =
+            newest->find_route(find_header(request_.headers, "host"), request_.target);
+        route = same_route == nullptr ? route : same_route;
+        const auto* same_account = account == nullptr ? nullptr : newest->find_account(account->id);
+        account = same_account == nullptr ? account : same_account;
+    }
+    return account == nullptr ? route->regions : intersection(route->regions, account->regions);
+}
+
+routing::zone_filter exchange::zones() const {
+    return {allowed_regions(), owner_.settings_.location, owner_.evacuations_};
+}
+
+void exchange::on_zones_changed() {
+    const bool waits = phase_ == phase::asking_for_load || phase_ == phase::waiting_for_load;
+    const routing::endpoint* target = waits ? owner_.directory_.find(endpoint_) : nullptr;
+    if (target == nullptr || zones().permits(target->zone)) {
+        return;
+    }
+    telemetry::log_event(severity::info, "request_moved",
+                         {{"request", attributes_.id},
+                          {"endpoint", endpoint_},
+                          {"zone", target->zone},
+                          {"regions", allowed_regions().to_text()},
+                          {"configuration_age_ms", to_ms(owner_.configuration_age_()).count()}});
+    wait_timer_.cancel();
+    find_endpoint();
+}
+
 std::optional<routing::endpoint_choice> exchange::choose_endpoint() const {
     const bool may_load = load_refusals_ < owner_.settings_.max_load_refusals;
     const routing::choice_request wanted{attributes_,      *service_, excluded_,
-                                         load_refused_by_, may_load,  owner_.fleet_loads()};
+                                         load_refused_by_, may_load,  owner_.fleet_loads(),
+                                         zones()};
     return owner_.chooser_.choose(wanted, owner_.time_.now());
 }
 
 std::optional<routing::endpoint_choice> exchange::soonest_refused_load() const {
     const time_point now = owner_.time_.now();
     const time_point latest = now + load_wait_limit();
+    const routing::zone_filter permitted = zones();
     std::optional<routing::endpoint_choice> best;
     for (const auto& [id, ready_at] : possible_loads_) {
         const routing::endpoint* known = owner_.directory_.find(id);
-        const bool is_usable = known != nullptr && !known->draining && excluded_.count(id) == 0;
+        const bool is_usable = known != nullptr && !known->draining && excluded_.count(id) == 0 &&
+                               permitted.permits(known->zone);
         const duration wait = std::max(duration::zero(), ready_at - now);
         if (is_usable && ready_at <= latest && (!best || wait < best->expected)) {
             best.emplace();
@@ -83,7 +120,16 @@
 }
 
 void exchange::refuse_without_endpoint() {
-    if (const auto wait = owner_.wait_for_any(service_->id)) {
+    const routing::zone_filter permitted = zones();
+    if (permitted.regions().allows_none()) {
+        refuse({status_unavailable, "no_allowed_region", operator_retry_after});
+        return;
+    }
+    if (owner_.are_all_evacuated(service_->id, permitted)) {
+        refuse({status_unavailable, "zones_evacuated", operator_retry_after});
+        return;
+    }
+    if (const auto wait = owner_.wait_for_any(service_->id, permitted)) {
         refuse({status_unavailable, "endpoints_busy", std::max(*wait, default_retry_after)});
         return;
     }
@@ -249,8 +295,8 @@
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     const time_point now = owner_.time_.now();
-    const bool may_send =
-        target != nullptr && !target->draining && owner_.wait_for(id) == duration::zero();
+    const bool may_send = target != nullptr && !target->draining && zones().permits(target->zone) &&
+                          owner_.wait_for(id) == duration::zero();
     if (!may_send) {
         excluded_.insert(id);
         find_endpoint();
@@ -284,7 +330,7 @@
 
 void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
     const routing::endpoint* target = owner_.directory_.find(endpoint_);
-    const bool left = target == nullptr || target->draining;
+    const bool left = target == nullptr || target->draining || !zones().permits(target->zone);
     const bool is_paused =
         owner_.directory_.pause_left(endpoint_, owner_.time_.now()) > duration::zero();
     if (!connection || left || is_paused) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -58,6 +58,7 @@
 gateway::~gateway() = default;
 
 void gateway::on_configuration(routing::configuration_ptr it) {
+    const bool is_change = configuration_ != nullptr;
     configuration_ = std::move(it);
     limiter_.configure(configuration_->accounts(), time_.now());
     for (const routing::service& service : configuration_->services()) {
@@ -65,6 +66,35 @@
             adapters_.set_cache_size(service.engine->cached_adapters());
         }
     }
+    if (is_change) {
+        move_waiting_requests();
+    }
+}
+
+routing::evacuation_changes gateway::on_evacuations(gsl::span<const zone_id> zones) {
+    are_evacuations_known_ = true;
+    routing::evacuation_changes changes = evacuations_.on_list(zones);
+    apply_evacuations(changes);
+    return changes;
+}
+
+routing::evacuation_changes gateway::on_evacuation(const zone_id& zone, bool begun) {
+    routing::evacuation_changes changes =
+        begun ? evacuations_.on_begin(zone) : evacuations_.on_end(zone);
+    apply_evacuations(changes);
+    return changes;
+}
+
+void gateway::apply_evacuations(const routing::evacuation_changes& changes) {
+    if (!changes.begun.empty()) {
+        move_waiting_requests();
+    }
+}
+
+void gateway::move_waiting_requests() {
+    for (const auto& it : requests_in_progress()) {
+        it->on_zones_changed();
+    }
 }
 
 void gateway::note_running() {
@@ -252,14 +282,31 @@
     return std::max(for_limit, directory_.pause_left(id, now));
 }
 
-std::optional<duration> gateway::wait_for_any(const service_id& id) const {
+std::optional<duration> gateway::wait_for_any(const service_id& id,
+                                              const routing::zone_filter& zones) const {
     std::optional<duration> least;
     for (const routing::endpoint* it : directory_.usable(id)) {
-        least = std::min(least.value_or(duration::max()), wait_for(it->id));
+        if (zones.permits(it->zone)) {
+            least = std::min(least.value_or(duration::max()), wait_for(it->id));
+        }
     }
     return least == duration::zero() ? std::nullopt : least;
 }
 
+bool gateway::are_all_evacuated(const service_id& id, const routing::zone_filter& zones) const {
+    bool is_any_evacuated = false;
+    for (const routing::endpoint* it : directory_.usable(id)) {
+        if (!zones.is_allowed(it->zone)) {
+            continue;
+        }
+        if (!zones.is_evacuated(it->zone)) {
+            return false;
+        }
+        is_any_evacuated = true;
+    }
+    return is_any_evacuated;
+}
+
 void gateway::reconfigure(gateway_settings settings) {
     const bool same_retries = settings.retry_ratio == settings_.retry_ratio &&
                               settings.retry_reserve == settings_.retry_reserve;
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/identifier.h"
+#include "routing/allowed_regions.h"
 
 namespace radishpulley::routing {
 
@@ -59,6 +60,8 @@
     bool open = false;
     /// A stream may resume at another endpoint after its last complete event.
     bool resumable = false;
+    /// Regions in which its requests may be processed.
+    allowed_regions regions;
     std::vector<weighted_service> services;
 
     /// Whether a request that may have run already may be sent again.
@@ -112,6 +115,8 @@
     bool counts_tokens = false;
     /// Tokens charged for a request that states no token counts.
     double plain_tokens = 1;
+    /// Regions in which its requests may be processed, besides the route's own restriction.
+    allowed_regions regions;
 };
 
 /// Limits on what callers may send.
@@ -149,6 +154,8 @@
     const route* find_route(std::string_view host, std::string_view path) const;
     /// Returns the account that holds `key`, or null.
     const client_account* find_account(std::string_view key) const;
+    /// Returns the account, or null.
+    const client_account* find_account(const client_account_id& id) const;
     /// Returns the service, or null.
     const service* find_service(const service_id& id) const;
 
@@ -157,6 +164,7 @@
     /// Routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<const route*>> routes_by_host_;
     std::unordered_map<std::string, const client_account*> accounts_by_key_;
+    std::unordered_map<client_account_id, const client_account*> accounts_by_id_;
     std::unordered_map<service_id, const service*> services_by_id_;
 };
 
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -6,7 +6,6 @@
 /// memory, and the network distance. Pure.
 #pragma once
 
-#include <map>
 #include <optional>
 #include <set>
 
@@ -15,8 +14,10 @@
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
 #include "routing/load_time_estimator.h"
+#include "routing/location.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/work_table.h"
+#include "routing/zone_filter.h"
 
 namespace radishpulley::routing {
 
@@ -54,14 +55,6 @@
     duration long_prompt_penalty = std::chrono::milliseconds(60);
 };
 
-/// Availability zone and region of a daemon.
-struct location {
-    zone_id zone;
-    region_id region;
-    /// Region of each availability zone.
-    std::map<zone_id, region_id> regions;
-};
-
 /// The selected endpoint and its estimate.
 struct endpoint_choice {
     endpoint_id id;
@@ -92,6 +85,8 @@
     bool may_load = true;
     /// Adapters that are loading at all engines.
     std::size_t fleet_loads = 0;
+    /// Availability zones to which the request may be sent.
+    zone_filter zones{};
 };
 
 /// Selects endpoints from the routing tables, which must outlive it.
--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -110,7 +110,9 @@
     /// The load would finish too late because other loads are queued.
     many_waiting,
     /// The engine has requested a pause.
-    engine_paused
+    engine_paused,
+    /// The engine's availability zone is evacuated.
+    zone_evacuated
 };
 
 /// The engine cannot load the adapter now.
--- a/libs/routing/src/configuration.cpp
+++ b/libs/routing/src/configuration.cpp
@@ -22,6 +22,7 @@
         });
     }
     for (const client_account& account : content_.accounts) {
+        accounts_by_id_.emplace(account.id, &account);
         for (const std::string& key : account.keys) {
             accounts_by_key_.emplace(key, &account);
         }
@@ -50,6 +51,11 @@
     return found == accounts_by_key_.end() ? nullptr : found->second;
 }
 
+const client_account* configuration::find_account(const client_account_id& id) const {
+    const auto found = accounts_by_id_.find(id);
+    return found == accounts_by_id_.end() ? nullptr : found->second;
+}
+
 const service* configuration::find_service(const service_id& id) const {
     const auto found = services_by_id_.find(id);
     return found == services_by_id_.end() ? nullptr : found->second;
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -52,9 +52,8 @@
     if (it.zone == location_.zone) {
         return duration::zero();
     }
-    const auto region = location_.regions.find(it.zone);
-    const bool same_region =
-        region != location_.regions.end() && region->second == location_.region;
+    const region_id* region = location_.region_of(it.zone);
+    const bool same_region = region != nullptr && *region == location_.region;
     return same_region ? settings_.cross_zone_latency : settings_.cross_region_latency;
 }
 
@@ -157,7 +156,8 @@
         const endpoint_id& id = endpoints[rank]->id;
         const bool takes_requests =
             limits_.allows(id, now) && directory_.pause_left(id, now) == duration::zero();
-        if (request.excluded.count(id) != 0 || !takes_requests) {
+        const bool is_permitted = request.zones.permits(endpoints[rank]->zone);
+        if (request.excluded.count(id) != 0 || !takes_requests || !is_permitted) {
             continue;
         }
         const auto it = estimate(*endpoints[rank], request, rank, now);
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -37,12 +37,14 @@
     }
 
     std::optional<endpoint_choice> choose(time_point now = start) {
-        const endpoint_chooser chooser(
-            directory, limits, adapters, load_times, prompts, work,
-            {zone_id("near"),
-             region_id("r1"),
-             {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}});
-        return chooser.choose({attributes, target, excluded, load_excluded}, now);
+        const location here{
+            zone_id("near"),
+            region_id("r1"),
+            {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}};
+        const endpoint_chooser chooser(directory, limits, adapters, load_times, prompts, work,
+                                       here);
+        const zone_filter zones(regions, here, evacuations);
+        return chooser.choose({attributes, target, excluded, load_excluded, true, 0, zones}, now);
     }
 
     endpoint_directory directory;
@@ -55,6 +57,8 @@
     request_attributes attributes;
     std::set<endpoint_id> excluded;
     std::set<endpoint_id> load_excluded;
+    allowed_regions regions;
+    zone_evacuations evacuations;
 };
 
 }  // namespace
@@ -75,6 +79,17 @@
     BOOST_TEST(choose()->id.str() == "e1");
 }
 
+// Guards against a restriction or an evacuation that a better estimate outweighs.
+BOOST_FIXTURE_TEST_CASE(an_engine_outside_the_permitted_zones_is_not_chosen, fixture) {
+    hold("e1");
+    regions = allowed_regions({region_id("r2")});
+    BOOST_TEST(choose()->id.str() > "e2");
+    evacuations.on_begin(zone_id("far"));
+    BOOST_TEST(!choose().has_value());
+    regions = {};
+    BOOST_TEST(choose()->id.str() == "e1");
+}
+
 BOOST_FIXTURE_TEST_CASE(an_engine_with_queued_prompts_loses_to_another_copy, fixture) {
     hold("e1");
     hold("e3");
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -51,6 +52,9 @@
     duration endpoint_drain = std::chrono::milliseconds(2'500);
     /// Time from the announcement of an adapter's version until no older one is used.
     duration version_apply = std::chrono::milliseconds(5'000);
+    /// Time from the acknowledgement that an availability zone is evacuated until its endpoints get
+    /// no more requests. Evacuations are not followed where it is not set.
+    std::optional<duration> evacuation;
     /// Whether endpoints refuse orders with an old fencing number.
     bool endpoints_check_fencing = false;
 };
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -55,14 +55,18 @@
     }
 
     /// A time in milliseconds that need not be stated.
-    duration milliseconds_or(std::string_view name, duration otherwise) {
+    std::optional<duration> milliseconds_if_stated(std::string_view name) {
         if (!root_.at_path(name)) {
-            return otherwise;
+            return std::nullopt;
         }
         return std::chrono::milliseconds(
             static_cast<std::int64_t>(number(name, 1, longest_bound_ms)));
     }
 
+    duration milliseconds_or(std::string_view name, duration otherwise) {
+        return milliseconds_if_stated(name).value_or(otherwise);
+    }
+
     bool flag(std::string_view name) {
         const auto value = root_.at_path(name).value_exact<bool>();
         if (!value) {
@@ -133,6 +137,7 @@
         in.milliseconds_or("bounds.configuration_apply_ms", out.bounds.configuration_apply);
     out.bounds.endpoint_drain = in.milliseconds_or("bounds.drain_ms", out.bounds.endpoint_drain);
     out.bounds.version_apply = in.milliseconds_or("bounds.version_ms", out.bounds.version_apply);
+    out.bounds.evacuation = in.milliseconds_if_stated("bounds.evacuation_ms");
     out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
     if (!found.empty()) {
         throw invalid_input(found);
--- a/libs/settings/tests/edge_settings_tests.cpp
+++ b/libs/settings/tests/edge_settings_tests.cpp
@@ -41,6 +41,12 @@
     BOOST_TEST((it.bounds.shutdown_grace == std::chrono::seconds(8)));
     BOOST_TEST(it.bounds.retry_reserve == 54);
     BOOST_TEST(it.bounds.endpoints_check_fencing);
+    BOOST_TEST(!it.bounds.evacuation.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_time_of_an_evacuation_is_read) {
+    const auto it = parse_edge_settings(std::string(whole) + "evacuation_ms = 5000\n", "f.toml");
+    BOOST_TEST((it.bounds.evacuation == std::chrono::seconds(5)));
 }
 
 BOOST_AUTO_TEST_CASE(all_faults_are_reported_with_their_places) {
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -118,6 +118,9 @@
     void flush_usage();
     void report_usage(const endpoint_id& engine);
     std::optional<vm_incarnation> holder_of(const endpoint_id& engine) const;
+    /// Why nothing may be sent to the engine now, if so.
+    std::optional<routing::load_obstacle> order_obstacle(const endpoint_id& engine,
+                                                         time_point now) const;
     routing::load_response load_on_held_engine(const endpoint_id& engine,
                                                const routing::model_ref& adapter,
                                                duration max_wait);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -1,9 +1,9 @@
 #include "edge/edge_daemon.h"
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <functional>
+#include <vector>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -18,6 +18,7 @@
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
 #include "edge/load_time_monitor.h"
+#include "evacuation_follower.h"
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
@@ -74,6 +75,7 @@
     out.retry_reserve = settings.bounds.retry_reserve * retry_fraction;
     out.limiter.overdraft = settings.bounds.limit_reserve * limit_fraction;
     out.version_apply = settings.bounds.version_apply;
+    out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
@@ -162,6 +164,7 @@
                       [this] { schedule_store_reports(); }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind,
                     versions_follower_settings(settings.bounds), version_events()),
+          evacuations_(loop_, time_, store_, data_path_, [this] { schedule_store_reports(); }),
           readiness_(loop_, time_, [this] { return readiness(); }),
           metrics_server_(loop_, time_,
                           [this] {
@@ -201,6 +204,7 @@
         configuration_.start();
         endpoints_.start();
         versions_.start();
+        configure_evacuations();
         fleet_.start();
         loads_.start();
         accounts_.start();
@@ -251,6 +255,7 @@
         configuration_.set_pace(configuration_follower_settings(settings_.bounds));
         endpoints_.set_pace(endpoints_follower_settings(settings_.bounds));
         versions_.set_pace(versions_follower_settings(settings_.bounds));
+        configure_evacuations();
         telemetry::log_event(severity::info, "reload",
                              {{"vm", settings_.vm},
                               {"store", settings_.store.address},
@@ -259,6 +264,11 @@
                               {"needs_restart", needs_restart}});
     }
 
+    void configure_evacuations() {
+        evacuations_.set_zones(settings_.regions);
+        evacuations_.set_bound(settings_.bounds.evacuation);
+    }
+
     void begin_stop() {
         if (stop_began_) {
             return;
@@ -289,7 +299,8 @@
     }
 
     status_answer readiness() const {
-        const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list();
+        const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list() &&
+                           evacuations_.is_ready();
         return {ready ? gateway::status_ok : gateway::status_unavailable, ""};
     }
 
@@ -297,6 +308,7 @@
         configuration_.renew();
         endpoints_.renew();
         versions_.renew();
+        evacuations_.renew();
         fleet_.renew();
         loads_.renew();
     }
@@ -311,8 +323,13 @@
     }
 
     // Returns the copies of store collections that VMs report to each other.
-    std::array<gateway::collection_follower*, 4> reported_copies() {
-        return {&configuration_, &endpoints_, &versions_, &loads_.holders()};
+    std::vector<gateway::collection_follower*> reported_copies() {
+        std::vector<gateway::collection_follower*> out{&configuration_, &endpoints_, &versions_,
+                                                       &loads_.holders()};
+        if (gateway::collection_follower* followed = evacuations_.follower()) {
+            out.push_back(followed);
+        }
+        return out;
     }
 
     void schedule_store_reports() {
@@ -536,6 +553,7 @@
         requests_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(true)));
         segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(false)));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
+        zones_evacuated_.set(static_cast<double>(data_path_.evacuations().zones().size()));
         vms_serving_.set(static_cast<double>(fleet_.serving(time_.now()).size()));
         store_calls_.set(static_cast<double>(store_.calls()));
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
@@ -699,6 +717,8 @@
         add_gauge("prompt_segments_blocked",
                   "Prompt segments whose requests are refused, as they crash engines.");
     telemetry::gauge& engines_held_ = add_gauge("engines_held", "Engines ordered by this VM.");
+    telemetry::gauge& zones_evacuated_ =
+        add_gauge("zones_evacuated", "Availability zones that are evacuated.");
     telemetry::gauge& vms_serving_ = add_gauge("vms_serving", "VMs that serve callers.");
     telemetry::gauge& store_calls_ =
         add_gauge("store_calls", "Calls to the store since the start.");
@@ -740,6 +760,7 @@
     gateway::collection_follower configuration_;
     gateway::collection_follower endpoints_;
     gateway::collection_follower versions_;
+    evacuation_follower evacuations_;
     status_server readiness_;
     status_server metrics_server_;
     acceptor callers_;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -82,6 +82,8 @@
             return "places_in_use";
         case routing::load_obstacle::engine_paused:
             return "engine_paused";
+        case routing::load_obstacle::zone_evacuated:
+            return "zone_evacuated";
         case routing::load_obstacle::many_waiting:
             break;
     }
@@ -403,6 +405,18 @@
     }
 }
 
+std::optional<routing::load_obstacle> load_coordinator::order_obstacle(const endpoint_id& engine,
+                                                                       time_point now) const {
+    if (data_path_.directory().pause_left(engine, now) > duration::zero()) {
+        return routing::load_obstacle::engine_paused;
+    }
+    const routing::endpoint* known = data_path_.directory().find(engine);
+    if (known != nullptr && data_path_.evacuations().is_evacuated(known->zone)) {
+        return routing::load_obstacle::zone_evacuated;
+    }
+    return std::nullopt;
+}
+
 routing::load_response load_coordinator::load_on_held_engine(const endpoint_id& engine,
                                                              const model_ref& adapter,
                                                              duration max_wait) {
@@ -411,11 +425,11 @@
         return routing::load_refused{routing::load_obstacle::no_model};
     }
     const time_point now = time_.now();
-    const bool is_paused = data_path_.directory().pause_left(engine, now) > duration::zero();
+    const auto obstacle = order_obstacle(engine, now);
     const routing::load_response answer =
-        is_paused ? routing::load_refused{routing::load_obstacle::engine_paused}
-                  : held->second.controller.on_load_request(
-                        adapter, data_path_.adapters().loads_under_way(now), now, max_wait);
+        obstacle ? routing::load_refused{*obstacle}
+                 : held->second.controller.on_load_request(
+                       adapter, data_path_.adapters().loads_under_way(now), now, max_wait);
     if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
         telemetry::log_event(severity::info, "load_refused",
                              {{"engine", engine},
@@ -602,7 +616,7 @@
     }
     const time_point now = time_.now();
     const auto fence = guard_->may_act(holding_id_of(engine), now);
-    if (!fence || data_path_.directory().pause_left(engine, now) > duration::zero()) {
+    if (!fence || order_obstacle(engine, now)) {
         return;
     }
     if (held->second.controller.needs_report(now)) {
--- a/radishpulley/edge/src/store_pace.h
+++ b/radishpulley/edge/src/store_pace.h
@@ -44,4 +44,10 @@
                                        follower_settings_with_pause(versions_pause));
 }
 
+/// `bound` is the time in which an evacuation has to be in force.
+inline gateway::follower_settings evacuations_follower_settings(duration bound) {
+    return gateway::pace_for_staleness(bound,
+                                       follower_settings_with_pause(std::chrono::milliseconds(0)));
+}
+
 }  // namespace radishpulley::edge
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -6,6 +6,7 @@
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
 #include "memory_collections.h"
+#include "null_codec.h"
 
 namespace radishpulley::edge::testing {
 namespace {
@@ -15,21 +16,6 @@
 const endpoint_id engine("e1");
 const model_ref adapter{"m", "plans"};
 
-// Codec for tests without requests.
-class null_codec final : public gateway::header_codec {
-public:
-    routing::request_attributes read_request(const gateway::header_list&) const override {
-        return {};
-    }
-    bool is_forwarded(std::string_view) const override { return true; }
-    void append_call_attributes(const gateway::call_attributes&, std::string&) const override {}
-    gateway::response_attributes read_response(unsigned,
-                                               const gateway::header_list&) const override {
-        return {};
-    }
-    std::string_view id_header() const override { return "X-Id"; }
-};
-
 // Engines that record every order with its sender and answer with a set outcome.
 class fake_engines final : public gateway::engine_port {
 public:
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -135,7 +135,11 @@
     void remove(const std::string& kind, const std::string& name, gateway::store_revision,
                 std::function<void(gateway::write_result)> done) override {
         answer([this, kind, name, done = std::move(done)] {
+            gateway::stored_object removed = objects_[kind][name];
             objects_[kind].erase(name);
+            removed.name = name;
+            removed.revision = ++revision_;
+            history_.push_back({kind, {removed, true}});
             done(gateway::write_done{});
         });
     }
