--- a/tools/soak/edge_fleet.cpp
+++ b/tools/soak/edge_fleet.cpp
@@ -82,7 +82,8 @@
         << it.metrics_address << "\"\n[store]\naddress = \"" << it.store_proxy->address()
         << "\"\n[bounds]\nshutdown_grace_s = 8\nretry_ratio = 0.2\nretry_reserve = "
         << retry_reserve << "\nlimit_reserve = 0\nconfiguration_apply_ms = " << apply_bound.count()
-        << "\ndrain_ms = " << drain_bound.count() << "\nendpoints_check_fencing = true\n";
+        << "\ndrain_ms = " << drain_bound.count() << "\nendpoints_check_fencing = true\n"
+        << settings_.more_daemon_settings;
     if (!out.flush()) {
         throw std::runtime_error("cannot write the settings of " + it.name);
     }
--- a/tools/soak/edge_fleet.h
+++ b/tools/soak/edge_fleet.h
@@ -30,6 +30,8 @@
     std::string directory;
     std::size_t vms = 6;
     std::size_t endpoints_per_service = 2;
+    /// Tables that are appended to each daemon's settings.
+    std::string more_daemon_settings = {};
 };
 
 /// Tracks disturbances from outside: those that last and those of a moment.
