--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -1,6 +1,7 @@
 /// Settings of a daemon on a platform's entry VM: a TOML file, checked as a whole.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -59,6 +60,13 @@
     bool endpoints_check_fencing = false;
 };
 
+/// What the VM has; unset where the platform does not state it.
+struct edge_limits_settings {
+    std::optional<std::size_t> memory_bytes;
+    /// File descriptors of this process.
+    std::optional<std::size_t> descriptors;
+};
+
 /// All settings.
 struct edge_settings {
     vm_id vm;
@@ -69,6 +77,7 @@
     edge_listen_settings listen;
     edge_store_settings store;
     edge_bounds_settings bounds;
+    edge_limits_settings limits;
 };
 
 /// Reads and checks a file.
--- a/libs/settings/src/edge_settings.cpp
+++ b/libs/settings/src/edge_settings.cpp
@@ -54,6 +54,14 @@
         return *value;
     }
 
+    /// A whole number that need not be stated.
+    std::optional<std::size_t> count_if_stated(std::string_view name, double low, double high) {
+        if (!root_.at_path(name)) {
+            return std::nullopt;
+        }
+        return static_cast<std::size_t>(number(name, low, high));
+    }
+
     /// A time in milliseconds that need not be stated.
     std::optional<duration> milliseconds_if_stated(std::string_view name) {
         if (!root_.at_path(name)) {
@@ -111,6 +119,11 @@
 constexpr double longest_grace_s = 3'600;
 constexpr double most_retries = 1'000'000;
 constexpr double most_units = 1e12;
+constexpr double least_memory_mb = 32;
+constexpr double most_memory_mb = 16'777'216;
+constexpr double least_descriptors = 64;
+constexpr double most_descriptors = 1'073'741'824;
+constexpr std::size_t bytes_per_mb = 1'048'576;
 
 }  // namespace
 
@@ -139,6 +152,13 @@
     out.bounds.version_apply = in.milliseconds_or("bounds.version_ms", out.bounds.version_apply);
     out.bounds.evacuation = in.milliseconds_if_stated("bounds.evacuation_ms");
     out.bounds.endpoints_check_fencing = in.flag("bounds.endpoints_check_fencing");
+    out.limits.memory_bytes =
+        in.count_if_stated("limits.memory_mb", least_memory_mb, most_memory_mb);
+    if (out.limits.memory_bytes) {
+        *out.limits.memory_bytes *= bytes_per_mb;
+    }
+    out.limits.descriptors =
+        in.count_if_stated("limits.descriptors", least_descriptors, most_descriptors);
     if (!found.empty()) {
         throw invalid_input(found);
     }
--- a/libs/settings/tests/edge_settings_tests.cpp
+++ b/libs/settings/tests/edge_settings_tests.cpp
@@ -49,6 +49,30 @@
     BOOST_TEST((it.bounds.evacuation == std::chrono::seconds(5)));
 }
 
+// Guards against budgets that are worked out from another size than the VM's.
+BOOST_AUTO_TEST_CASE(limits_of_the_vm_are_read) {
+    const std::string text = std::string(whole) + "[limits]\nmemory_mb = 112\ndescriptors = 2870\n";
+    const auto it = parse_edge_settings(text, "f.toml");
+    BOOST_TEST((it.limits.memory_bytes == std::size_t{112} * 1'048'576));
+    BOOST_TEST((it.limits.descriptors == std::size_t{2'870}));
+}
+
+// Guards against a platform that states no limits, for which the section is empty or missing.
+BOOST_AUTO_TEST_CASE(limits_of_the_vm_need_not_be_stated) {
+    for (const char* section : {"", "[limits]\n"}) {
+        const auto it = parse_edge_settings(std::string(whole) + section, "f.toml");
+        BOOST_TEST(!it.limits.memory_bytes.has_value());
+        BOOST_TEST(!it.limits.descriptors.has_value());
+    }
+}
+
+// Guards against a limit under which nobody could be served.
+BOOST_AUTO_TEST_CASE(limits_of_the_vm_that_are_too_low_are_refused) {
+    const std::string text = std::string(whole) + "[limits]\n";
+    BOOST_CHECK_THROW(parse_edge_settings(text + "memory_mb = 0\n", "f.toml"), invalid_input);
+    BOOST_CHECK_THROW(parse_edge_settings(text + "descriptors = -1\n", "f.toml"), invalid_input);
+}
+
 BOOST_AUTO_TEST_CASE(all_faults_are_reported_with_their_places) {
     std::string text = whole;
     text.replace(text.find("10.0.0.1:81"), 11, "10.0.0.1:no");
