What callers hold is charged to one budget; beyond it callers are turned away

150 callers that held back the end of 4 MiB bodies grew a process from 15 to 831 to 922 MB: each body grew by doubling, and nothing bounded their sum before a request was complete.

When it is short, callers without progress go first, then those that hold most: 503 memory_limit with Retry-After if the request has not been sent, else 504 or a closed connection. Bodies arrive into blocks (body_buffer) and are put together once. Connections wait for input without a buffer and read into a shared one. The budget replaces max_buffered_body_bytes (503 too_many_bodies) and bounds max_total_unsent. Metrics: caller_memory_bytes, caller_memory_limit_bytes, caller_connections, callers_turned_away_total.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -9,8 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
+#include "gateway/body_buffer.h"
 #include "gateway/http_text.h"
 #include "gateway/link.h"
+#include "gateway/memory_budget.h"
 #include "gateway/message_parser.h"
 
 namespace radishpulley::gateway {
@@ -50,6 +52,8 @@
     virtual std::size_t unsent() const = 0;
     /// Whether the caller has disconnected, even if its end has not been read yet.
     virtual bool has_caller_left() const = 0;
+    /// Memory that the processing of the request holds has changed.
+    virtual void note_held() = 0;
 };
 
 /// The processing of one request; destroyed when its response is complete or the caller
@@ -61,6 +65,10 @@
     virtual void on_caller_ready() = 0;
     /// The caller has disconnected; nothing may be written any more.
     virtual void on_caller_left() = 0;
+    /// Memory held for the request, without what the connection holds.
+    virtual std::size_t held_bytes() const { return 0; }
+    /// Ends the request because its caller is turned away: with a refusal if it has not run.
+    virtual void turn_away(std::string_view /*reason*/) {}
 };
 
 /// What a caller's connection requires from the daemon.
@@ -77,6 +85,15 @@
     /// Starts processing a request. `out` stays valid until the response is complete or the caller
     /// disconnects.
     virtual std::shared_ptr<request_work> start(caller_request request, response_writer& out) = 0;
+    /// Responds to a request that has not arrived completely, because its caller is turned away.
+    virtual void refuse(caller_request /*head*/, std::string_view /*reason*/,
+                        response_writer& /*out*/) {}
+    /// What callers hold is charged to this; null where it has no limit.
+    virtual memory_budget* budget() { return nullptr; }
+    /// Turns callers away while the budget is short.
+    virtual void relieve_memory() {}
+    /// The same, after the event that is being handled.
+    virtual void schedule_relief() {}
     /// Whether responses should ask callers to close their connections.
     virtual bool is_stopping() const = 0;
     /// Longest time for which input that is handled now can have lain unread.
@@ -109,6 +126,12 @@
     bool is_busy() const;
     /// Closes at once.
     void close();
+    /// Refuses the request or closes the connection, to free what it holds.
+    void turn_away(std::string_view reason);
+    /// The holder to which the connection is charged.
+    memory_budget::holder_id holder() const { return holder_; }
+    /// Charges what the connection holds now, also in the operating system.
+    void charge_unread();
 
 private:
     using parser = message_parser<true>;
@@ -121,7 +144,15 @@
     void send_body(std::string_view bytes) override;
     void send_end() override;
     void abort() override;
-
+    void note_held() override;
+
+    /// Charges the connection for what it holds now, and `unread` bytes in the operating system.
+    void charge(std::size_t unread);
+    holder_wait wait() const;
+    /// Returns the head of the request that is arriving, as far as it is known.
+    caller_request head() const;
+    /// Prepares for a response to a request that has not arrived completely.
+    void begin_early_response();
     void begin_request();
     void parse();
     void dispatch();
@@ -139,8 +170,12 @@
     const clock& time_;
     caller_service& service_;
     std::unique_ptr<parser> parser_;
+    memory_budget* const budget_;
+    memory_budget::holder_id holder_ = 0;
     /// Body of the request that is arriving.
-    std::string body_;
+    body_buffer body_;
+    /// Memory of the head of the request that is arriving or in progress.
+    std::size_t head_bytes_ = 0;
     std::shared_ptr<request_work> work_;
     /// Since when input can have lain unread that was there before reading began.
     std::optional<time_point> unread_since_;
--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -76,6 +76,8 @@
 
     /// Whether the connection can take another call.
     bool reusable() const;
+    /// Memory of the request that is not sent yet and of input that is not handled yet.
+    std::size_t held_bytes() const { return link_->held_bytes(); }
     /// Number of complete responses received on the connection.
     std::size_t responses() const { return responses_; }
     /// When the last response ended.
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -66,12 +66,13 @@
     /// endpoint pauses.
     std::size_t max_unsent = 262'144;
     /// Maximum number of response bytes buffered for all callers, divided among the requests in
-    /// flight.
+    /// flight. At most a quarter of `max_held_bytes` is used.
     std::size_t max_total_unsent = 16'000'000;
     /// Lower bound of each caller's share of that buffer, whatever the number of requests.
     std::size_t min_unsent = 8'192;
-    /// Maximum total size of the request bodies buffered for all callers.
-    std::size_t max_buffered_body_bytes = 48'000'000;
+    /// Memory that callers may hold: heads, bodies, requests in progress and unread responses.
+    /// Beyond it, callers are turned away.
+    std::size_t max_held_bytes = 64 * mebibyte;
     /// Prefill work, in tokens, from which other daemons are notified of it at once.
     std::uint32_t large_prefill_tokens = 3'000;
     /// Age of the configuration up to which an unknown route or key is treated as nonexistent.
@@ -249,6 +250,10 @@
     bool is_stopping() const override { return stop_.has_value(); }
     duration max_unread() const override { return turns_.max_unread(); }
     void on_closed(const std::shared_ptr<caller_link>& it) override;
+    void refuse(caller_request head, std::string_view reason, response_writer& out) override;
+    memory_budget* budget() override { return &budget_; }
+    void relieve_memory() override;
+    void schedule_relief() override;
 
     const routing::configuration_ptr& configuration() const { return configuration_; }
     routing::endpoint_directory& directory() { return directory_; }
@@ -297,6 +302,10 @@
     void refuse_unread(accepted_connection it);
     bool has_caller_left(const accepted_connection& it);
     void on_turn(duration length);
+    /// Turns the caller away to which a holder belongs.
+    void turn_away(memory_budget::holder_id id, std::string_view reason);
+    std::shared_ptr<caller_link> find_caller(memory_budget::holder_id id) const;
+    void log_turned_away();
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
     void on_stated_limit(const routing::endpoint_incarnation& from,
@@ -333,6 +342,11 @@
     const clock& time_;
     const header_codec& codec_;
     gateway_settings settings_;
+    /// Declared before the connections, which are charged to it.
+    memory_budget budget_;
+    bool is_relief_scheduled_ = false;
+    /// Callers turned away since that was last logged.
+    std::size_t turned_away_ = 0;
     load_broker* broker_ = nullptr;
     routing::configuration_ptr configuration_;
     std::function<duration()> configuration_age_ = [] { return duration::zero(); };
@@ -371,6 +385,7 @@
     std::uint64_t callers_left_unread_ = 0;
     std::uint64_t refused_unread_ = 0;
     telemetry::counter_family& responses_;
+    telemetry::counter_family& turn_aways_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
     telemetry::histogram& turn_times_;
@@ -385,7 +400,6 @@
     std::function<void()> on_limit_change_ = [] {};
     std::function<void()> on_suspects_change_ = [] {};
     std::size_t fleet_size_ = 1;
-    std::size_t body_bytes_ = 0;
     routing::request_number last_number_ = 0;
 };
 
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -52,6 +53,10 @@
     std::chrono::milliseconds silence{3'000};
     /// Unconsumed input beyond which reading stops.
     std::size_t max_input = 65'536;
+    /// Bytes that the operating system keeps for this process to read; unset for its own choice.
+    std::optional<int> receive_buffer;
+    /// Released when the connection is closed.
+    std::shared_ptr<const void> lease;
 };
 
 /// A TCP connection.
@@ -81,6 +86,10 @@
     void write(std::string bytes);
     /// Number of queued bytes that the operating system has not taken yet.
     std::size_t unsent() const { return unsent_; }
+    /// Memory of unconsumed input and of queued bytes.
+    std::size_t held_bytes() const { return is_open() ? input_.capacity() + unsent_ : 0; }
+    /// Number of received bytes that have not been read from the socket yet.
+    std::size_t unread_bytes() const;
     /// Whether any byte was passed to the operating system.
     bool has_written() const { return has_written_; }
     /// Sends what is queued, half-closes the connection and waits for the peer's end, so that no
@@ -92,7 +101,7 @@
     void abort();
     bool is_open() const { return socket_.is_open() && !ended_; }
     /// Whether received bytes have not been read from the socket yet.
-    bool has_unread() const;
+    bool has_unread() const { return unread_bytes() > 0; }
     /// Asks the operating system about what has arrived.
     receive_status receiving();
     /// Whether reading continues before input is consumed.
@@ -100,8 +109,11 @@
 
 private:
     void configure();
+    /// Waits for input. No buffer is held meanwhile.
     void read();
-    void on_read(const boost::system::error_code& ec, std::size_t n);
+    void on_readable(boost::system::error_code ec);
+    /// Takes input that was read; an error marks its end.
+    void on_read(const boost::system::error_code& ec, const char* bytes, std::size_t n);
     void write_next();
     void note_written();
     void end(link_end how);
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -29,17 +29,36 @@
     return ec == http::error::body_limit ? status_too_large : status_bad_request;
 }
 
+std::size_t memory_of(const header_list& headers) {
+    std::size_t out = headers.capacity() * sizeof(header);
+    for (const header& it : headers) {
+        out += it.name.capacity() + it.value.capacity();
+    }
+    return out;
+}
+
 }  // namespace
 
 caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
                          const clock& time, caller_service& service)
-    : link_(std::move(connection)), timer_(loop), time_(time), service_(service) {}
+    : link_(std::move(connection)),
+      timer_(loop),
+      time_(time),
+      service_(service),
+      budget_(service.budget()) {
+    if (budget_ != nullptr) {
+        holder_ = budget_->add(time_.now());
+    }
+}
 
 caller_link::~caller_link() {
     // A link that is finishing still sends what was written.
     if (!closed_) {
         link_->close();
     }
+    if (budget_ != nullptr) {
+        budget_->remove(holder_);
+    }
 }
 
 void caller_link::start(time_point established) {
@@ -66,17 +85,88 @@
     }
     closed_ = true;
     timer_.cancel();
+    body_.clear();
+    head_bytes_ = 0;
     if (work_) {
         const auto work = std::move(work_);
         work_.reset();
         work->on_caller_left();
     }
+    charge(0);
     service_.on_closed(shared_from_this());
 }
 
+holder_wait caller_link::wait() const {
+    if (link_->unsent() > 0 || reading_request_) {
+        return holder_wait::for_caller;
+    }
+    return work_ ? holder_wait::for_others : holder_wait::idle;
+}
+
+void caller_link::charge(std::size_t unread) {
+    if (budget_ == nullptr) {
+        return;
+    }
+    const std::size_t by_work = work_ ? work_->held_bytes() : 0;
+    const std::size_t by_body = body_.capacity() + head_bytes_;
+    budget_->set_wait(holder_, wait(), time_.now());
+    budget_->set_held(holder_, link_->held_bytes() + by_body + by_work + unread);
+    if (budget_->is_short()) {
+        service_.schedule_relief();
+    }
+}
+
+void caller_link::charge_unread() {
+    charge(link_->unread_bytes());
+}
+
+void caller_link::note_held() {
+    charge(0);
+}
+
+caller_request caller_link::head() const {
+    caller_request out;
+    out.received = first_byte_;
+    if (head_seen_) {
+        out.method = parser_->method();
+        out.target = parser_->target();
+        out.headers = parser_->headers();
+    }
+    return out;
+}
+
+void caller_link::begin_early_response() {
+    timer_.cancel();
+    body_.clear();
+    is_http11_ = !head_seen_ || parser_->version() >= 11;
+    is_head_ = head_seen_ && parser_->method() == "HEAD";
+    reading_request_ = false;
+    keep_alive_ = false;
+    answering_ = true;
+}
+
+void caller_link::turn_away(std::string_view reason) {
+    const auto self = shared_from_this();
+    if (closed_) {
+        // What is left to send of the last response is given up.
+        link_->abort();
+        charge(0);
+    } else if (const auto work = work_) {
+        keep_alive_ = false;
+        work->turn_away(reason);
+    } else if (reading_request_) {
+        caller_request arrived = head();
+        begin_early_response();
+        service_.refuse(std::move(arrived), reason, *this);
+    } else {
+        close();
+    }
+}
+
 void caller_link::begin_request() {
     const caller_service::limits limits = service_.caller_limits();
     body_.clear();
+    head_bytes_ = 0;
     // A head has to fit into the input buffer, with a part of what follows it.
     link_->set_max_input(std::max(link_options{}.max_input, limits.max_header_bytes * 2));
     const std::size_t header_limit = std::min(limits.max_header_bytes, max_header_limit);
@@ -130,6 +220,10 @@
     if (!work_) {
         parse();
     }
+    if (budget_ != nullptr && !closed_) {
+        charge(0);
+        service_.relieve_memory();
+    }
 }
 
 void caller_link::parse() {
@@ -143,7 +237,10 @@
         error_code ec;
         const std::size_t n = parser_->put(input.data(), ec);
         input.consume(n);
-        body_ += parser_->take_body();
+        body_.append(parser_->take_body());
+        if (budget_ != nullptr) {
+            budget_->note_moved(holder_, n, time_.now());
+        }
         if (ec && ec != http::error::need_more) {
             refuse(status_of(ec), ec.message());
             return;
@@ -153,6 +250,7 @@
         }
         if (!head_seen_ && parser_->is_header_done()) {
             head_seen_ = true;
+            head_bytes_ = memory_of(parser_->headers());
             parser_->eager(true);
             body_began_ = time_.now();
             if (has_unknown_coding(parser_->headers())) {
@@ -180,8 +278,10 @@
     caller_request request;
     request.method = parser_->method();
     request.target = parser_->target();
+    // The parser keeps its own copy until the next request.
     request.headers = parser_->headers();
-    request.body = std::exchange(body_, {});
+    head_bytes_ *= 2;
+    request.body = body_.take();
     request.received = first_byte_;
     keep_alive_ = parser_->keep_alive();
     is_http11_ = parser_->version() >= 11;
@@ -196,9 +296,7 @@
 }
 
 void caller_link::refuse(unsigned status, std::string_view reason) {
-    reading_request_ = false;
-    keep_alive_ = false;
-    answering_ = true;
+    begin_early_response();
     caller_response head;
     head.status = status;
     head.headers.push_back({"Content-Type", "text/plain"});
@@ -238,6 +336,7 @@
     }
     out += "\r\n";
     link_->write(std::move(out));
+    charge(0);
 }
 
 void caller_link::send_body(std::string_view bytes) {
@@ -245,6 +344,7 @@
         return;
     }
     link_->write(chunked_ ? to_chunk(bytes) : std::string(bytes));
+    charge(0);
 }
 
 void caller_link::send_end() {
@@ -296,6 +396,7 @@
 
 void caller_link::on_written() {
     const auto self = shared_from_this();
+    charge(0);
     if (const auto work = work_) {
         work->on_caller_ready();
     }
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -48,13 +48,17 @@
     unread_ = elapsed();
     owner_.unread_times_.record(unread_);
     owner_.exchanges_.insert(this);
-    owner_.body_bytes_ += request_.body.size();
 }
 
 exchange::~exchange() {
     owner_.exchanges_.erase(this);
     stop_call();
-    owner_.body_bytes_ -= request_.body.size();
+}
+
+std::size_t exchange::held_bytes() const {
+    const std::size_t by_call = connection_ ? connection_->held_bytes() : 0;
+    const std::size_t by_events = events_ ? events_->incomplete().size() : 0;
+    return request_.body.capacity() + by_call + by_events;
 }
 
 duration exchange::elapsed() const {
@@ -199,10 +203,6 @@
         refuse({status_unavailable, "no_allowed_region", operator_retry_after});
         return false;
     }
-    if (owner_.body_bytes_ > owner_.settings_.max_buffered_body_bytes) {
-        refuse({status_unavailable, "too_many_bodies", default_retry_after});
-        return false;
-    }
     if (account_ != nullptr) {
         const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
         if (const auto* it = std::get_if<routing::over_limit>(&result)) {
@@ -253,6 +253,20 @@
     }
 }
 
+void exchange::turn_away(std::string_view reason) {
+    if (phase_ != phase::ended) {
+        give_up(reason, default_retry_after);
+    }
+}
+
+void exchange::refuse_incomplete(std::string_view reason) {
+    attributes_ = owner_.codec_.read_request(request_.headers);
+    if (configuration_) {
+        route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
+    }
+    refuse({status_unavailable, reason, default_retry_after});
+}
+
 void exchange::give_up(std::string_view reason, duration retry_after) {
     const auto self = shared_from_this();
     const bool was_sent = may_have_run();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -41,6 +41,10 @@
     void refuse_overloaded();
     void on_caller_ready() override;
     void on_caller_left() override;
+    std::size_t held_bytes() const override;
+    void turn_away(std::string_view reason) override;
+    /// Refuses a request that has not arrived completely, because its caller holds too much.
+    void refuse_incomplete(std::string_view reason);
     /// The adapter that this request waits for is loaded on the engine, or will be at `ready_at`.
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -380,6 +380,9 @@
     const auto call_connection = connection_;
     retry_if_silent();
     call_connection->call(std::move(call), *this);
+    if (out_ != nullptr) {
+        out_->note_held();
+    }
 }
 
 std::uint64_t exchange::version_to_require() const {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -22,6 +22,8 @@
 constexpr std::string_view overloaded_response =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n"
     "Connection: close\r\n\r\n";
+// Part of what callers may hold that their unread responses may be.
+constexpr std::size_t unsent_part_of_budget = 4;
 // Interval at which the loads of all engines are counted.
 constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
@@ -33,6 +35,7 @@
       time_(time),
       codec_(codec),
       settings_(std::move(settings)),
+      budget_(settings_.max_held_bytes),
       chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
@@ -41,6 +44,9 @@
           [this](const auto& crashed, const auto& requests) { on_crash(crashed, requests); })),
       responses_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                       {"account", "route", "status"})),
+      turn_aways_(metrics.add_counters("callers_turned_away_total",
+                                       "Callers turned away to free memory or a connection.",
+                                       {"reason"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
                                         {"account", "route"})),
       unread_times_(
@@ -314,6 +320,7 @@
         budgets_.clear();
     }
     settings_ = std::move(settings);
+    budget_.set_limit(settings_.max_held_bytes);
     chooser_.set_location(settings_.location);
     limiter_.set_overdraft(settings_.limiter.overdraft);
 }
@@ -385,6 +392,10 @@
     finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
                                     [](const auto& it) { return !it->is_sending(); }),
                      finishing_.end());
+    for (const auto& it : callers_) {
+        it->charge_unread();
+    }
+    log_turned_away();
     for (auto it = load_waiters_.begin(); it != load_waiters_.end();) {
         auto& waiters = it->second;
         waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
@@ -568,8 +579,9 @@
 }
 
 std::size_t gateway::unsent_limit() const {
-    const std::size_t share =
-        settings_.max_total_unsent / std::max<std::size_t>(1, exchanges_.size());
+    const std::size_t total =
+        std::min(settings_.max_total_unsent, budget_.limit() / unsent_part_of_budget);
+    const std::size_t share = total / std::max<std::size_t>(1, exchanges_.size());
     return std::clamp(share, settings_.min_unsent, settings_.max_unsent);
 }
 
@@ -593,6 +605,68 @@
     return it;
 }
 
+void gateway::refuse(caller_request head, std::string_view reason, response_writer& out) {
+    std::make_shared<exchange>(*this, std::move(head), out)->refuse_incomplete(reason);
+}
+
+std::shared_ptr<caller_link> gateway::find_caller(memory_budget::holder_id id) const {
+    const auto is_holder = [id](const auto& it) { return it->holder() == id; };
+    const auto open = std::find_if(callers_.begin(), callers_.end(), is_holder);
+    if (open != callers_.end()) {
+        return *open;
+    }
+    const auto finishing = std::find_if(finishing_.begin(), finishing_.end(), is_holder);
+    return finishing == finishing_.end() ? nullptr : *finishing;
+}
+
+void gateway::turn_away(memory_budget::holder_id id, std::string_view reason) {
+    ++turned_away_;
+    turn_aways_.with({reason}).add();
+    if (const auto it = find_caller(id)) {
+        it->turn_away(reason);
+    } else {
+        budget_.remove(id);
+    }
+}
+
+void gateway::relieve_memory() {
+    const time_point now = time_.now();
+    while (budget_.is_short()) {
+        const auto id = budget_.holder_to_turn_away(now);
+        if (!id) {
+            return;
+        }
+        const std::size_t held = budget_.held();
+        turn_away(*id, "memory_limit");
+        if (budget_.held() >= held) {
+            // The responses themselves are all that is left.
+            return;
+        }
+    }
+}
+
+void gateway::schedule_relief() {
+    if (!is_relief_scheduled_) {
+        is_relief_scheduled_ = true;
+        boost::asio::post(loop_, [this] {
+            is_relief_scheduled_ = false;
+            relieve_memory();
+        });
+    }
+}
+
+void gateway::log_turned_away() {
+    if (turned_away_ == 0) {
+        return;
+    }
+    telemetry::log_event(telemetry::severity::warning, "callers_turned_away",
+                         {{"callers", turned_away_},
+                          {"held", budget_.held()},
+                          {"limit", budget_.limit()},
+                          {"connections", caller_count()}});
+    turned_away_ = 0;
+}
+
 void gateway::on_closed(const std::shared_ptr<caller_link>& it) {
     callers_.erase(it);
     if (it->is_sending()) {
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -36,6 +37,10 @@
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.set_option(asio::socket_base::keep_alive(true), ignored);
     socket_.non_blocking(true, ignored);
+    if (options_.receive_buffer) {
+        socket_.set_option(asio::socket_base::receive_buffer_size(*options_.receive_buffer),
+                           ignored);
+    }
     const int fd = socket_.native_handle();
     const int silence_ms = static_cast<int>(options_.silence.count());
     const int idle_s = std::max(1, silence_ms / 1'000 - keepalive_probes * keepalive_interval_s);
@@ -73,6 +78,9 @@
 }
 
 void link::resume() {
+    if (input_.size() == 0) {
+        input_.shrink_to_fit();
+    }
     if (!reading_ && !ended_) {
         read();
     }
@@ -83,28 +91,45 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(input_.prepare(read_size),
-                            [self = shared_from_this()](const error_code& ec, std::size_t n) {
-                                self->reading_ = false;
-                                self->on_read(ec, n);
-                            });
+    socket_.async_wait(socket::wait_read, [self = shared_from_this()](const error_code& ec) {
+        self->reading_ = false;
+        self->on_readable(ec);
+    });
 }
 
-void link::on_read(const error_code& ec, std::size_t n) {
+void link::on_readable(error_code ec) {
     if (ended_) {
         return;
     }
-    input_.commit(n);
+    // One buffer for all connections, as each read is handled before the next one begins.
+    static thread_local std::array<char, read_size> scratch;
+    std::size_t n = 0;
+    if (!ec) {
+        n = socket_.read_some(asio::buffer(scratch), ec);
+    }
+    if (ec == asio::error::would_block) {
+        read();
+    } else {
+        on_read(ec, scratch.data(), n);
+    }
+}
+
+void link::on_read(const error_code& ec, const char* bytes, std::size_t n) {
+    if (!finishing_ && n > 0) {
+        input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
+    }
     if (ec) {
         end(ec == asio::error::eof ? link_end::closed : link_end::broken);
         return;
     }
-    if (finishing_) {
-        input_.consume(input_.size());
-    } else if (handler_ != nullptr && !run_guarded("input", [&] { handler_->on_input(); })) {
+    if (!finishing_ && handler_ != nullptr &&
+        !run_guarded("input", [&] { handler_->on_input(); })) {
         end(link_end::broken);
         return;
     }
+    if (input_.size() == 0) {
+        input_.shrink_to_fit();
+    }
     read();
 }
 
@@ -172,6 +197,7 @@
     finishing_ = true;
     handler_ = nullptr;
     input_.consume(input_.size());
+    input_.shrink_to_fit();
     if (being_written_.empty()) {
         linger();
     }
@@ -189,10 +215,10 @@
     });
 }
 
-bool link::has_unread() const {
+std::size_t link::unread_bytes() const {
     error_code ec;
     const std::size_t n = is_open() ? socket_.available(ec) : 0;
-    return !ec && n > 0;
+    return ec ? 0 : n;
 }
 
 receive_status link::receiving() {
@@ -217,6 +243,7 @@
 void link::close() {
     ended_ = true;
     handler_ = nullptr;
+    options_.lease.reset();
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -26,6 +26,7 @@
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
 #include "platform_adapter/wire_object_collections.h"
+#include "process_limits.h"
 #include "routing/entry_change_filter.h"
 #include "settings_file.h"
 #include "status_server.h"
@@ -77,6 +78,7 @@
     out.version_apply = settings.bounds.version_apply;
     out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
+    out.max_held_bytes = allowance_for_callers(process_limits_of(settings.limits)).memory_bytes;
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
 }
@@ -249,6 +251,7 @@
         settings_.regions = next->regions;
         settings_.store = next->store;
         settings_.bounds = next->bounds;
+        settings_.limits = next->limits;
         store_.set_address(settings_.store.address);
         loads_.set_endpoints_check_fencing(settings_.bounds.endpoints_check_fencing);
         data_path_.reconfigure(data_path_settings(settings_));
@@ -558,6 +561,9 @@
         store_calls_.set(static_cast<double>(store_.calls()));
         connections_made_.set(static_cast<double>(data_path_.pool().connections_made()));
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
+        held_bytes_.set(static_cast<double>(data_path_.budget()->held()));
+        held_limit_.set(static_cast<double>(data_path_.budget()->limit()));
+        caller_connections_.set(static_cast<double>(data_path_.caller_count()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
         requests_queued_.set(static_cast<double>(data_path_.queued_count()));
         exceptions_.set(static_cast<double>(telemetry::contained_exceptions()));
@@ -726,6 +732,11 @@
         add_gauge("endpoint_connections", "Connections made to endpoints since the start.");
     telemetry::gauge& unsent_bytes_ =
         add_gauge("unsent_bytes", "Answer bytes that wait for callers to read.");
+    telemetry::gauge& held_bytes_ = add_gauge("caller_memory_bytes", "Memory that callers hold.");
+    telemetry::gauge& held_limit_ =
+        add_gauge("caller_memory_limit_bytes", "Memory that callers may hold.");
+    telemetry::gauge& caller_connections_ =
+        add_gauge("caller_connections", "Connections of callers.");
     telemetry::gauge& hints_dropped_ =
         add_gauge("hints_dropped", "Datagrams that were not sent or not taken.");
     telemetry::gauge& requests_queued_ =
