routing: limits of cold engines over all VMs

Cause: an engine that is cold crashes when all VMs together send it many more requests per second than its service allows (coldPerS), and messages between VMs may be lost.

The entry filter passes on changes of the cold state.

Not used by the gateway yet.

--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -100,6 +100,10 @@
     service_id id;
     /// Present for services of model engines.
     std::optional<engine_capacity> engine;
+    /// Time for which an endpoint is cold after its start.
+    milliseconds cold_start{0};
+    /// Requests per second that a cold endpoint accepts from all VMs together; 0 for any number.
+    double cold_rate = 0;
 };
 
 /// A client account with its keys and its rate limit.
--- a/libs/routing/include/routing/endpoint.h
+++ b/libs/routing/include/routing/endpoint.h
@@ -38,6 +38,8 @@
     /// Unix time of the endpoint's start in milliseconds; distinguishes two starts under one id.
     std::int64_t started_at_ms = 0;
     std::vector<held_model> models;
+    /// Remaining time for which it is cold; nothing if the entry doesn't state it.
+    std::optional<std::chrono::milliseconds> cold_left;
 };
 
 /// One start of an endpoint. What the endpoint announces is valid only for that start.
--- a/libs/routing/include/routing/entry_change_filter.h
+++ b/libs/routing/include/routing/entry_change_filter.h
@@ -5,7 +5,9 @@
 /// changes by itself. Pure; not thread-safe.
 #pragma once
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -18,7 +20,7 @@
 class entry_change_filter {
 public:
     /// Records an entry; returns whether it is new or differs from the previous one in anything but
-    /// adapters.
+    /// adapters and a cold time that runs down.
     bool update(const endpoint& it) {
         std::vector<std::string> models;
         for (const held_model& each : it.models) {
@@ -26,12 +28,11 @@
         }
         const entry_fields fields{it.service,  it.address,       it.zone, it.slots,
                                   it.draining, it.started_at_ms, models};
-        const auto [at, added] = last_entries_.try_emplace(it.id, fields);
-        if (!added && at->second == fields) {
-            return false;
-        }
-        at->second = fields;
-        return true;
+        const auto [at, added] = last_entries_.try_emplace(it.id, entry{fields, it.cold_left});
+        const bool is_change = added || at->second.fields != fields ||
+                               is_cold_change(at->second.cold_left, it.cold_left);
+        at->second = {fields, it.cold_left};
+        return is_change;
     }
 
     void remove(const endpoint_id& id) { last_entries_.erase(id); }
@@ -40,8 +41,21 @@
 private:
     using entry_fields = std::tuple<service_id, std::string, zone_id, std::uint32_t, bool,
                                     std::int64_t, std::vector<std::string>>;
+    using cold_time = std::optional<std::chrono::milliseconds>;
+    struct entry {
+        entry_fields fields;
+        cold_time cold_left;
+    };
+
+    static bool is_cold_change(const cold_time& before, const cold_time& after) {
+        const bool is_same_kind = before.has_value() == after.has_value();
+        // A time that grows is that of an endpoint that became cold again.
+        const bool is_running_down =
+            before && after && *after <= *before && (after->count() > 0) == (before->count() > 0);
+        return !is_same_kind || (after && !is_running_down);
+    }
 
-    std::map<endpoint_id, entry_fields> last_entries_;
+    std::map<endpoint_id, entry> last_entries_;
 };
 
 }  // namespace radishpulley::routing
