Loads wait for the expected end of a place's use

Change: VMs report with each running adapter when the last of their requests on it is expected to end (prefill, expected output tokens times the learned median time per token, at most the request's deadline). The holder counts the place as free then, later the more often the adapter is used: until it has been idle for eviction_idle, for random uses at the observed rate. Such a load is granted or refused with a time. Eviction itself still waits until no request is reported. Reports of older releases carry no end; a place whose end one VM does not state has no time, as before.

Existing tests were adapted to the new parameters only (an unknown end is stated explicitly); no check changed.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "requests/start_queue.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_table.h"
+#include "routing/adapter_use.h"
 #include "routing/configuration.h"
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
@@ -132,12 +133,13 @@
     /// A load request for this engine was not answered.
     virtual void note_load_unanswered(const endpoint_id& engine) = 0;
     /// A request for the adapter is being sent to the engine.
-    virtual void note_request_start(const endpoint_id& engine,
-                                    const routing::model_ref& adapter) = 0;
+    virtual void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter,
+                                    const routing::adapter_use& use) = 0;
     /// A long prompt was sent: other daemons should receive this daemon's load soon.
     virtual void note_large_prefill() = 0;
     /// A request reported by `note_request_start` has ended.
-    virtual void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter) = 0;
+    virtual void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter,
+                                  routing::request_number request) = 0;
     /// The engine rejected a request because the adapter is not loaded there.
     virtual void note_adapter_missing(const endpoint_id& engine,
                                       const routing::model_ref& adapter) = 0;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -225,7 +225,7 @@
 void exchange::on_call_ended() {
     owner_.work_.finish(number_);
     if (!notified_engine_.empty()) {
-        owner_.broker_->note_request_end(notified_engine_, attributes_.target);
+        owner_.broker_->note_request_end(notified_engine_, attributes_.target, number_);
         notified_engine_ = endpoint_id();
     }
 }
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -147,14 +147,22 @@
 }
 
 void exchange::reserve_work(const endpoint_id& id) {
-    const std::uint32_t memory = attributes_.prompt_tokens + attributes_.output_estimate.value_or(
-                                                                 attributes_.max_output_tokens / 2);
+    const std::uint32_t memory = attributes_.prompt_tokens + expected_output();
     owner_.work_.start(number_, id, prefill_work_, memory);
     if (prefill_work_ > owner_.settings_.large_prefill_tokens) {
         owner_.broker_->note_large_prefill();
     }
 }
 
+std::uint32_t exchange::expected_output() const {
+    return attributes_.output_estimate.value_or(attributes_.max_output_tokens / 2);
+}
+
+duration exchange::prefill_time() const {
+    const double ms = prefill_work_ / owner_.chooser_.settings().prefill_tokens_per_ms;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 void exchange::wait_for_load(const routing::endpoint_choice& it) {
     phase_ = phase::asking_for_load;
     endpoint_ = it.id;
@@ -367,7 +375,9 @@
         owner_.prompts_.on_read(endpoint_, attributes_, sent_at_);
         if (!attributes_.target.adapter.empty()) {
             notified_engine_ = endpoint_;
-            owner_.broker_->note_request_start(endpoint_, attributes_.target);
+            owner_.broker_->note_request_start(
+                endpoint_, attributes_.target,
+                {number_, prefill_time(), expected_output(), time_left()});
         }
     }
     required_version_ = version_to_require();
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -90,9 +90,17 @@
     void note_load_unanswered(const endpoint_id& engine) override { silent.insert(engine); }
     /// Engines whose holder does not answer.
     std::set<endpoint_id> silent;
-    void note_request_start(const endpoint_id&, const routing::model_ref&) override {}
+    void note_request_start(const endpoint_id&, const routing::model_ref&,
+                            const routing::adapter_use& use) override {
+        uses.push_back(use);
+    }
+    /// Uses that were noted.
+    std::vector<routing::adapter_use> uses;
     void note_large_prefill() override {}
-    void note_request_end(const endpoint_id&, const routing::model_ref&) override { ++ended; }
+    void note_request_end(const endpoint_id&, const routing::model_ref&,
+                          routing::request_number) override {
+        ++ended;
+    }
     int ended = 0;
     void note_adapter_missing(const endpoint_id&, const routing::model_ref&) override {}
 };
--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "routing/adapter_use.h"
 #include "routing/configuration.h"
 #include "routing/endpoint.h"
 #include "routing/load_schedule.h"
@@ -160,7 +161,8 @@
     /// Records that a daemon sent this engine a request for the adapter.
     void on_use(const model_ref& adapter, time_point now);
     /// Records the adapters that a daemon's requests are running on at this engine.
-    void on_running(const vm_id& daemon, const std::vector<model_ref>& adapters, time_point now);
+    void on_running(const vm_id& daemon, const std::vector<running_adapter>& adapters,
+                    time_point now);
     /// Handles a load request for an adapter, on behalf of a request that waits for at most
     /// `max_wait`. `fleet_loads` is the number of adapters that are loading at all engines. A load
     /// that would finish too late is refused and not ordered.
@@ -232,6 +234,13 @@
     /// Whether the adapter may be unloaded as soon as it is idle, and since when it counts as idle.
     std::optional<time_point> evictable_at(const model_ref& adapter, const adapter_slot& it,
                                            time_point now) const;
+    /// When the requests that run on the adapter are expected to have ended, if all daemons state
+    /// it.
+    std::optional<time_point> expected_end(const model_ref& adapter, time_point now) const;
+    /// When the adapter's place is expected to be available, if that is known. New requests may
+    /// extend the use of an adapter that requests are running on.
+    std::optional<time_point> expected_free_at(const model_ref& adapter, const adapter_slot& it,
+                                               time_point now) const;
     load_schedule schedule(time_point now) const;
     void reset();
     std::size_t loads_under_way(time_point now) const;
@@ -261,7 +270,8 @@
     std::map<model_ref, adapter_slot> slots_;
     std::map<model_ref, std::uint64_t> versions_;
     struct running_report {
-        std::set<model_ref> adapters;
+        /// Expected end of each adapter's use, if known.
+        std::map<model_ref, std::optional<time_point>> adapters;
         time_point received_at{};
     };
     std::map<vm_id, running_report> running_;
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -14,6 +14,7 @@
 #include "base/identifier.h"
 #include "relay/copy_report.h"
 #include "routing/account_limiter.h"
+#include "routing/adapter_use.h"
 #include "routing/endpoint_limits.h"
 #include "routing/peer_contacts.h"
 #include "routing/request_attributes.h"
@@ -43,7 +44,7 @@
     /// Adapter of each request sent since the last message.
     std::vector<model_ref> sent;
     /// Adapters that the sender's requests are running on now.
-    std::vector<model_ref> running;
+    std::vector<running_adapter> running;
 };
 
 /// Asks the engine's holder to load an adapter for a waiting request.
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -8,6 +8,22 @@
 
 // Change of a ready time that other daemons are not told.
 constexpr duration announcement_tolerance = std::chrono::milliseconds(20);
+// Expected uses below which the end of a use is not postponed, and the longest predicted time in
+// seconds, which bounds the exponential.
+constexpr double negligible_uses = 1e-6;
+constexpr double longest_prediction_s = 3'600;
+
+duration from_seconds(double seconds) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+// Expected time until an adapter has not been used for as long as `gap`, at this rate of uses per
+// second that each extend its use. For random uses it is (e^(rate * gap) - 1) / rate.
+duration expected_idle_wait(duration gap, double rate) {
+    const double gap_s = std::chrono::duration<double>(gap).count();
+    const double wait_s = rate * gap_s < negligible_uses ? gap_s : std::expm1(rate * gap_s) / rate;
+    return from_seconds(std::min(wait_s, longest_prediction_s));
+}
 
 }  // namespace
 
@@ -206,9 +222,17 @@
     }
 }
 
-void engine_controller::on_running(const vm_id& daemon, const std::vector<model_ref>& adapters,
-                                   time_point now) {
-    running_[daemon] = {{adapters.begin(), adapters.end()}, now};
+void engine_controller::on_running(const vm_id& daemon,
+                                   const std::vector<running_adapter>& adapters, time_point now) {
+    running_report report;
+    report.received_at = now;
+    for (const running_adapter& it : adapters) {
+        std::optional<time_point>& ends_at = report.adapters[it.adapter];
+        if (it.ends_in) {
+            ends_at = now + *it.ends_in;
+        }
+    }
+    running_[daemon] = std::move(report);
 }
 
 std::size_t engine_controller::running_count(time_point now) const {
@@ -223,6 +247,24 @@
     });
 }
 
+std::optional<time_point> engine_controller::expected_end(const model_ref& adapter,
+                                                          time_point now) const {
+    // An end that has passed counts as now.
+    time_point last = now;
+    for (const auto& [daemon, report] : running_) {
+        const auto found = report.adapters.find(adapter);
+        const bool is_current = now - report.received_at < settings_.running_lifetime;
+        if (!is_current || found == report.adapters.end()) {
+            continue;
+        }
+        if (!found->second) {
+            return std::nullopt;
+        }
+        last = std::max(last, *found->second);
+    }
+    return last;
+}
+
 std::size_t engine_controller::loads_under_way(time_point now) const {
     return std::count_if(slots_.begin(), slots_.end(),
                          [now](const auto& it) { return it.second.ready_at > now; });
@@ -316,7 +358,7 @@
     std::vector<time_point> load_slots(settings_.max_parallel_loads, now);
     std::size_t loads = 0;
     for (const auto& [name, it] : slots_) {
-        if (const auto at = evictable_at(name, it, now)) {
+        if (const auto at = expected_free_at(name, it, now)) {
             places.push_back(*at);
         }
         if (it.ready_at > now && loads < load_slots.size()) {
@@ -326,6 +368,24 @@
     return load_schedule(places, load_slots);
 }
 
+std::optional<time_point> engine_controller::expected_free_at(const model_ref& adapter,
+                                                              const adapter_slot& it,
+                                                              time_point now) const {
+    if (it.leaving || !is_running(adapter, now)) {
+        return evictable_at(adapter, it, now);
+    }
+    const auto ends_at = expected_end(adapter, now);
+    if (!ends_at) {
+        return std::nullopt;
+    }
+    const duration wait =
+        expected_idle_wait(*ends_at - now + settings_.eviction_idle, decayed_use_rate(it, now));
+    if (wait > settings_.max_queue_time) {
+        return std::nullopt;
+    }
+    return std::max(it.ready_at, now + wait);
+}
+
 std::optional<time_point> engine_controller::evictable_at(const model_ref& adapter,
                                                           const adapter_slot& it,
                                                           time_point now) const {
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -228,6 +228,27 @@
     BOOST_TEST(!std::get<load_refusal>(unknown.body).ready_in_ms.has_value());
 }
 
+// Guards against a rolling update in which a holder drops the usage reports of older releases, or
+// older holders those of newer ones.
+BOOST_AUTO_TEST_CASE(usage_reports_are_read_with_and_without_expected_ends) {
+    const adapter_usage usage{engine, {}, {{plans, milliseconds(700)}, {{"m", "b"}, std::nullopt}}};
+    const std::string bytes = encode({{vm_id("v"), 7}, usage});
+    const auto read = std::get<adapter_usage>(decode_hint(bytes).body).running;
+    BOOST_REQUIRE(read.size() == 2U);
+    BOOST_TEST((read[0].adapter == plans));
+    BOOST_TEST((read[0].ends_in == duration(milliseconds(700))));
+    BOOST_TEST(!read[1].ends_in.has_value());
+
+    auto older = nlohmann::json::from_cbor(bytes);
+    BOOST_TEST(older[2][3][0][1].get<std::string>() == "plans");
+    older[2].erase(4);
+    const auto cbor = nlohmann::json::to_cbor(older);
+    const auto from_older =
+        std::get<adapter_usage>(decode_hint(std::string(cbor.begin(), cbor.end())).body);
+    BOOST_REQUIRE(from_older.running.size() == 2U);
+    BOOST_TEST(!from_older.running[0].ends_in.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(corrupt_hints_are_rejected) {
     const std::string whole = encode({{vm_id("v"), 7}, load_request{engine, plans, 900}});
     for (std::size_t n = 0; n < whole.size(); ++n) {
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -66,11 +66,13 @@
                                               duration max_wait) override;
     bool can_request_load(const endpoint_id& engine) const override;
     void note_load_unanswered(const endpoint_id& engine) override;
-    void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter) override;
+    void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter,
+                            const routing::adapter_use& use) override;
     void note_large_prefill() override { on_large_prefill_(); }
     /// Sets the callback for a long prompt that was sent to an engine.
     void set_on_large_prefill(std::function<void()> call) { on_large_prefill_ = std::move(call); }
-    void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter) override;
+    void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter,
+                          routing::request_number request) override;
     void note_adapter_missing(const endpoint_id& engine,
                               const routing::model_ref& adapter) override;
 
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -489,26 +489,29 @@
     }
 }
 
-void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter) {
-    const bool is_unreported = usage_.start(engine, adapter);
+void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter,
+                                          const routing::adapter_use& use) {
+    const time_point now = time_.now();
+    const bool is_unreported = usage_.start(engine, adapter, use, now);
     const auto held = held_engines_.find(engine);
     if (held != held_engines_.end()) {
-        held->second.controller.on_use(adapter, time_.now());
-        held->second.controller.on_running(fleet_.self()->vm, usage_.running(engine), time_.now());
+        held->second.controller.on_use(adapter, now);
+        held->second.controller.on_running(fleet_.self()->vm, usage_.running(engine, now), now);
     } else if (is_unreported) {
         report_usage(engine);
     }
 }
 
 void load_coordinator::report_usage(const endpoint_id& engine) {
-    const routing::adapter_usage usage = usage_.take_report(engine);
+    const routing::adapter_usage usage = usage_.take_report(engine, time_.now());
     if (const auto holder = holder_of(engine)) {
         fleet_.send(holder->vm, usage);
     }
 }
 
-void load_coordinator::note_request_end(const endpoint_id& engine, const model_ref& adapter) {
-    usage_.end(engine, adapter);
+void load_coordinator::note_request_end(const endpoint_id& engine, const model_ref& adapter,
+                                        routing::request_number request) {
+    usage_.end(engine, adapter, request, time_.now());
 }
 
 std::optional<vm_incarnation> load_coordinator::holder_of(const endpoint_id& engine) const {
@@ -537,8 +540,9 @@
             report_usage(engine);
             continue;
         }
-        const routing::adapter_usage usage = usage_.take_report(engine);
-        held->second.controller.on_running(fleet_.self()->vm, usage.running, time_.now());
+        const time_point now = time_.now();
+        const routing::adapter_usage usage = usage_.take_report(engine, now);
+        held->second.controller.on_running(fleet_.self()->vm, usage.running, now);
         usage_.forget_reported(engine);
     }
 }
