Memory tests: readiness and metrics ports, pipelined requests left unread

The readiness and metrics ports take bodies, connections and pipelined requests like the callers' port, without a limit of their own. Pipelined requests whose responses are left unread are a kind of load that the first tests lacked: the next request is answered although the last response waits.

Each port gets a test with 40 bodies of 4 MiB and one with 800 idle connections; the port must still answer 200 afterwards. 40 callers that send 20,000 requests in one go and read nothing are tested at the callers' and the metrics port. Unread bytes are counted at all three ports.

--- a/tools/soak/caller_crowd.cpp
+++ b/tools/soak/caller_crowd.cpp
@@ -84,16 +84,15 @@
     return std::tie(sent, received, ended) == std::tie(other.sent, other.received, other.ended);
 }
 
-caller_crowd::caller_crowd(boost::asio::io_context& loop, boost::asio::ip::tcp::endpoint to)
-    : loop_(loop), to_(std::move(to)) {}
+caller_crowd::caller_crowd(boost::asio::io_context& loop) : loop_(loop) {}
 
 caller_crowd::~caller_crowd() {
     close();
 }
 
-void caller_crowd::add(caller_load load) {
+void caller_crowd::add(caller_load load, const boost::asio::ip::tcp::endpoint& to) {
     callers_.push_back(std::make_shared<crowd_caller>(loop_, std::move(load)));
-    callers_.back()->start(to_);
+    callers_.back()->start(to);
 }
 
 void caller_crowd::close() {
--- a/tools/soak/caller_crowd.h
+++ b/tools/soak/caller_crowd.h
@@ -68,22 +68,21 @@
     bool operator==(const crowd_progress& other) const;
 };
 
-/// Callers of one address; the destructor closes their connections.
+/// Many callers; the destructor closes their connections.
 class caller_crowd {
 public:
-    caller_crowd(boost::asio::io_context& loop, boost::asio::ip::tcp::endpoint to);
+    explicit caller_crowd(boost::asio::io_context& loop);
     ~caller_crowd();
     caller_crowd(const caller_crowd&) = delete;
     caller_crowd& operator=(const caller_crowd&) = delete;
 
-    void add(caller_load load);
+    void add(caller_load load, const boost::asio::ip::tcp::endpoint& to);
     /// Closes all connections and forgets the callers.
     void close();
     crowd_progress progress() const;
 
 private:
     boost::asio::io_context& loop_;
-    boost::asio::ip::tcp::endpoint to_;
     std::vector<std::shared_ptr<crowd_caller>> callers_;
 };
 
--- a/tools/soak/tests/caller_memory_tests.cpp
+++ b/tools/soak/tests/caller_memory_tests.cpp
@@ -47,6 +47,8 @@
 // Every byte of these bodies takes six bytes on the wire.
 constexpr std::size_t small_chunks = 2 * mib;
 constexpr std::size_t over_limit = max_body + mib;
+// Requests of one connection; their responses have several MiB.
+constexpr std::size_t pipelined = 20'000;
 constexpr std::size_t ordinary_body = 9'000;
 // Most of a head that is sent; the configuration's limit is 16,384 bytes.
 constexpr std::size_t slow_head = 12 * kib;
@@ -91,8 +93,12 @@
     return share(std::move(out));
 }
 
+// Address of one of the daemon's ports.
+using port_of_vm = std::string edge_vm::*;
+
 // A kind of load: what each of its callers sends. Heads differ in the request's id.
 struct load_kind {
+    port_of_vm port = &edge_vm::callers_address;
     gateway::header_list framing;
     shared_text body = share({});
     std::string path = "/a/x";
@@ -179,6 +185,26 @@
     return out;
 }
 
+// Many requests in one go, whose responses are left unread.
+load_kind pipelined_requests(port_of_vm port) {
+    load_kind out = unread_responses();
+    out.port = port;
+    out.path = "/none/x";
+    std::string more;
+    const std::string request = to_text(plain_request{"pipelined", route_host, out.path, out.key});
+    for (std::size_t i = 0; i < pipelined; ++i) {
+        more += request;
+    }
+    out.body = share(std::move(more));
+    return out;
+}
+
+load_kind whole_bodies_at(port_of_vm port) {
+    load_kind out = whole_bodies();
+    out.port = port;
+    return out;
+}
+
 struct fixture {
     fixture() {
         plain_configuration content;
@@ -203,6 +229,10 @@
 
     edge_vm& vm() { return fleet.vms().front(); }
 
+    boost::asio::ip::tcp::endpoint endpoint_of(port_of_vm port) {
+        return gateway::parse_address(vm().*port);
+    }
+
     // Returns whether the condition came to hold.
     bool run_until(const std::function<bool()>& is_met) {
         const time_point end = time.now() + generous;
@@ -221,7 +251,11 @@
         }
         const pid_t id = vm().process->id();
         const resident_memory resident = read_resident_memory(id);
-        unread = count_unread_bytes(callers_endpoint.port());
+        unread = 0;
+        for (const port_of_vm port :
+             {&edge_vm::callers_address, &edge_vm::readiness_address, &edge_vm::metrics_address}) {
+            unread += count_unread_bytes(endpoint_of(port).port());
+        }
         peak_resident = std::max(peak_resident, resident.peak);
         peak_with_unread = std::max(peak_with_unread, resident.now + unread);
         peak_descriptors = std::max(peak_descriptors, count_descriptors(id));
@@ -234,9 +268,13 @@
         return to_text(head);
     }
 
+    caller_load load_of(const load_kind& kind) {
+        return {head_of(kind), kind.body, kind.piece, kind.pause, kind.reads};
+    }
+
     void add_callers(std::size_t n, const load_kind& kind) {
         for (std::size_t i = 0; i < n; ++i) {
-            crowd.add({head_of(kind), kind.body, kind.piece, kind.pause, kind.reads});
+            crowd.add(load_of(kind), endpoint_of(kind.port));
         }
     }
 
@@ -244,14 +282,15 @@
     void add_slow_heads(std::size_t n) {
         const load_kind kind = slow_heads();
         for (std::size_t i = 0; i < n; ++i) {
-            const std::string head = head_of(kind).substr(0, slow_head);
-            crowd.add({head, kind.body, kind.piece, kind.pause, kind.reads});
+            caller_load load = load_of(kind);
+            load.head.resize(slow_head);
+            crowd.add(std::move(load), endpoint_of(kind.port));
         }
     }
 
-    void add_idle_connections(std::size_t n) {
+    void add_idle_connections(std::size_t n, port_of_vm port = &edge_vm::callers_address) {
         for (std::size_t i = 0; i < n; ++i) {
-            crowd.add({});
+            crowd.add({}, endpoint_of(port));
         }
     }
 
@@ -271,9 +310,8 @@
 
     // Sends a request and returns its response, which is incomplete if the connection ended.
     std::string response_to(const load_kind& kind) {
-        const auto it = std::make_shared<crowd_caller>(
-            loop, caller_load{head_of(kind), kind.body, kind.piece, kind.pause, kind.reads});
-        it->start(callers_endpoint);
+        const auto it = std::make_shared<crowd_caller>(loop, load_of(kind));
+        it->start(endpoint_of(kind.port));
         run_until([&] {
             return it->has_ended() || it->received().find("\r\n\r\n") != std::string::npos;
         });
@@ -307,6 +345,14 @@
                                               << peak_descriptors);
     }
 
+    // Checks the daemon, and that the port still answers.
+    void check_status_port(port_of_vm port) {
+        check_daemon();
+        load_kind status;
+        status.port = port;
+        BOOST_TEST(run_until([&] { return is_success(response_to(status)); }));
+    }
+
     void check_load(std::size_t callers, const load_kind& kind) {
         add_callers(callers, kind);
         check_daemon();
@@ -316,8 +362,7 @@
     boot_clock time;
     std::string directory = new_directory();
     edge_fleet fleet{loop, time, {RADISHPULLEYD_PATH, directory, 1, 1, vm_limits()}};
-    boost::asio::ip::tcp::endpoint callers_endpoint = gateway::parse_address(vm().callers_address);
-    caller_crowd crowd{loop, callers_endpoint};
+    caller_crowd crowd{loop};
     int requests = 0;
     std::size_t unread = 0;
     std::size_t peak_resident = 0;
@@ -418,6 +463,42 @@
     check_load(body_callers, unread_responses());
 }
 
+// Guards against responses to pipelined requests that pile up for callers that do not read them.
+BOOST_AUTO_TEST_CASE(responses_to_pipelined_requests_left_unread) {
+    check_load(body_callers, pipelined_requests(&edge_vm::callers_address));
+}
+
+// Guards against metrics that pile up for callers that do not read them.
+BOOST_AUTO_TEST_CASE(pipelined_requests_at_the_metrics_port) {
+    add_callers(body_callers, pipelined_requests(&edge_vm::metrics_address));
+    check_status_port(&edge_vm::metrics_address);
+}
+
+// Guards against bodies at a port that needs none.
+BOOST_AUTO_TEST_CASE(bodies_at_the_readiness_port) {
+    add_callers(body_callers, whole_bodies_at(&edge_vm::readiness_address));
+    check_status_port(&edge_vm::readiness_address);
+}
+
+// Guards against the same at the metrics port.
+BOOST_AUTO_TEST_CASE(bodies_at_the_metrics_port) {
+    add_callers(body_callers, whole_bodies_at(&edge_vm::metrics_address));
+    check_status_port(&edge_vm::metrics_address);
+}
+
+// Guards against idle connections at the readiness port that take the callers' descriptors, or keep
+// the platform from reading that the VM is ready.
+BOOST_AUTO_TEST_CASE(idle_connections_at_the_readiness_port) {
+    add_idle_connections(connection_callers, &edge_vm::readiness_address);
+    check_status_port(&edge_vm::readiness_address);
+}
+
+// Guards against the same at the metrics port, where the operator would see no metrics.
+BOOST_AUTO_TEST_CASE(idle_connections_at_the_metrics_port) {
+    add_idle_connections(connection_callers, &edge_vm::metrics_address);
+    check_status_port(&edge_vm::metrics_address);
+}
+
 // Guards against a budget that refuses a legal request on an idle VM.
 BOOST_AUTO_TEST_CASE(one_body_of_the_largest_legal_size) {
     BOOST_TEST(is_success(response_to(complete_bodies())));
