Requests that can't be served are refused before their bodies arrive

Bodies were kept before the route, the key and the rate were looked at: 646 MB for 150 callers with 4 MiB bodies and a path without a route.

If a body has not arrived with its head, gateway::refuse_early makes the checks of exchange::start at once, with the same response, log line and metrics, and the connection is closed. The account is charged when the request is complete; account_limiter::would_admit takes nothing. 100 Continue is sent after these checks. exchange::start is split into the steps that both use.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -85,6 +85,9 @@
     /// Starts processing a request. `out` stays valid until the response is complete or the caller
     /// disconnects.
     virtual std::shared_ptr<request_work> start(caller_request request, response_writer& out) = 0;
+    /// Refuses a request whose body is still arriving if it could not be served; returns whether it
+    /// did. The connection is closed then.
+    virtual bool refuse_early(caller_request /*head*/, response_writer& /*out*/) { return false; }
     /// Responds to a request that has not arrived completely, because its caller is turned away.
     virtual void refuse(caller_request /*head*/, std::string_view /*reason*/,
                         response_writer& /*out*/) {}
@@ -155,6 +158,12 @@
     void begin_early_response();
     void begin_request();
     void parse();
+    /// Handles what has arrived of a request; returns false if no more of it can be handled now.
+    bool parse_part();
+    /// Handles a head that has just arrived; returns false if it was refused.
+    bool take_head();
+    /// Refuses the request before its body is read if it could not be served, or asks for the body.
+    void check_early();
     void dispatch();
     void refuse(unsigned status, std::string_view reason);
     /// When the bytes arrived that are being handled, at the earliest.
@@ -183,6 +192,8 @@
     time_point body_began_{};
     bool reading_request_ = false;
     bool head_seen_ = false;
+    /// Whether it was checked that the request, whose body is arriving, could be served.
+    bool checked_early_ = false;
     bool answering_ = false;
     bool keep_alive_ = true;
     bool chunked_ = false;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -250,6 +250,7 @@
     bool is_stopping() const override { return stop_.has_value(); }
     duration max_unread() const override { return turns_.max_unread(); }
     void on_closed(const std::shared_ptr<caller_link>& it) override;
+    bool refuse_early(caller_request head, response_writer& out) override;
     void refuse(caller_request head, std::string_view reason, response_writer& out) override;
     memory_budget* budget() override { return &budget_; }
     void relieve_memory() override;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -174,6 +174,7 @@
         static_cast<std::uint32_t>(header_limit) + header_limit_slack, limits.max_body_bytes});
     reading_request_ = false;
     head_seen_ = false;
+    checked_early_ = false;
     answering_ = false;
     set_timeout(limits.idle_timeout);
 }
@@ -227,50 +228,78 @@
 }
 
 void caller_link::parse() {
-    auto& input = link_->input();
-    while (input.size() > 0 && !work_ && !closed_) {
-        if (!reading_request_) {
-            reading_request_ = true;
-            first_byte_ = arrival_time();
-            set_timeout(service_.caller_limits().header_timeout);
-        }
-        error_code ec;
-        const std::size_t n = parser_->put(input.data(), ec);
-        input.consume(n);
-        body_.append(parser_->take_body());
-        if (budget_ != nullptr) {
-            budget_->note_moved(holder_, n, time_.now());
-        }
-        if (ec && ec != http::error::need_more) {
-            refuse(status_of(ec), ec.message());
-            return;
-        }
-        if (head_seen_ && n > 0) {
-            set_body_timeout();
-        }
-        if (!head_seen_ && parser_->is_header_done()) {
-            head_seen_ = true;
-            head_bytes_ = memory_of(parser_->headers());
-            parser_->eager(true);
-            body_began_ = time_.now();
-            if (has_unknown_coding(parser_->headers())) {
-                // Its body can't be told from the next request.
-                refuse(status_bad_request, "the transfer coding is unknown");
-                return;
-            }
-            set_body_timeout();
-            if (same_name(find_header(parser_->headers(), "expect"), "100-continue")) {
-                link_->write("HTTP/1.1 100 Continue\r\n\r\n");
-            }
-        }
-        if (parser_->is_done()) {
-            dispatch();
-            return;
-        }
-        if (n == 0) {
-            return;
+    while (link_->input().size() > 0 && !work_ && !closed_) {
+        if (!parse_part()) {
+            break;
         }
     }
+    const bool is_body_missing = head_seen_ && reading_request_ && !closed_;
+    if (is_body_missing && !checked_early_) {
+        checked_early_ = true;
+        check_early();
+    }
+}
+
+bool caller_link::parse_part() {
+    if (!reading_request_) {
+        reading_request_ = true;
+        first_byte_ = arrival_time();
+        set_timeout(service_.caller_limits().header_timeout);
+    }
+    auto& input = link_->input();
+    error_code ec;
+    const std::size_t n = parser_->put(input.data(), ec);
+    input.consume(n);
+    body_.append(parser_->take_body());
+    if (budget_ != nullptr) {
+        budget_->note_moved(holder_, n, time_.now());
+    }
+    if (ec && ec != http::error::need_more) {
+        refuse(status_of(ec), ec.message());
+        return false;
+    }
+    if (head_seen_ && n > 0) {
+        set_body_timeout();
+    }
+    if (!head_seen_ && parser_->is_header_done() && !take_head()) {
+        return false;
+    }
+    if (parser_->is_done()) {
+        dispatch();
+        return false;
+    }
+    return n > 0;
+}
+
+bool caller_link::take_head() {
+    head_seen_ = true;
+    head_bytes_ = memory_of(parser_->headers());
+    parser_->eager(true);
+    body_began_ = time_.now();
+    if (has_unknown_coding(parser_->headers())) {
+        // Its body can't be told from the next request.
+        refuse(status_bad_request, "the transfer coding is unknown");
+        return false;
+    }
+    set_body_timeout();
+    return true;
+}
+
+void caller_link::check_early() {
+    caller_request arrived = head();
+    const bool expects_continue = same_name(find_header(arrived.headers, "expect"), "100-continue");
+    const bool kept_alive = std::exchange(keep_alive_, false);
+    is_http11_ = parser_->version() >= 11;
+    is_head_ = arrived.method == "HEAD";
+    answering_ = true;
+    if (service_.refuse_early(std::move(arrived), *this)) {
+        return;
+    }
+    answering_ = false;
+    keep_alive_ = kept_alive;
+    if (expects_continue) {
+        link_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
 }
 
 void caller_link::dispatch() {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -46,7 +46,6 @@
       wait_timer_(owner.loop_),
       silence_timer_(owner.loop_) {
     unread_ = elapsed();
-    owner_.unread_times_.record(unread_);
     owner_.exchanges_.insert(this);
 }
 
@@ -86,43 +85,7 @@
 }
 
 void exchange::start() {
-    attributes_ = owner_.codec_.read_request(request_.headers);
-    suspects_ = routing::suspects_of(attributes_.shared_segments());
-    if (!configuration_) {
-        refuse({status_unavailable, "no_configuration", startup_retry_after});
-        return;
-    }
-    if (owner_.awaits_evacuations()) {
-        refuse({status_unavailable, "evacuations_unknown", startup_retry_after});
-        return;
-    }
-    route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
-    if (route_ == nullptr) {
-        refuse_unknown(status_not_found, "no_route");
-        return;
-    }
-    if (attributes_.id.empty()) {
-        refuse({status_bad_request, "no_request_id", std::nullopt});
-        return;
-    }
-    if (!routing::is_valid(attributes_.target)) {
-        refuse({status_bad_request, "bad_model_name", std::nullopt});
-        return;
-    }
-    if (!admit()) {
-        return;
-    }
-    milliseconds wait = attributes_.deadline.value_or(default_deadline);
-    if (route_->timeout.count() > 0) {
-        wait = std::min(wait, route_->timeout);
-    }
-    deadline_ = request_.received + wait;
-    if (time_left() < owner_.settings_.min_time_left) {
-        refuse({status_unavailable, "no_time_left", default_retry_after});
-        return;
-    }
-    if (may_outlast_daemon()) {
-        refuse({status_unavailable, "stopping", shutdown_retry_after});
+    if (!find_route() || !find_service() || !charge_account() || !has_time()) {
         return;
     }
     deadline_timer_.expires_after(time_left());
@@ -183,7 +146,34 @@
     }
 }
 
-bool exchange::admit() {
+bool exchange::find_route() {
+    attributes_ = owner_.codec_.read_request(request_.headers);
+    suspects_ = routing::suspects_of(attributes_.shared_segments());
+    if (!configuration_) {
+        refuse({status_unavailable, "no_configuration", startup_retry_after});
+        return false;
+    }
+    if (owner_.awaits_evacuations()) {
+        refuse({status_unavailable, "evacuations_unknown", startup_retry_after});
+        return false;
+    }
+    route_ = configuration_->find_route(find_header(request_.headers, "host"), request_.target);
+    if (route_ == nullptr) {
+        refuse_unknown(status_not_found, "no_route");
+        return false;
+    }
+    if (attributes_.id.empty()) {
+        refuse({status_bad_request, "no_request_id", std::nullopt});
+        return false;
+    }
+    if (!routing::is_valid(attributes_.target)) {
+        refuse({status_bad_request, "bad_model_name", std::nullopt});
+        return false;
+    }
+    return true;
+}
+
+bool exchange::find_service() {
     if (configuration_->needs_keys()) {
         account_ = configuration_->find_account(attributes_.key);
         if (account_ == nullptr && !route_->open) {
@@ -203,25 +193,60 @@
         refuse({status_unavailable, "no_allowed_region", operator_retry_after});
         return false;
     }
-    if (account_ != nullptr) {
-        const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
-        if (const auto* it = std::get_if<routing::over_limit>(&result)) {
-            telemetry::log_event(severity::info, "over_limit",
-                                 {{"request", attributes_.id},
-                                  {"account", account_->id},
-                                  {"units", units()},
-                                  {"rate", it->rate},
-                                  {"share", it->share},
-                                  {"fill", it->fill},
-                                  {"retry_after", it->retry_after}});
-            refuse({status_too_many, "over_limit", it->retry_after});
-            return false;
-        }
-        charged_ = units();
+    return true;
+}
+
+bool exchange::charge_account() {
+    if (account_ == nullptr) {
+        return true;
+    }
+    const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
+    if (const auto* it = std::get_if<routing::over_limit>(&result)) {
+        telemetry::log_event(severity::info, "over_limit",
+                             {{"request", attributes_.id},
+                              {"account", account_->id},
+                              {"units", units()},
+                              {"rate", it->rate},
+                              {"share", it->share},
+                              {"fill", it->fill},
+                              {"retry_after", it->retry_after}});
+        refuse({status_too_many, "over_limit", it->retry_after});
+        return false;
+    }
+    charged_ = units();
+    return true;
+}
+
+bool exchange::has_time() {
+    milliseconds wait = attributes_.deadline.value_or(default_deadline);
+    if (route_->timeout.count() > 0) {
+        wait = std::min(wait, route_->timeout);
+    }
+    deadline_ = request_.received + wait;
+    if (time_left() < owner_.settings_.min_time_left) {
+        refuse({status_unavailable, "no_time_left", default_retry_after});
+        return false;
+    }
+    if (may_outlast_daemon()) {
+        refuse({status_unavailable, "stopping", shutdown_retry_after});
+        return false;
     }
     return true;
 }
 
+bool exchange::refuse_early() {
+    if (!find_route() || !find_service()) {
+        return true;
+    }
+    const bool is_over_limit =
+        account_ != nullptr &&
+        !owner_.limiter_.would_admit(account_->id, units(), owner_.time_.now());
+    if (is_over_limit && !charge_account()) {
+        return true;
+    }
+    return !has_time();
+}
+
 void exchange::on_call_ended() {
     owner_.work_.finish(number_);
     if (!notified_engine_.empty()) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -31,6 +31,9 @@
     ~exchange() override;
 
     void start();
+    /// Refuses a request whose body is still arriving if it could not be served; returns whether it
+    /// did. Charges nothing otherwise.
+    bool refuse_early();
     /// Starts the request, which was held until the configuration was confirmed.
     void on_configuration_confirmed();
     /// The terms on which the request waits until it is placed at an endpoint.
@@ -84,7 +87,14 @@
 
     /// Refuses for a reason that a newer configuration may have removed.
     void refuse_unknown(unsigned status, std::string_view reason);
-    bool admit();
+    /// Finds the route, or refuses.
+    bool find_route();
+    /// Finds the account and the service, or refuses.
+    bool find_service();
+    /// Charges the account, or refuses.
+    bool charge_account();
+    /// Sets the deadline; refuses if there is too little time until it, or until this daemon stops.
+    bool has_time();
     /// Whether this daemon stops before the request is certain to have ended.
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -596,6 +596,7 @@
 
 std::shared_ptr<request_work> gateway::start(caller_request request, response_writer& out) {
     note_running();
+    unread_times_.record(time_.now() - request.received);
     auto it = std::make_shared<exchange>(*this, std::move(request), out);
     if (awaits_confirmation_) {
         held_requests_.push_back(it);
@@ -605,6 +606,14 @@
     return it;
 }
 
+bool gateway::refuse_early(caller_request head, response_writer& out) {
+    note_running();
+    if (awaits_confirmation_) {
+        return false;
+    }
+    return std::make_shared<exchange>(*this, std::move(head), out)->refuse_early();
+}
+
 void gateway::refuse(caller_request head, std::string_view reason, response_writer& out) {
     std::make_shared<exchange>(*this, std::move(head), out)->refuse_incomplete(reason);
 }
--- a/libs/routing/include/routing/account_limiter.h
+++ b/libs/routing/include/routing/account_limiter.h
@@ -102,6 +102,8 @@
 
     /// Charges a request of `units` to its account.
     admission admit(const client_account_id& account, double units, time_point now);
+    /// Whether a request of `units` would be admitted now. Charges nothing and counts no demand.
+    bool would_admit(const client_account_id& account, double units, time_point now);
     /// Returns the units that a request did not use.
     void refund(const client_account_id& account, double units);
 
--- a/libs/routing/src/account_limiter.cpp
+++ b/libs/routing/src/account_limiter.cpp
@@ -347,6 +347,16 @@
     return over_limit{from_seconds(missing / rate * contention), it.rate, own_share, it.fill};
 }
 
+bool account_limiter::would_admit(const client_account_id& account, double units, time_point now) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return true;
+    }
+    refill(account, found->second, now);
+    bucket copy = found->second;
+    return try_take(copy, units, now);
+}
+
 bool account_limiter::on_saturation(const account_saturation& it, time_point now) {
     const auto found = buckets_.find(it.account);
     if (found == buckets_.end()) {
