gateway: cold engines get no more requests than all VMs may send together

Cause: an engine that starts during traffic crashes when it gets requests at the rate of a warm one, and a cold one that answered slowly was treated as failed.

Silence of a cold endpoint is no reason for a retry. A VM that is not registered, or may be marked as gone, sends cold engines nothing. Log line endpoint_cold, metric endpoints_cold.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "requests/start_queue.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_table.h"
+#include "routing/cold_start_limits.h"
 #include "routing/configuration.h"
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
@@ -182,8 +183,10 @@
     /// Sets the VMs that are known to serve callers; `self` is one of them.
     void set_serving(const vm_id& self, gsl::span<const vm_id> vms);
     /// Sets the VMs among which limits are divided, also those that were not heard lately; `self`
-    /// is one of them.
-    void set_members(const vm_id& self, gsl::span<const vm_id> vms);
+    /// is one of them. Unless they are `complete`, this VM sends cold engines nothing.
+    void set_members(const vm_id& self, gsl::span<const vm_id> vms, bool complete = true);
+    /// All endpoints that the directory contained when this VM first read it were applied.
+    void on_directory_read() { cold_limits_.on_directory_read(); }
     /// Applies the announcement of an adapter's version, made at `at` or earlier.
     void on_version(const routing::model_ref& adapter, std::uint64_t version, time_point at);
     /// Applies a notice that an endpoint sent in a response to this VM's own call.
@@ -255,6 +258,7 @@
     routing::adapter_table& adapters() { return adapters_; }
     routing::adapter_load_times& load_times() { return load_times_; }
     const routing::endpoint_limits& limits() const { return limits_; }
+    const routing::cold_start_limits& cold_limits() const { return cold_limits_; }
     routing::request_quarantine& quarantine() { return quarantine_; }
     const routing::request_quarantine& quarantine() const { return quarantine_; }
     routing::account_limiter& limiter() { return limiter_; }
@@ -302,6 +306,10 @@
     void on_stated_limit(const routing::endpoint_incarnation& from,
                          const routing::limit_observation& observation);
     void log_limit(const endpoint_id& id, const vm_id& by) const;
+    /// Applies the cold time that a response states, to the endpoint that answered.
+    void on_cold_notice(const routing::endpoint_incarnation& asked,
+                        const routing::endpoint_notice& it);
+    void log_cold_changes();
     /// A request broke off at the endpoint before it was answered.
     void on_unanswered(const routing::endpoint_incarnation& at,
                        gsl::span<const routing::suspect_id> suspects);
@@ -313,7 +321,8 @@
     std::vector<std::shared_ptr<exchange>> requests_in_progress() const;
     /// Ends the requests that have a suspect which is blocked now and are not answered yet.
     void end_requests_with(gsl::span<const routing::suspect_id> blocked, const vm_id& by);
-    /// Time until the endpoint accepts a request from this VM, by its stated limit and pause.
+    /// Time until the endpoint accepts a request from this VM, by its stated limit, its cold time
+    /// and its pause.
     duration wait_for(const endpoint_id& id) const;
     /// Shortest such time among a service's endpoints in permitted zones, if all of them require a
     /// wait.
@@ -340,6 +349,7 @@
     routing::zone_evacuations evacuations_;
     bool are_evacuations_known_ = false;
     routing::endpoint_limits limits_;
+    routing::cold_start_limits cold_limits_;
     routing::adapter_table adapters_;
     routing::adapter_load_times load_times_;
     mutable std::size_t fleet_loads_ = 0;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -112,6 +112,7 @@
     void wait_until(time_point when, const endpoint_id& id);
     void on_load_wait_expired(const endpoint_id& id);
     void retry_if_silent();
+    bool is_endpoint_cold() const;
     /// Records that the call's connection was silent or broke, before it is closed.
     void note_connection_fault();
     void send_to(const endpoint_id& id);
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -65,6 +65,7 @@
     const bool is_complete = attributes.is_signed && head.status / 100 == 2;
     const routing::endpoint_incarnation from{endpoint_, endpoint_started_at_ms_};
     owner_.on_stated_limit(from, {it.rate_limit, sent_at_, now, is_complete});
+    owner_.on_cold_notice(from, it);
     if (owner_.directory_.on_notice(from, it, now)) {
         telemetry::log_event(severity::info, "endpoint_notice",
                              {{"endpoint", endpoint_},
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -267,13 +267,16 @@
 }
 
 void exchange::retry_if_silent() {
-    if (route_->kind != routing::request_kind::idempotent || service_->engine) {
+    // A cold endpoint answers slowly without having failed.
+    if (route_->kind != routing::request_kind::idempotent || service_->engine ||
+        is_endpoint_cold()) {
         return;
     }
     silence_timer_.expires_after(owner_.settings_.silence_timeout);
     silence_timer_.async_wait([weak = weak_from_this(), send = sends_](const error_code& ec) {
         const auto self = weak.lock();
-        const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send;
+        const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send &&
+                               !self->is_endpoint_cold();
         if (is_silent && self->may_run_again() && self->spend_retry()) {
             self->note_connection_fault();
             self->owner_.directory_.on_call(self->endpoint_, routing::call_outcome::failed,
@@ -285,6 +288,10 @@
     });
 }
 
+bool exchange::is_endpoint_cold() const {
+    return owner_.cold_limits_.is_cold(endpoint_, owner_.time_.now());
+}
+
 void exchange::note_connection_fault() {
     if (connection_ && connection_->responses() > 0) {
         owner_.pool_.close_idle(endpoint_);
@@ -312,6 +319,7 @@
     }
     ++sends_;
     owner_.limits_.on_request_sent(id, now);
+    owner_.cold_limits_.on_request_sent(id, now);
     auto on_connection = [weak = weak_from_this(), id](std::shared_ptr<endpoint_link> it) {
         const auto self = weak.lock();
         const bool wanted = self && self->phase_ == phase::connecting && self->endpoint_ == id;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -33,7 +33,8 @@
       time_(time),
       codec_(codec),
       settings_(std::move(settings)),
-      chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
+      chooser_(directory_, limits_, cold_limits_, adapters_, load_times_, prompts_, work_,
+               settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
@@ -61,6 +62,7 @@
     const bool is_change = configuration_ != nullptr;
     configuration_ = std::move(it);
     limiter_.configure(configuration_->accounts(), time_.now());
+    cold_limits_.configure(configuration_->services(), time_.now());
     for (const routing::service& service : configuration_->services()) {
         if (service.engine && service.engine->max_adapters > 0) {
             adapters_.set_cache_size(service.engine->cached_adapters());
@@ -89,6 +91,12 @@
     if (!changes.begun.empty()) {
         move_waiting_requests();
     }
+    for (const routing::endpoint* it : directory_.all()) {
+        const auto& ended = changes.ended;
+        if (std::find(ended.begin(), ended.end(), it->zone) != ended.end()) {
+            cold_limits_.on_evacuation_ended(it->id, time_.now());
+        }
+    }
 }
 
 void gateway::move_waiting_requests() {
@@ -138,12 +146,14 @@
     quarantine_.set_vms(self, vms);
 }
 
-void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms) {
+void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms, bool complete) {
     fleet_size_ = std::max<std::size_t>(1, vms.size());
     std::vector<vm_id> others(vms.begin(), vms.end());
     others.erase(std::remove(others.begin(), others.end(), self), others.end());
     limiter_.set_members(others);
     limits_.set_vms(self, vms, time_.now());
+    cold_limits_.set_vms(self, complete ? vms : gsl::span<const vm_id>(), time_.now());
+    log_cold_changes();
 }
 
 void gateway::on_notice(const routing::endpoint_incarnation& from,
@@ -152,6 +162,7 @@
     if (it.rate_limit) {
         on_stated_limit(from, {it.rate_limit, now, now, false});
     }
+    on_cold_notice(from, it);
     if (directory_.on_notice(from, it, now)) {
         telemetry::log_event(telemetry::severity::info, "endpoint_notice",
                              {{"endpoint", from.id},
@@ -207,6 +218,34 @@
                           {"part", limits_.share(id)}});
 }
 
+void gateway::on_cold_notice(const routing::endpoint_incarnation& asked,
+                             const routing::endpoint_notice& it) {
+    if (!it.cold_left) {
+        return;
+    }
+    const bool is_other = it.answered_by && *it.answered_by != asked.id;
+    const routing::endpoint* other = is_other ? directory_.find(*it.answered_by) : nullptr;
+    if (other != nullptr) {
+        cold_limits_.on_response(routing::incarnation_of(*other), *it.cold_left, time_.now());
+    } else if (!is_other) {
+        cold_limits_.on_response(asked, *it.cold_left, time_.now());
+    }
+}
+
+void gateway::log_cold_changes() {
+    const time_point now = time_.now();
+    for (const routing::cold_change& it : cold_limits_.take_changes(now)) {
+        telemetry::log_event(telemetry::severity::info, "endpoint_cold",
+                             {{"endpoint", it.endpoint},
+                              {"cold", it.is_cold},
+                              {"left", it.left},
+                              {"age", it.age},
+                              {"rate_limit", cold_limits_.rate(it.endpoint, now).value_or(-1)},
+                              {"part", cold_limits_.share(it.endpoint, now)},
+                              {"vms", fleet_size_}});
+    }
+}
+
 void gateway::on_unanswered(const routing::endpoint_incarnation& at,
                             gsl::span<const routing::suspect_id> suspects) {
     const routing::endpoint* known = directory_.find(at.id);
@@ -278,8 +317,8 @@
 
 duration gateway::wait_for(const endpoint_id& id) const {
     const time_point now = time_.now();
-    const duration for_limit = std::min<duration>(limits_.wait(id, now), max_limit_wait);
-    return std::max(for_limit, directory_.pause_left(id, now));
+    const duration for_limits = std::max(limits_.wait(id, now), cold_limits_.wait(id, now));
+    return std::max(std::min(for_limits, max_limit_wait), directory_.pause_left(id, now));
 }
 
 std::optional<duration> gateway::wait_for_any(const service_id& id,
@@ -329,10 +368,12 @@
         pool_.close_idle(it.id);
     }
     limits_.on_entry(it);
+    cold_limits_.on_entry(it, time_.now());
     adapters_.on_entry(it, time_.now());
 }
 
 void gateway::on_endpoint_removed(const endpoint_id& id) {
+    cold_limits_.on_entry_removed(id, time_.now());
     adapters_.on_removed(id);
     pool_.close_idle(id);
 }
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -65,6 +65,14 @@
         if (!limit.empty()) {
             out.notice.rate_limit = std::stod(std::string(limit));
         }
+        const std::string_view cold = find_header(headers, "X-Cold");
+        if (!cold.empty()) {
+            out.notice.cold_left = std::chrono::milliseconds(std::stoi(std::string(cold)));
+        }
+        const std::string_view answered_by = find_header(headers, "X-Answered-By");
+        if (!answered_by.empty()) {
+            out.notice.answered_by = endpoint_id(std::string(answered_by));
+        }
         const std::string_view pause = find_header(headers, "Retry-After");
         if (status == 503 && !pause.empty()) {
             out.notice.pause = std::chrono::seconds(std::stoi(std::string(pause)));
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "routing/adapter_table.h"
+#include "routing/cold_start_limits.h"
 #include "routing/configuration.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
@@ -93,9 +94,9 @@
 class endpoint_chooser {
 public:
     endpoint_chooser(const endpoint_directory& directory, const endpoint_limits& limits,
-                     const adapter_table& adapters, const adapter_load_times& load_times,
-                     const prefix_cache_index& prompts, const work_table& work,
-                     location own_location, choice_settings settings = {});
+                     const cold_start_limits& cold_limits, const adapter_table& adapters,
+                     const adapter_load_times& load_times, const prefix_cache_index& prompts,
+                     const work_table& work, location own_location, choice_settings settings = {});
 
     /// Returns the best endpoint, or nothing where the service has no candidate.
     std::optional<endpoint_choice> choose(const choice_request& request, time_point now) const;
@@ -113,6 +114,7 @@
 
     const endpoint_directory& directory_;
     const endpoint_limits& limits_;
+    const cold_start_limits& cold_limits_;
     const adapter_table& adapters_;
     const adapter_load_times& load_times_;
     const prefix_cache_index& prompts_;
--- a/libs/routing/include/routing/endpoint_notice.h
+++ b/libs/routing/include/routing/endpoint_notice.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/clock.h"
+#include "base/identifier.h"
 
 namespace radishpulley::routing {
 
@@ -16,8 +17,13 @@
     std::optional<double> rate_limit;
     /// The endpoint accepts no requests from this VM for this time.
     std::optional<duration> pause;
+    /// The endpoint is cold for this time.
+    std::optional<duration> cold_left;
+    /// The endpoint that answers, if the response names it. Another one than the request was sent
+    /// to may answer at the same address.
+    std::optional<endpoint_id> answered_by;
 
-    bool empty() const { return !leaving && !rate_limit && !pause; }
+    bool empty() const { return !leaving && !rate_limit && !pause && !cold_left; }
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -35,12 +35,15 @@
 }  // namespace
 
 endpoint_chooser::endpoint_chooser(const endpoint_directory& directory,
-                                   const endpoint_limits& limits, const adapter_table& adapters,
+                                   const endpoint_limits& limits,
+                                   const cold_start_limits& cold_limits,
+                                   const adapter_table& adapters,
                                    const adapter_load_times& load_times,
                                    const prefix_cache_index& prompts, const work_table& work,
                                    location own_location, choice_settings settings)
     : directory_(directory),
       limits_(limits),
+      cold_limits_(cold_limits),
       adapters_(adapters),
       load_times_(load_times),
       prompts_(prompts),
@@ -154,8 +157,8 @@
     std::optional<endpoint_choice> best;
     for (std::size_t rank = 0; rank < endpoints.size(); ++rank) {
         const endpoint_id& id = endpoints[rank]->id;
-        const bool takes_requests =
-            limits_.allows(id, now) && directory_.pause_left(id, now) == duration::zero();
+        const bool takes_requests = limits_.allows(id, now) && cold_limits_.allows(id, now) &&
+                                    directory_.pause_left(id, now) == duration::zero();
         const bool is_permitted = request.zones.permits(endpoints[rank]->zone);
         if (request.excluded.count(id) != 0 || !takes_requests || !is_permitted) {
             continue;
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -41,14 +41,15 @@
             zone_id("near"),
             region_id("r1"),
             {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}};
-        const endpoint_chooser chooser(directory, limits, adapters, load_times, prompts, work,
-                                       here);
+        const endpoint_chooser chooser(directory, limits, cold_limits, adapters, load_times,
+                                       prompts, work, here);
         const zone_filter zones(regions, here, evacuations);
         return chooser.choose({attributes, target, excluded, load_excluded, true, 0, zones}, now);
     }
 
     endpoint_directory directory;
     endpoint_limits limits;
+    cold_start_limits cold_limits;
     adapter_load_times load_times;
     adapter_table adapters;
     prefix_cache_index prompts;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -462,6 +462,7 @@
         for (const routing::endpoint& endpoint : list) {
             apply_endpoint(endpoint);
         }
+        data_path_.on_directory_read();
     }
 
     void on_endpoint_removed(const endpoint_id& id) {
@@ -550,6 +551,7 @@
                                                  : 0);
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
         endpoints_limited_.set(static_cast<double>(data_path_.limits().count()));
+        endpoints_cold_.set(static_cast<double>(data_path_.cold_limits().cold_count(time_.now())));
         requests_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(true)));
         segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(false)));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
@@ -599,11 +601,13 @@
             }
         }
         contacts_.set_members(others, now);
-        data_path_.set_members(settings_.vm, members);
-        const std::vector<routing::lost_contact> lost = contacts_.lost(now);
-        data_path_.limiter().set_lost_contacts(lost);
         const bool yields =
             fleet_.may_be_marked_gone(std::min(configuration_.age(), endpoints_.age()));
+        // Other VMs don't count this one before it is registered and once it is marked as gone.
+        const bool is_counted = fleet_.self().has_value() && !yields;
+        data_path_.set_members(settings_.vm, members, is_counted);
+        const std::vector<routing::lost_contact> lost = contacts_.lost(now);
+        data_path_.limiter().set_lost_contacts(lost);
         if (yields != yields_limits_) {
             yields_limits_ = yields;
             telemetry::log_event(severity::warning, "limits_yielded",
@@ -711,6 +715,7 @@
     telemetry::gauge& endpoints_known_ = add_gauge("endpoints", "Endpoints known.");
     telemetry::gauge& endpoints_limited_ =
         add_gauge("endpoints_limited", "Endpoints that name a limit in their answers.");
+    telemetry::gauge& endpoints_cold_ = add_gauge("endpoints_cold", "Endpoints that are cold.");
     telemetry::gauge& requests_blocked_ =
         add_gauge("requests_blocked", "Single requests that are refused, as they crash endpoints.");
     telemetry::gauge& segments_blocked_ =
