The next place goes to the adapter whose waiting requests are worth most

Cause: pending loads were ordered by arrival.

Change: load requests state the request that waits (number, priority, time left, work, time waited). The holder adds up the values of an adapter's waiting requests of all VMs (routing::admission_rank) and loads the one with the highest total. A request that joins a load not yet ordered tells the holder too. The schedule gives a place that a pending load takes to the next one after the shortest residency. Load requests of older releases count as one equal request for each VM and adapter.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -33,6 +33,7 @@
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
+#include "routing/engine_controller.h"
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
@@ -124,10 +125,11 @@
 class load_broker {
 public:
     virtual ~load_broker() = default;
-    /// Requests an adapter on an engine for a request that waits at most `max_wait`.
+    /// Requests an adapter on an engine for a request that waits at most `max_wait`. `by` is the
+    /// request; its VM is this one.
     virtual load_request_result request_load(const endpoint_id& engine,
-                                             const routing::model_ref& adapter,
-                                             duration max_wait) = 0;
+                                             const routing::model_ref& adapter, duration max_wait,
+                                             const routing::load_applicant& by) = 0;
     /// Whether a VM that can order the engine's loads is known and answers.
     virtual bool can_request_load(const endpoint_id& engine) const = 0;
     /// A load request for this engine was not answered.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -138,10 +138,9 @@
 }
 
 requests::start_queue<std::weak_ptr<exchange>>::terms exchange::start_terms() const {
-    const bool is_prioritized = account_ != nullptr && account_->priority;
     const duration wait = std::chrono::duration_cast<duration>(
         (*deadline_ - request_.received) * owner_.settings_.max_start_wait_share);
-    return {is_prioritized ? *account_->priority : route_->priority, request_.received + wait};
+    return {priority(), request_.received + wait};
 }
 
 void exchange::on_turn_to_start() {
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -50,6 +50,7 @@
         wait_for_load(*choice);
     } else if (choice->ready_at) {
         wait_until(*choice->ready_at, choice->id);
+        join_load_queue(choice->id);
     } else {
         send_to(choice->id);
     }
@@ -163,6 +164,22 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
+int exchange::priority() const {
+    const bool is_prioritized = account_ != nullptr && account_->priority;
+    return is_prioritized ? *account_->priority : route_->priority;
+}
+
+routing::load_applicant exchange::load_applicant() const {
+    return {vm_id(), number_, {priority(), first_event_time_left(), prefill_time(), elapsed()}};
+}
+
+void exchange::join_load_queue(const endpoint_id& id) {
+    const auto view = owner_.adapters_.view(id, attributes_.target, owner_.time_.now());
+    if (view.state == routing::adapter_state::loading && !view.ordered) {
+        owner_.broker_->request_load(id, attributes_.target, load_wait_limit(), load_applicant());
+    }
+}
+
 void exchange::wait_for_load(const routing::endpoint_choice& it) {
     phase_ = phase::asking_for_load;
     endpoint_ = it.id;
@@ -177,7 +194,8 @@
         }
     });
     const duration max_wait = accepts_long_wait_ ? load_wait_limit() : prompt_load_limit();
-    const auto result = owner_.broker_->request_load(it.id, attributes_.target, max_wait);
+    const auto result =
+        owner_.broker_->request_load(it.id, attributes_.target, max_wait, load_applicant());
     if (const auto* refused = std::get_if<load_not_possible>(&result)) {
         if (refused->ready_in || owner_.broker_->can_request_load(it.id)) {
             on_load_refused(it.id, refused->ready_in);
@@ -455,8 +473,7 @@
     }
     attributes.time_left = std::max(milliseconds(1), to_ms(time_left()));
     if (service_->engine) {
-        attributes.priority =
-            account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
+        attributes.priority = priority();
         if (required_version_ != 0) {
             attributes.adapter_version = required_version_;
         }
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -78,12 +78,16 @@
 class stub_broker final : public load_broker {
 public:
     load_request_result request_load(const endpoint_id& engine, const routing::model_ref& adapter,
-                                     duration max_wait) override {
+                                     duration max_wait,
+                                     const routing::load_applicant& by) override {
+        applicants.push_back(by);
         return on_load_request(engine, adapter, max_wait);
     }
     std::function<load_request_result(const endpoint_id&, const routing::model_ref&, duration)>
         on_load_request = [](const endpoint_id&, const routing::model_ref&,
                              duration) -> load_request_result { return load_not_possible{}; };
+    /// Requests for which a load was requested.
+    std::vector<routing::load_applicant> applicants;
     bool can_request_load(const endpoint_id& engine) const override {
         return silent.count(engine) == 0;
     }
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -15,6 +15,7 @@
 #include "relay/copy_report.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_use.h"
+#include "routing/admission_rank.h"
 #include "routing/endpoint_limits.h"
 #include "routing/peer_contacts.h"
 #include "routing/request_attributes.h"
@@ -53,6 +54,10 @@
     model_ref adapter;
     /// Maximum time that the request waits for the adapter, in milliseconds.
     std::uint32_t max_wait_ms = 0;
+    /// The request's number at the sender; 0 from daemons of older releases, which don't state what
+    /// its rank depends on either.
+    request_number request = 0;
+    waiting_request wait;
 };
 
 /// Announces that an engine holds, loads or has evicted an adapter; sent by the engine's holder.
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -33,7 +33,8 @@
     : engine_(std::move(engine)),
       capacity_(std::move(capacity)),
       settings_(settings),
-      load_times_(load_times) {}
+      load_times_(load_times),
+      rank_(settings.admission) {}
 
 void engine_controller::reset() {
     sequence_ = 0;
@@ -305,7 +306,8 @@
 }
 
 load_response engine_controller::on_load_request(const model_ref& adapter, std::size_t fleet_loads,
-                                                 time_point now, duration max_wait) {
+                                                 time_point now, duration max_wait,
+                                                 const load_applicant& by) {
     const auto found = slots_.find(adapter);
     if (found != slots_.end()) {
         return response_for_present(adapter, found->second, fleet_loads, now);
@@ -314,24 +316,76 @@
         return load_refused{load_obstacle::no_model};
     }
     drop_settled_requests(now);
-    const auto queued = std::find_if(pending_loads_.begin(), pending_loads_.end(),
-                                     [&](const pending_load& it) { return it.adapter == adapter; });
-    const std::size_t queue_position = queued - pending_loads_.begin();
+    const auto before = add_applicant(adapter, by, max_wait, now);
+    sort_pending_loads(now);
+    const std::size_t queue_position = find_pending(adapter) - pending_loads_.begin();
     const load_response out =
         response_for_queued(adapter, queue_position, fleet_loads, now, max_wait);
     if (std::holds_alternative<load_refused>(out)) {
-        return out;
+        withdraw_applicant(adapter, by, before);
     }
-    const time_point wanted_until =
-        max_wait > settings_.max_queue_time ? now + settings_.max_queue_time : now + max_wait;
-    if (queued == pending_loads_.end()) {
-        pending_loads_.push_back({adapter, wanted_until});
-    } else {
-        queued->wanted_until = std::max(queued->wanted_until, wanted_until);
+    return out;
+}
+
+std::deque<engine_controller::pending_load>::iterator engine_controller::find_pending(
+    const model_ref& adapter) {
+    return std::find_if(pending_loads_.begin(), pending_loads_.end(),
+                        [&](const pending_load& it) { return it.adapter == adapter; });
+}
+
+std::optional<engine_controller::applicant_record> engine_controller::add_applicant(
+    const model_ref& adapter, const load_applicant& by, duration max_wait, time_point now) {
+    auto pending = find_pending(adapter);
+    if (pending == pending_loads_.end()) {
+        pending = pending_loads_.insert(pending, {adapter, {}, 0});
+    }
+    applicant_record next{by.wait, now, now + std::min(max_wait, settings_.max_queue_time)};
+    const auto [at, is_new] = pending->applicants.try_emplace({by.vm, by.request}, next);
+    if (is_new) {
+        return std::nullopt;
+    }
+    const applicant_record before = at->second;
+    // A request that asks again has not begun to wait again.
+    next.wait.waited = std::max(next.wait.waited, before.wait.waited + (now - before.as_of));
+    next.wanted_until = std::max(next.wanted_until, before.wanted_until);
+    at->second = next;
+    return before;
+}
+
+void engine_controller::withdraw_applicant(const model_ref& adapter, const load_applicant& by,
+                                           const std::optional<applicant_record>& before) {
+    const auto pending = find_pending(adapter);
+    if (before) {
+        pending->applicants[{by.vm, by.request}] = *before;
+        return;
+    }
+    pending->applicants.erase({by.vm, by.request});
+    if (pending->applicants.empty()) {
+        pending_loads_.erase(pending);
+    }
+}
+
+double engine_controller::total_value(const pending_load& it, time_point now) const {
+    double out = 0;
+    for (const auto& [name, applicant] : it.applicants) {
+        waiting_request wait = applicant.wait;
+        const duration since = now - applicant.as_of;
+        wait.waited += since;
+        wait.time_left = wait.time_left > since ? wait.time_left - since : duration::zero();
+        out += rank_.value(wait);
     }
     return out;
 }
 
+void engine_controller::sort_pending_loads(time_point now) {
+    for (pending_load& it : pending_loads_) {
+        it.value = total_value(it, now);
+    }
+    std::stable_sort(
+        pending_loads_.begin(), pending_loads_.end(),
+        [](const pending_load& a, const pending_load& b) { return a.value > b.value; });
+}
+
 load_response engine_controller::response_for_queued(const model_ref& adapter,
                                                      std::size_t queue_position,
                                                      std::size_t fleet_loads, time_point now,
@@ -365,7 +419,8 @@
             load_slots[loads++] = it.ready_at;
         }
     }
-    return load_schedule(places, load_slots);
+    // The adapters that wait now are used for at least this long once they are loaded.
+    return load_schedule(places, load_slots, settings_.min_residency);
 }
 
 std::optional<time_point> engine_controller::expected_free_at(const model_ref& adapter,
@@ -414,8 +469,13 @@
 }
 
 void engine_controller::drop_settled_requests(time_point now) {
+    for (pending_load& it : pending_loads_) {
+        for (auto at = it.applicants.begin(); at != it.applicants.end();) {
+            at = now > at->second.wanted_until ? it.applicants.erase(at) : std::next(at);
+        }
+    }
     const auto is_settled = [&](const pending_load& it) {
-        return now > it.wanted_until || slots_.count(it.adapter) != 0;
+        return it.applicants.empty() || slots_.count(it.adapter) != 0;
     };
     pending_loads_.erase(std::remove_if(pending_loads_.begin(), pending_loads_.end(), is_settled),
                          pending_loads_.end());
@@ -460,6 +520,7 @@
     if (pending_loads_.empty() || loads_under_way(now) >= settings_.max_parallel_loads) {
         return std::nullopt;
     }
+    sort_pending_loads(now);
     if (free_slots() > 0) {
         engine_order order{order_kind::load, pending_loads_.front().adapter, 0, sequence_};
         return order;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -85,6 +85,17 @@
     return out;
 }
 
+json to_json(const waiting_request& it) {
+    return {it.priority, to_wire_ms(it.time_left), to_wire_ms(it.work), to_wire_ms(it.waited)};
+}
+
+waiting_request read_waiting_request(const json& in) {
+    using std::chrono::milliseconds;
+    return {in.at(0).get<int>(), milliseconds(in.at(1).get<std::uint32_t>()),
+            milliseconds(in.at(2).get<std::uint32_t>()),
+            milliseconds(in.at(3).get<std::uint32_t>())};
+}
+
 json work_to_json(const work_by_endpoint& work) {
     json out = json::array();
     for (const auto& [id, it] : work) {
@@ -369,7 +380,8 @@
                                     ends_to_json(u.running)});
             },
             [](const load_request& w) {
-                return json::array({"w", w.engine.str(), to_json(w.adapter), w.max_wait_ms});
+                return json::array({"w", w.engine.str(), to_json(w.adapter), w.max_wait_ms,
+                                    w.request, to_json(w.wait)});
             },
             [](const adapter_hint& h) {
                 return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
@@ -443,7 +455,13 @@
         return adapter_usage{engine, read_choices(in.at(2)), read_running(in)};
     }
     if (kind == "w") {
-        return load_request{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>()};
+        load_request out{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>(), 0, {}};
+        // Daemons of older releases state no rank.
+        if (in.size() > 5) {
+            out.request = in.at(4).get<request_number>();
+            out.wait = read_waiting_request(in.at(5));
+        }
+        return out;
     }
     if (kind == "h") {
         adapter_hint out{engine,
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -62,8 +62,8 @@
     void leave();
 
     gateway::load_request_result request_load(const endpoint_id& engine,
-                                              const routing::model_ref& adapter,
-                                              duration max_wait) override;
+                                              const routing::model_ref& adapter, duration max_wait,
+                                              const routing::load_applicant& by) override;
     bool can_request_load(const endpoint_id& engine) const override;
     void note_load_unanswered(const endpoint_id& engine) override;
     void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter,
@@ -124,8 +124,8 @@
     std::optional<routing::load_obstacle> order_obstacle(const endpoint_id& engine,
                                                          time_point now) const;
     routing::load_response load_on_held_engine(const endpoint_id& engine,
-                                               const routing::model_ref& adapter,
-                                               duration max_wait);
+                                               const routing::model_ref& adapter, duration max_wait,
+                                               const routing::load_applicant& by);
 
     const clock& time_;
     gateway::object_collections& store_;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -419,7 +419,8 @@
 
 routing::load_response load_coordinator::load_on_held_engine(const endpoint_id& engine,
                                                              const model_ref& adapter,
-                                                             duration max_wait) {
+                                                             duration max_wait,
+                                                             const routing::load_applicant& by) {
     const auto held = held_engines_.find(engine);
     if (held == held_engines_.end()) {
         return routing::load_refused{routing::load_obstacle::no_model};
@@ -429,7 +430,7 @@
     const routing::load_response answer =
         obstacle ? routing::load_refused{*obstacle}
                  : held->second.controller.on_load_request(
-                       adapter, data_path_.adapters().loads_under_way(now), now, max_wait);
+                       adapter, data_path_.adapters().loads_under_way(now), now, max_wait, by);
     if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
         telemetry::log_event(severity::info, "load_refused",
                              {{"engine", engine},
@@ -437,6 +438,8 @@
                               {"obstacle", name_of(refused->obstacle)},
                               {"ready_in_ms", refused->ready_in ? ms_of(*refused->ready_in) : -1},
                               {"max_wait_ms", ms_of(max_wait)},
+                              {"priority", by.wait.priority},
+                              {"waited_ms", ms_of(by.wait.waited)},
                               {"places", held->second.controller.adapter_count()},
                               {"running", held->second.controller.running_count(now)}});
     }
@@ -446,9 +449,11 @@
 
 gateway::load_request_result load_coordinator::request_load(const endpoint_id& engine,
                                                             const model_ref& adapter,
-                                                            duration max_wait) {
+                                                            duration max_wait,
+                                                            const routing::load_applicant& by) {
     if (held_engines_.count(engine) != 0) {
-        const auto answer = load_on_held_engine(engine, adapter, max_wait);
+        const auto answer = load_on_held_engine(engine, adapter, max_wait,
+                                                {fleet_.self()->vm, by.request, by.wait});
         if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
             return gateway::load_not_possible{refused->ready_in};
         }
@@ -462,7 +467,8 @@
     const bool is_sent =
         can_request_load(engine) &&
         fleet_.send(holder->vm, routing::load_request{engine, adapter,
-                                                      static_cast<std::uint32_t>(ms_of(max_wait))});
+                                                      static_cast<std::uint32_t>(ms_of(max_wait)),
+                                                      by.request, by.wait});
     if (!is_sent) {
         return gateway::load_not_possible{};
     }
@@ -565,9 +571,9 @@
                 }
             },
             [&](const routing::load_request& request) {
-                const auto answer =
-                    load_on_held_engine(request.engine, request.adapter,
-                                        std::chrono::milliseconds(request.max_wait_ms));
+                const auto answer = load_on_held_engine(
+                    request.engine, request.adapter, std::chrono::milliseconds(request.max_wait_ms),
+                    {it.from.vm, request.request, request.wait});
                 if (const auto* granted = std::get_if<routing::load_granted>(&answer)) {
                     fleet_.send(
                         it.from.vm,
