Overload of adapter places: a second rate, and expected ends that are wrong

Cause: the play covered one rate, at which nearly all requests were served, and only exact ends, while callers' estimates of their output are often far off.

Change: the test plays 30 and 90 requests/s, and ends that are wrong by up to a factor of four in both directions.

--- a/libs/routing/tests/adapter_overload_tests.cpp
+++ b/libs/routing/tests/adapter_overload_tests.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <list>
 #include <map>
 #include <random>
@@ -20,7 +21,9 @@
 constexpr duration longest_wait = 1'500ms;
 constexpr duration report_interval = 400ms;
 constexpr int adapter_count = 40;
-constexpr double requests_per_step = 0.3;
+// Requests per second.
+constexpr double overload = 30;
+constexpr double heavy_overload = 90;
 constexpr int high_class = 0;
 constexpr int low_class = 2;
 constexpr duration large_work = 460ms;
@@ -32,6 +35,7 @@
     duration work{};
     time_point arrived{};
     time_point ends{};
+    time_point stated_end{};
 };
 
 struct tally {
@@ -44,10 +48,17 @@
 // What the load requests of a play state of their requests.
 enum class stated { rank, nothing };
 
+// What the usage reports of a play state of the ends of uses: the true ends, ends that are wrong by
+// up to a factor of four in both directions, or none.
+enum class stated_ends { right, wrong, none };
+
 class overloaded_engine {
 public:
-    overloaded_engine(stated by, bool with_ends)
-        : by_(by), with_ends_(with_ends), controller_(endpoint_id("e"), capacity(), load_times_) {
+    overloaded_engine(double rate, stated by, stated_ends ends)
+        : rate_(rate),
+          by_(by),
+          ends_(ends),
+          controller_(endpoint_id("e"), capacity(), load_times_) {
         engine_report report;
         report.models = {{"m", 1, {}}};
         controller_.on_report(report, now_);
@@ -85,7 +96,8 @@
     }
 
     void arrive() {
-        if (std::uniform_real_distribution<>(0, 1)(random_) >= requests_per_step) {
+        const double per_step = rate_ * std::chrono::duration<double>(step).count();
+        if (std::uniform_real_distribution<>(0, 1)(random_) >= per_step) {
             return;
         }
         const int adapter = std::uniform_int_distribution<>(1, adapter_count)(random_);
@@ -128,6 +140,7 @@
             if (usable != usable_at_.end() && usable->second <= now_) {
                 count(*it, &tally::served);
                 it->ends = now_ + it->work;
+                it->stated_end = now_ + stated_duration(*it);
                 controller_.on_use(it->adapter, now_);
                 running_.push_back(*it);
                 report();
@@ -138,6 +151,14 @@
         }
     }
 
+    duration stated_duration(const request& it) {
+        if (ends_ != stated_ends::wrong) {
+            return it.work;
+        }
+        const double factor = std::exp2(std::uniform_real_distribution<>(-2, 2)(errors_));
+        return std::chrono::duration_cast<duration>(it.work * factor);
+    }
+
     void end_runs() {
         running_.remove_if([&](const request& it) { return it.ends <= now_; });
         if (now_ - reported_at_ >= report_interval) {
@@ -148,22 +169,25 @@
     void report() {
         std::map<model_ref, duration> ends;
         for (const request& it : running_) {
-            ends[it.adapter] = std::max(ends[it.adapter], it.ends - now_);
+            ends[it.adapter] = std::max(ends[it.adapter], it.stated_end - now_);
         }
         std::vector<running_adapter> out;
         for (const auto& [adapter, ends_in] : ends) {
-            out.push_back({adapter, with_ends_ ? std::optional<duration>(ends_in) : std::nullopt});
+            const bool has_end = ends_ != stated_ends::none;
+            out.push_back({adapter, has_end ? std::optional<duration>(ends_in) : std::nullopt});
         }
         controller_.on_running(vm_id("v"), out, now_);
         reported_at_ = now_;
     }
 
+    double rate_;
     stated by_;
-    bool with_ends_;
+    stated_ends ends_;
     adapter_load_times load_times_;
     time_point now_{std::chrono::hours(1)};
     engine_controller controller_;
     std::mt19937 random_{7};
+    std::mt19937 errors_{11};
     request_number last_number_ = 0;
     std::map<model_ref, time_point> usable_at_;
     std::list<request> waiting_;
@@ -188,19 +212,36 @@
 // Guards against a class of the highest value that is refused as often as the cheapest one, against
 // large requests that are served less than small ones, and against refusals while places end soon.
 BOOST_AUTO_TEST_CASE(two_classes_and_all_sizes_at_an_engine_with_too_few_places) {
-    overloaded_engine ranked(stated::rank, true);
-    ranked.play();
-    print("ranked", ranked);
-    overloaded_engine equal(stated::nothing, true);
-    equal.play();
-    print("equal", equal);
-    overloaded_engine without_ends(stated::nothing, false);
-    without_ends.play();
-    print("equal, without ends", without_ends);
-    BOOST_TEST(ranked.of_class(high_class).share() >= ranked.of_class(low_class).share());
-    BOOST_TEST(ranked.large().share() >= 0.8 * ranked.all().share());
-    BOOST_TEST(ranked.of_class(high_class).share() > equal.of_class(high_class).share());
-    BOOST_TEST(ranked.all().share() > without_ends.all().share());
+    for (const double rate : {overload, heavy_overload}) {
+        overloaded_engine ranked(rate, stated::rank, stated_ends::right);
+        ranked.play();
+        print("ranked", ranked);
+        overloaded_engine equal(rate, stated::nothing, stated_ends::right);
+        equal.play();
+        print("equal", equal);
+        overloaded_engine without_ends(rate, stated::nothing, stated_ends::none);
+        without_ends.play();
+        print("equal, without ends", without_ends);
+        BOOST_TEST(ranked.of_class(high_class).share() >= ranked.of_class(low_class).share());
+        BOOST_TEST(ranked.large().share() >= 0.8 * ranked.all().share());
+        BOOST_TEST(ranked.of_class(high_class).share() > equal.of_class(high_class).share());
+        BOOST_TEST(ranked.all().share() > without_ends.all().share());
+    }
+}
+
+// Guards against expected ends that do more harm than good because callers' estimates of their
+// output are often far off.
+BOOST_AUTO_TEST_CASE(expected_ends_that_are_wrong_by_a_factor_of_four) {
+    for (const double rate : {overload, heavy_overload}) {
+        overloaded_engine wrong(rate, stated::rank, stated_ends::wrong);
+        wrong.play();
+        print("wrong ends", wrong);
+        overloaded_engine without_ends(rate, stated::rank, stated_ends::none);
+        without_ends.play();
+        print("no ends", without_ends);
+        BOOST_TEST(wrong.all().share() > without_ends.all().share());
+        BOOST_TEST(wrong.of_class(high_class).share() >= wrong.of_class(low_class).share());
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
