Connections of callers are limited; status addresses take few and small requests

Idle connections could take all descriptors, of which endpoints, the store and other VMs need some, and each held an input buffer of 16 KiB.

gateway::accept keeps to max_connections, which process_limits works out from the descriptors and the memory: beyond it the connection idle longest, else the one longest without progress, makes room. Connections share the ownership of the budget, as the event loop may destroy them after the gateway.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -92,7 +92,7 @@
     virtual void refuse(caller_request /*head*/, std::string_view /*reason*/,
                         response_writer& /*out*/) {}
     /// What callers hold is charged to this; null where it has no limit.
-    virtual memory_budget* budget() { return nullptr; }
+    virtual std::shared_ptr<memory_budget> budget() { return nullptr; }
     /// Turns callers away while the budget is short.
     virtual void relieve_memory() {}
     /// The same, after the event that is being handled.
@@ -131,6 +131,7 @@
     void close();
     /// Refuses the request or closes the connection, to free what it holds.
     void turn_away(std::string_view reason);
+    const std::shared_ptr<link>& connection() const { return link_; }
     /// The holder to which the connection is charged.
     memory_budget::holder_id holder() const { return holder_; }
     /// Charges what the connection holds now, also in the operating system.
@@ -179,7 +180,8 @@
     const clock& time_;
     caller_service& service_;
     std::unique_ptr<parser> parser_;
-    memory_budget* const budget_;
+    /// Shared, as a connection may be destroyed after its service.
+    const std::shared_ptr<memory_budget> budget_;
     memory_budget::holder_id holder_ = 0;
     /// Body of the request that is arriving.
     body_buffer body_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -73,6 +73,9 @@
     /// Memory that callers may hold: heads, bodies, requests in progress and unread responses.
     /// Beyond it, callers are turned away.
     std::size_t max_held_bytes = 64 * mebibyte;
+    /// Connections that callers may have. Beyond it, a new one takes the place of one that lies
+    /// idle or makes no progress.
+    std::size_t max_connections = 4'096;
     /// Prefill work, in tokens, from which other daemons are notified of it at once.
     std::uint32_t large_prefill_tokens = 3'000;
     /// Age of the configuration up to which an unknown route or key is treated as nonexistent.
@@ -231,6 +234,10 @@
     /// Removes expired load waiters and connections that have finished sending.
     void sweep();
     std::size_t caller_count() const { return callers_.size() + accepted_.size(); }
+    /// Number of open connections, with those that wait for their callers to close them.
+    std::size_t connection_count() const {
+        return static_cast<std::size_t>(connections_.use_count()) - 1;
+    }
     std::size_t request_count() const { return exchanges_.size(); }
     /// Number of requests that were read and wait for this process to start them.
     std::size_t queued_count() const { return queue_.size(); }
@@ -252,7 +259,7 @@
     void on_closed(const std::shared_ptr<caller_link>& it) override;
     bool refuse_early(caller_request head, response_writer& out) override;
     void refuse(caller_request head, std::string_view reason, response_writer& out) override;
-    memory_budget* budget() override { return &budget_; }
+    std::shared_ptr<memory_budget> budget() override { return budget_; }
     void relieve_memory() override;
     void schedule_relief() override;
 
@@ -305,7 +312,10 @@
     void on_turn(duration length);
     /// Turns the caller away to which a holder belongs.
     void turn_away(memory_budget::holder_id id, std::string_view reason);
+    /// Closes a connection that is no longer or least needed; returns false if all are in use.
+    bool free_connection();
     std::shared_ptr<caller_link> find_caller(memory_budget::holder_id id) const;
+    void note_turned_away(std::string_view reason);
     void log_turned_away();
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
@@ -343,9 +353,13 @@
     const clock& time_;
     const header_codec& codec_;
     gateway_settings settings_;
-    /// Declared before the connections, which are charged to it.
-    memory_budget budget_;
+    std::shared_ptr<memory_budget> budget_;
     bool is_relief_scheduled_ = false;
+    /// Shared by all open connections, which are counted by its uses.
+    std::shared_ptr<const void> connections_ = std::make_shared<char>();
+    /// Connections that have been closed on this side and wait for their callers to close them, the
+    /// oldest first.
+    std::deque<std::weak_ptr<link>> lingering_;
     /// Callers turned away since that was last logged.
     std::size_t turned_away_ = 0;
     load_broker* broker_ = nullptr;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -18,10 +18,16 @@
 constexpr duration max_limit_wait = std::chrono::seconds(1);
 // Length of a turn of the loop from which it is logged.
 constexpr duration late_turn = std::chrono::milliseconds(250);
+// Reasons for turning a caller away.
+constexpr std::string_view memory_limit = "memory_limit";
+constexpr std::string_view connection_limit = "connection_limit";
 // The response to a request that was not read.
 constexpr std::string_view overloaded_response =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n"
     "Connection: close\r\n\r\n";
+// Bytes of a caller that the operating system keeps while nothing is read. More would hold memory
+// outside of the budget; less would slow large bodies on long links.
+constexpr int caller_receive_buffer = 65'536;
 // Part of what callers may hold that their unread responses may be.
 constexpr std::size_t unsent_part_of_budget = 4;
 // Interval at which the loads of all engines are counted.
@@ -35,7 +41,7 @@
       time_(time),
       codec_(codec),
       settings_(std::move(settings)),
-      budget_(settings_.max_held_bytes),
+      budget_(std::make_shared<memory_budget>(settings_.max_held_bytes)),
       chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
@@ -320,7 +326,7 @@
         budgets_.clear();
     }
     settings_ = std::move(settings);
-    budget_.set_limit(settings_.max_held_bytes);
+    budget_->set_limit(settings_.max_held_bytes);
     chooser_.set_location(settings_.location);
     limiter_.set_overdraft(settings_.limiter.overdraft);
 }
@@ -396,6 +402,12 @@
         it->charge_unread();
     }
     log_turned_away();
+    const auto is_closed = [](const std::weak_ptr<link>& it) {
+        const auto open = it.lock();
+        return !open || !open->is_open();
+    };
+    lingering_.erase(std::remove_if(lingering_.begin(), lingering_.end(), is_closed),
+                     lingering_.end());
     for (auto it = load_waiters_.begin(); it != load_waiters_.end();) {
         auto& waiters = it->second;
         waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
@@ -528,8 +540,16 @@
 
 void gateway::accept(link::socket socket) {
     turns_.note_input();
-    accepted_.push_back({std::make_shared<link>(std::move(socket), link_options{}),
-                         time_.now() - turns_.max_unread()});
+    if (connection_count() >= settings_.max_connections && !free_connection()) {
+        // The new connection is closed with its socket.
+        note_turned_away(connection_limit);
+        return;
+    }
+    link_options options;
+    options.receive_buffer = caller_receive_buffer;
+    options.lease = connections_;
+    accepted_.push_back(
+        {std::make_shared<link>(std::move(socket), options), time_.now() - turns_.max_unread()});
     schedule_new_work();
 }
 
@@ -580,7 +600,7 @@
 
 std::size_t gateway::unsent_limit() const {
     const std::size_t total =
-        std::min(settings_.max_total_unsent, budget_.limit() / unsent_part_of_budget);
+        std::min(settings_.max_total_unsent, budget_->limit() / unsent_part_of_budget);
     const std::size_t share = total / std::max<std::size_t>(1, exchanges_.size());
     return std::clamp(share, settings_.min_unsent, settings_.max_unsent);
 }
@@ -628,26 +648,46 @@
     return finishing == finishing_.end() ? nullptr : *finishing;
 }
 
-void gateway::turn_away(memory_budget::holder_id id, std::string_view reason) {
+void gateway::note_turned_away(std::string_view reason) {
     ++turned_away_;
     turn_aways_.with({reason}).add();
+}
+
+bool gateway::free_connection() {
+    for (const std::weak_ptr<link>& it : lingering_) {
+        const auto open = it.lock();
+        // A last response that is still being sent is not cut.
+        if (open && open->is_open() && open->unsent() == 0) {
+            open->close();
+            return true;
+        }
+    }
+    const auto id = budget_->connection_to_close(time_.now());
+    if (id) {
+        turn_away(*id, connection_limit);
+    }
+    return id.has_value();
+}
+
+void gateway::turn_away(memory_budget::holder_id id, std::string_view reason) {
+    note_turned_away(reason);
     if (const auto it = find_caller(id)) {
         it->turn_away(reason);
     } else {
-        budget_.remove(id);
+        budget_->remove(id);
     }
 }
 
 void gateway::relieve_memory() {
     const time_point now = time_.now();
-    while (budget_.is_short()) {
-        const auto id = budget_.holder_to_turn_away(now);
+    while (budget_->is_short()) {
+        const auto id = budget_->holder_to_turn_away(now);
         if (!id) {
             return;
         }
-        const std::size_t held = budget_.held();
-        turn_away(*id, "memory_limit");
-        if (budget_.held() >= held) {
+        const std::size_t held = budget_->held();
+        turn_away(*id, memory_limit);
+        if (budget_->held() >= held) {
             // The responses themselves are all that is left.
             return;
         }
@@ -670,14 +710,18 @@
     }
     telemetry::log_event(telemetry::severity::warning, "callers_turned_away",
                          {{"callers", turned_away_},
-                          {"held", budget_.held()},
-                          {"limit", budget_.limit()},
-                          {"connections", caller_count()}});
+                          {"held", budget_->held()},
+                          {"limit", budget_->limit()},
+                          {"connections", connection_count()},
+                          {"max_connections", settings_.max_connections}});
     turned_away_ = 0;
 }
 
 void gateway::on_closed(const std::shared_ptr<caller_link>& it) {
     callers_.erase(it);
+    if (it->connection()->is_open()) {
+        lingering_.push_back(it->connection());
+    }
     if (it->is_sending()) {
         finishing_.push_back(it);
     }
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -78,7 +78,9 @@
     out.version_apply = settings.bounds.version_apply;
     out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
-    out.max_held_bytes = allowance_for_callers(process_limits_of(settings.limits)).memory_bytes;
+    const caller_allowance allowance = allowance_for_callers(process_limits_of(settings.limits));
+    out.max_held_bytes = allowance.memory_bytes;
+    out.max_connections = allowance.connections;
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
 }
@@ -563,7 +565,7 @@
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         held_bytes_.set(static_cast<double>(data_path_.budget()->held()));
         held_limit_.set(static_cast<double>(data_path_.budget()->limit()));
-        caller_connections_.set(static_cast<double>(data_path_.caller_count()));
+        caller_connections_.set(static_cast<double>(data_path_.connection_count()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
         requests_queued_.set(static_cast<double>(data_path_.queued_count()));
         exceptions_.set(static_cast<double>(telemetry::contained_exceptions()));
--- a/radishpulley/edge/src/status_server.h
+++ b/radishpulley/edge/src/status_server.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
-#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -17,7 +17,8 @@
     std::string body;
 };
 
-/// A small HTTP server that answers every request synchronously, whatever its path.
+/// A small HTTP server that answers every request synchronously, whatever its path. It takes small
+/// requests on a few connections; a new one beyond that takes the place of the oldest.
 class status_server final : public gateway::caller_service {
 public:
     status_server(boost::asio::io_context& loop, const clock& time,
@@ -25,17 +26,19 @@
 
     void accept(gateway::link::socket socket);
 
-    limits caller_limits() const override { return {}; }
+    limits caller_limits() const override;
     std::shared_ptr<gateway::request_work> start(gateway::caller_request request,
                                                  gateway::response_writer& out) override;
     bool is_stopping() const override { return false; }
+    std::size_t connection_count() const { return open_.size(); }
     void on_closed(const std::shared_ptr<gateway::caller_link>& it) override;
 
 private:
     boost::asio::io_context& loop_;
     const clock& time_;
     std::function<status_answer()> answer_;
-    std::set<std::shared_ptr<gateway::caller_link>> open_;
+    /// The oldest first.
+    std::list<std::shared_ptr<gateway::caller_link>> open_;
 };
 
 }  // namespace radishpulley::edge
