--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_daemon.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
 #include <functional>
@@ -22,6 +24,7 @@
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
+#include "heap_trim.h"
 #include "platform_adapter/decoders.h"
 #include "platform_adapter/wire_engine_port.h"
 #include "platform_adapter/wire_header_codec.h"
@@ -78,7 +81,9 @@
     out.version_apply = settings.bounds.version_apply;
     out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
-    out.max_held_bytes = allowance_for_callers(process_limits_of(settings.limits)).memory_bytes;
+    const caller_allowance allowance = allowance_for_callers(process_limits_of(settings.limits));
+    out.max_held_bytes = allowance.memory_bytes;
+    out.max_connections = allowance.connections;
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
 }
@@ -565,7 +570,7 @@
         unsent_bytes_.set(static_cast<double>(data_path_.unsent_bytes()));
         held_bytes_.set(static_cast<double>(data_path_.budget()->held()));
         held_limit_.set(static_cast<double>(data_path_.budget()->limit()));
-        caller_connections_.set(static_cast<double>(data_path_.caller_count()));
+        caller_connections_.set(static_cast<double>(data_path_.connection_count()));
         hints_dropped_.set(static_cast<double>(fleet_.hints_dropped()));
         requests_queued_.set(static_cast<double>(data_path_.queued_count()));
         exceptions_.set(static_cast<double>(telemetry::contained_exceptions()));
@@ -669,6 +674,9 @@
         drop_expired_endpoints();
         data_path_.pool().sweep();
         data_path_.sweep();
+        if (heap_trim_.on_held(data_path_.budget()->held())) {
+            malloc_trim(0);
+        }
         data_path_.work().drop_expired(now);
         data_path_.quarantine().drop_expired(now);
         if (now - settings_checked_ >= settings_check_interval) {
@@ -782,6 +790,7 @@
     acceptor callers_;
     acceptor readiness_port_;
     acceptor metrics_port_;
+    heap_trim heap_trim_;
     std::optional<time_point> stop_began_;
 };
 
