--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -40,7 +40,6 @@
                           {"adapter", attributes_.target.adapter},
                           {"needs_load", choice->needs_load},
                           {"expected_ms", to_ms(choice->expected).count()},
-                          {"penalty_ms", to_ms(choice->penalty).count()},
                           {"unread_tokens", choice->unread_tokens},
                           {"rate_limit", owner_.limits_.rate(choice->id).value_or(-1)},
                           {"refused_loads", load_refused_by_.size()},
@@ -93,9 +92,9 @@
 
 std::optional<routing::endpoint_choice> exchange::choose_endpoint() const {
     const bool may_load = load_refusals_ < owner_.settings_.max_load_refusals;
-    const routing::choice_request wanted{attributes_,      *service_,         excluded_,
-                                         load_refused_by_, may_load,          owner_.fleet_loads(),
-                                         zones(),          route_->gap_target};
+    const routing::choice_request wanted{attributes_,      *service_, excluded_,
+                                         load_refused_by_, may_load,  owner_.fleet_loads(),
+                                         zones()};
     return owner_.chooser_.choose(wanted, owner_.time_.now());
 }
 
@@ -150,7 +149,7 @@
 
 void exchange::reserve_work(const endpoint_id& id) {
     const std::uint32_t memory = attributes_.prompt_tokens + expected_output();
-    owner_.work_.start(number_, id, prefill_work_, memory, route_->gap_target);
+    owner_.work_.start(number_, id, prefill_work_, memory);
     if (prefill_work_ > owner_.settings_.large_prefill_tokens) {
         owner_.broker_->note_large_prefill();
     }
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -52,8 +52,6 @@
     /// Time without a first event after which callers abandon a request; 0 if they wait until their
     /// deadline.
     milliseconds caller_patience{0};
-    /// Longest pause between two events of a stream that has full value; 0 if none is stated.
-    milliseconds gap_target{0};
     /// 0 is the most urgent.
     int priority = 0;
     /// Maximum number of endpoints on which one attempt of a caller may run.
@@ -106,8 +104,6 @@
     milliseconds cold_start{0};
     /// Requests per second that a cold endpoint accepts from all VMs together; 0 for any number.
     double cold_rate = 0;
-    /// Whether a route that may use the service states a gap target; set by `configuration`.
-    bool has_gap_targets = false;
 };
 
 /// A client account with its keys and its rate limit.
@@ -168,8 +164,6 @@
     const service* find_service(const service_id& id) const;
 
 private:
-    void mark_services_with_gap_targets();
-
     configuration_content content_;
     /// Routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<const route*>> routes_by_host_;
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -16,7 +16,6 @@
 #include "routing/endpoint_limits.h"
 #include "routing/load_time_estimator.h"
 #include "routing/location.h"
-#include "routing/pause_cost.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/work_table.h"
 #include "routing/zone_filter.h"
@@ -52,11 +51,9 @@
     /// Slowdown of all tokens per additional running request.
     duration batch_slowdown = std::chrono::milliseconds(2);
     /// Prefilling a prompt of at least this length stalls the streams that run at the same engine;
-    /// each of them adds this penalty. Used where no route of the service states gap targets.
+    /// each of them adds this penalty.
     std::uint32_t long_prompt_tokens = 12'000;
     duration long_prompt_penalty = std::chrono::milliseconds(60);
-    /// Cost of late events, where routes of the service state gap targets.
-    pause_cost_settings pauses{};
 };
 
 /// The selected endpoint and its estimate.
@@ -91,8 +88,6 @@
     std::size_t fleet_loads = 0;
     /// Availability zones to which the request may be sent.
     zone_filter zones{};
-    /// Longest pause between two events that has full value; 0 if the request has no such target.
-    milliseconds gap_target{0};
 };
 
 /// Selects endpoints from the routing tables, which must outlive it.
@@ -115,10 +110,7 @@
     duration distance(const endpoint& it) const;
     bool add_load_delay(const endpoint& it, const choice_request& request, std::size_t rank,
                         time_point now, endpoint_choice& out) const;
-    duration queueing_delay(const endpoint& it, const choice_request& request,
-                            const endpoint_work& work) const;
-    /// Prefill work per prompt token.
-    double work_per_token(const request_attributes& attributes) const;
+    duration queueing_delay(const endpoint& it, const choice_request& request) const;
 
     const endpoint_directory& directory_;
     const endpoint_limits& limits_;
--- a/libs/routing/include/routing/work_table.h
+++ b/libs/routing/include/routing/work_table.h
@@ -9,7 +9,6 @@
 
 #include "base/clock.h"
 #include "base/identifier.h"
-#include "routing/paced_streams.h"
 
 namespace radishpulley::routing {
 
@@ -20,21 +19,17 @@
     std::uint64_t unread_tokens = 0;
     /// Tokens that the requests occupy in the engine's memory.
     std::uint64_t memory_tokens = 0;
-    /// Those of the requests that are streams with a gap target.
-    paced_stream_counts paced{};
 
     endpoint_work& operator+=(const endpoint_work& it) {
         requests += it.requests;
         unread_tokens += it.unread_tokens;
         memory_tokens += it.memory_tokens;
-        paced += it.paced;
         return *this;
     }
     endpoint_work& operator-=(const endpoint_work& it) {
         requests -= it.requests;
         unread_tokens -= it.unread_tokens;
         memory_tokens -= it.memory_tokens;
-        paced -= it.paced;
         return *this;
     }
 };
@@ -47,10 +42,9 @@
 /// Sums the work by endpoint.
 class work_table {
 public:
-    /// Records that a request is sent to an endpoint. `gap_target` is 0 if it has none.
+    /// Records that a request is sent to an endpoint.
     void start(request_number number, const endpoint_id& to, std::uint32_t unread_tokens,
-               std::uint32_t memory_tokens,
-               std::chrono::milliseconds gap_target = std::chrono::milliseconds(0));
+               std::uint32_t memory_tokens);
     /// Records that the endpoint has prefilled the request's prompt.
     void on_prompt_read(request_number number);
     void finish(request_number number);
@@ -68,7 +62,8 @@
 private:
     struct outstanding_request {
         endpoint_id at;
-        endpoint_work work;
+        std::uint32_t unread_tokens = 0;
+        std::uint32_t memory_tokens = 0;
     };
     struct peer_work {
         work_by_endpoint work;
--- a/libs/routing/src/configuration.cpp
+++ b/libs/routing/src/configuration.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <unordered_set>
 
 namespace radishpulley::routing {
 
@@ -14,7 +13,6 @@
 }
 
 configuration::configuration(configuration_content content) : content_(std::move(content)) {
-    mark_services_with_gap_targets();
     for (const route& it : content_.routes) {
         routes_by_host_[lower_case(it.host)].push_back(&it);
     }
@@ -34,20 +32,6 @@
     }
 }
 
-void configuration::mark_services_with_gap_targets() {
-    std::unordered_set<service_id> with_targets;
-    for (const route& it : content_.routes) {
-        for (const weighted_service& used : it.services) {
-            if (it.gap_target.count() > 0) {
-                with_targets.insert(used.service);
-            }
-        }
-    }
-    for (service& it : content_.services) {
-        it.has_gap_targets = with_targets.count(it.id) != 0;
-    }
-}
-
 const route* configuration::find_route(std::string_view host, std::string_view path) const {
     const auto found = routes_by_host_.find(lower_case(host.substr(0, host.find(':'))));
     if (found == routes_by_host_.end()) {
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -99,12 +99,8 @@
     return true;
 }
 
-double endpoint_chooser::work_per_token(const request_attributes& attributes) const {
-    return 1 + attributes.prompt_tokens / settings_.prefill_half_speed_tokens;
-}
-
-duration endpoint_chooser::queueing_delay(const endpoint& it, const choice_request& request,
-                                          const endpoint_work& work) const {
+duration endpoint_chooser::queueing_delay(const endpoint& it, const choice_request& request) const {
+    const endpoint_work work = work_.total(it.id);
     const bool is_engine = request.target.engine.has_value();
     const duration service_time =
         is_engine ? settings_.typical_request_time : settings_.typical_call_time;
@@ -117,8 +113,7 @@
         return wait + service_time * static_cast<int>(work.requests) / 2;
     }
     wait += settings_.batch_slowdown * static_cast<int>(work.requests);
-    const bool is_long = request.attributes.prompt_tokens >= settings_.long_prompt_tokens;
-    if (is_long && !request.target.has_gap_targets) {
+    if (request.attributes.prompt_tokens >= settings_.long_prompt_tokens) {
         wait += settings_.long_prompt_penalty * static_cast<int>(work.requests);
     }
     wait += from_ms(static_cast<double>(work.unread_tokens) / settings_.prefill_tokens_per_ms);
@@ -143,18 +138,12 @@
         const std::uint32_t cached = prompts_.cached_tokens(it.id, request.attributes, now);
         out.unread_tokens =
             request.attributes.prompt_tokens - std::min(cached, request.attributes.prompt_tokens);
-        out.prefill_work =
-            static_cast<std::uint32_t>(out.unread_tokens * work_per_token(request.attributes));
+        out.prefill_work = static_cast<std::uint32_t>(
+            out.unread_tokens *
+            (1 + request.attributes.prompt_tokens / settings_.prefill_half_speed_tokens));
         out.expected += from_ms(out.prefill_work / settings_.prefill_tokens_per_ms);
     }
-    const endpoint_work work = work_.total(it.id);
-    out.expected += queueing_delay(it, request, work) + distance(it);
-    if (request.target.engine && request.target.has_gap_targets) {
-        const engine_speed speed{settings_.prefill_tokens_per_ms, settings_.batch_slowdown};
-        const added_prefill added{out.prefill_work, work_per_token(request.attributes),
-                                  request.gap_target};
-        out.penalty += pause_cost(added, work, speed, settings_.pauses);
-    }
+    out.expected += queueing_delay(it, request) + distance(it);
     if (directory_.is_deprioritized(it.id, now)) {
         out.penalty += settings_.failure_penalty;
     }
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -85,23 +85,6 @@
     return out;
 }
 
-json to_json(const paced_stream_counts& paced) {
-    json out = json::array();
-    for (const paced_streams& it : paced.groups()) {
-        out.push_back({it.gap_target.count(), it.streams});
-    }
-    return out;
-}
-
-paced_stream_counts read_paced(const json& in) {
-    paced_stream_counts out;
-    for (const json& it : in) {
-        const std::chrono::milliseconds gap_target(it.at(0).get<std::uint32_t>());
-        out += paced_stream_counts(gap_target, it.at(1).get<std::uint32_t>());
-    }
-    return out;
-}
-
 json to_json(const waiting_request& it) {
     return {it.priority, to_wire_ms(it.time_left), to_wire_ms(it.work), to_wire_ms(it.waited)};
 }
@@ -116,11 +99,7 @@
 json work_to_json(const work_by_endpoint& work) {
     json out = json::array();
     for (const auto& [id, it] : work) {
-        json entry = {id.str(), it.requests, it.unread_tokens, it.memory_tokens};
-        if (!it.paced.empty()) {
-            entry.push_back(to_json(it.paced));
-        }
-        out.push_back(std::move(entry));
+        out.push_back({id.str(), it.requests, it.unread_tokens, it.memory_tokens});
     }
     return out;
 }
@@ -128,13 +107,9 @@
 work_by_endpoint read_work(const json& in) {
     work_by_endpoint out;
     for (const json& it : in) {
-        endpoint_work work{it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint64_t>(),
-                           it.at(3).get<std::uint64_t>()};
-        // Daemons of older releases send no streams with gap targets.
-        if (it.size() > 4) {
-            work.paced = read_paced(it.at(4));
-        }
-        out[endpoint_id(it.at(0).get<std::string>())] = std::move(work);
+        out[endpoint_id(it.at(0).get<std::string>())] = {it.at(1).get<std::uint32_t>(),
+                                                         it.at(2).get<std::uint64_t>(),
+                                                         it.at(3).get<std::uint64_t>()};
     }
     return out;
 }
--- a/libs/routing/src/work_table.cpp
+++ b/libs/routing/src/work_table.cpp
@@ -5,11 +5,10 @@
 namespace radishpulley::routing {
 
 void work_table::start(request_number number, const endpoint_id& to, std::uint32_t unread_tokens,
-                       std::uint32_t memory_tokens, std::chrono::milliseconds gap_target) {
+                       std::uint32_t memory_tokens) {
     finish(number);
-    const endpoint_work work{1, unread_tokens, memory_tokens, paced_stream_counts(gap_target)};
-    requests_[number] = {to, work};
-    own_[to] += work;
+    requests_[number] = {to, unread_tokens, memory_tokens};
+    own_[to] += {1, unread_tokens, memory_tokens};
 }
 
 void work_table::on_prompt_read(request_number number) {
@@ -17,9 +16,8 @@
     if (found == requests_.end()) {
         return;
     }
-    endpoint_work& request = found->second.work;
-    own_[found->second.at].unread_tokens -= request.unread_tokens;
-    request.unread_tokens = 0;
+    own_[found->second.at].unread_tokens -= found->second.unread_tokens;
+    found->second.unread_tokens = 0;
 }
 
 void work_table::finish(request_number number) {
@@ -28,7 +26,9 @@
         return;
     }
     const auto work = own_.find(found->second.at);
-    work->second -= found->second.work;
+    work->second.requests -= 1;
+    work->second.unread_tokens -= found->second.unread_tokens;
+    work->second.memory_tokens -= found->second.memory_tokens;
     if (work->second.requests == 0) {
         own_.erase(work);
     }
--- a/libs/routing/tests/configuration_tests.cpp
+++ b/libs/routing/tests/configuration_tests.cpp
@@ -29,20 +29,6 @@
 
 BOOST_AUTO_TEST_SUITE(configuration_tests)
 
-// Guards against a service whose streams have targets on one of its routes only.
-BOOST_AUTO_TEST_CASE(services_have_gap_targets_if_one_of_their_routes_states_one) {
-    configuration_content content = two_routes();
-    content.routes[1].gap_target = milliseconds(300);
-    content.services.resize(3);
-    content.services[0].id = service_id("s1");
-    content.services[1].id = service_id("s2");
-    content.services[2].id = service_id("s3");
-    const configuration it(content);
-    BOOST_TEST(it.find_service(service_id("s1"))->has_gap_targets);
-    BOOST_TEST(it.find_service(service_id("s2"))->has_gap_targets);
-    BOOST_TEST(!it.find_service(service_id("s3"))->has_gap_targets);
-}
-
 BOOST_AUTO_TEST_CASE(longest_prefix_of_the_host_wins) {
     const configuration it(two_routes());
     BOOST_TEST(it.find_route("plans.example", "/a/b/c?x=/a/")->name == "narrow");
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -44,8 +44,7 @@
         const endpoint_chooser chooser(directory, limits, cold_limits, adapters, load_times,
                                        prompts, work, here);
         const zone_filter zones(regions, here, evacuations);
-        return chooser.choose(
-            {attributes, target, excluded, load_excluded, true, 0, zones, gap_target}, now);
+        return chooser.choose({attributes, target, excluded, load_excluded, true, 0, zones}, now);
     }
 
     endpoint_directory directory;
@@ -59,7 +58,6 @@
     request_attributes attributes;
     std::set<endpoint_id> excluded;
     std::set<endpoint_id> load_excluded;
-    milliseconds gap_target{0};
     allowed_regions regions;
     zone_evacuations evacuations;
 };
@@ -186,61 +184,6 @@
     BOOST_TEST(choose()->id.str() == "e3");
 }
 
-// Guards against long prompts beside chat streams with a target of 300 ms, which became late.
-BOOST_FIXTURE_TEST_CASE(a_long_prompt_avoids_an_engine_with_chat_streams, fixture) {
-    target.has_gap_targets = true;
-    hold("e1");
-    hold("e3");
-    for (request_number n = 1; n <= 5; ++n) {
-        work.start(n, endpoint_id("e1"), 0, 100, milliseconds(300));
-    }
-    BOOST_TEST(choose()->id.str() == "e1");
-    attributes.prompt_tokens = 20'000;
-    BOOST_TEST(choose()->id.str() == "e3");
-}
-
-// Guards against long prompts that give up a near engine for streams which they don't make late.
-BOOST_FIXTURE_TEST_CASE(a_long_prompt_joins_streams_without_a_short_target, fixture) {
-    target.has_gap_targets = true;
-    hold("e1");
-    hold("e3");
-    attributes.prompt_tokens = 20'000;
-    work.start(1, endpoint_id("e1"), 0, 100);
-    work.start(2, endpoint_id("e1"), 0, 100, milliseconds(2'000));
-    BOOST_TEST(choose()->id.str() == "e1");
-}
-
-// Guards against a chat stream with a target of 300 ms at an engine with long prompts queued, which
-// counts as late although its first event is in time.
-BOOST_FIXTURE_TEST_CASE(a_chat_stream_avoids_an_engine_with_long_prompts_queued, fixture) {
-    target.has_gap_targets = true;
-    target.engine->memory_tokens = 0;
-    hold("e1");
-    hold("e3");
-    gap_target = milliseconds(300);
-    attributes.prompt_tokens = 200;
-    // The queue at e1 is longer than an event's decode steps can be delayed, at e3 it is shorter by
-    // less than the network distance.
-    work.start(1, endpoint_id("e1"), 12'000, 12'000);
-    work.start(2, endpoint_id("e3"), 11'600, 11'600);
-    BOOST_TEST(choose()->id.str() == "e1");
-    work.start(2, endpoint_id("e3"), 10'800, 10'800);
-    BOOST_TEST(choose()->id.str() == "e3");
-}
-
-// Guards against requests that are refused as too late because the streams that they delay count
-// as time of their own.
-BOOST_FIXTURE_TEST_CASE(late_streams_of_others_are_no_time_of_the_request, fixture) {
-    target.has_gap_targets = true;
-    hold("e1");
-    attributes.prompt_tokens = 20'000;
-    const duration expected = choose()->expected;
-    work.start(1, endpoint_id("e1"), 0, 100, milliseconds(300));
-    const auto it = choose();
-    BOOST_TEST((it->penalty > duration::zero()));
-    BOOST_TEST((it->expected - expected <= milliseconds(2)));
-}
-
 BOOST_FIXTURE_TEST_CASE(an_engine_without_the_base_model_is_never_chosen, fixture) {
     attributes.target.model = "other";
     BOOST_TEST(!choose().has_value());
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -124,29 +124,6 @@
     BOOST_TEST(it.total(endpoint_id("f")).unread_tokens == 900U);
 }
 
-// Guards against streams that count after their end, or after their VM's report was replaced.
-BOOST_AUTO_TEST_CASE(streams_are_counted_by_their_gap_target) {
-    work_table it;
-    const vm_id peer("v");
-    const endpoint_work reported{2, 0, 0, paced_stream_counts(milliseconds(500), 2)};
-    it.start(1, engine, 0, 0, milliseconds(500));
-    it.start(2, engine, 0, 0, milliseconds(300));
-    it.start(3, engine, 0, 0);
-    it.on_peer_work(peer, {{engine, reported}}, start, seconds(2));
-    const endpoint_work sum = it.total(engine);
-    BOOST_REQUIRE(sum.paced.groups().size() == 2U);
-    BOOST_TEST((sum.paced.groups()[0].gap_target == milliseconds(300)));
-    BOOST_TEST(sum.paced.groups()[0].streams == 1U);
-    BOOST_TEST(sum.paced.groups()[1].streams == 3U);
-    it.finish(2);
-    it.on_peer_work(peer, {}, start, seconds(2));
-    BOOST_REQUIRE(it.total(engine).paced.groups().size() == 1U);
-    BOOST_TEST(it.total(engine).paced.groups()[0].streams == 1U);
-    it.finish(1);
-    BOOST_TEST(it.total(engine).paced.empty());
-    BOOST_TEST(it.total(engine).requests == 1U);
-}
-
 BOOST_AUTO_TEST_CASE(only_leading_segments_for_the_same_adapter_are_cached) {
     prefix_cache_index it;
     it.on_read(engine, prompt({{1, 100}, {2, 50}, {3, 7}}), start);
@@ -318,25 +295,6 @@
     BOOST_TEST(prompt({}).shared_segments().empty());
 }
 
-// Guards against a rolling update in which VMs of either release can't read the other's work.
-BOOST_AUTO_TEST_CASE(work_is_read_with_and_without_gap_targets) {
-    vm_status state;
-    state.work[engine] = {5, 300, 400, paced_stream_counts(milliseconds(300), 2)};
-    state.work[endpoint_id("f")] = {1, 2, 3};
-    const std::string bytes = encode({{vm_id("v"), 7}, state});
-    const auto read = std::get<vm_status>(decode_hint(bytes).body).work;
-    BOOST_REQUIRE(read.at(engine).paced.groups().size() == 1U);
-    BOOST_TEST((read.at(engine).paced.groups()[0].gap_target == milliseconds(300)));
-    BOOST_TEST(read.at(engine).paced.groups()[0].streams == 2U);
-    BOOST_TEST(read.at(endpoint_id("f")).paced.empty());
-    // Older releases send and read the first four fields of an entry.
-    const auto entries = nlohmann::json::from_cbor(bytes)[2][3];
-    for (const auto& entry : entries) {
-        BOOST_TEST(entry.size() == (entry[0] == "f" ? 4U : 5U));
-        BOOST_TEST(entry[3].get<int>() == (entry[0] == "f" ? 3 : 400));
-    }
-}
-
 // Guards against a rolling update in which VMs of the older release take a delta for the contents
 // of a configuration, or drop whole messages that name requests as suspects.
 BOOST_AUTO_TEST_CASE(older_releases_read_what_they_know_of_a_message) {
