Speed of engines estimated from their streams

Cause: expected times to the first event came from constants, while engines differ in speed by 1.3 and change over time. 10 % of the estimates were at least 590 ms too short for a target of 1,000 ms.

Change: engine_speed_estimator relates the time to the first event to the prefill work and the requests at the engine, and the pause between events to the requests. The engines of a service share a fit, and each engine has a factor on it. The constants stay as the prior: without observations nothing changes. exchange_response.cpp reports first events, pauses and ends of streams at model engines; endpoint_chooser and pause_cost use the estimates.

Not measured on a deployment.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -32,6 +32,7 @@
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
+#include "routing/engine_speed.h"
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
@@ -261,6 +262,7 @@
     const routing::account_limiter& limiter() const { return limiter_; }
     routing::work_table& work() { return work_; }
     const routing::work_table& work() const { return work_; }
+    const routing::engine_speed_estimator& speeds() const { return speeds_; }
     endpoint_pool& pool() { return pool_; }
 
 private:
@@ -347,6 +349,7 @@
     routing::prefix_cache_index prompts_;
     routing::work_table work_;
     routing::endpoint_chooser chooser_;
+    routing::engine_speed_estimator speeds_;
     routing::account_limiter limiter_;
     endpoint_pool pool_;
     routing::request_quarantine quarantine_;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -127,6 +127,10 @@
     /// If the call that ended produced no response for the caller, sends the request again or
     /// refuses it; returns whether that was the case.
     bool send_again_if_discarded();
+    /// Whether the response tells something about the speed of a model engine.
+    bool shows_engine_speed() const;
+    /// Part of the body arrived; `is_first` if it is the first of the request.
+    void observe_event(bool is_first);
     /// Sends the request to another endpoint, or refuses it if the sends are used up.
     void try_another_endpoint();
     bool may_have_run() const { return runs_ > 0; }
@@ -236,6 +240,10 @@
     unsigned status_ = 0;
     time_point wait_began_{};
     time_point sent_at_{};
+    /// Work at the endpoint when the request was sent there, the request included.
+    routing::engine_load load_when_sent_;
+    /// Arrival of the last part of the body at this endpoint, unless reading was paused since.
+    std::optional<time_point> last_event_;
     duration first_byte_time_{};
     duration load_wait_{};
     /// Time for which the request lay unread or was arriving.
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -137,6 +137,7 @@
         note_answered();
     }
     has_body_ = true;
+    observe_event(first_body_);
     if (first_body_) {
         first_body_ = false;
         first_byte_time_ = elapsed();
@@ -166,9 +167,34 @@
     }
     if (connection_ && out_ != nullptr && out_->unsent() > owner_.unsent_limit()) {
         connection_->set_paused(true);
+        last_event_.reset();
     }
 }
 
+bool exchange::shows_engine_speed() const {
+    return service_->engine && route_->kind == routing::request_kind::streaming &&
+           status_ / 100 == 2;
+}
+
+void exchange::observe_event(bool is_first) {
+    if (!shows_engine_speed()) {
+        return;
+    }
+    const time_point now = owner_.time_.now();
+    const routing::endpoint* engine = owner_.directory_.find(endpoint_);
+    // A request that waited for a slot tells nothing about the speed of the prefill.
+    const bool had_slot = engine != nullptr && load_when_sent_.requests < engine->slots;
+    if (is_first && had_slot) {
+        owner_.speeds_.on_first_event(service_->id, endpoint_, load_when_sent_, now - sent_at_,
+                                      now);
+    } else if (last_event_) {
+        const routing::endpoint_work work = owner_.work_.total(endpoint_);
+        owner_.speeds_.on_pause(service_->id, endpoint_, work.requests, work.unread_tokens,
+                                now - *last_event_, now);
+    }
+    last_event_ = now;
+}
+
 void exchange::on_caller_ready() {
     if (connection_) {
         const auto held = connection_;
@@ -207,6 +233,10 @@
     } else if (has_body_) {
         note_answered();
     }
+    if (shows_engine_speed()) {
+        owner_.speeds_.on_request_end(service_->id, owner_.time_.now() - sent_at_,
+                                      owner_.time_.now());
+    }
     if (events_ && !events_->incomplete().empty()) {
         out_->send_body(events_->incomplete());
     }
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -361,10 +361,13 @@
     discards_response_ = false;
     discarded_bytes_ = 0;
     has_body_ = false;
+    last_event_.reset();
     ++runs_;
     sent_at_ = owner_.time_.now();
     connection_ = std::move(connection);
     if (service_->engine) {
+        const routing::endpoint_work work = owner_.work_.total(endpoint_);
+        load_when_sent_ = {work.unread_tokens, work.requests - 1};
         owner_.prompts_.on_read(endpoint_, attributes_, sent_at_);
         if (!attributes_.target.adapter.empty()) {
             notified_engine_ = endpoint_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -34,6 +34,7 @@
       codec_(codec),
       settings_(std::move(settings)),
       chooser_(directory_, limits_, adapters_, load_times_, prompts_, work_, settings_.location),
+      speeds_(chooser_.prior_speed()),
       limiter_(settings_.limiter),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
@@ -53,7 +54,9 @@
                       .with({})),
       turns_(loop, time, [this](duration it) { on_turn(it); }),
       pauses_(settings_.pause_limit),
-      confirmation_timer_(loop) {}
+      confirmation_timer_(loop) {
+    chooser_.set_speeds(speeds_);
+}
 
 gateway::~gateway() = default;
 
@@ -382,6 +385,7 @@
 }
 
 void gateway::sweep() {
+    speeds_.drop_expired(time_.now());
     finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
                                     [](const auto& it) { return !it->is_sending(); }),
                      finishing_.end());
--- a/libs/gateway/tests/stream_pacing_tests.cpp
+++ b/libs/gateway/tests/stream_pacing_tests.cpp
@@ -44,6 +44,24 @@
     BOOST_TEST(reported.empty());
 }
 
+// Guards against responses that take long for another reason than the engine's speed: those that
+// are no streams, and failures.
+BOOST_FIXTURE_TEST_CASE(only_streams_show_the_speed_of_an_engine, fixture) {
+    with_engines = true;
+    configure();
+    std::string status = "500 Internal Server Error";
+    add_endpoint("e1", [&](const std::string& request, peer& it) {
+        it.send(response(status, id_of(request), "done"));
+    });
+    const auto is_answered = [](const peer& it) { return ends_with(it.received, "done"); };
+    round_trip(request("GET /stream/x", "r1"), is_answered);
+    status = "200 OK";
+    round_trip(request("GET /open/x", "r2"), is_answered);
+    BOOST_TEST(proxy().speeds().engines() == 0U);
+    round_trip(request("GET /stream/x", "r3"), is_answered);
+    BOOST_TEST(proxy().speeds().engines() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -13,6 +13,7 @@
 #include "routing/configuration.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
+#include "routing/engine_speed.h"
 #include "routing/load_time_estimator.h"
 #include "routing/location.h"
 #include "routing/pause_cost.h"
@@ -22,7 +23,8 @@
 
 namespace radishpulley::routing {
 
-/// Time costs and processing speeds behind the estimate.
+/// Time costs and processing speeds behind the estimate. The speeds of engines are priors where an
+/// `engine_speed_estimator` is set.
 struct choice_settings {
     /// Prompt tokens that an engine prefills per millisecond while prompts are short.
     double prefill_tokens_per_ms = 34.5;
@@ -105,17 +107,22 @@
     /// Returns the best endpoint, or nothing where the service has no candidate.
     std::optional<endpoint_choice> choose(const choice_request& request, time_point now) const;
 
+    /// Uses observed speeds of engines, starting from `prior_speed()`; `it` must outlive this.
+    void set_speeds(const engine_speed_estimator& it) { speeds_ = &it; }
+    /// Returns the speed that the settings assume for all engines.
+    engine_speed prior_speed() const;
     void set_location(location own_location) { location_ = std::move(own_location); }
     const choice_settings& settings() const { return settings_; }
 
 private:
     std::optional<endpoint_choice> estimate(const endpoint& it, const choice_request& request,
-                                            std::size_t rank, time_point now) const;
+                                            std::size_t rank, const engine_speed& common,
+                                            time_point now) const;
     duration distance(const endpoint& it) const;
     bool add_load_delay(const endpoint& it, const choice_request& request, std::size_t rank,
                         time_point now, endpoint_choice& out) const;
     duration queueing_delay(const endpoint& it, const choice_request& request,
-                            const endpoint_work& work) const;
+                            const endpoint_work& work, const engine_speed& speed) const;
     /// Prefill work per prompt token.
     double work_per_token(const request_attributes& attributes) const;
 
@@ -125,6 +132,7 @@
     const adapter_load_times& load_times_;
     const prefix_cache_index& prompts_;
     const work_table& work_;
+    const engine_speed_estimator* speeds_ = nullptr;
     location location_;
     choice_settings settings_;
 };
--- a/libs/routing/include/routing/pause_cost.h
+++ b/libs/routing/include/routing/pause_cost.h
@@ -11,18 +11,11 @@
 #include <cstdint>
 
 #include "base/clock.h"
+#include "routing/engine_speed.h"
 #include "routing/work_table.h"
 
 namespace radishpulley::routing {
 
-/// Speed of one engine.
-struct engine_speed {
-    /// Prompt tokens that the engine prefills per millisecond while prompts are short.
-    double prefill_tokens_per_ms = 0;
-    /// Slowdown of each event per running request.
-    duration batch_slowdown{};
-};
-
 /// Model of the pauses, and what a late stream costs.
 struct pause_cost_settings {
     /// Tokens of a stream's event; each takes one decode step.
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -96,15 +96,24 @@
     return true;
 }
 
+engine_speed endpoint_chooser::prior_speed() const {
+    engine_speed out;
+    out.prefill_tokens_per_ms = settings_.prefill_tokens_per_ms;
+    out.batch_slowdown = settings_.batch_slowdown;
+    out.pause_slowdown = settings_.batch_slowdown;
+    out.request_time = settings_.typical_request_time;
+    return out;
+}
+
 double endpoint_chooser::work_per_token(const request_attributes& attributes) const {
     return 1 + attributes.prompt_tokens / settings_.prefill_half_speed_tokens;
 }
 
 duration endpoint_chooser::queueing_delay(const endpoint& it, const choice_request& request,
-                                          const endpoint_work& work) const {
+                                          const endpoint_work& work,
+                                          const engine_speed& speed) const {
     const bool is_engine = request.target.engine.has_value();
-    const duration service_time =
-        is_engine ? settings_.typical_request_time : settings_.typical_call_time;
+    const duration service_time = is_engine ? speed.request_time : settings_.typical_call_time;
     duration wait = duration::zero();
     if (work.requests >= it.slots) {
         wait += service_time * static_cast<int>(work.requests + 1 - it.slots) /
@@ -113,24 +122,28 @@
     if (!is_engine) {
         return wait + service_time * static_cast<int>(work.requests) / 2;
     }
-    wait += settings_.batch_slowdown * static_cast<int>(work.requests);
+    wait += speed.first_event_overhead;
+    wait += speed.batch_slowdown * static_cast<int>(work.requests);
     const bool is_long = request.attributes.prompt_tokens >= settings_.long_prompt_tokens;
     if (is_long && !request.target.has_gap_targets) {
         wait += settings_.long_prompt_penalty * static_cast<int>(work.requests);
     }
-    wait += from_ms(static_cast<double>(work.unread_tokens) / settings_.prefill_tokens_per_ms);
+    wait += from_ms(static_cast<double>(work.unread_tokens) / speed.prefill_tokens_per_ms);
     const std::uint64_t need = work.memory_tokens + request.attributes.prompt_tokens;
     const std::uint64_t capacity = request.target.engine->memory_tokens;
     if (capacity != 0 && need > capacity) {
         const double excess = static_cast<double>(need - capacity) / static_cast<double>(capacity);
-        wait += from_ms(excess * 3'000) + settings_.typical_request_time / 2;
+        wait += from_ms(excess * 3'000) + speed.request_time / 2;
     }
     return wait;
 }
 
 std::optional<endpoint_choice> endpoint_chooser::estimate(const endpoint& it,
                                                           const choice_request& request,
-                                                          std::size_t rank, time_point now) const {
+                                                          std::size_t rank,
+                                                          const engine_speed& common,
+                                                          time_point now) const {
+    const engine_speed speed = speeds_ == nullptr ? common : speeds_->of_engine(it.id, common);
     endpoint_choice out;
     out.id = it.id;
     if (request.target.engine && !request.attributes.target.empty()) {
@@ -142,12 +155,11 @@
             request.attributes.prompt_tokens - std::min(cached, request.attributes.prompt_tokens);
         out.prefill_work =
             static_cast<std::uint32_t>(out.unread_tokens * work_per_token(request.attributes));
-        out.expected += from_ms(out.prefill_work / settings_.prefill_tokens_per_ms);
+        out.expected += from_ms(out.prefill_work / speed.prefill_tokens_per_ms);
     }
     const endpoint_work work = work_.total(it.id);
-    out.expected += queueing_delay(it, request, work) + distance(it);
+    out.expected += queueing_delay(it, request, work, speed) + distance(it);
     if (request.target.engine && request.target.has_gap_targets) {
-        const engine_speed speed{settings_.prefill_tokens_per_ms, settings_.batch_slowdown};
         const added_prefill added{out.prefill_work, work_per_token(request.attributes),
                                   request.gap_target};
         out.penalty += pause_cost(added, work, speed, settings_.pauses);
@@ -162,6 +174,8 @@
                                                         time_point now) const {
     const std::vector<const endpoint*> endpoints =
         ranked(directory_.usable(request.target.id), request.attributes);
+    const engine_speed common =
+        speeds_ == nullptr ? prior_speed() : speeds_->common(request.target.id);
     std::optional<endpoint_choice> best;
     for (std::size_t rank = 0; rank < endpoints.size(); ++rank) {
         const endpoint_id& id = endpoints[rank]->id;
@@ -171,7 +185,7 @@
         if (request.excluded.count(id) != 0 || !takes_requests || !is_permitted) {
             continue;
         }
-        const auto it = estimate(*endpoints[rank], request, rank, now);
+        const auto it = estimate(*endpoints[rank], request, rank, common, now);
         if (it && (!best || it->expected + it->penalty < best->expected + best->penalty)) {
             best = it;
         }
--- a/libs/routing/src/pause_cost.cpp
+++ b/libs/routing/src/pause_cost.cpp
@@ -13,7 +13,8 @@
         static_cast<double>(settings.event_tokens) * settings.prefill_chunk_tokens * work_per_token;
     const std::chrono::duration<double, std::milli> prefill(std::min(work, chunks_work) /
                                                             speed.prefill_tokens_per_ms);
-    return speed.batch_slowdown * requests + std::chrono::duration_cast<duration>(prefill);
+    return speed.pause_base + speed.pause_slowdown * requests +
+           std::chrono::duration_cast<duration>(prefill);
 }
 
 }  // namespace
--- a/libs/routing/tests/endpoint_choice_tests.cpp
+++ b/libs/routing/tests/endpoint_choice_tests.cpp
@@ -41,8 +41,10 @@
             zone_id("near"),
             region_id("r1"),
             {{zone_id("near"), region_id("r1")}, {zone_id("far"), region_id("r2")}}};
-        const endpoint_chooser chooser(directory, limits, adapters, load_times, prompts, work,
-                                       here);
+        endpoint_chooser chooser(directory, limits, adapters, load_times, prompts, work, here);
+        if (speeds) {
+            chooser.set_speeds(*speeds);
+        }
         const zone_filter zones(regions, here, evacuations);
         return chooser.choose(
             {attributes, target, excluded, load_excluded, true, 0, zones, gap_target}, now);
@@ -54,6 +56,7 @@
     adapter_table adapters;
     prefix_cache_index prompts;
     work_table work;
+    std::optional<engine_speed_estimator> speeds;
     service target;
     request_attributes attributes;
     std::set<endpoint_id> excluded;
@@ -240,6 +243,26 @@
     BOOST_TEST((it->expected - expected <= milliseconds(2)));
 }
 
+// Guards against requests at an engine that was seen to be slow while a faster one is as near.
+BOOST_FIXTURE_TEST_CASE(an_engine_that_was_observed_as_slow_is_avoided, fixture) {
+    hold("e1");
+    hold("e2");
+    const endpoint_chooser settings(directory, limits, adapters, load_times, prompts, work, {});
+    speeds.emplace(settings.prior_speed());
+    const auto unobserved = choose();
+    speeds.reset();
+    BOOST_TEST((unobserved->expected == choose()->expected));
+    speeds.emplace(settings.prior_speed());
+    const endpoint_id slow = unobserved->id;
+    const endpoint_id fast(slow.str() == "e1" ? "e2" : "e1");
+    for (int i = 0; i < 20; ++i) {
+        const time_point now = start + milliseconds(100) * i;
+        speeds->on_first_event(target.id, slow, {10'000, 0}, milliseconds(450), now);
+        speeds->on_first_event(target.id, fast, {10'000, 0}, milliseconds(290), now);
+    }
+    BOOST_TEST((choose()->id == fast));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_engine_without_the_base_model_is_never_chosen, fixture) {
     attributes.target.model = "other";
     BOOST_TEST(!choose().has_value());
--- a/libs/routing/tests/pause_cost_tests.cpp
+++ b/libs/routing/tests/pause_cost_tests.cpp
@@ -7,7 +7,14 @@
 
 using std::chrono::milliseconds;
 
-const engine_speed usual{34.5, milliseconds(2)};
+engine_speed speed(double prefill_tokens_per_ms) {
+    engine_speed out;
+    out.prefill_tokens_per_ms = prefill_tokens_per_ms;
+    out.pause_slowdown = milliseconds(2);
+    return out;
+}
+
+const engine_speed usual = speed(34.5);
 const pause_cost_settings settings;
 
 endpoint_work streams(std::uint32_t n, milliseconds gap_target, std::uint64_t unread_tokens = 0) {
@@ -67,11 +74,20 @@
 BOOST_AUTO_TEST_CASE(a_slow_engine_makes_more_streams_late) {
     const added_prefill prompt{12'000, 1, milliseconds(0)};
     const endpoint_work work = streams(5, milliseconds(500));
-    const engine_speed slow{usual.prefill_tokens_per_ms / 1.6, usual.batch_slowdown};
+    const engine_speed slow = speed(usual.prefill_tokens_per_ms / 1.6);
     BOOST_TEST((pause_cost(prompt, work, usual, settings) == duration::zero()));
     BOOST_TEST((pause_cost(prompt, work, slow, settings) > settings.late_stream_cost));
 }
 
+// Guards against a chat stream at an engine whose pauses exceed its target without any prefill.
+BOOST_AUTO_TEST_CASE(observed_pauses_count_towards_the_target) {
+    const added_prefill chat{200, 1, milliseconds(300)};
+    engine_speed observed = usual;
+    observed.pause_base = milliseconds(320);
+    BOOST_TEST((pause_cost(chat, {5, 0, 0}, usual, settings) == duration::zero()));
+    BOOST_TEST((pause_cost(chat, {5, 0, 0}, observed, settings) > settings.late_stream_cost / 2));
+}
+
 // Guards against one stream with a short target that makes many with long ones count as late.
 BOOST_AUTO_TEST_CASE(each_stream_counts_by_its_own_target) {
     const added_prefill prompt{20'000, 1, milliseconds(0)};
