A connection's next request waits until earlier responses are read

Pipelined requests whose responses a caller does not read were handled one after the other, with all responses queued: 142 to 199 MiB at the callers' port and 543 to 618 MiB at the metrics port with 40 callers (caller_memory_tests). Beyond 64 KiB of unsent responses the next request of a connection now waits.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -159,6 +159,10 @@
     void begin_early_response();
     void begin_request();
     void parse();
+    /// Handles the next request if it has arrived and none is in progress.
+    void parse_next();
+    /// Whether the caller has to read earlier responses before its next request is handled.
+    bool has_response_backlog() const;
     /// Handles what has arrived of a request; returns false if no more of it can be handled now.
     bool parse_part();
     /// Handles a head that has just arrived; returns false if it was refused.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t header_limit_slack = 64;
 // Largest header limit that a configuration can set.
 constexpr std::size_t max_header_limit = 1'048'576;
+// Unsent bytes of earlier responses beyond which the next request of the connection waits, so that
+// a caller that sends requests and does not read holds a bounded number of responses.
+constexpr std::size_t max_response_backlog = 65'536;
 // Longest time for a body, in multiples of the idle timeout.
 constexpr int max_body_idle_timeouts = 4;
 
@@ -228,7 +231,7 @@
 }
 
 void caller_link::parse() {
-    while (link_->input().size() > 0 && !work_ && !closed_) {
+    while (link_->input().size() > 0 && !work_ && !closed_ && !has_response_backlog()) {
         if (!parse_part()) {
             break;
         }
@@ -240,6 +243,10 @@
     }
 }
 
+bool caller_link::has_response_backlog() const {
+    return !reading_request_ && link_->unsent() > max_response_backlog;
+}
+
 bool caller_link::parse_part() {
     if (!reading_request_) {
         reading_request_ = true;
@@ -396,17 +403,19 @@
     // Pipelined requests are parsed from the event loop to keep responses from nesting on the
     // stack.
     if (link_->input().size() > 0) {
-        boost::asio::post(timer_.get_executor(), [self] {
-            if (!self->closed_ && !self->work_) {
-                self->parse();
-                self->link_->resume();
-            }
-        });
+        boost::asio::post(timer_.get_executor(), [self] { self->parse_next(); });
     } else {
         link_->resume();
     }
 }
 
+void caller_link::parse_next() {
+    if (!closed_ && !work_) {
+        parse();
+        link_->resume();
+    }
+}
+
 void caller_link::abort() {
     if (closed_) {
         return;
@@ -428,6 +437,8 @@
     charge(0);
     if (const auto work = work_) {
         work->on_caller_ready();
+    } else if (!answering_) {
+        parse_next();
     }
 }
 
