--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -55,7 +55,8 @@
 }
 
 std::size_t exchange::held_bytes() const {
-    const std::size_t by_call = connection_ ? connection_->held_bytes() : 0;
+    // Sending takes a copy of the body, which is charged before it is made.
+    const std::size_t by_call = connection_ ? connection_->held_bytes() : request_.body.size();
     const std::size_t by_events = events_ ? events_->incomplete().size() : 0;
     return request_.body.capacity() + by_call + by_events;
 }
