Reading as a newcomer: names, comments, doubled logic and two mistakes

Bytes that a caller reads count as progress, so that a long response that is read steadily is not turned away first; an account is not charged twice when its limit refills between two checks before a body. Names and comments that contradicted the code are corrected.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -142,6 +142,7 @@
 
     void on_input() override;
     void on_end(link_end how) override;
+    void on_partly_written(std::size_t bytes) override;
     void on_written() override;
 
     void send_head(const caller_response& head) override;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -130,8 +130,8 @@
 class load_broker {
 public:
     virtual ~load_broker() = default;
-    /// Requests an adapter on an engine for a request that waits at most `max_wait`. `by` is the
-    /// request; its VM is this one.
+    /// Requests an adapter on an engine for a request that waits at most `max_wait`. `by` describes
+    /// the request; its `vm` is empty, as the broker knows it.
     virtual load_request_result request_load(const endpoint_id& engine,
                                              const routing::model_ref& adapter, duration max_wait,
                                              const routing::load_applicant& by) = 0;
@@ -191,8 +191,9 @@
     /// Sets the VMs that are known to serve callers; `self` is one of them.
     void set_serving(const vm_id& self, gsl::span<const vm_id> vms);
     /// Sets the VMs among which limits are divided, also those that were not heard lately; `self`
-    /// is one of them. Unless they are `complete`, this VM sends cold engines nothing.
-    void set_members(const vm_id& self, gsl::span<const vm_id> vms, bool complete = true);
+    /// is one of them. Unless the other VMs count this one (`is_counted`), it sends cold engines
+    /// nothing.
+    void set_members(const vm_id& self, gsl::span<const vm_id> vms, bool is_counted = true);
     /// All endpoints that the directory contained when this VM first read it were applied.
     void on_directory_read() { cold_limits_.on_directory_read(); }
     /// Applies the announcement of an adapter's version, made at `at` or earlier.
@@ -238,7 +239,8 @@
     /// Closes all callers' connections and ends their requests. Must be called before the broker is
     /// destroyed.
     void close_callers();
-    /// Removes expired load waiters and connections that have finished sending.
+    /// Removes expired load waiters and closed connections, charges callers for input that has not
+    /// been read, and logs how many were turned away.
     void sweep();
     std::size_t caller_count() const { return callers_.size() + accepted_.size(); }
     /// Number of open connections, with those that wait for their callers to close them.
@@ -320,7 +322,8 @@
     void on_turn(duration length);
     /// Turns the caller away to which a holder belongs.
     void turn_away(memory_budget::holder_id id, std::string_view reason);
-    /// Closes a connection that is no longer or least needed; returns false if all are in use.
+    /// Closes or turns away a connection that is no longer or least needed; a refused one stays
+    /// open until its caller has read the refusal. Returns false if all are in use.
     bool free_connection();
     std::shared_ptr<caller_link> find_caller(memory_budget::holder_id id) const;
     void note_turned_away(std::string_view reason);
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -35,6 +35,8 @@
     virtual void on_input() = 0;
     /// No more input will arrive. Called once.
     virtual void on_end(link_end how) = 0;
+    /// The operating system has taken some of the written bytes.
+    virtual void on_partly_written(std::size_t /*bytes*/) {}
     /// The operating system has taken all written bytes.
     virtual void on_written() {}
 };
@@ -111,6 +113,8 @@
     void configure();
     /// Waits for input. No buffer is held meanwhile.
     void read();
+    /// Frees the input buffer while it is empty, so that idle connections hold none.
+    void release_empty_input();
     void on_readable(boost::system::error_code ec);
     /// Takes input that was read; an error marks its end.
     void on_read(const boost::system::error_code& ec, const char* bytes, std::size_t n);
--- a/libs/gateway/src/body_buffer.cpp
+++ b/libs/gateway/src/body_buffer.cpp
@@ -52,7 +52,7 @@
 }
 
 void body_buffer::clear() {
-    blocks_ = {};
+    blocks_ = std::vector<std::string>();
     size_ = 0;
     capacity_ = 0;
 }
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -295,6 +295,7 @@
 void caller_link::check_early() {
     caller_request arrived = head();
     const bool expects_continue = same_name(find_header(arrived.headers, "expect"), "100-continue");
+    // The state of the response is restored below if the request is not refused.
     const bool kept_alive = std::exchange(keep_alive_, false);
     is_http11_ = parser_->version() >= 11;
     is_head_ = arrived.method == "HEAD";
@@ -432,6 +433,12 @@
     handle_close();
 }
 
+void caller_link::on_partly_written(std::size_t bytes) {
+    if (budget_ != nullptr) {
+        budget_->note_moved(holder_, bytes, time_.now());
+    }
+}
+
 void caller_link::on_written() {
     const auto self = shared_from_this();
     charge(0);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -86,7 +86,7 @@
 }
 
 void exchange::start() {
-    if (!find_route() || !find_service() || !charge_account() || !has_time()) {
+    if (!accept_route() || !accept_service() || !charge_account() || !set_deadline()) {
         return;
     }
     deadline_timer_.expires_after(time_left());
@@ -146,7 +146,7 @@
     }
 }
 
-bool exchange::find_route() {
+bool exchange::accept_route() {
     attributes_ = owner_.codec_.read_request(request_.headers);
     suspects_ = routing::suspects_of(attributes_.shared_segments());
     if (!configuration_) {
@@ -173,7 +173,7 @@
     return true;
 }
 
-bool exchange::find_service() {
+bool exchange::accept_service() {
     if (configuration_->needs_keys()) {
         account_ = configuration_->find_account(attributes_.key);
         if (account_ == nullptr && !route_->open) {
@@ -217,7 +217,7 @@
     return true;
 }
 
-bool exchange::has_time() {
+bool exchange::set_deadline() {
     milliseconds wait = attributes_.deadline.value_or(default_deadline);
     if (route_->timeout.count() > 0) {
         wait = std::min(wait, route_->timeout);
@@ -235,7 +235,7 @@
 }
 
 bool exchange::refuse_early() {
-    if (!find_route() || !find_service()) {
+    if (!accept_route() || !accept_service()) {
         return true;
     }
     const bool is_over_limit =
@@ -244,7 +244,9 @@
     if (is_over_limit && !charge_account()) {
         return true;
     }
-    return !has_time();
+    // The account may have been below its limit again; start() charges the request.
+    refund();
+    return !set_deadline();
 }
 
 void exchange::on_call_ended() {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -46,7 +46,7 @@
     void on_caller_left() override;
     std::size_t held_bytes() const override;
     void turn_away(std::string_view reason) override;
-    /// Refuses a request that has not arrived completely, because its caller holds too much.
+    /// Refuses a request that has not arrived completely, because its caller is turned away.
     void refuse_incomplete(std::string_view reason);
     /// The adapter that this request waits for is loaded on the engine, or will be at `ready_at`.
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
@@ -88,13 +88,13 @@
     /// Refuses for a reason that a newer configuration may have removed.
     void refuse_unknown(unsigned status, std::string_view reason);
     /// Finds the route, or refuses.
-    bool find_route();
+    bool accept_route();
     /// Finds the account and the service, or refuses.
-    bool find_service();
+    bool accept_service();
     /// Charges the account, or refuses.
     bool charge_account();
     /// Sets the deadline; refuses if there is too little time until it, or until this daemon stops.
-    bool has_time();
+    bool set_deadline();
     /// Whether this daemon stops before the request is certain to have ended.
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -176,6 +176,7 @@
 void exchange::join_load_queue(const endpoint_id& id) {
     const auto view = owner_.adapters_.view(id, attributes_.target, owner_.time_.now());
     if (view.state == routing::adapter_state::loading && !view.ordered) {
+        // A refusal changes nothing: the request asks again if the adapter is missing at its time.
         owner_.broker_->request_load(id, attributes_.target, load_wait_limit(), load_applicant());
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -158,13 +158,13 @@
     quarantine_.set_vms(self, vms);
 }
 
-void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms, bool complete) {
+void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms, bool is_counted) {
     fleet_size_ = std::max<std::size_t>(1, vms.size());
     std::vector<vm_id> others(vms.begin(), vms.end());
     others.erase(std::remove(others.begin(), others.end(), self), others.end());
     limiter_.set_members(others);
     limits_.set_vms(self, vms, time_.now());
-    cold_limits_.set_vms(self, complete ? vms : gsl::span<const vm_id>(), time_.now());
+    cold_limits_.set_vms(self, is_counted ? vms : gsl::span<const vm_id>(), time_.now());
     log_cold_changes();
 }
 
@@ -235,12 +235,10 @@
     if (!it.cold_left) {
         return;
     }
-    const bool is_other = it.answered_by && *it.answered_by != asked.id;
-    const routing::endpoint* other = is_other ? directory_.find(*it.answered_by) : nullptr;
-    if (other != nullptr) {
-        cold_limits_.on_response(routing::incarnation_of(*other), *it.cold_left, time_.now());
-    } else if (!is_other) {
+    if (!it.answered_by || *it.answered_by == asked.id) {
         cold_limits_.on_response(asked, *it.cold_left, time_.now());
+    } else if (const routing::endpoint* other = directory_.find(*it.answered_by)) {
+        cold_limits_.on_response(routing::incarnation_of(*other), *it.cold_left, time_.now());
     }
 }
 
@@ -715,6 +713,7 @@
     if (const auto it = find_caller(id)) {
         it->turn_away(reason);
     } else {
+        // A closed connection that is kept alive only by a pending callback.
         budget_->remove(id);
     }
 }
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 
 #include "telemetry/guarded.h"
@@ -77,10 +78,14 @@
     });
 }
 
-void link::resume() {
+void link::release_empty_input() {
     if (input_.size() == 0) {
         input_.shrink_to_fit();
     }
+}
+
+void link::resume() {
+    release_empty_input();
     if (!reading_ && !ended_) {
         read();
     }
@@ -127,9 +132,7 @@
         end(link_end::broken);
         return;
     }
-    if (input_.size() == 0) {
-        input_.shrink_to_fit();
-    }
+    release_empty_input();
     read();
 }
 
@@ -165,8 +168,16 @@
         buffers.emplace_back(it.data(), it.size());
     }
     has_written_ = true;
-    asio::async_write(socket_, buffers,
-                      [self = shared_from_this()](const error_code& ec, std::size_t n) {
+    auto self = shared_from_this();
+    auto note_part = [self, before = std::size_t{0}](const error_code& ec, std::size_t n) mutable {
+        if (n > before && self->handler_ != nullptr) {
+            self->handler_->on_partly_written(n - before);
+        }
+        before = n;
+        return asio::transfer_all()(ec, n);
+    };
+    asio::async_write(socket_, buffers, std::move(note_part),
+                      [self](const error_code& ec, std::size_t n) {
                           self->unsent_ -= std::min(n, self->unsent_);
                           self->being_written_.clear();
                           if (self->ended_) {
--- a/libs/gateway/tests/memory_budget_tests.cpp
+++ b/libs/gateway/tests/memory_budget_tests.cpp
@@ -68,14 +68,14 @@
 
 // Guards against callers that keep their memory by sending a byte now and then.
 BOOST_FIXTURE_TEST_CASE(single_bytes_are_no_progress, fixture) {
-    const auto dripping = add(300, holder_wait::for_caller);
+    const auto slow_sender = add(300, holder_wait::for_caller);
     const auto moving = add(800, holder_wait::for_caller);
     for (int i = 0; i < 20; ++i) {
         now += milliseconds(100);
-        budget.note_moved(dripping, 1, now);
+        budget.note_moved(slow_sender, 1, now);
         budget.note_moved(moving, 4'096, now);
     }
-    BOOST_TEST((budget.holder_to_turn_away(now) == dripping));
+    BOOST_TEST((budget.holder_to_turn_away(now) == slow_sender));
 }
 
 // Guards against requests that are turned away because their endpoint takes long.
--- a/libs/routing/include/routing/cold_start_limits.h
+++ b/libs/routing/include/routing/cold_start_limits.h
@@ -5,7 +5,7 @@
 /// more than the rate without any message: they depend only on the engine's id and on the VMs that
 /// are registered in the store. As in endpoint_limits, the rate is divided among as many VMs as it
 /// has whole requests per second; the others send the engine nothing. After the cold time the rate
-/// doubles at fixed intervals until no limit is needed.
+/// grows continuously, doubling in each `doubling_time`, until no limit is needed.
 ///
 /// VMs learn of a new member at different times. A VM therefore sends only after it has known the
 /// members for `settle_time`, and counts a member for that time after it has left. If no VM's list
@@ -117,7 +117,8 @@
         bool is_limited = false;
         /// Rank of this VM for the endpoint, valid while a limit applies.
         std::size_t rank = 0;
-        /// Since when this VM has had a share.
+        /// When the rank was last determined without a share before; the first wait is counted from
+        /// it.
         time_point sender_since{};
         /// Whether take_changes() has reported it as cold.
         bool was_cold = false;
--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -248,7 +248,6 @@
     /// Answers a load request for an adapter that has a slot already.
     load_response response_for_present(const model_ref& adapter, adapter_slot& it,
                                        std::size_t fleet_loads, time_point now) const;
-    /// Answers a load request for an adapter that waits at `queue_position`, or would.
     /// Adds a waiting request to the adapter's pending load or updates it. Returns what was known
     /// of the request before.
     std::optional<applicant_record> add_applicant(const model_ref& adapter,
@@ -261,6 +260,7 @@
     /// Puts the loads of the highest value first, and the earliest of equals.
     void sort_pending_loads(time_point now);
     double total_value(const pending_load& it, time_point now) const;
+    /// Answers a load request for an adapter that waits at `queue_position`, or would.
     load_response response_for_queued(const model_ref& adapter, std::size_t queue_position,
                                       std::size_t fleet_loads, time_point now,
                                       duration max_wait) const;
--- a/libs/routing/src/cold_start_limits.cpp
+++ b/libs/routing/src/cold_start_limits.cpp
@@ -17,7 +17,7 @@
 }
 
 // Rounds up, as a wait that is too short would need a second one.
-duration from_seconds(double it) {
+duration from_seconds_rounded_up(double it) {
     return duration(static_cast<duration::rep>(std::ceil(it * 1e9)));
 }
 
@@ -169,9 +169,9 @@
     if (own_share <= 0) {
         return time_to_share(it, now);
     }
-    const time_point sent = it.last_sent.value_or(it.sender_since);
-    const time_point since = std::max({it.sender_since, settled_at(), sent});
-    return std::max(duration::zero(), since + from_seconds(1 / own_share) - now);
+    const time_point since =
+        std::max({it.sender_since, settled_at(), it.last_sent.value_or(it.sender_since)});
+    return std::max(duration::zero(), since + from_seconds_rounded_up(1 / own_share) - now);
 }
 
 bool cold_start_limits::is_cold(const endpoint_id& id, time_point now) const {
@@ -273,7 +273,8 @@
 duration cold_start_limits::time_to_share(const record& it, time_point now) const {
     const double needed_rate = static_cast<double>(it.rank + 1);
     const double doublings = std::log2(needed_rate / limit_of(it)->rate);
-    const duration growth = from_seconds(doublings * in_seconds(settings_.doubling_time));
+    const duration growth =
+        from_seconds_rounded_up(doublings * in_seconds(settings_.doubling_time));
     return std::max(duration(1), *cold_until(it) + growth - now);
 }
 
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -8,9 +8,9 @@
 
 // Change of a ready time that other daemons are not told.
 constexpr duration announcement_tolerance = std::chrono::milliseconds(20);
-// Expected uses below which the end of a use is not postponed, and the longest predicted time in
-// seconds, which bounds the exponential.
+// Expected uses within a gap below which they do not extend it.
 constexpr double negligible_uses = 1e-6;
+// Keeps the exponential within the range of a duration; max_queue_time bounds the predictions.
 constexpr double longest_prediction_s = 3'600;
 
 duration from_seconds(double seconds) {
--- a/libs/settings/include/settings/edge_settings.h
+++ b/libs/settings/include/settings/edge_settings.h
@@ -60,7 +60,7 @@
     bool endpoints_check_fencing = false;
 };
 
-/// What the VM has; unset where the platform does not state it.
+/// Memory of the VM and descriptors of the process; unset where the platform does not state them.
 struct edge_limits_settings {
     std::optional<std::size_t> memory_bytes;
     /// File descriptors of this process.
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -81,10 +81,10 @@
     out.version_apply = settings.bounds.version_apply;
     out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
+    out.authoritative_age = follower.watch_wait + follower.response_timeout;
     const caller_allowance allowance = allowance_for_callers(process_limits_of(settings.limits));
     out.max_held_bytes = allowance.memory_bytes;
     out.max_connections = allowance.connections;
-    out.authoritative_age = follower.watch_wait + follower.response_timeout;
     return out;
 }
 
--- a/radishpulley/edge/src/evacuation_follower.h
+++ b/radishpulley/edge/src/evacuation_follower.h
@@ -24,7 +24,8 @@
                         std::function<void()> on_confirmed);
 
     /// Sets the time from the acknowledgement of an evacuation until it has to be in force, and
-    /// starts following at the first call with one.
+    /// starts following at the first call with one. A call without one changes nothing: following
+    /// does not end before a restart.
     void set_bound(std::optional<duration> bound);
     /// Sets the zones of the deployment. Evacuations of other zones are applied too, but logged as
     /// unknown.
--- a/radishpulley/edge/src/process_limits.h
+++ b/radishpulley/edge/src/process_limits.h
@@ -1,4 +1,4 @@
-/// Memory and descriptors that this process may use.
+/// Memory of the VM and descriptors of this process, and the part of both for callers.
 #pragma once
 
 #include <cstddef>
