--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -28,13 +28,11 @@
 #include "requests/start_queue.h"
 #include "routing/account_limiter.h"
 #include "routing/adapter_table.h"
-#include "routing/adapter_use.h"
 #include "routing/cold_start_limits.h"
 #include "routing/configuration.h"
 #include "routing/endpoint_choice.h"
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
-#include "routing/engine_controller.h"
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
@@ -130,23 +128,21 @@
 class load_broker {
 public:
     virtual ~load_broker() = default;
-    /// Requests an adapter on an engine for a request that waits at most `max_wait`. `by` describes
-    /// the request; its `vm` is empty, as the broker knows it.
+    /// Requests an adapter on an engine for a request that waits at most `max_wait`.
     virtual load_request_result request_load(const endpoint_id& engine,
-                                             const routing::model_ref& adapter, duration max_wait,
-                                             const routing::load_applicant& by) = 0;
+                                             const routing::model_ref& adapter,
+                                             duration max_wait) = 0;
     /// Whether a VM that can order the engine's loads is known and answers.
     virtual bool can_request_load(const endpoint_id& engine) const = 0;
     /// A load request for this engine was not answered.
     virtual void note_load_unanswered(const endpoint_id& engine) = 0;
     /// A request for the adapter is being sent to the engine.
-    virtual void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter,
-                                    const routing::adapter_use& use) = 0;
+    virtual void note_request_start(const endpoint_id& engine,
+                                    const routing::model_ref& adapter) = 0;
     /// A long prompt was sent: other daemons should receive this daemon's load soon.
     virtual void note_large_prefill() = 0;
     /// A request reported by `note_request_start` has ended.
-    virtual void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter,
-                                  routing::request_number request) = 0;
+    virtual void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter) = 0;
     /// The engine rejected a request because the adapter is not loaded there.
     virtual void note_adapter_missing(const endpoint_id& engine,
                                       const routing::model_ref& adapter) = 0;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -106,9 +106,10 @@
 }
 
 requests::start_queue<std::weak_ptr<exchange>>::terms exchange::start_terms() const {
+    const bool is_prioritized = account_ != nullptr && account_->priority;
     const duration wait = std::chrono::duration_cast<duration>(
         (*deadline_ - request_.received) * owner_.settings_.max_start_wait_share);
-    return {priority(), request_.received + wait};
+    return {is_prioritized ? *account_->priority : route_->priority, request_.received + wait};
 }
 
 void exchange::on_turn_to_start() {
@@ -252,7 +253,7 @@
 void exchange::on_call_ended() {
     owner_.work_.finish(number_);
     if (!notified_engine_.empty()) {
-        owner_.broker_->note_request_end(notified_engine_, attributes_.target, number_);
+        owner_.broker_->note_request_end(notified_engine_, attributes_.target);
         notified_engine_ = endpoint_id();
     }
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -118,16 +118,6 @@
     void skip_unloadable_engines();
     /// Counts this request in the endpoint's load, also while it waits for an adapter.
     void reserve_work(const endpoint_id& id);
-    /// Tokens that the response is expected to have.
-    std::uint32_t expected_output() const;
-    /// Expected time that an idle engine takes to prefill what it has not cached of the prompt.
-    duration prefill_time() const;
-    /// 0 is the highest priority.
-    int priority() const;
-    /// What the rank of this request among those that wait for adapters depends on.
-    routing::load_applicant load_applicant() const;
-    /// Counts this request among those that wait for an adapter whose load is not ordered yet.
-    void join_load_queue(const endpoint_id& id);
     void wait_for_load(const routing::endpoint_choice& it);
     /// Longest time for which this request waits for an adapter.
     duration load_wait_limit() const;
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -50,7 +50,6 @@
         wait_for_load(*choice);
     } else if (choice->ready_at) {
         wait_until(*choice->ready_at, choice->id);
-        join_load_queue(choice->id);
     } else {
         send_to(choice->id);
     }
@@ -148,39 +147,14 @@
 }
 
 void exchange::reserve_work(const endpoint_id& id) {
-    const std::uint32_t memory = attributes_.prompt_tokens + expected_output();
+    const std::uint32_t memory = attributes_.prompt_tokens + attributes_.output_estimate.value_or(
+                                                                 attributes_.max_output_tokens / 2);
     owner_.work_.start(number_, id, prefill_work_, memory);
     if (prefill_work_ > owner_.settings_.large_prefill_tokens) {
         owner_.broker_->note_large_prefill();
     }
 }
 
-std::uint32_t exchange::expected_output() const {
-    return attributes_.output_estimate.value_or(attributes_.max_output_tokens / 2);
-}
-
-duration exchange::prefill_time() const {
-    const double ms = prefill_work_ / owner_.chooser_.settings().prefill_tokens_per_ms;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
-int exchange::priority() const {
-    const bool is_prioritized = account_ != nullptr && account_->priority;
-    return is_prioritized ? *account_->priority : route_->priority;
-}
-
-routing::load_applicant exchange::load_applicant() const {
-    return {vm_id(), number_, {priority(), first_event_time_left(), prefill_time(), elapsed()}};
-}
-
-void exchange::join_load_queue(const endpoint_id& id) {
-    const auto view = owner_.adapters_.view(id, attributes_.target, owner_.time_.now());
-    if (view.state == routing::adapter_state::loading && !view.ordered) {
-        // A refusal changes nothing: the request asks again if the adapter is missing at its time.
-        owner_.broker_->request_load(id, attributes_.target, load_wait_limit(), load_applicant());
-    }
-}
-
 void exchange::wait_for_load(const routing::endpoint_choice& it) {
     phase_ = phase::asking_for_load;
     endpoint_ = it.id;
@@ -195,8 +169,7 @@
         }
     });
     const duration max_wait = accepts_long_wait_ ? load_wait_limit() : prompt_load_limit();
-    const auto result =
-        owner_.broker_->request_load(it.id, attributes_.target, max_wait, load_applicant());
+    const auto result = owner_.broker_->request_load(it.id, attributes_.target, max_wait);
     if (const auto* refused = std::get_if<load_not_possible>(&result)) {
         if (refused->ready_in || owner_.broker_->can_request_load(it.id)) {
             on_load_refused(it.id, refused->ready_in);
@@ -402,9 +375,7 @@
         owner_.prompts_.on_read(endpoint_, attributes_, sent_at_);
         if (!attributes_.target.adapter.empty()) {
             notified_engine_ = endpoint_;
-            owner_.broker_->note_request_start(
-                endpoint_, attributes_.target,
-                {number_, prefill_time(), expected_output(), time_left()});
+            owner_.broker_->note_request_start(endpoint_, attributes_.target);
         }
     }
     required_version_ = version_to_require();
@@ -485,7 +456,8 @@
     }
     attributes.time_left = std::max(milliseconds(1), to_ms(time_left()));
     if (service_->engine) {
-        attributes.priority = priority();
+        attributes.priority =
+            account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
         if (required_version_ != 0) {
             attributes.adapter_version = required_version_;
         }
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -86,33 +86,21 @@
 class stub_broker final : public load_broker {
 public:
     load_request_result request_load(const endpoint_id& engine, const routing::model_ref& adapter,
-                                     duration max_wait,
-                                     const routing::load_applicant& by) override {
-        applicants.push_back(by);
+                                     duration max_wait) override {
         return on_load_request(engine, adapter, max_wait);
     }
     std::function<load_request_result(const endpoint_id&, const routing::model_ref&, duration)>
         on_load_request = [](const endpoint_id&, const routing::model_ref&,
                              duration) -> load_request_result { return load_not_possible{}; };
-    /// Requests for which a load was requested.
-    std::vector<routing::load_applicant> applicants;
     bool can_request_load(const endpoint_id& engine) const override {
         return silent.count(engine) == 0;
     }
     void note_load_unanswered(const endpoint_id& engine) override { silent.insert(engine); }
     /// Engines whose holder does not answer.
     std::set<endpoint_id> silent;
-    void note_request_start(const endpoint_id&, const routing::model_ref&,
-                            const routing::adapter_use& use) override {
-        uses.push_back(use);
-    }
-    /// Uses that were noted.
-    std::vector<routing::adapter_use> uses;
+    void note_request_start(const endpoint_id&, const routing::model_ref&) override {}
     void note_large_prefill() override {}
-    void note_request_end(const endpoint_id&, const routing::model_ref&,
-                          routing::request_number) override {
-        ++ended;
-    }
+    void note_request_end(const endpoint_id&, const routing::model_ref&) override { ++ended; }
     int ended = 0;
     void note_adapter_missing(const endpoint_id&, const routing::model_ref&) override {}
 };
--- a/libs/gateway/tests/load_waiting_tests.cpp
+++ b/libs/gateway/tests/load_waiting_tests.cpp
@@ -1,7 +1,5 @@
 #include <boost/test/unit_test.hpp>
 
-#include <set>
-
 #include "gateway_fixture.h"
 
 namespace radishpulley::gateway::testing {
@@ -130,32 +128,6 @@
     BOOST_TEST(asked.size() <= 2U);
 }
 
-// Guards against a holder that counts six waiting requests of one VM as one, because only the first
-// of them asked for the load.
-BOOST_FIXTURE_TEST_CASE(six_requests_that_wait_for_one_load_are_all_counted, fixture) {
-    broker().on_load_request = [&](const endpoint_id& id, const routing::model_ref& it, duration) {
-        proxy().on_adapter(
-            id, it, {routing::adapter_state::loading, time.now() + milliseconds(900), 1, false});
-        return load_request_result(load_requested{});
-    };
-    std::vector<std::shared_ptr<peer>> callers;
-    for (int i = 0; i < 6; ++i) {
-        callers.push_back(connect());
-        callers.back()->send(request("POST /once/a", "r" + std::to_string(i),
-                                     "X-Model: m/a\r\nX-Deadline: 4000\r\n", "x"));
-    }
-    std::set<routing::request_number> counted;
-    run_until([&] {
-        for (const routing::load_applicant& it : broker().applicants) {
-            counted.insert(it.request);
-        }
-        return counted.size() == 6;
-    });
-    BOOST_TEST(counted.size() == 6U);
-    BOOST_TEST((broker().applicants.front().wait.time_left <= milliseconds(4'000)));
-    BOOST_TEST((broker().applicants.front().wait.time_left > milliseconds(3'000)));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/routing/include/routing/engine_controller.h
+++ b/libs/routing/include/routing/engine_controller.h
@@ -10,14 +10,10 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <utility>
 #include <variant>
 #include <vector>
 
 #include "base/clock.h"
-#include "base/identifier.h"
-#include "routing/adapter_use.h"
-#include "routing/admission_rank.h"
 #include "routing/configuration.h"
 #include "routing/endpoint.h"
 #include "routing/load_schedule.h"
@@ -56,17 +52,6 @@
     duration report_lag = std::chrono::milliseconds(300);
     /// Minimum time between two orders for a base model, on top of its load time.
     duration model_retry_delay = std::chrono::seconds(3);
-    /// Order of the pending loads, by the values of the requests that wait for them.
-    admission_settings admission;
-};
-
-/// A request that waits for an adapter.
-struct load_applicant {
-    vm_id vm;
-    /// The request's number at its VM. Daemons of older releases state none (0), so that all of
-    /// their requests for an adapter count as one.
-    request_number request = 0;
-    waiting_request wait;
 };
 
 enum class order_kind { load, unload };
@@ -175,16 +160,12 @@
     /// Records that a daemon sent this engine a request for the adapter.
     void on_use(const model_ref& adapter, time_point now);
     /// Records the adapters that a daemon's requests are running on at this engine.
-    void on_running(const vm_id& daemon, const std::vector<running_adapter>& adapters,
-                    time_point now);
+    void on_running(const vm_id& daemon, const std::vector<model_ref>& adapters, time_point now);
     /// Handles a load request for an adapter, on behalf of a request that waits for at most
     /// `max_wait`. `fleet_loads` is the number of adapters that are loading at all engines. A load
-    /// that would finish too late is refused and not ordered. The next place goes to the adapter
-    /// whose waiting requests, of all VMs, have the highest total value. A granted load may
-    /// therefore become later than stated; its requests ask again then.
+    /// that would finish too late is refused and not ordered.
     load_response on_load_request(const model_ref& adapter, std::size_t fleet_loads, time_point now,
-                                  duration max_wait = duration::max(),
-                                  const load_applicant& by = {});
+                                  duration max_wait = duration::max());
 
     /// Returns the loads that are expected to end notably later than announced.
     std::vector<adapter_change> take_postponed(time_point now);
@@ -229,18 +210,10 @@
         double rate = 0;
         bool used = false;
     };
-    struct applicant_record {
-        waiting_request wait;
-        /// When `wait` was stated.
-        time_point as_of{};
-        /// When the request gives up.
-        time_point wanted_until{};
-    };
     struct pending_load {
         model_ref adapter;
-        std::map<std::pair<vm_id, request_number>, applicant_record> applicants;
-        /// Total value of the applicants when the loads were last ordered.
-        double value = 0;
+        /// When the last request that waits for the adapter gives up.
+        time_point wanted_until{};
     };
 
     /// Requests a report because the engine's state differs from the expected one.
@@ -248,18 +221,6 @@
     /// Answers a load request for an adapter that has a slot already.
     load_response response_for_present(const model_ref& adapter, adapter_slot& it,
                                        std::size_t fleet_loads, time_point now) const;
-    /// Adds a waiting request to the adapter's pending load or updates it. Returns what was known
-    /// of the request before.
-    std::optional<applicant_record> add_applicant(const model_ref& adapter,
-                                                  const load_applicant& by, duration max_wait,
-                                                  time_point now);
-    /// Undoes `add_applicant`.
-    void withdraw_applicant(const model_ref& adapter, const load_applicant& by,
-                            const std::optional<applicant_record>& before);
-    std::deque<pending_load>::iterator find_pending(const model_ref& adapter);
-    /// Puts the loads of the highest value first, and the earliest of equals.
-    void sort_pending_loads(time_point now);
-    double total_value(const pending_load& it, time_point now) const;
     /// Answers a load request for an adapter that waits at `queue_position`, or would.
     load_response response_for_queued(const model_ref& adapter, std::size_t queue_position,
                                       std::size_t fleet_loads, time_point now,
@@ -271,13 +232,6 @@
     /// Whether the adapter may be unloaded as soon as it is idle, and since when it counts as idle.
     std::optional<time_point> evictable_at(const model_ref& adapter, const adapter_slot& it,
                                            time_point now) const;
-    /// When the requests that run on the adapter are expected to have ended, if all daemons state
-    /// it.
-    std::optional<time_point> expected_end(const model_ref& adapter, time_point now) const;
-    /// When the adapter's place is expected to be available, if that is known. New requests may
-    /// extend the use of an adapter that requests are running on.
-    std::optional<time_point> expected_free_at(const model_ref& adapter, const adapter_slot& it,
-                                               time_point now) const;
     load_schedule schedule(time_point now) const;
     void reset();
     std::size_t loads_under_way(time_point now) const;
@@ -301,15 +255,13 @@
     engine_capacity capacity_;
     engine_controller_settings settings_;
     adapter_load_times& load_times_;
-    admission_rank rank_;
     std::int64_t started_at_ms_ = 0;
     std::uint64_t sequence_ = 0;
     std::set<std::string> models_;
     std::map<model_ref, adapter_slot> slots_;
     std::map<model_ref, std::uint64_t> versions_;
     struct running_report {
-        /// Expected end of each adapter's use, if known.
-        std::map<model_ref, std::optional<time_point>> adapters;
+        std::set<model_ref> adapters;
         time_point received_at{};
     };
     std::map<vm_id, running_report> running_;
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -14,8 +14,6 @@
 #include "base/identifier.h"
 #include "relay/copy_report.h"
 #include "routing/account_limiter.h"
-#include "routing/adapter_use.h"
-#include "routing/admission_rank.h"
 #include "routing/endpoint_limits.h"
 #include "routing/peer_contacts.h"
 #include "routing/request_attributes.h"
@@ -45,7 +43,7 @@
     /// Adapter of each request sent since the last message.
     std::vector<model_ref> sent;
     /// Adapters that the sender's requests are running on now.
-    std::vector<running_adapter> running;
+    std::vector<model_ref> running;
 };
 
 /// Asks the engine's holder to load an adapter for a waiting request.
@@ -54,10 +52,6 @@
     model_ref adapter;
     /// Maximum time that the request waits for the adapter, in milliseconds.
     std::uint32_t max_wait_ms = 0;
-    /// The request's number at the sender; 0 from daemons of older releases, which don't state what
-    /// its rank depends on either.
-    request_number request = 0;
-    waiting_request wait;
 };
 
 /// Announces that an engine holds, loads or has evicted an adapter; sent by the engine's holder.
--- a/libs/routing/include/routing/load_schedule.h
+++ b/libs/routing/include/routing/load_schedule.h
@@ -17,11 +17,8 @@
 class load_schedule {
 public:
     /// `places` are the times at which places for adapters become free, `load_slots` the times at
-    /// which a load can start. Times in the past are free now. `residency` is the time after its
-    /// load from which an adapter's place can be given to another one; without it, each place is
-    /// given once.
-    load_schedule(const std::vector<time_point>& places, const std::vector<time_point>& load_slots,
-                  std::optional<duration> residency = std::nullopt);
+    /// which a load can start. Times in the past are free now.
+    load_schedule(const std::vector<time_point>& places, const std::vector<time_point>& load_slots);
 
     /// Adds a load of this duration behind the earlier ones. Returns when it ends, or nothing if
     /// there is no place for it.
@@ -32,7 +29,6 @@
 
     earliest_first places_;
     earliest_first load_slots_;
-    std::optional<duration> residency_;
 };
 
 }  // namespace radishpulley::routing
--- a/libs/routing/src/engine_controller.cpp
+++ b/libs/routing/src/engine_controller.cpp
@@ -8,22 +8,6 @@
 
 // Change of a ready time that other daemons are not told.
 constexpr duration announcement_tolerance = std::chrono::milliseconds(20);
-// Expected uses within a gap below which they do not extend it.
-constexpr double negligible_uses = 1e-6;
-// Keeps the exponential within the range of a duration; max_queue_time bounds the predictions.
-constexpr double longest_prediction_s = 3'600;
-
-duration from_seconds(double seconds) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-}
-
-// Expected time until an adapter has not been used for as long as `gap`, at this rate of uses per
-// second that each extend its use. For random uses it is (e^(rate * gap) - 1) / rate.
-duration expected_idle_wait(duration gap, double rate) {
-    const double gap_s = std::chrono::duration<double>(gap).count();
-    const double wait_s = rate * gap_s < negligible_uses ? gap_s : std::expm1(rate * gap_s) / rate;
-    return from_seconds(std::min(wait_s, longest_prediction_s));
-}
 
 }  // namespace
 
@@ -33,8 +17,7 @@
     : engine_(std::move(engine)),
       capacity_(std::move(capacity)),
       settings_(settings),
-      load_times_(load_times),
-      rank_(settings.admission) {}
+      load_times_(load_times) {}
 
 void engine_controller::reset() {
     sequence_ = 0;
@@ -223,17 +206,9 @@
     }
 }
 
-void engine_controller::on_running(const vm_id& daemon,
-                                   const std::vector<running_adapter>& adapters, time_point now) {
-    running_report report;
-    report.received_at = now;
-    for (const running_adapter& it : adapters) {
-        std::optional<time_point>& ends_at = report.adapters[it.adapter];
-        if (it.ends_in) {
-            ends_at = now + *it.ends_in;
-        }
-    }
-    running_[daemon] = std::move(report);
+void engine_controller::on_running(const vm_id& daemon, const std::vector<model_ref>& adapters,
+                                   time_point now) {
+    running_[daemon] = {{adapters.begin(), adapters.end()}, now};
 }
 
 std::size_t engine_controller::running_count(time_point now) const {
@@ -248,24 +223,6 @@
     });
 }
 
-std::optional<time_point> engine_controller::expected_end(const model_ref& adapter,
-                                                          time_point now) const {
-    // An end that has passed counts as now.
-    time_point last = now;
-    for (const auto& [daemon, report] : running_) {
-        const auto found = report.adapters.find(adapter);
-        const bool is_current = now - report.received_at < settings_.running_lifetime;
-        if (!is_current || found == report.adapters.end()) {
-            continue;
-        }
-        if (!found->second) {
-            return std::nullopt;
-        }
-        last = std::max(last, *found->second);
-    }
-    return last;
-}
-
 std::size_t engine_controller::loads_under_way(time_point now) const {
     return std::count_if(slots_.begin(), slots_.end(),
                          [now](const auto& it) { return it.second.ready_at > now; });
@@ -306,8 +263,7 @@
 }
 
 load_response engine_controller::on_load_request(const model_ref& adapter, std::size_t fleet_loads,
-                                                 time_point now, duration max_wait,
-                                                 const load_applicant& by) {
+                                                 time_point now, duration max_wait) {
     const auto found = slots_.find(adapter);
     if (found != slots_.end()) {
         return response_for_present(adapter, found->second, fleet_loads, now);
@@ -316,76 +272,24 @@
         return load_refused{load_obstacle::no_model};
     }
     drop_settled_requests(now);
-    const auto before = add_applicant(adapter, by, max_wait, now);
-    sort_pending_loads(now);
-    const std::size_t queue_position = find_pending(adapter) - pending_loads_.begin();
+    const auto queued = std::find_if(pending_loads_.begin(), pending_loads_.end(),
+                                     [&](const pending_load& it) { return it.adapter == adapter; });
+    const std::size_t queue_position = queued - pending_loads_.begin();
     const load_response out =
         response_for_queued(adapter, queue_position, fleet_loads, now, max_wait);
     if (std::holds_alternative<load_refused>(out)) {
-        withdraw_applicant(adapter, by, before);
-    }
-    return out;
-}
-
-std::deque<engine_controller::pending_load>::iterator engine_controller::find_pending(
-    const model_ref& adapter) {
-    return std::find_if(pending_loads_.begin(), pending_loads_.end(),
-                        [&](const pending_load& it) { return it.adapter == adapter; });
-}
-
-std::optional<engine_controller::applicant_record> engine_controller::add_applicant(
-    const model_ref& adapter, const load_applicant& by, duration max_wait, time_point now) {
-    auto pending = find_pending(adapter);
-    if (pending == pending_loads_.end()) {
-        pending = pending_loads_.insert(pending, {adapter, {}, 0});
-    }
-    applicant_record next{by.wait, now, now + std::min(max_wait, settings_.max_queue_time)};
-    const auto [at, is_new] = pending->applicants.try_emplace({by.vm, by.request}, next);
-    if (is_new) {
-        return std::nullopt;
+        return out;
     }
-    const applicant_record before = at->second;
-    // A request that asks again has not begun to wait again.
-    next.wait.waited = std::max(next.wait.waited, before.wait.waited + (now - before.as_of));
-    next.wanted_until = std::max(next.wanted_until, before.wanted_until);
-    at->second = next;
-    return before;
-}
-
-void engine_controller::withdraw_applicant(const model_ref& adapter, const load_applicant& by,
-                                           const std::optional<applicant_record>& before) {
-    const auto pending = find_pending(adapter);
-    if (before) {
-        pending->applicants[{by.vm, by.request}] = *before;
-        return;
-    }
-    pending->applicants.erase({by.vm, by.request});
-    if (pending->applicants.empty()) {
-        pending_loads_.erase(pending);
-    }
-}
-
-double engine_controller::total_value(const pending_load& it, time_point now) const {
-    double out = 0;
-    for (const auto& [name, applicant] : it.applicants) {
-        waiting_request wait = applicant.wait;
-        const duration since = now - applicant.as_of;
-        wait.waited += since;
-        wait.time_left = wait.time_left > since ? wait.time_left - since : duration::zero();
-        out += rank_.value(wait);
+    const time_point wanted_until =
+        max_wait > settings_.max_queue_time ? now + settings_.max_queue_time : now + max_wait;
+    if (queued == pending_loads_.end()) {
+        pending_loads_.push_back({adapter, wanted_until});
+    } else {
+        queued->wanted_until = std::max(queued->wanted_until, wanted_until);
     }
     return out;
 }
 
-void engine_controller::sort_pending_loads(time_point now) {
-    for (pending_load& it : pending_loads_) {
-        it.value = total_value(it, now);
-    }
-    std::stable_sort(
-        pending_loads_.begin(), pending_loads_.end(),
-        [](const pending_load& a, const pending_load& b) { return a.value > b.value; });
-}
-
 load_response engine_controller::response_for_queued(const model_ref& adapter,
                                                      std::size_t queue_position,
                                                      std::size_t fleet_loads, time_point now,
@@ -412,33 +316,14 @@
     std::vector<time_point> load_slots(settings_.max_parallel_loads, now);
     std::size_t loads = 0;
     for (const auto& [name, it] : slots_) {
-        if (const auto at = expected_free_at(name, it, now)) {
+        if (const auto at = evictable_at(name, it, now)) {
             places.push_back(*at);
         }
         if (it.ready_at > now && loads < load_slots.size()) {
             load_slots[loads++] = it.ready_at;
         }
     }
-    // The adapters that wait now are used for at least this long once they are loaded.
-    return load_schedule(places, load_slots, settings_.min_residency);
-}
-
-std::optional<time_point> engine_controller::expected_free_at(const model_ref& adapter,
-                                                              const adapter_slot& it,
-                                                              time_point now) const {
-    if (it.leaving || !is_running(adapter, now)) {
-        return evictable_at(adapter, it, now);
-    }
-    const auto ends_at = expected_end(adapter, now);
-    if (!ends_at) {
-        return std::nullopt;
-    }
-    const duration wait =
-        expected_idle_wait(*ends_at - now + settings_.eviction_idle, decayed_use_rate(it, now));
-    if (wait > settings_.max_queue_time) {
-        return std::nullopt;
-    }
-    return std::max(it.ready_at, now + wait);
+    return load_schedule(places, load_slots);
 }
 
 std::optional<time_point> engine_controller::evictable_at(const model_ref& adapter,
@@ -469,13 +354,8 @@
 }
 
 void engine_controller::drop_settled_requests(time_point now) {
-    for (pending_load& it : pending_loads_) {
-        for (auto at = it.applicants.begin(); at != it.applicants.end();) {
-            at = now > at->second.wanted_until ? it.applicants.erase(at) : std::next(at);
-        }
-    }
     const auto is_settled = [&](const pending_load& it) {
-        return it.applicants.empty() || slots_.count(it.adapter) != 0;
+        return now > it.wanted_until || slots_.count(it.adapter) != 0;
     };
     pending_loads_.erase(std::remove_if(pending_loads_.begin(), pending_loads_.end(), is_settled),
                          pending_loads_.end());
@@ -520,7 +400,6 @@
     if (pending_loads_.empty() || loads_under_way(now) >= settings_.max_parallel_loads) {
         return std::nullopt;
     }
-    sort_pending_loads(now);
     if (free_slots() > 0) {
         engine_order order{order_kind::load, pending_loads_.front().adapter, 0, sequence_};
         return order;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 
 #include <nlohmann/json.hpp>
 
@@ -14,13 +13,6 @@
 
 using nlohmann::json;
 
-// Returns whole milliseconds; times that don't fit are shortened to the longest one that does.
-std::uint32_t to_wire_ms(duration it) {
-    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
-    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, longest));
-}
-
 json to_json(const model_ref& it) {
     return json::array({it.model, it.adapter});
 }
@@ -51,51 +43,6 @@
     return out;
 }
 
-json names_to_json(const std::vector<running_adapter>& list) {
-    json out = json::array();
-    for (const running_adapter& it : list) {
-        out.push_back(to_json(it.adapter));
-    }
-    return out;
-}
-
-// Older releases read only the names of running adapters, so their expected ends stand apart.
-json ends_to_json(const std::vector<running_adapter>& list) {
-    json out = json::array();
-    for (const running_adapter& it : list) {
-        out.push_back(it.ends_in ? json(to_wire_ms(*it.ends_in)) : json());
-    }
-    return out;
-}
-
-std::vector<running_adapter> read_running(const json& in) {
-    std::vector<running_adapter> out;
-    for (const json& it : in.at(3)) {
-        out.push_back({read_choice(it), std::nullopt});
-    }
-    // Daemons of older releases send no ends.
-    if (in.size() > 4) {
-        for (std::size_t i = 0; i < out.size(); ++i) {
-            const json& ends_in = in.at(4).at(i);
-            if (!ends_in.is_null()) {
-                out[i].ends_in = std::chrono::milliseconds(ends_in.get<std::uint32_t>());
-            }
-        }
-    }
-    return out;
-}
-
-json to_json(const waiting_request& it) {
-    return {it.priority, to_wire_ms(it.time_left), to_wire_ms(it.work), to_wire_ms(it.waited)};
-}
-
-waiting_request read_waiting_request(const json& in) {
-    using std::chrono::milliseconds;
-    return {in.at(0).get<int>(), milliseconds(in.at(1).get<std::uint32_t>()),
-            milliseconds(in.at(2).get<std::uint32_t>()),
-            milliseconds(in.at(3).get<std::uint32_t>())};
-}
-
 json work_to_json(const work_by_endpoint& work) {
     json out = json::array();
     for (const auto& [id, it] : work) {
@@ -376,12 +323,10 @@
                                     to_json(p.losses)});
             },
             [](const adapter_usage& u) {
-                return json::array({"u", u.engine.str(), to_json(u.sent), names_to_json(u.running),
-                                    ends_to_json(u.running)});
+                return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
             },
             [](const load_request& w) {
-                return json::array({"w", w.engine.str(), to_json(w.adapter), w.max_wait_ms,
-                                    w.request, to_json(w.wait)});
+                return json::array({"w", w.engine.str(), to_json(w.adapter), w.max_wait_ms});
             },
             [](const adapter_hint& h) {
                 return json::array({"h", h.engine.str(), to_json(h.adapter), h.held, h.ready_in_ms,
@@ -452,16 +397,10 @@
     }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
-        return adapter_usage{engine, read_choices(in.at(2)), read_running(in)};
+        return adapter_usage{engine, read_choices(in.at(2)), read_choices(in.at(3))};
     }
     if (kind == "w") {
-        load_request out{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>(), 0, {}};
-        // Daemons of older releases state no rank.
-        if (in.size() > 5) {
-            out.request = in.at(4).get<request_number>();
-            out.wait = read_waiting_request(in.at(5));
-        }
-        return out;
+        return load_request{engine, read_choice(in.at(2)), in.at(3).get<std::uint32_t>()};
     }
     if (kind == "h") {
         adapter_hint out{engine,
--- a/libs/routing/src/load_schedule.cpp
+++ b/libs/routing/src/load_schedule.cpp
@@ -5,11 +5,8 @@
 namespace radishpulley::routing {
 
 load_schedule::load_schedule(const std::vector<time_point>& places,
-                             const std::vector<time_point>& load_slots,
-                             std::optional<duration> residency)
-    : places_(std::greater<>(), places),
-      load_slots_(std::greater<>(), load_slots),
-      residency_(residency) {}
+                             const std::vector<time_point>& load_slots)
+    : places_(std::greater<>(), places), load_slots_(std::greater<>(), load_slots) {}
 
 std::optional<time_point> load_schedule::add(duration load_time, time_point now) {
     if (places_.empty() || load_slots_.empty()) {
@@ -20,9 +17,6 @@
     load_slots_.pop();
     const time_point end = start + load_time;
     load_slots_.push(end);
-    if (residency_) {
-        places_.push(end + *residency_);
-    }
     return end;
 }
 
--- a/libs/routing/tests/engine_controller_tests.cpp
+++ b/libs/routing/tests/engine_controller_tests.cpp
@@ -22,11 +22,6 @@
     return {"m", name};
 }
 
-// An adapter in use until a time that is not known.
-running_adapter running(const std::string& name) {
-    return {adapter(name), std::nullopt};
-}
-
 engine_report report(std::uint64_t sequence, const std::vector<std::string>& adapters,
                      std::int64_t started_at_ms = 0) {
     engine_report out;
@@ -160,7 +155,7 @@
     old.id = endpoint_id("e");
     old.models = {{"m", 1, {{"x", 1}}}};
     f.controller.on_entry(old);
-    f.controller.on_running(vm_id("v"), {running("a"), running("b")}, f.now);
+    f.controller.on_running(vm_id("v"), {adapter("a"), adapter("b")}, f.now);
     BOOST_TEST(!is_granted(f.controller.on_load_request(adapter("c"), 0, f.now)));
     BOOST_TEST(f.controller.adapter_count() == 2U);
 }
@@ -170,7 +165,7 @@
     f.load("a");
     f.load("b");
     f.now += seconds(3);
-    f.controller.on_running(vm_id("v1"), {running("a")}, f.now);
+    f.controller.on_running(vm_id("v1"), {adapter("a")}, f.now);
     BOOST_REQUIRE(is_granted(f.controller.on_load_request(adapter("c"), 0, f.now)));
     const auto order = f.controller.next_order(f.now);
     BOOST_REQUIRE(order.has_value());
@@ -258,7 +253,7 @@
     fixture f(2);
     f.load("a");
     f.now += seconds(1);
-    f.controller.on_running(vm_id("v"), {running("a")}, f.now);
+    f.controller.on_running(vm_id("v"), {adapter("a")}, f.now);
     f.controller.on_version(adapter("a"), 2);
     BOOST_TEST(!f.controller.next_order(f.now).has_value());
     BOOST_TEST(!is_granted(f.controller.on_load_request(adapter("a"), 0, f.now)));
@@ -338,7 +333,7 @@
     fixture f(1);
     f.load("a");
     f.controller.on_use(adapter("a"), f.now);
-    f.controller.on_running(vm_id("v"), {running("a")}, f.now);
+    f.controller.on_running(vm_id("v"), {adapter("a")}, f.now);
     f.now += milliseconds(400);
     f.controller.on_running(vm_id("v"), {}, f.now);
     BOOST_TEST(is_granted(f.controller.on_load_request(adapter("b"), 0, f.now)));
@@ -391,7 +386,7 @@
     fixture f(2);
     f.load("a");
     f.load("b");
-    f.controller.on_running(vm_id("v"), {running("a")}, f.now);
+    f.controller.on_running(vm_id("v"), {adapter("a")}, f.now);
     f.controller.on_use(adapter("b"), f.now);
     BOOST_REQUIRE(is_granted(f.controller.on_load_request(adapter("c"), 0, f.now, seconds(1))));
     f.now += milliseconds(1'100);
@@ -452,85 +447,11 @@
     const auto unknown = f.controller.on_load_request({"other", "a"}, 0, f.now);
     BOOST_TEST((std::get<load_refused>(unknown).obstacle == load_obstacle::no_model));
     f.load("a");
-    f.controller.on_running(vm_id("v"), {running("a")}, f.now);
+    f.controller.on_running(vm_id("v"), {adapter("a")}, f.now);
     const auto full = f.controller.on_load_request(adapter("b"), 0, f.now);
     BOOST_TEST((std::get<load_refused>(full).obstacle == load_obstacle::places_in_use));
 }
 
-// Guards against refusals of loads that could start within a few hundred milliseconds: requests ran
-// on 7 or 8 of 8 adapters for most of a heavy load, and 248 of 570 load requests were refused.
-BOOST_AUTO_TEST_CASE(eight_running_adapters_and_a_burst_for_a_ninth) {
-    fixture f(8);
-    std::vector<running_adapter> in_use;
-    for (int i = 0; i < 8; ++i) {
-        f.load(std::to_string(i));
-        f.controller.on_use(adapter(std::to_string(i)), f.now);
-        in_use.push_back({adapter(std::to_string(i)), milliseconds(300 + 1'000 * i)});
-    }
-    f.controller.on_running(vm_id("v"), in_use, f.now);
-    int granted = 0;
-    for (int i = 0; i < 6; ++i) {
-        granted += is_granted(f.controller.on_load_request(adapter("ninth"), 0, f.now, seconds(2)));
-    }
-    BOOST_TEST(granted == 6);
-    const auto response = f.controller.on_load_request(adapter("ninth"), 0, f.now, seconds(2));
-    const duration ready_in = std::get<load_granted>(response).ready_in;
-    BOOST_TEST((ready_in >= milliseconds(550) + f.load_times.fetched.expected(1)));
-    BOOST_TEST(!f.controller.next_order(f.now).has_value());
-    f.now += milliseconds(560);
-    in_use.erase(in_use.begin());
-    f.controller.on_running(vm_id("v"), in_use, f.now);
-    const auto order = f.controller.next_order(f.now);
-    BOOST_REQUIRE(order.has_value());
-    BOOST_TEST((order->kind == order_kind::unload));
-    BOOST_TEST(order->target.adapter == "0");
-}
-
-// Guards against a place that is promised at the end of the present requests although others keep
-// arriving for its adapter.
-BOOST_AUTO_TEST_CASE(a_busy_adapter_is_not_expected_to_free_its_place_with_its_present_requests) {
-    const auto time_to_load = [](int uses) {
-        fixture f(1);
-        f.load("a");
-        for (int i = 0; i < uses; ++i) {
-            f.controller.on_use(adapter("a"), f.now);
-        }
-        f.controller.on_running(vm_id("v"), {{adapter("a"), seconds(1)}}, f.now);
-        const auto response = f.controller.on_load_request(adapter("b"), 0, f.now, seconds(1));
-        return std::get<load_refused>(response).ready_in;
-    };
-    BOOST_REQUIRE(time_to_load(1).has_value());
-    BOOST_TEST((*time_to_load(1) < milliseconds(1'750)));
-    BOOST_REQUIRE(time_to_load(16).has_value());
-    BOOST_TEST((*time_to_load(16) > seconds(5)));
-    BOOST_TEST(!time_to_load(80).has_value());
-}
-
-BOOST_AUTO_TEST_CASE(an_expected_end_that_has_passed_counts_as_now) {
-    fixture f(1);
-    f.load("a");
-    f.controller.on_running(vm_id("v"), {{adapter("a"), milliseconds(100)}}, f.now);
-    f.now += seconds(2);
-    BOOST_TEST(is_granted(f.controller.on_load_request(adapter("b"), 0, f.now, seconds(1))));
-    // Until the end is reported, the adapter is not evicted.
-    BOOST_TEST(!f.controller.next_order(f.now).has_value());
-}
-
-// Guards against a rolling update in which the ends that some VMs state hide the requests of VMs
-// that state none, and against the last end of several VMs being missed.
-BOOST_AUTO_TEST_CASE(the_last_of_all_daemons_ends_counts_and_an_unknown_one_gives_no_time) {
-    fixture f(1);
-    f.load("a");
-    f.controller.on_running(vm_id("v1"), {{adapter("a"), seconds(4)}}, f.now);
-    f.controller.on_running(vm_id("v2"), {{adapter("a"), seconds(1)}}, f.now);
-    const auto late = f.controller.on_load_request(adapter("b"), 0, f.now, seconds(3));
-    BOOST_TEST((std::get<load_refused>(late).obstacle == load_obstacle::many_waiting));
-    BOOST_TEST((std::get<load_refused>(late).ready_in > duration(seconds(4))));
-    f.controller.on_running(vm_id("v2"), {running("a")}, f.now);
-    const auto unknown = f.controller.on_load_request(adapter("b"), 0, f.now, seconds(3));
-    BOOST_TEST((std::get<load_refused>(unknown).obstacle == load_obstacle::places_in_use));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
--- a/libs/routing/tests/load_schedule_tests.cpp
+++ b/libs/routing/tests/load_schedule_tests.cpp
@@ -40,14 +40,6 @@
     BOOST_TEST(!no_load_slot.add(load_time, start).has_value());
 }
 
-// Guards against loads beyond the number of places that are refused without a time.
-BOOST_AUTO_TEST_CASE(three_loads_at_one_place_take_turns) {
-    load_schedule it({start}, {start, start}, milliseconds(600));
-    BOOST_TEST((it.add(milliseconds(250), start) == start + milliseconds(250)));
-    BOOST_TEST((it.add(milliseconds(250), start) == start + milliseconds(1'100)));
-    BOOST_TEST((it.add(milliseconds(250), start) == start + milliseconds(1'950)));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::routing
--- a/libs/routing/tests/tables_tests.cpp
+++ b/libs/routing/tests/tables_tests.cpp
@@ -228,50 +228,6 @@
     BOOST_TEST(!std::get<load_refusal>(unknown.body).ready_in_ms.has_value());
 }
 
-// Guards against a rolling update in which a holder drops the usage reports of older releases, or
-// older holders those of newer ones.
-BOOST_AUTO_TEST_CASE(usage_reports_are_read_with_and_without_expected_ends) {
-    const adapter_usage usage{engine, {}, {{plans, milliseconds(700)}, {{"m", "b"}, std::nullopt}}};
-    const std::string bytes = encode({{vm_id("v"), 7}, usage});
-    const auto read = std::get<adapter_usage>(decode_hint(bytes).body).running;
-    BOOST_REQUIRE(read.size() == 2U);
-    BOOST_TEST((read[0].adapter == plans));
-    BOOST_TEST((read[0].ends_in == duration(milliseconds(700))));
-    BOOST_TEST(!read[1].ends_in.has_value());
-
-    auto older = nlohmann::json::from_cbor(bytes);
-    BOOST_TEST(older[2][3][0][1].get<std::string>() == "plans");
-    older[2].erase(4);
-    const auto cbor = nlohmann::json::to_cbor(older);
-    const auto from_older =
-        std::get<adapter_usage>(decode_hint(std::string(cbor.begin(), cbor.end())).body);
-    BOOST_REQUIRE(from_older.running.size() == 2U);
-    BOOST_TEST(!from_older.running[0].ends_in.has_value());
-}
-
-// Guards against a rolling update in which a holder drops the load requests of older releases.
-BOOST_AUTO_TEST_CASE(load_requests_are_read_with_and_without_a_rank) {
-    const waiting_request wait{3, seconds(2), milliseconds(120), milliseconds(45)};
-    const std::string bytes = encode({{vm_id("v"), 7}, load_request{engine, plans, 900, 12, wait}});
-    const auto read = std::get<load_request>(decode_hint(bytes).body);
-    BOOST_TEST(read.max_wait_ms == 900U);
-    BOOST_TEST(read.request == 12U);
-    BOOST_TEST(read.wait.priority == 3);
-    BOOST_TEST((read.wait.time_left == seconds(2)));
-    BOOST_TEST((read.wait.work == milliseconds(120)));
-    BOOST_TEST((read.wait.waited == milliseconds(45)));
-
-    auto older = nlohmann::json::from_cbor(bytes);
-    older[2].erase(5);
-    older[2].erase(4);
-    const auto cbor = nlohmann::json::to_cbor(older);
-    const auto from_older =
-        std::get<load_request>(decode_hint(std::string(cbor.begin(), cbor.end())).body);
-    BOOST_TEST(from_older.max_wait_ms == 900U);
-    BOOST_TEST(from_older.request == 0U);
-    BOOST_TEST((from_older.wait.time_left == duration::max()));
-}
-
 BOOST_AUTO_TEST_CASE(corrupt_hints_are_rejected) {
     const std::string whole = encode({{vm_id("v"), 7}, load_request{engine, plans, 900}});
     for (std::size_t n = 0; n < whole.size(); ++n) {
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -62,17 +62,15 @@
     void leave();
 
     gateway::load_request_result request_load(const endpoint_id& engine,
-                                              const routing::model_ref& adapter, duration max_wait,
-                                              const routing::load_applicant& by) override;
+                                              const routing::model_ref& adapter,
+                                              duration max_wait) override;
     bool can_request_load(const endpoint_id& engine) const override;
     void note_load_unanswered(const endpoint_id& engine) override;
-    void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter,
-                            const routing::adapter_use& use) override;
+    void note_request_start(const endpoint_id& engine, const routing::model_ref& adapter) override;
     void note_large_prefill() override { on_large_prefill_(); }
     /// Sets the callback for a long prompt that was sent to an engine.
     void set_on_large_prefill(std::function<void()> call) { on_large_prefill_ = std::move(call); }
-    void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter,
-                          routing::request_number request) override;
+    void note_request_end(const endpoint_id& engine, const routing::model_ref& adapter) override;
     void note_adapter_missing(const endpoint_id& engine,
                               const routing::model_ref& adapter) override;
 
@@ -124,8 +122,8 @@
     std::optional<routing::load_obstacle> order_obstacle(const endpoint_id& engine,
                                                          time_point now) const;
     routing::load_response load_on_held_engine(const endpoint_id& engine,
-                                               const routing::model_ref& adapter, duration max_wait,
-                                               const routing::load_applicant& by);
+                                               const routing::model_ref& adapter,
+                                               duration max_wait);
 
     const clock& time_;
     gateway::object_collections& store_;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -419,8 +419,7 @@
 
 routing::load_response load_coordinator::load_on_held_engine(const endpoint_id& engine,
                                                              const model_ref& adapter,
-                                                             duration max_wait,
-                                                             const routing::load_applicant& by) {
+                                                             duration max_wait) {
     const auto held = held_engines_.find(engine);
     if (held == held_engines_.end()) {
         return routing::load_refused{routing::load_obstacle::no_model};
@@ -430,7 +429,7 @@
     const routing::load_response answer =
         obstacle ? routing::load_refused{*obstacle}
                  : held->second.controller.on_load_request(
-                       adapter, data_path_.adapters().loads_under_way(now), now, max_wait, by);
+                       adapter, data_path_.adapters().loads_under_way(now), now, max_wait);
     if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
         telemetry::log_event(severity::info, "load_refused",
                              {{"engine", engine},
@@ -438,8 +437,6 @@
                               {"obstacle", name_of(refused->obstacle)},
                               {"ready_in_ms", refused->ready_in ? ms_of(*refused->ready_in) : -1},
                               {"max_wait_ms", ms_of(max_wait)},
-                              {"priority", by.wait.priority},
-                              {"waited_ms", ms_of(by.wait.waited)},
                               {"places", held->second.controller.adapter_count()},
                               {"running", held->second.controller.running_count(now)}});
     }
@@ -449,11 +446,9 @@
 
 gateway::load_request_result load_coordinator::request_load(const endpoint_id& engine,
                                                             const model_ref& adapter,
-                                                            duration max_wait,
-                                                            const routing::load_applicant& by) {
+                                                            duration max_wait) {
     if (held_engines_.count(engine) != 0) {
-        const auto answer = load_on_held_engine(engine, adapter, max_wait,
-                                                {fleet_.self()->vm, by.request, by.wait});
+        const auto answer = load_on_held_engine(engine, adapter, max_wait);
         if (const auto* refused = std::get_if<routing::load_refused>(&answer)) {
             return gateway::load_not_possible{refused->ready_in};
         }
@@ -467,8 +462,7 @@
     const bool is_sent =
         can_request_load(engine) &&
         fleet_.send(holder->vm, routing::load_request{engine, adapter,
-                                                      static_cast<std::uint32_t>(ms_of(max_wait)),
-                                                      by.request, by.wait});
+                                                      static_cast<std::uint32_t>(ms_of(max_wait))});
     if (!is_sent) {
         return gateway::load_not_possible{};
     }
@@ -495,29 +489,26 @@
     }
 }
 
-void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter,
-                                          const routing::adapter_use& use) {
-    const time_point now = time_.now();
-    const bool is_unreported = usage_.start(engine, adapter, use, now);
+void load_coordinator::note_request_start(const endpoint_id& engine, const model_ref& adapter) {
+    const bool is_unreported = usage_.start(engine, adapter);
     const auto held = held_engines_.find(engine);
     if (held != held_engines_.end()) {
-        held->second.controller.on_use(adapter, now);
-        held->second.controller.on_running(fleet_.self()->vm, usage_.running(engine, now), now);
+        held->second.controller.on_use(adapter, time_.now());
+        held->second.controller.on_running(fleet_.self()->vm, usage_.running(engine), time_.now());
     } else if (is_unreported) {
         report_usage(engine);
     }
 }
 
 void load_coordinator::report_usage(const endpoint_id& engine) {
-    const routing::adapter_usage usage = usage_.take_report(engine, time_.now());
+    const routing::adapter_usage usage = usage_.take_report(engine);
     if (const auto holder = holder_of(engine)) {
         fleet_.send(holder->vm, usage);
     }
 }
 
-void load_coordinator::note_request_end(const endpoint_id& engine, const model_ref& adapter,
-                                        routing::request_number request) {
-    usage_.end(engine, adapter, request, time_.now());
+void load_coordinator::note_request_end(const endpoint_id& engine, const model_ref& adapter) {
+    usage_.end(engine, adapter);
 }
 
 std::optional<vm_incarnation> load_coordinator::holder_of(const endpoint_id& engine) const {
@@ -546,9 +537,8 @@
             report_usage(engine);
             continue;
         }
-        const time_point now = time_.now();
-        const routing::adapter_usage usage = usage_.take_report(engine, now);
-        held->second.controller.on_running(fleet_.self()->vm, usage.running, now);
+        const routing::adapter_usage usage = usage_.take_report(engine);
+        held->second.controller.on_running(fleet_.self()->vm, usage.running, time_.now());
         usage_.forget_reported(engine);
     }
 }
@@ -571,9 +561,9 @@
                 }
             },
             [&](const routing::load_request& request) {
-                const auto answer = load_on_held_engine(
-                    request.engine, request.adapter, std::chrono::milliseconds(request.max_wait_ms),
-                    {it.from.vm, request.request, request.wait});
+                const auto answer =
+                    load_on_held_engine(request.engine, request.adapter,
+                                        std::chrono::milliseconds(request.max_wait_ms));
                 if (const auto* granted = std::get_if<routing::load_granted>(&answer)) {
                     fleet_.send(
                         it.from.vm,
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -167,7 +167,7 @@
 
     // Whether the daemon can request a load of the adapter.
     bool can_load(test_daemon& daemon, const routing::model_ref& wanted) {
-        const auto result = daemon.loads.request_load(engine, wanted, std::chrono::seconds(1), {});
+        const auto result = daemon.loads.request_load(engine, wanted, std::chrono::seconds(1));
         return std::holds_alternative<gateway::load_requested>(result);
     }
 
