A complete request starts from the head that the connection already builds

caller_link::dispatch built the same copy of the head as caller_link::head, and the endpoints were searched for ended evacuations when none had ended.

--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -312,14 +312,10 @@
 
 void caller_link::dispatch() {
     timer_.cancel();
-    caller_request request;
-    request.method = parser_->method();
-    request.target = parser_->target();
-    // The parser keeps its own copy until the next request.
-    request.headers = parser_->headers();
+    caller_request request = head();
+    // The parser keeps its own copy of the head until the next request.
     head_bytes_ *= 2;
     request.body = body_.take();
-    request.received = first_byte_;
     keep_alive_ = parser_->keep_alive();
     is_http11_ = parser_->version() >= 11;
     is_head_ = request.method == "HEAD";
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -103,8 +103,11 @@
     if (!changes.begun.empty()) {
         move_waiting_requests();
     }
+    const auto& ended = changes.ended;
+    if (ended.empty()) {
+        return;
+    }
     for (const routing::endpoint* it : directory_.all()) {
-        const auto& ended = changes.ended;
         if (std::find(ended.begin(), ended.end(), it->zone) != ended.end()) {
             cold_limits_.on_evacuation_ended(it->id, time_.now());
         }
