--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -52,11 +52,12 @@
                  "{\"service\":\"desk\",\"address\":\"" + engine.address() +
                      "\",\"zone\":\"z1\",\"version\":\"1\",\"slots\":64,\"state\":\"ready\","
                      "\"sequence\":1,\"born\":1700000000000}");
-    daemon_process vm(program, folder, "edge-1", platform.address(),
-              "shutdown_grace_s = 8\nretry_ratio = 0.2\nretry_reserve = 54\nlimit_reserve = 72000\n"
-              "configuration_apply_ms = 2500\ndrain_ms = 2500\nversion_ms = 5000\n"
-              "endpoints_check_fencing = true\n",
-              "memory_mb = 260\ndescriptors = 4100\n");
+    daemon_process vm(
+        program, folder, "edge-1", platform.address(),
+        "shutdown_grace_s = 8\nretry_ratio = 0.2\nretry_reserve = 54\nlimit_reserve = 72000\n"
+        "configuration_apply_ms = 2500\ndrain_ms = 2500\nversion_ms = 5000\n"
+        "endpoints_check_fencing = true\n",
+        "memory_mb = 260\ndescriptors = 4100\n");
     vm.start();
     vm.wait_until_ready();
     sleep_ms(4'000);  // in touch
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -34,7 +34,9 @@
     return std::chrono::duration<double>(steady::now() - from).count();
 }
 
-inline void sleep_ms(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+inline void sleep_ms(int ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
 
 // Whether the disruption is to be brought about.
 inline bool has_trouble() {
@@ -260,8 +262,8 @@
     };
 
     static std::string text_of(const std::string& name, const object& it) {
-        return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" +
-               std::to_string(it.revision) +
+        return "{\"metadata\":{\"name\":\"" + name +
+               "\",\"revision\":" + std::to_string(it.revision) +
                ",\"created\":1,\"finalizers\":[],\"deleting\":false},\"spec\":" + it.spec +
                ",\"status\":{}}";
     }
@@ -322,9 +324,9 @@
         }
         const bool exists = objects_[kind].count(name) != 0;
         const long stated = revision_in(it.body);
-        const bool conflicts = it.word(0) == "POST"
-                                   ? exists
-                                   : exists && stated != 0 && objects_[kind][name].revision != stated;
+        const bool conflicts =
+            it.word(0) == "POST" ? exists
+                                 : exists && stated != 0 && objects_[kind][name].revision != stated;
         if (conflicts) {
             return reply(409, text_of(name, objects_[kind][name]));
         }
@@ -372,7 +374,8 @@
 class daemon_process {
 public:
     daemon_process(const std::string& program, const std::string& folder, const std::string& vm,
-           const std::string& store_address, const std::string& bounds, const std::string& limits)
+                   const std::string& store_address, const std::string& bounds,
+                   const std::string& limits)
         : program_(program), log_(folder + "/" + vm + ".log") {
         callers = free_port();
         readiness = free_port();
@@ -422,8 +425,7 @@
         const int fd = connect_to(readiness);
         std::string buffer;
         message it;
-        const bool out = fd >= 0 &&
-                         send_all(fd, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
+        const bool out = fd >= 0 && send_all(fd, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
                          read_message(fd, buffer, it, 1'000) && it.word(1) == "200";
         ::close(fd);
         return out;
