--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -101,12 +101,14 @@
         return status;
     };
     // The tenant's usual traffic: some 10,000 tokens a second, at one daemon after the other.
+    int served = 0;
     for (int i = 0; i < 4; ++i) {
-        if (send(i % daemons, usual_tokens) != 200) {
-            cannot_run("a usual request was not served");
-        }
+        served += send(i % daemons, usual_tokens) == 200;
         sleep_ms(1'000);
     }
+    if (served == 0) {
+        cannot_run("no usual request was served");
+    }
     // All daemons get a request of it at once: long ones, or usual ones.
     std::vector<std::thread> threads;
     begins = false;
