Closed connections of callers leave a count, and a line where a request was taken

A connection that this side closed left neither a line nor a counter, so that the hypotheses on LOST (docs/incidents/2026-12-07-requests-lost-at-closing-connections.md) could not be told apart. caller_connections_closed_total counts by phase and reason, caller_cut names a close that took a request or unread input, caller_input_discarded what arrived afterwards.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -71,6 +71,45 @@
     virtual void turn_away(std::string_view /*reason*/) {}
 };
 
+/// What a caller's connection was doing when it was closed.
+enum class caller_phase {
+    /// No request had begun to arrive since the last response.
+    idle,
+    /// A part of a request had arrived.
+    arriving,
+    /// A request was being processed.
+    in_progress
+};
+
+/// Why a caller's connection was closed.
+enum class close_reason {
+    /// It was idle for too long.
+    idle_timeout,
+    /// The caller closed or reset it, or stopped acknowledging.
+    by_caller,
+    /// The response that was sent is the last one of the connection.
+    last_response,
+    /// The response could not be completed.
+    response_aborted,
+    /// Its memory or its descriptor was needed for others.
+    turned_away,
+    /// The daemon stops.
+    stopping
+};
+
+std::string_view to_text(caller_phase it);
+std::string_view to_text(close_reason it);
+
+/// How a caller's connection ended.
+struct caller_closure {
+    caller_phase phase = caller_phase::idle;
+    close_reason reason = close_reason::by_caller;
+    /// Received bytes that were not handled.
+    std::size_t unread = 0;
+    /// Time since the phase began.
+    duration phase_age{};
+};
+
 /// What a caller's connection requires from the daemon.
 class caller_service {
 public:
@@ -101,7 +140,10 @@
     virtual bool is_stopping() const = 0;
     /// Longest time for which input that is handled now can have lain unread.
     virtual duration max_unread() const { return duration::zero(); }
-    virtual void on_closed(const std::shared_ptr<class caller_link>& it) = 0;
+    virtual void on_closed(const std::shared_ptr<class caller_link>& it,
+                           const caller_closure& how) = 0;
+    /// Input was discarded that arrived after the connection was closed.
+    virtual void on_discarded(close_reason /*why*/, std::size_t /*bytes*/) {}
 };
 
 /// One connection of a caller.
@@ -128,7 +170,7 @@
     /// Whether a request is being read or processed.
     bool is_busy() const;
     /// Closes at once.
-    void close();
+    void close(close_reason why);
     /// Refuses the request or closes the connection, to free what it holds.
     void turn_away(std::string_view reason);
     const std::shared_ptr<link>& connection() const { return link_; }
@@ -178,7 +220,12 @@
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
     void on_timeout();
-    void handle_close();
+    caller_phase phase() const;
+    /// Describes the connection as it is now, to be closed for a reason.
+    caller_closure closure(close_reason why) const;
+    void handle_close(const caller_closure& how);
+    /// Sends what is queued and closes.
+    void finish(close_reason why);
 
     std::shared_ptr<link> link_;
     boost::asio::steady_timer timer_;
@@ -197,6 +244,8 @@
     std::optional<time_point> unread_since_;
     time_point first_byte_{};
     time_point body_began_{};
+    /// Since when no request has begun to arrive.
+    time_point idle_since_{};
     bool reading_request_ = false;
     bool head_seen_ = false;
     /// Whether it was checked that the request, whose body is arriving, could be served.
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -261,7 +261,8 @@
     std::shared_ptr<request_work> start(caller_request request, response_writer& out) override;
     bool is_stopping() const override { return stop_.has_value(); }
     duration max_unread() const override { return turns_.max_unread(); }
-    void on_closed(const std::shared_ptr<caller_link>& it) override;
+    void on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) override;
+    void on_discarded(close_reason why, std::size_t bytes) override;
     bool refuse_early(caller_request head, response_writer& out) override;
     void refuse(caller_request head, std::string_view reason, response_writer& out) override;
     std::shared_ptr<memory_budget> budget() override { return budget_; }
@@ -324,6 +325,8 @@
     std::shared_ptr<caller_link> find_caller(memory_budget::holder_id id) const;
     void note_turned_away(std::string_view reason);
     void log_turned_away();
+    /// Logs a closed connection from which a request was taken without an answer.
+    void log_cut(const caller_closure& how) const;
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
     void on_stated_limit(const routing::endpoint_incarnation& from,
@@ -414,6 +417,8 @@
     std::uint64_t refused_unread_ = 0;
     telemetry::counter_family& responses_;
     telemetry::counter_family& turn_aways_;
+    telemetry::counter_family& closures_;
+    telemetry::counter_family& discarded_bytes_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
     telemetry::histogram& turn_times_;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -94,9 +94,10 @@
     std::size_t unread_bytes() const;
     /// Whether any byte was passed to the operating system.
     bool has_written() const { return has_written_; }
+    using discard_callback = std::function<void(std::size_t bytes)>;
     /// Sends what is queued, half-closes the connection and waits for the peer's end, so that no
-    /// sent byte is lost.
-    void finish();
+    /// sent byte is lost. What the peer sends meanwhile is discarded and reported.
+    void finish(discard_callback on_discarded = {});
     /// Closes at once; the peer sees a reset if there is unread input.
     void close();
     /// Closes with a reset, so that the peer does not take a truncated message for a complete one.
@@ -127,6 +128,7 @@
     boost::asio::steady_timer timer_;
     link_options options_;
     link_handler* handler_ = nullptr;
+    discard_callback on_discarded_;
     boost::beast::flat_buffer input_;
     std::deque<std::string> output_;
     std::deque<std::string> being_written_;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -42,6 +42,36 @@
 
 }  // namespace
 
+std::string_view to_text(caller_phase it) {
+    switch (it) {
+        case caller_phase::idle:
+            return "idle";
+        case caller_phase::arriving:
+            return "arriving";
+        case caller_phase::in_progress:
+            return "in_progress";
+    }
+    return "unknown";
+}
+
+std::string_view to_text(close_reason it) {
+    switch (it) {
+        case close_reason::idle_timeout:
+            return "idle_timeout";
+        case close_reason::by_caller:
+            return "by_caller";
+        case close_reason::last_response:
+            return "last_response";
+        case close_reason::response_aborted:
+            return "response_aborted";
+        case close_reason::turned_away:
+            return "turned_away";
+        case close_reason::stopping:
+            return "stopping";
+    }
+    return "unknown";
+}
+
 caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
                          const clock& time, caller_service& service)
     : link_(std::move(connection)),
@@ -77,12 +107,32 @@
     return reading_request_ || work_ != nullptr || link_->has_unread();
 }
 
-void caller_link::close() {
+caller_phase caller_link::phase() const {
+    if (work_ || answering_) {
+        return caller_phase::in_progress;
+    }
+    return reading_request_ ? caller_phase::arriving : caller_phase::idle;
+}
+
+caller_closure caller_link::closure(close_reason why) const {
+    const caller_phase now_in = phase();
+    const time_point began = now_in == caller_phase::idle ? idle_since_ : first_byte_;
+    return {now_in, why, link_->unread_bytes() + link_->input().size(), time_.now() - began};
+}
+
+void caller_link::close(close_reason why) {
+    const caller_closure how = closure(why);
     link_->close();
-    handle_close();
+    handle_close(how);
+}
+
+void caller_link::finish(close_reason why) {
+    const caller_closure how = closure(why);
+    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); });
+    handle_close(how);
 }
 
-void caller_link::handle_close() {
+void caller_link::handle_close(const caller_closure& how) {
     if (closed_) {
         return;
     }
@@ -96,7 +146,7 @@
         work->on_caller_left();
     }
     charge(0);
-    service_.on_closed(shared_from_this());
+    service_.on_closed(shared_from_this(), how);
 }
 
 holder_wait caller_link::wait() const {
@@ -162,7 +212,7 @@
         begin_early_response();
         service_.refuse(std::move(arrived), reason, *this);
     } else {
-        close();
+        close(close_reason::turned_away);
     }
 }
 
@@ -179,6 +229,7 @@
     head_seen_ = false;
     checked_early_ = false;
     answering_ = false;
+    idle_since_ = time_.now();
     set_timeout(limits.idle_timeout);
 }
 
@@ -214,8 +265,7 @@
     if (reading_request_) {
         refuse(status_request_timeout, "the request took too long to arrive");
     } else {
-        link_->finish();
-        handle_close();
+        finish(close_reason::idle_timeout);
     }
 }
 
@@ -392,8 +442,7 @@
     work_.reset();
     // A response whose head was sent before the stop did not carry `Connection: close`.
     if (!keep_alive_ || service_.is_stopping()) {
-        link_->finish();
-        handle_close();
+        finish(close_reason::last_response);
         return;
     }
     begin_request();
@@ -418,15 +467,16 @@
         return;
     }
     const auto self = shared_from_this();
+    const caller_closure how = closure(close_reason::response_aborted);
     answering_ = false;
     work_.reset();
     link_->abort();
-    handle_close();
+    handle_close(how);
 }
 
 void caller_link::on_end(link_end) {
     const auto self = shared_from_this();
-    handle_close();
+    handle_close(closure(close_reason::by_caller));
 }
 
 void caller_link::on_partly_written(std::size_t bytes) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -54,6 +54,12 @@
       turn_aways_(metrics.add_counters("callers_turned_away_total",
                                        "Callers turned away to free memory or a connection.",
                                        {"reason"})),
+      closures_(metrics.add_counters("caller_connections_closed_total",
+                                     "Closed connections of callers by what they were doing.",
+                                     {"phase", "reason"})),
+      discarded_bytes_(metrics.add_counters("caller_bytes_discarded_total",
+                                            "Input that arrived on closed connections of callers.",
+                                            {"reason"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
                                         {"account", "route"})),
       unread_times_(
@@ -605,7 +611,7 @@
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
         if (!it->is_busy()) {
-            it->close();
+            it->close(close_reason::stopping);
         }
     }
 }
@@ -620,7 +626,7 @@
     accepted_.clear();
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
-        it->close();
+        it->close(close_reason::stopping);
     }
 }
 
@@ -760,7 +766,34 @@
     turned_away_ = 0;
 }
 
-void gateway::on_closed(const std::shared_ptr<caller_link>& it) {
+void gateway::log_cut(const caller_closure& how) const {
+    telemetry::log_event(telemetry::severity::warning, "caller_cut",
+                         {{"phase", to_text(how.phase)},
+                          {"reason", to_text(how.reason)},
+                          {"unread", how.unread},
+                          {"phase_age", how.phase_age},
+                          {"idle_timeout_ms", caller_limits().idle_timeout.count()},
+                          {"configuration", configuration_ ? configuration_->version() : 0},
+                          {"configuration_age", configuration_age_()}});
+}
+
+void gateway::on_discarded(close_reason why, std::size_t bytes) {
+    discarded_bytes_.with({to_text(why)}).add(bytes);
+    if (why != close_reason::last_response) {
+        telemetry::log_event(telemetry::severity::warning, "caller_input_discarded",
+                             {{"reason", to_text(why)}, {"bytes", bytes}});
+    }
+}
+
+void gateway::on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) {
+    closures_.with({to_text(how.phase), to_text(how.reason)}).add();
+    // What arrives after the last response was announced needs no response.
+    const bool is_expected =
+        how.reason == close_reason::by_caller || how.reason == close_reason::last_response;
+    const bool is_unanswered = how.phase != caller_phase::idle || how.unread > 0;
+    if (!is_expected && is_unanswered) {
+        log_cut(how);
+    }
     callers_.erase(it);
     if (it->connection()->is_open()) {
         lingering_.push_back(it->connection());
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -120,7 +120,9 @@
 }
 
 void link::on_read(const error_code& ec, const char* bytes, std::size_t n) {
-    if (!finishing_ && n > 0) {
+    if (finishing_ && n > 0 && on_discarded_) {
+        on_discarded_(n);
+    } else if (!finishing_ && n > 0) {
         input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
     }
     if (ec) {
@@ -201,11 +203,12 @@
     }
 }
 
-void link::finish() {
+void link::finish(discard_callback on_discarded) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
+    on_discarded_ = std::move(on_discarded);
     handler_ = nullptr;
     input_.consume(input_.size());
     input_.shrink_to_fit();
--- a/radishpulley/edge/src/status_server.cpp
+++ b/radishpulley/edge/src/status_server.cpp
@@ -21,7 +21,7 @@
     link->start();
     if (open_.size() > max_connections) {
         const auto oldest = open_.front();
-        oldest->close();
+        oldest->close(gateway::close_reason::turned_away);
     }
 }
 
@@ -45,7 +45,8 @@
     return nullptr;
 }
 
-void status_server::on_closed(const std::shared_ptr<gateway::caller_link>& it) {
+void status_server::on_closed(const std::shared_ptr<gateway::caller_link>& it,
+                              const gateway::caller_closure& /*how*/) {
     open_.remove(it);
 }
 
--- a/radishpulley/edge/src/status_server.h
+++ b/radishpulley/edge/src/status_server.h
@@ -31,7 +31,8 @@
                                                  gateway::response_writer& out) override;
     bool is_stopping() const override { return false; }
     std::size_t connection_count() const { return open_.size(); }
-    void on_closed(const std::shared_ptr<gateway::caller_link>& it) override;
+    void on_closed(const std::shared_ptr<gateway::caller_link>& it,
+                   const gateway::caller_closure& how) override;
 
 private:
     boost::asio::io_context& loop_;
