--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -319,9 +320,13 @@
         return it;
     }
 
-    /// Connects a caller that never reads.
-    std::shared_ptr<peer> connect_without_reading() {
-        tcp::socket socket(loop);
+    /// Connects a caller that does not read before it is started; its system keeps about
+    /// `receive_buffer` bytes for it, or its own choice of them.
+    std::shared_ptr<peer> connect_without_reading(std::optional<int> receive_buffer = {}) {
+        tcp::socket socket(loop, tcp::v4());
+        if (receive_buffer) {
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(*receive_buffer));
+        }
         socket.connect(acceptor_.local_endpoint());
         return std::make_shared<peer>(std::move(socket));
     }
