Idle connections end by the limit in force, and unread

Callers saw: beside a change of the configuration a request on a kept connection got neither a response nor a refusal.

Cause: a connection that was idle for long was closed by link::finish(), which goes on reading for a second and throws away what arrives: a request that crossed the close had been read and could not be answered. The idle time was the one in force when the connection became idle, so after a change that raises it all connections that lay idle ended while callers counted on the new one; it began before the caller had taken the response. The same in a planned stop: a response whose head had not said so was followed by a close that threw away the next request.

Class: a close that reads on and discards on a connection that was not announced as closing.

Now the timer looks at the limit in force, at unread input and at bytes that are under way, and closes without reading: the caller of a request that crosses the close sees a reset and may send it again. During a stop a connection without notice stays open until it is idle.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -220,6 +220,8 @@
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
     void on_timeout();
+    /// Closes the connection if it has been idle for as long as the limit in force allows.
+    void on_idle_timeout();
     caller_phase phase() const;
     /// Describes the connection as it is now, to be closed for a reason.
     caller_closure closure(close_reason why) const;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -88,6 +88,8 @@
     void write(std::string bytes);
     /// Number of queued bytes that the operating system has not taken yet.
     std::size_t unsent() const { return unsent_; }
+    /// Number of written bytes that the peer's system has not acknowledged yet.
+    std::size_t undelivered() const;
     /// Memory of unconsumed input and of queued bytes.
     std::size_t held_bytes() const { return is_open() ? input_.capacity() + unsent_ : 0; }
     /// Number of received bytes that have not been read from the socket yet.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -265,10 +265,28 @@
     if (reading_request_) {
         refuse(status_request_timeout, "the request took too long to arrive");
     } else {
-        finish(close_reason::idle_timeout);
+        on_idle_timeout();
     }
 }
 
+void caller_link::on_idle_timeout() {
+    const time_point now = time_.now();
+    const bool is_in_use = link_->undelivered() > 0 || link_->has_unread();
+    if (is_in_use) {
+        idle_since_ = now;
+    }
+    // A lowered limit holds from the next response on: callers go by the one that was in force at
+    // the last.
+    const duration left = idle_since_ + service_.caller_limits().idle_timeout - now;
+    if (left > duration::zero()) {
+        set_timeout(std::chrono::ceil<std::chrono::milliseconds>(left));
+        return;
+    }
+    // A request that crosses the close must not be read, so that its caller may send it again.
+    const auto self = shared_from_this();
+    close(close_reason::idle_timeout);
+}
+
 void caller_link::on_input() {
     const auto self = shared_from_this();
     if (!work_) {
@@ -440,8 +458,9 @@
     }
     answering_ = false;
     work_.reset();
-    // A response whose head was sent before the stop did not carry `Connection: close`.
-    if (!keep_alive_ || service_.is_stopping()) {
+    // While the process stops, a connection whose last head did not say that it closes stays open
+    // until it is idle: its next request may be on its way.
+    if (!keep_alive_) {
         finish(close_reason::last_response);
         return;
     }
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -1,6 +1,8 @@
 #include "gateway/link.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -235,6 +237,13 @@
     return ec ? 0 : n;
 }
 
+std::size_t link::undelivered() const {
+    int in_system = 0;
+    const bool is_known =
+        is_open() && ioctl(const_cast<socket&>(socket_).native_handle(), SIOCOUTQ, &in_system) == 0;
+    return unsent_ + (is_known ? static_cast<std::size_t>(std::max(in_system, 0)) : 0);
+}
+
 receive_status link::receiving() {
     if (!is_open()) {
         return {true, std::chrono::milliseconds(0)};
