--- a/libs/gateway/tests/idle_callers_tests.cpp
+++ b/libs/gateway/tests/idle_callers_tests.cpp
@@ -79,6 +79,26 @@
     }
 }
 
+// Guards against proper requests that are refused on kept connections, because the limits of heads
+// and bodies are those that were in force when the connection became idle.
+BOOST_FIXTURE_TEST_CASE(raised_sizes_hold_for_connections_that_lie_idle, fixture) {
+    const std::string headers = "X-Pad: " + std::string(max_header_bytes * 40, 'h') + "\r\n";
+    const std::string body(max_body_bytes * 2, 'b');
+    set_idle_timeout(long_idle);
+    const auto caller = connect_and_serve();
+    const auto unused = connect();
+    run_for(short_idle / 4);
+    max_header_bytes *= 50;
+    max_body_bytes *= 4;
+    configure();
+    for (const auto& it : {caller, unused}) {
+        it->received.clear();
+        it->send(request("POST /again/x", "r2", headers, body));
+        run_until([&] { return it->ended || is_answered(*it); });
+        BOOST_TEST(ends_with(it->received, "done"));
+    }
+}
+
 // Guards against requests that are lost because a lowered limit ends connections on which callers
 // still count on the earlier one.
 BOOST_FIXTURE_TEST_CASE(a_lowered_idle_limit_holds_from_the_next_response_on, fixture) {
