A request that begins to arrive has the limits in force

Callers saw: on connections that were kept over a change which raises the limits of heads and bodies, proper requests were refused with 431 and 413, which callers don't repeat.

Cause: the parser of the next request was made when the last response ended, with the limits of that moment: the same class as the idle time. Now it is made, and the limits are taken, when the first byte of a request is handled; idle connections hold no parser any more.

Evidence: idle_callers_tests/raised_sizes_hold_for_connections_that_lie_idle failed before.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -200,7 +200,10 @@
     caller_request head() const;
     /// Prepares for a response to a request that has not arrived completely.
     void begin_early_response();
+    /// Waits for the next request.
     void begin_request();
+    /// A request begins to arrive: it has to keep the limits that are in force now.
+    void begin_reading();
     void parse();
     /// Handles the next request if it has arrived and none is in progress.
     void parse_next();
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -217,20 +217,27 @@
 }
 
 void caller_link::begin_request() {
-    const caller_service::limits limits = service_.caller_limits();
     body_.clear();
     head_bytes_ = 0;
-    // A head has to fit into the input buffer, with a part of what follows it.
-    link_->set_max_input(std::max(link_options{}.max_input, limits.max_header_bytes * 2));
-    const std::size_t header_limit = std::min(limits.max_header_bytes, max_header_limit);
-    parser_ = std::make_unique<parser>(message_limits{
-        static_cast<std::uint32_t>(header_limit) + header_limit_slack, limits.max_body_bytes});
+    parser_.reset();
     reading_request_ = false;
     head_seen_ = false;
     checked_early_ = false;
     answering_ = false;
     idle_since_ = time_.now();
-    set_timeout(limits.idle_timeout);
+    set_timeout(service_.caller_limits().idle_timeout);
+}
+
+void caller_link::begin_reading() {
+    const caller_service::limits limits = service_.caller_limits();
+    // A head has to fit into the input buffer, with a part of what follows it.
+    link_->set_max_input(std::max(link_options{}.max_input, limits.max_header_bytes * 2));
+    const std::size_t header_limit = std::min(limits.max_header_bytes, max_header_limit);
+    parser_ = std::make_unique<parser>(message_limits{
+        static_cast<std::uint32_t>(header_limit) + header_limit_slack, limits.max_body_bytes});
+    reading_request_ = true;
+    first_byte_ = arrival_time();
+    set_timeout(limits.header_timeout);
 }
 
 void caller_link::set_body_timeout() {
@@ -317,9 +324,7 @@
 
 bool caller_link::parse_part() {
     if (!reading_request_) {
-        reading_request_ = true;
-        first_byte_ = arrival_time();
-        set_timeout(service_.caller_limits().header_timeout);
+        begin_reading();
     }
     auto& input = link_->input();
     error_code ec;
