The version of an endpoint's software is read and logged

The lines of a send, a broken call and a finished request, and that of an endpoint, name the version of the endpoint's software; that of a placed request names the stream that its caller resumes. Entries in tests state a version.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -296,6 +296,8 @@
     requests::retry_budget& budget_of(const service_id& id);
     /// Number of adapters that are loading at all engines, as of a moment ago.
     std::size_t fleet_loads() const;
+    /// Version of an endpoint's software; empty if the endpoint is unknown.
+    std::string_view software_version_of(const endpoint_id& id) const;
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
     /// Starts the request after what is ready now: other requests' responses and ends first.
     void queue_start(const std::shared_ptr<exchange>& it);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -393,6 +393,7 @@
          {"service",
           service_ == nullptr ? std::string_view("-") : std::string_view(service_->id.str())},
          {"endpoint", endpoint_},
+         {"software", endpoint_software_.version},
          {"adapter", attributes_.target.adapter},
          {"units", account_ == nullptr ? 0 : static_cast<std::uint64_t>(units())},
          {"configuration", configuration_ ? configuration_->version() : 0},
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -203,6 +203,8 @@
     endpoint_id endpoint_;
     /// Start time of the endpoint process that received the call.
     std::int64_t endpoint_started_at_ms_ = 0;
+    /// What that process runs.
+    routing::software endpoint_software_;
     std::uint32_t unread_tokens_ = 0;
     std::uint32_t prefill_work_ = 0;
     std::shared_ptr<endpoint_link> connection_;
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -229,6 +229,7 @@
     telemetry::log_event(severity::warning, "call_failed",
                          {{"request", attributes_.id},
                           {"endpoint", endpoint_},
+                          {"software", endpoint_software_.version},
                           {"reason", reason},
                           {"sent", why != call_failure::not_sent},
                           {"relayed_bytes", relayed_},
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -37,6 +37,9 @@
     telemetry::log_event(severity::info, "request_placed",
                          {{"request", attributes_.id},
                           {"endpoint", choice->id},
+                          {"software", owner_.software_version_of(choice->id)},
+                          {"resumes_after", attributes_.last_event.value_or("")},
+                          {"resumes", attributes_.resumed_request},
                           {"adapter", attributes_.target.adapter},
                           {"needs_load", choice->needs_load},
                           {"expected_ms", to_ms(choice->expected).count()},
@@ -364,6 +367,7 @@
     }
     phase_ = phase::sent;
     endpoint_started_at_ms_ = target->started_at_ms;
+    endpoint_software_ = routing::software_of(*target);
     rejected_ = false;
     discards_response_ = false;
     discarded_bytes_ = 0;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -407,6 +407,11 @@
     return fleet_loads_;
 }
 
+std::string_view gateway::software_version_of(const endpoint_id& id) const {
+    const routing::endpoint* known = directory_.find(id);
+    return known == nullptr ? std::string_view() : std::string_view(known->software_version);
+}
+
 void gateway::wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it) {
     load_waiters_[key].push_back(it);
 }
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -35,6 +35,11 @@
         for (std::string id; std::getline(segments, id, ',');) {
             out.segments.push_back({std::stoull(id, nullptr, 16), 100});
         }
+        const std::string_view last_event = find_header(headers, "Last-Event-Id");
+        if (!last_event.empty()) {
+            out.last_event = std::string(last_event);
+            out.resumed_request = request_id(find_header(headers, "X-Resumes"));
+        }
         const std::string_view deadline = find_header(headers, "X-Deadline");
         if (!deadline.empty()) {
             out.deadline = std::chrono::milliseconds(std::stoi(std::string(deadline)));
@@ -42,7 +47,8 @@
         return out;
     }
     bool is_forwarded(std::string_view name) const override {
-        return !same_name(name, "X-Key") && !same_name(name, "X-Account");
+        return !same_name(name, "X-Key") && !same_name(name, "X-Account") &&
+               !same_name(name, "Last-Event-Id");
     }
     void append_call_attributes(const call_attributes& it, std::string& out) const override {
         append_header(out, "X-Expect", it.expected.str());
@@ -259,14 +265,16 @@
         accept();
     }
 
-    /// Adds an endpoint of the service.
-    fake_endpoint& add_endpoint(const std::string& id, fake_endpoint::script on_request) {
+    /// Adds an endpoint of the service that runs a version of its software.
+    fake_endpoint& add_endpoint(const std::string& id, fake_endpoint::script on_request,
+                                const std::string& software_version = "v1") {
         endpoints_.emplace_back(loop, std::move(on_request));
         routing::endpoint entry;
         entry.id = endpoint_id(id);
         entry.service = service_id("s");
         entry.address = endpoints_.back().address();
         entry.slots = 4;
+        entry.software_version = software_version;
         proxy_.on_endpoint(entry);
         return endpoints_.back();
     }
--- a/libs/routing/include/routing/endpoint.h
+++ b/libs/routing/include/routing/endpoint.h
@@ -31,6 +31,8 @@
     /// IP address and port.
     std::string address;
     zone_id zone;
+    /// Version of its software.
+    std::string software_version;
     bool draining = false;
     std::uint32_t slots = 1;
     /// Number of entries that the endpoint has written since its start.
@@ -42,6 +44,25 @@
     std::optional<std::chrono::milliseconds> cold_left;
 };
 
+/// What the endpoints of one service run. Responses of different software don't fit together, also
+/// where the adapter is the same.
+struct software {
+    service_id service;
+    std::string version;
+
+    friend bool operator==(const software& a, const software& b) {
+        return a.service == b.service && a.version == b.version;
+    }
+    friend bool operator!=(const software& a, const software& b) { return !(a == b); }
+    friend bool operator<(const software& a, const software& b) {
+        return a.service == b.service ? a.version < b.version : a.service < b.service;
+    }
+};
+
+inline software software_of(const endpoint& it) {
+    return {it.service, it.software_version};
+}
+
 /// One start of an endpoint. What the endpoint announces is valid only for that start.
 struct endpoint_incarnation {
     endpoint_id id;
--- a/libs/routing/include/routing/entry_change_filter.h
+++ b/libs/routing/include/routing/entry_change_filter.h
@@ -27,7 +27,7 @@
             models.push_back(each.name);
         }
         const entry_fields fields{it.service,  it.address,       it.zone, it.slots,
-                                  it.draining, it.started_at_ms, models};
+                                  it.draining, it.started_at_ms, models,  it.software_version};
         const auto [at, added] = last_entries_.try_emplace(it.id, entry{fields, it.cold_left});
         const bool is_change = added || at->second.fields != fields ||
                                is_cold_change(at->second.cold_left, it.cold_left);
@@ -40,7 +40,7 @@
 
 private:
     using entry_fields = std::tuple<service_id, std::string, zone_id, std::uint32_t, bool,
-                                    std::int64_t, std::vector<std::string>>;
+                                    std::int64_t, std::vector<std::string>, std::string>;
     using cold_time = std::optional<std::chrono::milliseconds>;
     struct entry {
         entry_fields fields;
--- a/libs/routing/include/routing/request_attributes.h
+++ b/libs/routing/include/routing/request_attributes.h
@@ -56,6 +56,8 @@
     std::vector<prompt_segment> segments;
     /// Last event that the caller received of the stream that it resumes.
     std::optional<std::string> last_event;
+    /// The request that brought the first event of that stream; empty if it is not stated.
+    request_id resumed_request;
 
     /// The segments that other requests may have too: all but the last.
     gsl::span<const prompt_segment> shared_segments() const {
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -441,6 +441,7 @@
                                   {"service", it.service},
                                   {"address", it.address},
                                   {"zone", it.zone},
+                                  {"software", it.software_version},
                                   {"draining", current->draining},
                                   {"age", endpoints_.age()}});
         }
