A stream that has begun goes on only at the software that began it

Callers saw: a response whose first events came from an engine of one software version and the others from one of another version, joined without a sign.

Cause: exchange::on_failure() looked for any other endpoint; nothing bound the next one to the software of the first. Class: an identity that a continuation depends on is not part of what binds it.

A stream that has not begun may still begin anywhere.

--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -105,6 +105,8 @@
     routing::allowed_regions allowed_regions() const;
     /// The availability zones to which the request may be sent now.
     routing::zone_filter zones() const;
+    /// Whether the request may be sent to the endpoint as far as its zone and software go.
+    bool permits(const routing::endpoint& it) const;
     std::optional<routing::endpoint_choice> choose_endpoint() const;
     /// Returns the engine that can load the adapter first, among those that refused to load it
     /// soon, if the request can wait for it.
@@ -205,6 +207,8 @@
     std::int64_t endpoint_started_at_ms_ = 0;
     /// What that process runs.
     routing::software endpoint_software_;
+    /// The software that began the stream, once its caller has received a part of it.
+    std::optional<routing::software> began_at_;
     std::uint32_t unread_tokens_ = 0;
     std::uint32_t prefill_work_ = 0;
     std::shared_ptr<endpoint_link> connection_;
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -95,6 +95,7 @@
     out.headers = end_to_end_headers(head.headers);
     out.length = head.length;
     if (route_->resumable && head.status / 100 == 2) {
+        began_at_ = endpoint_software_;
         events_.emplace();
         // A resumed stream differs in length from what its first endpoint stated.
         out.length.reset();
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -88,6 +88,13 @@
     std::size_t fleet_loads = 0;
     /// Availability zones to which the request may be sent.
     zone_filter zones{};
+    /// The software that began the request's stream; others must not be selected.
+    std::optional<software> began_at{};
+
+    /// Whether the request may be sent to the endpoint as far as its place and software go.
+    bool permits(const endpoint& it) const {
+        return zones.permits(it.zone) && (!began_at || *began_at == software_of(it));
+    }
 };
 
 /// Selects endpoints from the routing tables, which must outlive it.
