--- a/libs/gateway/tests/software_versions_tests.cpp
+++ b/libs/gateway/tests/software_versions_tests.cpp
@@ -24,6 +24,10 @@
     return out.str();
 }
 
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
 // Endpoints that log the software version at which each call arrives, and break off or answer in
 // turn.
 struct fixture : gateway_fixture {
@@ -33,10 +37,13 @@
     void add(const std::string& id, const std::string& software) {
         add_endpoint(
             id,
-            [this, software](const std::string& request, peer& it) {
+            [this, id, software](const std::string& request, peer& it) {
                 called.push_back(software);
+                last_called = id;
                 const bool goes_on = request.find("Last-Event-Id: ") != std::string::npos;
-                if (breaking > 0) {
+                if (holds_back) {
+                    it.send(stream_head(id_of(request)) + chunk(first_event));
+                } else if (breaking > 0) {
                     --breaking;
                     it.send(break_off_with(id_of(request)));
                     it.reset();
@@ -63,15 +70,39 @@
         return caller->received;
     }
 
+    // Begins a stream whose caller leaves after the first event, and returns its software.
+    std::string begin_and_leave(const std::string& id) {
+        holds_back = true;
+        const auto caller = connect();
+        caller->send(request("POST /events/x", id, "", "x"));
+        run_until([&] { return contains(caller->received, first_event); });
+        caller->close();
+        run_until([&] { return proxy().request_count() == 0; });
+        holds_back = false;
+        const std::string software = called.back();
+        called.clear();
+        return software;
+    }
+
+    void remove(const std::string& id) {
+        proxy().directory().on_removed(endpoint_id(id), time.now());
+        proxy().on_endpoint_removed(endpoint_id(id));
+    }
+
+    // Resumes a stream behind its first event and returns what the caller gets.
+    std::string resume(const std::string& id, const std::string& first) {
+        return stream(id, "Last-Event-Id: 1\r\nX-Resumes: " + first + "\r\n");
+    }
+
     int breaking = 0;
+    // Whether endpoints send no more than the first event.
+    bool holds_back = false;
     bool breaks_before_head = false;
+    // The software, and last the endpoint, at which calls arrived.
     std::vector<std::string> called;
+    std::string last_called;
 };
 
-bool contains(const std::string& text, const std::string& part) {
-    return text.find(part) != std::string::npos;
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(software_versions_tests)
@@ -126,6 +157,55 @@
     BOOST_TEST(ends_with(got, last_chunk));
 }
 
+// Guards against a stream that its caller resumes and that goes on at other software.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_goes_on_only_at_the_software_that_began_it) {
+    for (int i = 0; i < 12; ++i) {
+        fixture it;
+        for (const char* software : {"v1", "v2", "v3"}) {
+            it.add("a" + std::to_string(i) + software, software);
+            it.add("b" + std::to_string(i) + software, software);
+        }
+        const std::string software = it.begin_and_leave("r1");
+        it.remove(it.last_called);
+        const std::string got = it.resume("r2", "r1");
+        BOOST_REQUIRE_EQUAL(it.called.size(), 1U);
+        BOOST_TEST(it.called[0] == software);
+        BOOST_TEST(contains(got, last_event));
+    }
+}
+
+// Guards against the same where nobody knows at which software the stream began, for example as all
+// VMs were killed: it is refused at once, and never sent.
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_of_unknown_software_is_refused, fixture) {
+    add("e1", "v1");
+    add("e2", "v2");
+    for (const std::string first : {"r1", ""}) {
+        const std::string got = resume("r2", first);
+        BOOST_TEST(contains(got, " 503 "));
+        BOOST_TEST(!contains(got, "Retry-After"));
+        BOOST_TEST(called.empty());
+    }
+}
+
+// Guards against the same where the endpoints of that software have left.
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_whose_software_is_gone_is_refused, fixture) {
+    add("e1", "v1");
+    BOOST_TEST(begin_and_leave("r1") == "v1");
+    add("e2", "v2");
+    remove("e1");
+    const std::string got = resume("r2", "r1");
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(called.empty());
+}
+
+// Guards against streams that are not resumed though only one software has served.
+BOOST_FIXTURE_TEST_CASE(an_unknown_stream_is_resumed_while_one_software_serves, fixture) {
+    add("e1", "v1");
+    add("e2", "v1");
+    BOOST_TEST(contains(resume("r2", "r1"), last_event));
+    BOOST_TEST(called.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
