Streams that callers resume go on at the software that began them

Callers saw: a stream that broke off, and that they resumed at any VM, went on at engines of another software version, joined without a sign; after a kill of all VMs many times.

Cause: the header that names the request which began the stream was read nowhere, and a resumed request was placed like any other.

Now a VM remembers where streams began (routing::stream_origins) and, while streams of a service may have begun at several versions, tells three other VMs, in rendezvous order, which it asks for streams of others (edge::stream_keepers). Which software served lately is recorded in the store when it changes (edge::software_recorder), so that a VM that starts knows whether one version alone served. A stream of unknown software, or whose software is gone, is refused at once, with no Retry-After, as nobody will know it later. A resumed stream keeps its service on a split route.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -36,6 +36,7 @@
 #include "routing/hints.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
+#include "routing/stream_origins.h"
 #include "routing/work_table.h"
 #include "routing/zone_evacuations.h"
 #include "telemetry/metrics.h"
@@ -148,6 +149,17 @@
                                       const routing::model_ref& adapter) = 0;
 };
 
+/// Interface to the other daemons, which remember at which software streams began.
+class stream_peers {
+public:
+    virtual ~stream_peers() = default;
+    /// Asks those that may know where a stream began; their replies follow by
+    /// gateway::on_stream_origin(). Returns how many were asked.
+    virtual std::size_t ask(routing::stream_key stream) = 0;
+    /// There are streams that others should remember; see gateway::take_unannounced_streams().
+    virtual void announce_soon() = 0;
+};
+
 /// Which requests a daemon that stops still accepts.
 struct stop_limits {
     /// From then on, only requests that end by `ends_at` are accepted, whatever happens to them.
@@ -169,6 +181,24 @@
     /// Sets the broker for adapter loads; must be called before the first request.
     void set_broker(load_broker& broker) { broker_ = &broker; }
 
+    /// Sets the other daemons that remember streams.
+    void set_stream_peers(stream_peers& peers) { stream_peers_ = &peers; }
+    /// Applies the record of software that served lately, also before this process started.
+    void on_software_record(const std::vector<routing::software>& seen);
+    /// Records that a stream began or goes on at the software.
+    void note_stream(routing::stream_key stream, const routing::software& at);
+    /// Remembers where streams of another VM began.
+    void on_streams_announced(const routing::stream_group& it);
+    /// Another VM replied where a stream began, or that it does not know.
+    void on_stream_origin(routing::stream_key stream,
+                          const std::optional<routing::software>& began_at);
+    /// Returns where a stream began, if this VM knows.
+    std::optional<routing::software> origin_of(routing::stream_key stream) const;
+    /// Returns the streams that other VMs should remember and were not told of yet: those of
+    /// services whose streams may have begun at several software.
+    std::vector<routing::stream_group> take_unannounced_streams();
+    const routing::software_history& software() const { return software_; }
+
     /// Applies a configuration.
     void on_configuration(routing::configuration_ptr it);
     /// Sets the function that returns the time since the store last confirmed the configuration.
@@ -299,6 +329,18 @@
     /// Version of an endpoint's software; empty if the endpoint is unknown.
     std::string_view software_version_of(const endpoint_id& id) const;
     void wait_for_load(const load_key& key, const std::shared_ptr<exchange>& it);
+    void wait_for_origin(routing::stream_key stream, const std::shared_ptr<exchange>& it);
+    /// Asks other VMs where a stream began; returns how many.
+    std::size_t ask_for_origin(routing::stream_key stream);
+    /// Records which software serves now, and forgets old streams.
+    void note_serving_software();
+    /// Returns the only software at which streams of the route can have begun; nothing if there are
+    /// several or if that is not known.
+    std::optional<routing::software> only_software(const routing::route& it) const;
+    /// Whether streams that begin at the service can be joined with those of other software.
+    bool is_ambiguous(const service_id& service) const;
+    /// Whether an endpoint with that software is known.
+    bool is_serving(const routing::software& it) const;
     /// Starts the request after what is ready now: other requests' responses and ends first.
     void queue_start(const std::shared_ptr<exchange>& it);
     /// Calls do_new_work() after what is ready now.
@@ -380,6 +422,7 @@
     /// Callers turned away since that was last logged.
     std::size_t turned_away_ = 0;
     load_broker* broker_ = nullptr;
+    stream_peers* stream_peers_ = nullptr;
     routing::configuration_ptr configuration_;
     std::function<duration()> configuration_age_ = [] { return duration::zero(); };
     routing::endpoint_directory directory_;
@@ -408,6 +451,11 @@
     /// Connections that close once their last response is sent.
     std::vector<std::shared_ptr<caller_link>> finishing_;
     std::map<load_key, std::vector<std::weak_ptr<exchange>>> load_waiters_;
+    routing::stream_origins origins_;
+    routing::software_history software_;
+    /// Services that share a route of resumable streams with others.
+    std::set<service_id> shared_services_;
+    std::multimap<routing::stream_key, std::weak_ptr<exchange>> origin_waiters_;
     /// Requests that were read and are not started yet.
     requests::start_queue<std::weak_ptr<exchange>> queue_;
     /// Connections that are not read yet, the newest last.
@@ -420,6 +468,7 @@
     telemetry::counter_family& responses_;
     telemetry::counter_family& turn_aways_;
     telemetry::counter_family& closures_;
+    telemetry::counter_family& resumptions_;
     telemetry::counter_family& discarded_bytes_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -120,7 +120,7 @@
         on_caller_left();
         return;
     }
-    find_endpoint();
+    place();
 }
 
 void exchange::refuse_overloaded() {
@@ -182,8 +182,11 @@
             return false;
         }
     }
-    const double point = static_cast<double>(stable_hash(attributes_.id.str()) >> 11) /
-                         static_cast<double>(1ULL << 53);
+    // A stream stays with its service when it is resumed.
+    const bool resumes = is_resumption() && !attributes_.resumed_request.empty();
+    const request_id& drawn_by = resumes ? attributes_.resumed_request : attributes_.id;
+    const double point =
+        static_cast<double>(stable_hash(drawn_by.str()) >> 11) / static_cast<double>(1ULL << 53);
     const service_id* chosen = routing::pick_service(*route_, point);
     service_ = chosen == nullptr ? nullptr : configuration_->find_service(*chosen);
     if (service_ == nullptr) {
@@ -370,6 +373,10 @@
 }
 
 void exchange::finish(unsigned status, std::string_view reason) {
+    const bool may_be_resumed = events_ && reason != answered;
+    if (may_be_resumed) {
+        note_stream_begin();
+    }
     phase_ = phase::ended;
     on_call_ended();
     deadline_timer_.cancel();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -52,6 +52,8 @@
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
+    /// Another VM replied at which software the stream began, or that it does not know.
+    void on_origin_told(const std::optional<routing::software>& began_at);
     /// Gives the request its final response, because this daemon ends.
     void on_stop();
     /// Takes the request back if it still waits at an engine with an older version.
@@ -66,6 +68,8 @@
         starting,
         /// Read, but the process is busy with other work.
         queued,
+        /// Other VMs were asked where the stream began that the request resumes.
+        waiting_for_origin,
         /// A load request was sent to the engine's holder.
         asking_for_load,
         /// The adapter is being loaded.
@@ -99,6 +103,20 @@
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
     void give_up(std::string_view reason, duration retry_after);
+    /// Whether the request resumes a stream.
+    bool is_resumption() const;
+    /// The stream that the request begins or resumes.
+    routing::stream_key stream_key() const;
+    /// Finds an endpoint, for a stream that is resumed once it is known where that began.
+    void place();
+    /// Goes on with the stream at the software that began it; `told_by` is for the log.
+    void resume_at(const routing::software& began_at, std::string_view told_by);
+    void ask_for_origin();
+    void send_origin_query();
+    void refuse_unknown_origin();
+    /// The caller receives the beginning of a stream from the endpoint.
+    void note_stream_begin();
+    void log_resumption(std::string_view told_by, std::string_view outcome) const;
     void find_endpoint();
     /// Regions in which the request may be processed by the newest configuration. A route or
     /// account that it no longer contains keeps its last restriction.
@@ -209,6 +227,9 @@
     routing::software endpoint_software_;
     /// The software that began the stream, once its caller has received a part of it.
     std::optional<routing::software> began_at_;
+    unsigned origin_queries_ = 0;
+    /// Replies of other VMs that are still to come.
+    std::size_t missing_origin_replies_ = 0;
     std::uint32_t unread_tokens_ = 0;
     std::uint32_t prefill_work_ = 0;
     std::shared_ptr<endpoint_link> connection_;
--- a/libs/gateway/src/exchange_constants.h
+++ b/libs/gateway/src/exchange_constants.h
@@ -1,12 +1,17 @@
 /// Constants and helpers shared by the source files of `exchange`.
 #pragma once
 
+#include <string_view>
+
 #include "base/clock.h"
 #include "gateway/http_status.h"
 #include "routing/configuration.h"
 
 namespace radishpulley::gateway {
 
+/// Reason of a request that has its whole response.
+constexpr std::string_view answered = "answered";
+
 /// Retry-After of refusals whose cause has no known end.
 constexpr duration default_retry_after = std::chrono::milliseconds(250);
 
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -95,7 +95,7 @@
     out.headers = end_to_end_headers(head.headers);
     out.length = head.length;
     if (route_->resumable && head.status / 100 == 2) {
-        began_at_ = endpoint_software_;
+        note_stream_begin();
         events_.emplace();
         // A resumed stream differs in length from what its first endpoint stated.
         out.length.reset();
@@ -212,7 +212,7 @@
     if (events_ && !events_->incomplete().empty()) {
         out_->send_body(events_->incomplete());
     }
-    finish(status_, "answered");
+    finish(status_, answered);
     if (out_ != nullptr) {
         response_writer* out = out_;
         out_ = nullptr;
--- /dev/null
+++ b/libs/gateway/src/exchange_resumption.cpp
@@ -0,0 +1,128 @@
+// Streams that callers resume: finding the software that began them.
+#include "exchange.h"
+#include "exchange_constants.h"
+#include "telemetry/event_log.h"
+
+namespace radishpulley::gateway {
+namespace {
+
+using boost::system::error_code;
+using telemetry::severity;
+
+// Time after which other VMs are asked once more, as messages may be lost; after the second such
+// time the software counts as unknown.
+constexpr std::chrono::milliseconds origin_reply_time{75};
+constexpr unsigned max_origin_queries = 2;
+
+}  // namespace
+
+bool exchange::is_resumption() const {
+    return route_->resumable && attributes_.last_event.has_value();
+}
+
+routing::stream_key exchange::stream_key() const {
+    const bool states_first = is_resumption() && !attributes_.resumed_request.empty();
+    return routing::stream_key_of(account_ == nullptr ? client_account_id() : account_->id,
+                                  states_first ? attributes_.resumed_request : attributes_.id);
+}
+
+void exchange::place() {
+    if (!is_resumption()) {
+        find_endpoint();
+        return;
+    }
+    if (const routing::software* known = owner_.origins_.find(stream_key())) {
+        resume_at(*known, "known");
+    } else if (const auto only = owner_.only_software(*route_)) {
+        resume_at(*only, "only_software");
+    } else if (attributes_.resumed_request.empty()) {
+        refuse_unknown_origin();
+    } else {
+        ask_for_origin();
+    }
+}
+
+void exchange::resume_at(const routing::software& began_at, std::string_view told_by) {
+    wait_timer_.cancel();
+    began_at_ = began_at;
+    const bool is_allowed = routing::allows(*route_, began_at.service);
+    const routing::service* target =
+        is_allowed ? configuration_->find_service(began_at.service) : nullptr;
+    if (target == nullptr || !owner_.is_serving(began_at)) {
+        log_resumption(told_by, "gone");
+        refuse({status_unavailable, "stream_software_gone", std::nullopt});
+        return;
+    }
+    service_ = target;
+    log_resumption(told_by, "resumed");
+    find_endpoint();
+}
+
+void exchange::ask_for_origin() {
+    phase_ = phase::waiting_for_origin;
+    owner_.wait_for_origin(stream_key(), shared_from_this());
+    send_origin_query();
+}
+
+void exchange::send_origin_query() {
+    ++origin_queries_;
+    missing_origin_replies_ = owner_.ask_for_origin(stream_key());
+    if (missing_origin_replies_ == 0) {
+        refuse_unknown_origin();
+        return;
+    }
+    wait_timer_.expires_after(origin_reply_time);
+    wait_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->phase_ != phase::waiting_for_origin) {
+            return;
+        }
+        if (self->origin_queries_ < max_origin_queries) {
+            self->send_origin_query();
+        } else {
+            self->refuse_unknown_origin();
+        }
+    });
+}
+
+void exchange::on_origin_told(const std::optional<routing::software>& began_at) {
+    if (phase_ != phase::waiting_for_origin) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (began_at) {
+        resume_at(*began_at, "peer");
+    } else if (--missing_origin_replies_ == 0) {
+        refuse_unknown_origin();
+    }
+}
+
+void exchange::refuse_unknown_origin() {
+    wait_timer_.cancel();
+    log_resumption("nobody", "unknown_software");
+    // Nobody will know it later, so there is no Retry-After.
+    refuse({status_unavailable, "stream_software_unknown", std::nullopt});
+}
+
+void exchange::note_stream_begin() {
+    if (!began_at_) {
+        began_at_ = endpoint_software_;
+    }
+    owner_.note_stream(stream_key(), *began_at_);
+}
+
+void exchange::log_resumption(std::string_view told_by, std::string_view outcome) const {
+    owner_.resumptions_.with({outcome}).add();
+    telemetry::log_event(
+        outcome == "resumed" ? severity::info : severity::warning, "stream_resumption",
+        {{"request", attributes_.id},
+         {"resumes", attributes_.resumed_request},
+         {"after", attributes_.last_event.value_or("")},
+         {"outcome", outcome},
+         {"told_by", told_by},
+         {"service", began_at_ ? began_at_->service : service_->id},
+         {"software", began_at_ ? std::string_view(began_at_->version) : std::string_view()},
+         {"elapsed_ms", to_ms(elapsed()).count()}});
+}
+
+}  // namespace radishpulley::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -57,6 +57,8 @@
       closures_(metrics.add_counters("caller_connections_closed_total",
                                      "Closed connections of callers by what they were doing.",
                                      {"phase", "reason"})),
+      resumptions_(metrics.add_counters("stream_resumptions_total",
+                                        "Streams that callers resumed, by outcome.", {"outcome"})),
       discarded_bytes_(metrics.add_counters("caller_bytes_discarded_total",
                                             "Input that arrived on closed connections of callers.",
                                             {"reason"})),
@@ -86,11 +88,98 @@
             adapters_.set_cache_size(service.engine->cached_adapters());
         }
     }
+    shared_services_ = routing::services_of_split_streams(*configuration_);
     if (is_change) {
         move_waiting_requests();
     }
 }
 
+void gateway::on_software_record(const std::vector<routing::software>& seen) {
+    software_.on_record(seen, time_.now());
+}
+
+void gateway::on_streams_announced(const routing::stream_group& it) {
+    origins_.on_announced(it, time_.now());
+}
+
+std::optional<routing::software> gateway::origin_of(routing::stream_key stream) const {
+    const routing::software* found = origins_.find(stream);
+    return found == nullptr ? std::nullopt : std::make_optional(*found);
+}
+
+void gateway::on_stream_origin(routing::stream_key stream,
+                               const std::optional<routing::software>& began_at) {
+    if (began_at) {
+        on_streams_announced({*began_at, {stream}});
+    }
+    std::vector<std::shared_ptr<exchange>> waiters;
+    const auto [begin, end] = origin_waiters_.equal_range(stream);
+    for (auto it = begin; it != end; ++it) {
+        if (auto held = it->second.lock()) {
+            waiters.push_back(std::move(held));
+        }
+    }
+    if (began_at) {
+        origin_waiters_.erase(stream);
+    }
+    for (const auto& it : waiters) {
+        it->on_origin_told(began_at);
+    }
+}
+
+void gateway::wait_for_origin(routing::stream_key stream, const std::shared_ptr<exchange>& it) {
+    origin_waiters_.emplace(stream, it);
+}
+
+std::size_t gateway::ask_for_origin(routing::stream_key stream) {
+    return stream_peers_ == nullptr ? 0 : stream_peers_->ask(stream);
+}
+
+bool gateway::is_ambiguous(const service_id& service) const {
+    return shared_services_.count(service) != 0 ||
+           software_.recent(service, time_.now()).size() > 1;
+}
+
+void gateway::note_stream(routing::stream_key stream, const routing::software& at) {
+    origins_.on_begin(stream, at, time_.now());
+    if (stream_peers_ != nullptr && is_ambiguous(at.service)) {
+        stream_peers_->announce_soon();
+    }
+}
+
+std::vector<routing::stream_group> gateway::take_unannounced_streams() {
+    return origins_.take_unannounced(
+        [this](const routing::software& it) { return is_ambiguous(it.service); });
+}
+
+std::optional<routing::software> gateway::only_software(const routing::route& it) const {
+    std::vector<routing::software> all;
+    for (const routing::weighted_service& each : it.services) {
+        const auto recent = software_.recent(each.service, time_.now());
+        all.insert(all.end(), recent.begin(), recent.end());
+    }
+    const bool is_known = software_.knows_past() && all.size() == 1;
+    return is_known ? std::make_optional(all.front()) : std::nullopt;
+}
+
+bool gateway::is_serving(const routing::software& it) const {
+    const auto usable = directory_.usable(it.service);
+    return std::any_of(usable.begin(), usable.end(), [&](const routing::endpoint* each) {
+        return routing::software_of(*each) == it;
+    });
+}
+
+void gateway::note_serving_software() {
+    const time_point now = time_.now();
+    for (const routing::endpoint* it : directory_.all()) {
+        software_.on_seen(routing::software_of(*it), now);
+    }
+    origins_.drop_expired(now);
+    for (auto it = origin_waiters_.begin(); it != origin_waiters_.end();) {
+        it = it->second.expired() ? origin_waiters_.erase(it) : std::next(it);
+    }
+}
+
 routing::evacuation_changes gateway::on_evacuations(gsl::span<const zone_id> zones) {
     are_evacuations_known_ = true;
     routing::evacuation_changes changes = evacuations_.on_list(zones);
@@ -379,6 +468,7 @@
 
 void gateway::on_endpoint(const routing::endpoint& it) {
     const auto change = directory_.on_entry(it, time_.now());
+    software_.on_seen(routing::software_of(it), time_.now());
     if (change == routing::directory_change::none) {
         return;
     }
@@ -448,6 +538,7 @@
 }
 
 void gateway::sweep() {
+    note_serving_software();
     finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
                                     [](const auto& it) { return !it->is_sending(); }),
                      finishing_.end());
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -262,6 +262,8 @@
         : proxy_(loop, time, codec, metrics, settings()),
           acceptor_(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
         proxy_.set_broker(broker_);
+        // No other software served before.
+        proxy_.on_software_record({});
         accept();
     }
 
--- a/libs/routing/include/routing/configuration.h
+++ b/libs/routing/include/routing/configuration.h
@@ -178,6 +178,12 @@
 /// total weight. Returns null if the route has no service.
 const service_id* pick_service(const route& it, double point);
 
+/// Returns the services that share a route of resumable streams with others.
+std::set<service_id> services_of_split_streams(const configuration& all);
+
+/// Whether the route sends requests to the service.
+bool allows(const route& it, const service_id& service);
+
 /// Returns `text` in lower case (ASCII).
 std::string lower_case(std::string_view text);
 
--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -18,6 +18,7 @@
 #include "routing/peer_contacts.h"
 #include "routing/request_attributes.h"
 #include "routing/request_quarantine.h"
+#include "routing/stream_origins.h"
 #include "routing/work_table.h"
 
 namespace radishpulley::routing {
@@ -98,8 +99,25 @@
     std::vector<suspect> suspects;
 };
 
+/// Streams that began or went on at the sender, sent to the VMs that keep copies.
+struct stream_announcement {
+    std::vector<stream_group> groups;
+};
+
+/// Asks for the software that began a stream.
+struct stream_query {
+    stream_key stream = 0;
+};
+
+/// The software that began the stream, or nothing if the sender does not know it.
+struct stream_reply {
+    stream_key stream = 0;
+    std::optional<software> began_at;
+};
+
 using hint = std::variant<vm_status, adapter_usage, load_request, adapter_hint, load_refusal,
-                          store_reports, account_usage_report, saturated_accounts, suspects_update>;
+                          store_reports, account_usage_report, saturated_accounts, suspects_update,
+                          stream_announcement, stream_query, stream_reply>;
 
 /// A hint with its sender.
 struct hint_message {
--- a/libs/routing/include/routing/rendezvous.h
+++ b/libs/routing/include/routing/rendezvous.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <gsl/span>
 
@@ -34,4 +36,22 @@
     });
 }
 
+/// Returns the `count` highest-ranked of `vms`, or all if they are fewer; the highest first.
+inline std::vector<vm_id> rendezvous_top(std::string_view subject, gsl::span<const vm_id> vms,
+                                         std::size_t count) {
+    std::vector<std::pair<std::uint64_t, const vm_id*>> scored;
+    scored.reserve(vms.size());
+    for (const vm_id& vm : vms) {
+        scored.emplace_back(rendezvous_score(subject, vm), &vm);
+    }
+    const std::size_t n = std::min(count, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(n), scored.end(),
+                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<vm_id> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back(*scored[i].second);
+    }
+    return out;
+}
+
 }  // namespace radishpulley::routing
--- a/libs/routing/src/configuration.cpp
+++ b/libs/routing/src/configuration.cpp
@@ -61,6 +61,25 @@
     return found == services_by_id_.end() ? nullptr : found->second;
 }
 
+std::set<service_id> services_of_split_streams(const configuration& all) {
+    std::set<service_id> out;
+    for (const route& it : all.routes()) {
+        if (!it.resumable || it.services.size() < 2) {
+            continue;
+        }
+        for (const weighted_service& each : it.services) {
+            out.insert(each.service);
+        }
+    }
+    return out;
+}
+
+bool allows(const route& it, const service_id& service) {
+    return std::any_of(it.services.begin(), it.services.end(), [&](const weighted_service& each) {
+        return each.weight > 0 && each.service == service;
+    });
+}
+
 const service_id* pick_service(const route& it, double point) {
     if (it.services.empty()) {
         return nullptr;
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -313,6 +313,30 @@
     return out;
 }
 
+json to_json(const software& it) {
+    return json::array({it.service.str(), it.version});
+}
+
+software read_software(const json& in) {
+    return {service_id(in.at(0).get<std::string>()), in.at(1).get<std::string>()};
+}
+
+json to_json(const stream_announcement& it) {
+    json out = json::array();
+    for (const stream_group& group : it.groups) {
+        out.push_back({to_json(group.at), group.streams});
+    }
+    return out;
+}
+
+stream_announcement read_announcement(const json& in) {
+    stream_announcement out;
+    for (const json& it : in) {
+        out.groups.push_back({read_software(it.at(0)), it.at(1).get<std::vector<stream_key>>()});
+    }
+    return out;
+}
+
 json encode_body(const hint& it) {
     return std::visit(
         overloaded{
@@ -347,6 +371,15 @@
             },
             [](const suspects_update& x) {
                 return json::array({"x", to_json(x.suspects, false), to_json(x.suspects, true)});
+            },
+            [](const stream_announcement& b) {
+                return json::array({"b", to_json(b)});
+            },
+            [](const stream_query& q) {
+                return json::array({"q", q.stream});
+            },
+            [](const stream_reply& o) {
+                return json::array({"o", o.stream, o.began_at ? to_json(*o.began_at) : json()});
             }},
         it);
 }
@@ -395,6 +428,19 @@
         }
         return out;
     }
+    if (kind == "b") {
+        return read_announcement(in.at(1));
+    }
+    if (kind == "q") {
+        return stream_query{in.at(1).get<stream_key>()};
+    }
+    if (kind == "o") {
+        stream_reply out{in.at(1).get<stream_key>(), std::nullopt};
+        if (!in.at(2).is_null()) {
+            out.began_at = read_software(in.at(2));
+        }
+        return out;
+    }
     const endpoint_id engine(in.at(1).get<std::string>());
     if (kind == "u") {
         return adapter_usage{engine, read_choices(in.at(2)), read_choices(in.at(3))};
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -32,8 +32,10 @@
 #include "process_limits.h"
 #include "routing/entry_change_filter.h"
 #include "settings_file.h"
+#include "software_recorder.h"
 #include "status_server.h"
 #include "store_pace.h"
+#include "stream_keepers.h"
 #include "telemetry/event_log.h"
 #include "telemetry/guarded.h"
 
@@ -152,6 +154,8 @@
           loads_(loop_, time_, store_, engines_, fleet_, data_path_,
                  settings.bounds.endpoints_check_fencing),
           accounts_(loop_, time_, settings.vm, fleet_, data_path_),
+          streams_(loop_, settings.vm, fleet_, data_path_),
+          software_(loop_, time_, store_, data_path_, settings.vm),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_follower_settings(settings.bounds),
                          for_each_object([this](const auto& it) { intake_.on_object(it); },
@@ -188,8 +192,12 @@
             // The fault that broke the connections to the store may have broken those to endpoints.
             data_path_.pool().close_all_idle();
         });
-        store_.set_on_store_restored([this] { renew_watches(); });
+        store_.set_on_store_restored([this] {
+            renew_watches();
+            software_.on_store_restored();
+        });
         data_path_.set_broker(loads_);
+        data_path_.set_stream_peers(streams_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { schedule_store_reports(); });
@@ -215,6 +223,7 @@
         fleet_.start();
         loads_.start();
         accounts_.start();
+        software_.start();
         housekeep();
         while (!telemetry::run_guarded("event loop", [this] { loop_.run(); })) {
         }
@@ -542,6 +551,12 @@
             accounts_.on_hint(it.from, *uses);
         } else if (const auto* saturated = std::get_if<routing::saturated_accounts>(&it.body)) {
             accounts_.on_hint(it.from.vm, *saturated);
+        } else if (const auto* begun = std::get_if<routing::stream_announcement>(&it.body)) {
+            streams_.on_hint(*begun);
+        } else if (const auto* query = std::get_if<routing::stream_query>(&it.body)) {
+            streams_.on_hint(it.from.vm, *query);
+        } else if (const auto* reply = std::get_if<routing::stream_reply>(&it.body)) {
+            streams_.on_hint(*reply);
         } else {
             loads_.on_hint(it);
         }
@@ -695,6 +710,8 @@
         fleet_.mark_gone_vms();
         catch_ups_.set_vms(settings_.vm, serving);
         accounts_.set_serving(serving);
+        streams_.set_serving(serving);
+        software_.update(serving);
         fleet_.send_status(current_status());
     }
 
@@ -776,6 +793,8 @@
     fleet_member fleet_;
     load_coordinator loads_;
     account_watcher accounts_;
+    stream_keepers streams_;
+    software_recorder software_;
     routing::entry_change_filter entry_changes_;
     routing::peer_contacts contacts_{settings_.vm};
     std::size_t lost_contacts_ = 0;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -550,7 +550,8 @@
         overloaded{
             [](const routing::vm_status&) {}, [](const routing::store_reports&) {},
             [](const routing::account_usage_report&) {}, [](const routing::saturated_accounts&) {},
-            [](const routing::suspects_update&) {},
+            [](const routing::suspects_update&) {}, [](const routing::stream_announcement&) {},
+            [](const routing::stream_query&) {}, [](const routing::stream_reply&) {},
             [&](const routing::adapter_usage& usage) {
                 const auto held = held_engines_.find(usage.engine);
                 if (held != held_engines_.end()) {
--- /dev/null
+++ b/radishpulley/edge/src/stream_keepers.h
@@ -0,0 +1,48 @@
+/// Keeps copies of where streams began at other VMs, so that it is known after the VM has failed
+/// that relayed them.
+#pragma once
+
+#include <set>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "delayed_call.h"
+#include "edge/fleet_member.h"
+#include "gateway/gateway.h"
+#include "routing/hints.h"
+
+namespace radishpulley::edge {
+
+/// Announces the streams that began here to a few VMs each, their keepers, and asks the keepers of
+/// streams that began elsewhere.
+///
+/// The keepers of a stream are the first serving VMs in rendezvous order, which all VMs compute
+/// alike.
+class stream_keepers final : public gateway::stream_peers {
+public:
+    stream_keepers(boost::asio::io_context& loop, const vm_id& self, fleet_member& fleet,
+                   gateway::gateway& data_path);
+
+    /// Sets the VMs that serve callers, including this one.
+    void set_serving(std::vector<vm_id> vms) { serving_ = std::move(vms); }
+    void on_hint(const routing::stream_announcement& it);
+    void on_hint(const vm_id& from, const routing::stream_query& it);
+    void on_hint(const routing::stream_reply& it);
+
+    std::size_t ask(routing::stream_key stream) override;
+    void announce_soon() override { announcement_.request(); }
+
+private:
+    void announce();
+    /// Returns the keepers of a stream other than this VM.
+    std::vector<vm_id> keepers_of(routing::stream_key stream) const;
+
+    vm_id self_;
+    fleet_member& fleet_;
+    gateway::gateway& data_path_;
+    std::vector<vm_id> serving_;
+    delayed_call announcement_;
+};
+
+}  // namespace radishpulley::edge
