Where streams began is archived in the store while software is mixed

Cause: what the VMs remember of streams is lost with all of them.

A VM forgets streams that their callers received whole. The keepers are those of the stream's shard, one for 32 VMs, so that the number of writers does not grow with each VM.

Weighed: a write a stream (at the aim 9,000 a second; the stores allow 400 to 1,200), and giving each stream a version by the hash of its request (costs nothing, but binds new streams to a part of the engines, and is ambiguous for as long as a release moves the shares).

Evidence: resumed_streams_tests/streams_are_known_after_all_vms_have_failed and the_archive_reuses_objects_of_old_streams_only.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -373,8 +373,9 @@
 }
 
 void exchange::finish(unsigned status, std::string_view reason) {
-    const bool may_be_resumed = events_ && reason != answered;
-    if (may_be_resumed) {
+    if (events_ && reason == answered) {
+        owner_.origins_.on_complete(stream_key());
+    } else if (events_) {
         note_stream_begin();
     }
     phase_ = phase::ended;
--- a/libs/routing/include/routing/stream_origins.h
+++ b/libs/routing/include/routing/stream_origins.h
@@ -43,6 +43,8 @@
 
     /// A stream began or goes on at the software. Such streams are to be announced to other VMs.
     void on_begin(stream_key stream, const software& at, time_point now);
+    /// The caller has received the whole stream and will not resume it.
+    void on_complete(stream_key stream) { records_.erase(stream); }
     /// Another VM announced streams.
     void on_announced(const stream_group& it, time_point now);
     /// Returns where a stream began, or null if that is not known.
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -35,6 +35,7 @@
 #include "software_recorder.h"
 #include "status_server.h"
 #include "store_pace.h"
+#include "stream_archive.h"
 #include "stream_keepers.h"
 #include "telemetry/event_log.h"
 #include "telemetry/guarded.h"
@@ -154,7 +155,9 @@
           loads_(loop_, time_, store_, engines_, fleet_, data_path_,
                  settings.bounds.endpoints_check_fencing),
           accounts_(loop_, time_, settings.vm, fleet_, data_path_),
-          streams_(loop_, settings.vm, fleet_, data_path_),
+          archive_(loop_, time_, store_, settings.vm,
+                   [this](const auto& it) { data_path_.on_streams_announced(it); }),
+          streams_(loop_, settings.vm, fleet_, data_path_, archive_),
           software_(loop_, time_, store_, data_path_, settings.vm),
           configuration_(loop_, time_, store_, platform_adapter::configuration_kind,
                          configuration_follower_settings(settings.bounds),
@@ -224,6 +227,7 @@
         loads_.start();
         accounts_.start();
         software_.start();
+        archive_.start();
         housekeep();
         while (!telemetry::run_guarded("event loop", [this] { loop_.run(); })) {
         }
@@ -793,6 +797,7 @@
     fleet_member fleet_;
     load_coordinator loads_;
     account_watcher accounts_;
+    stream_archive archive_;
     stream_keepers streams_;
     software_recorder software_;
     routing::entry_change_filter entry_changes_;
--- /dev/null
+++ b/radishpulley/edge/src/stream_archive.h
@@ -0,0 +1,77 @@
+/// Keeps in the store where streams began, so that it is known after a failure of all VMs.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/clock.h"
+#include "delayed_call.h"
+#include "gateway/object_collections.h"
+#include "routing/stream_origins.h"
+
+namespace radishpulley::edge {
+
+/// Reads the archive of all VMs at the start, and writes the streams that this VM is told to keep.
+///
+/// A VM writes a few objects in turn. Each is rewritten until it is full, and then again once its
+/// streams are too old to be resumed.
+class stream_archive {
+public:
+    using stream_handler = std::function<void(const routing::stream_group&)>;
+
+    /// `on_read` receives what the store holds.
+    stream_archive(boost::asio::io_context& loop, const clock& time,
+                   gateway::object_collections& store, vm_id self, stream_handler on_read);
+
+    void start();
+    /// Whether the archive was read.
+    bool is_read() const { return is_read_; }
+    /// Writes streams soon.
+    void add(const routing::stream_group& it);
+
+private:
+    using streams_by_software = std::map<routing::software, std::vector<routing::stream_key>>;
+
+    /// An object of this VM.
+    struct slot {
+        std::size_t number = 0;
+        /// 0 if the object does not exist.
+        gateway::store_revision revision = 0;
+        time_point last_written{};
+        streams_by_software streams;
+        std::size_t count = 0;
+    };
+
+    void read();
+    void on_list(const gateway::object_list& it);
+    /// Takes an object of this VM that an earlier process wrote.
+    void adopt(const gateway::stored_object& it);
+    void flush();
+    /// Returns the object that takes more streams.
+    slot& open_slot();
+    /// Moves as many streams to the object as it takes.
+    void move_pending(slot& to);
+    void write(slot& it);
+    void on_written(const gateway::write_result& result);
+
+    const clock& time_;
+    gateway::object_collections& store_;
+    vm_id self_;
+    stream_handler on_read_;
+    boost::asio::steady_timer retry_timer_;
+    delayed_call flush_;
+    bool is_read_ = false;
+    bool is_write_in_flight_ = false;
+    streams_by_software pending_;
+    /// The one that was begun last is the last.
+    std::deque<slot> slots_;
+    /// Whether the last object holds streams that the store does not.
+    bool is_dirty_ = false;
+};
+
+}  // namespace radishpulley::edge
--- a/radishpulley/edge/src/stream_keepers.cpp
+++ b/radishpulley/edge/src/stream_keepers.cpp
@@ -11,6 +11,10 @@
 // Number of VMs that remember a stream besides the one that relays it. All of them and that one
 // have to fail for it to be forgotten.
 constexpr std::size_t keeper_count = 3;
+// Number of those that write to the archive.
+constexpr std::size_t writer_count = 2;
+// Number of VMs whose streams one shard takes.
+constexpr std::size_t vms_per_shard = 32;
 // Delay that coalesces announcements of several streams.
 constexpr std::chrono::milliseconds announcement_delay{20};
 // Streams in one message, so that it fits into a datagram.
@@ -19,53 +23,75 @@
 }  // namespace
 
 stream_keepers::stream_keepers(boost::asio::io_context& loop, const vm_id& self,
-                               fleet_member& fleet, gateway::gateway& data_path)
+                               fleet_member& fleet, gateway::gateway& data_path,
+                               stream_archive& archive)
     : self_(self),
       fleet_(fleet),
       data_path_(data_path),
-      announcement_(loop, announcement_delay, [this] { announce(); }) {}
+      archive_(archive),
+      announcement_(loop, announcement_delay, [this] { announce(); }) {
+    set_serving({self});
+}
 
-std::vector<vm_id> stream_keepers::keepers_of(routing::stream_key stream) const {
-    std::vector<vm_id> out;
-    for (const vm_id& vm :
-         routing::rendezvous_top(std::to_string(stream), serving_, keeper_count)) {
-        if (vm != self_) {
-            out.push_back(vm);
+void stream_keepers::set_serving(const std::vector<vm_id>& vms) {
+    const std::size_t count = 1 + vms.size() / vms_per_shard;
+    shards_.clear();
+    for (std::size_t shard = 0; shard < count; ++shard) {
+        shards_.push_back(
+            routing::rendezvous_top("streams|" + std::to_string(shard), vms, keeper_count));
+    }
+}
+
+const std::vector<vm_id>& stream_keepers::keepers_of(routing::stream_key stream) const {
+    return shards_[stream % shards_.size()];
+}
+
+void stream_keepers::archive(const routing::stream_group& it) {
+    routing::stream_group own{it.at, {}};
+    for (const routing::stream_key stream : it.streams) {
+        const std::vector<vm_id>& keepers = keepers_of(stream);
+        const auto writers_end =
+            keepers.begin() + static_cast<std::ptrdiff_t>(std::min(writer_count, keepers.size()));
+        if (std::find(keepers.begin(), writers_end, self_) != writers_end) {
+            own.streams.push_back(stream);
         }
     }
-    return out;
+    if (!own.streams.empty()) {
+        archive_.add(own);
+    }
 }
 
 void stream_keepers::announce() {
-    std::map<vm_id, std::vector<routing::stream_group>> messages;
     for (const routing::stream_group& group : data_path_.take_unannounced_streams()) {
+        archive(group);
         std::map<vm_id, routing::stream_group> parts;
         for (const routing::stream_key stream : group.streams) {
             for (const vm_id& vm : keepers_of(stream)) {
+                if (vm == self_) {
+                    continue;
+                }
                 routing::stream_group& part = parts[vm];
                 part.at = group.at;
                 part.streams.push_back(stream);
                 if (part.streams.size() == max_streams_per_message) {
-                    fleet_.send(vm, routing::stream_announcement{{std::move(part)}});
-                    part = {};
+                    fleet_.send(vm, routing::stream_announcement{{part}});
+                    part.streams.clear();
                 }
             }
         }
-        for (auto& [vm, part] : parts) {
+        for (const auto& [vm, part] : parts) {
             if (!part.streams.empty()) {
-                messages[vm].push_back(std::move(part));
+                fleet_.send(vm, routing::stream_announcement{{part}});
             }
         }
     }
-    for (auto& [vm, groups] : messages) {
-        fleet_.send(vm, routing::stream_announcement{std::move(groups)});
-    }
 }
 
 std::size_t stream_keepers::ask(routing::stream_key stream) {
     std::size_t asked = 0;
     for (const vm_id& vm : keepers_of(stream)) {
-        asked += fleet_.send(vm, routing::stream_query{stream}) ? 1 : 0;
+        const bool is_asked = vm != self_ && fleet_.send(vm, routing::stream_query{stream});
+        asked += is_asked ? 1 : 0;
     }
     return asked;
 }
@@ -73,6 +99,7 @@
 void stream_keepers::on_hint(const routing::stream_announcement& it) {
     for (const routing::stream_group& group : it.groups) {
         data_path_.on_streams_announced(group);
+        archive(group);
     }
 }
 
--- a/radishpulley/edge/tests/resumed_streams_tests.cpp
+++ b/radishpulley/edge/tests/resumed_streams_tests.cpp
@@ -28,11 +28,14 @@
           data_path(loop, time, codec, metrics, {}),
           member(loop, time, store, settings(loop, name),
                  [this](const routing::hint_message& it) { on_hint(it); }),
-          streams(loop, id, member, data_path),
+          archive(loop, time, store, id,
+                  [this](const auto& it) { data_path.on_streams_announced(it); }),
+          streams(loop, id, member, data_path, archive),
           recorder(loop, time, store, data_path, id) {
         data_path.set_stream_peers(streams);
         member.start();
         recorder.start();
+        archive.start();
     }
 
     static member_settings settings(boost::asio::io_context& loop, const std::string& name) {
@@ -78,6 +81,7 @@
     int hints = 0;
     int replies = 0;
     fleet_member member;
+    stream_archive archive;
     stream_keepers streams;
     software_recorder recorder;
 };
@@ -138,6 +142,17 @@
         });
     }
 
+    // Whether the first VM has archived something with the text.
+    bool is_archived(const std::string& text) {
+        for (int number = 0; number < 10; ++number) {
+            const std::string name = "vm0-" + std::to_string(number);
+            if (store.contents("stream-origins", name).find(text) != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     bool is_recorded(const std::string& text) {
         return store.contents("serving-software", "recent").find(text) != std::string::npos;
     }
@@ -185,6 +200,64 @@
     }
 }
 
+// Guards against streams that nobody knows after a failure of all VMs.
+BOOST_FIXTURE_TEST_CASE(streams_are_known_after_all_vms_have_failed, fixture) {
+    constexpr routing::stream_key count = 700;
+    add_many(3);
+    for (const auto& it : vms) {
+        it->add_endpoint("e1", v1);
+        it->add_endpoint("e2", v2);
+    }
+    for (routing::stream_key stream = 0; stream < count; ++stream) {
+        vms[stream % 3]->data_path.note_stream(stream, stream % 2 == 0 ? v1 : v2);
+    }
+    for (int i = 0; i < 500; ++i) {
+        step();
+    }
+    const std::size_t writes = store.write_count;
+    for (int i = 0; i < 150; ++i) {
+        step();
+    }
+    // Nothing is written while no stream begins.
+    BOOST_TEST(store.write_count == writes);
+    stopped = std::move(vms);
+    vms.clear();
+    test_vm& started = add("vm0");
+    run_until([&] { return started.archive.is_read(); });
+    for (routing::stream_key stream = 0; stream < count; ++stream) {
+        const auto known = started.data_path.origin_of(stream);
+        BOOST_REQUIRE_MESSAGE(known.has_value(), "stream " << stream << " is unknown");
+        BOOST_TEST((*known == (stream % 2 == 0 ? v1 : v2)));
+    }
+}
+
+// Guards against objects that are written over while their streams can still be resumed, and
+// against ever more of them.
+BOOST_FIXTURE_TEST_CASE(the_archive_reuses_objects_of_old_streams_only, fixture) {
+    test_vm& it = add("vm0");
+    run_until([&] { return it.archive.is_read(); });
+    for (routing::stream_key round = 0; round < 10; ++round) {
+        routing::stream_group group{v1, {}};
+        // One object is full, and one begun.
+        for (routing::stream_key i = 0; i < 256; ++i) {
+            group.streams.push_back(1'000 + round * 256 + i);
+        }
+        it.archive.add(group);
+        const std::string first = std::to_string(group.streams.front());
+        const std::string last = std::to_string(group.streams.back());
+        run_until([&] { return is_archived(first) && is_archived(last); });
+        if (round >= 2) {
+            BOOST_TEST(is_archived(std::to_string(group.streams.front() - 2 * 256)));
+        }
+        let_pass(std::chrono::seconds(25));
+    }
+    for (int number = 0; number < 10; ++number) {
+        const std::string name = "vm0-" + std::to_string(number);
+        const bool is_used = !store.contents("stream-origins", name).empty();
+        BOOST_TEST(is_used == (number < 3));
+    }
+}
+
 // Guards against waiting for an answer that nobody can give.
 BOOST_FIXTURE_TEST_CASE(vms_reply_that_they_do_not_know_a_stream, fixture) {
     add_many(4);
