--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -42,6 +42,36 @@
 
 }  // namespace
 
+std::string_view to_text(caller_phase it) {
+    switch (it) {
+        case caller_phase::idle:
+            return "idle";
+        case caller_phase::arriving:
+            return "arriving";
+        case caller_phase::in_progress:
+            return "in_progress";
+    }
+    return "unknown";
+}
+
+std::string_view to_text(close_reason it) {
+    switch (it) {
+        case close_reason::idle_timeout:
+            return "idle_timeout";
+        case close_reason::by_caller:
+            return "by_caller";
+        case close_reason::last_response:
+            return "last_response";
+        case close_reason::response_aborted:
+            return "response_aborted";
+        case close_reason::turned_away:
+            return "turned_away";
+        case close_reason::stopping:
+            return "stopping";
+    }
+    return "unknown";
+}
+
 caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
                          const clock& time, caller_service& service)
     : link_(std::move(connection)),
@@ -77,12 +107,32 @@
     return reading_request_ || work_ != nullptr || link_->has_unread();
 }
 
-void caller_link::close() {
+caller_phase caller_link::phase() const {
+    if (work_ || answering_) {
+        return caller_phase::in_progress;
+    }
+    return reading_request_ ? caller_phase::arriving : caller_phase::idle;
+}
+
+caller_closure caller_link::closure(close_reason why) const {
+    const caller_phase now_in = phase();
+    const time_point began = now_in == caller_phase::idle ? idle_since_ : first_byte_;
+    return {now_in, why, link_->unread_bytes() + link_->input().size(), time_.now() - began};
+}
+
+void caller_link::close(close_reason why) {
+    const caller_closure how = closure(why);
     link_->close();
-    handle_close();
+    handle_close(how);
 }
 
-void caller_link::handle_close() {
+void caller_link::finish(close_reason why) {
+    const caller_closure how = closure(why);
+    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); });
+    handle_close(how);
+}
+
+void caller_link::handle_close(const caller_closure& how) {
     if (closed_) {
         return;
     }
@@ -96,7 +146,7 @@
         work->on_caller_left();
     }
     charge(0);
-    service_.on_closed(shared_from_this());
+    service_.on_closed(shared_from_this(), how);
 }
 
 holder_wait caller_link::wait() const {
@@ -162,24 +212,32 @@
         begin_early_response();
         service_.refuse(std::move(arrived), reason, *this);
     } else {
-        close();
+        close(close_reason::turned_away);
     }
 }
 
 void caller_link::begin_request() {
-    const caller_service::limits limits = service_.caller_limits();
     body_.clear();
     head_bytes_ = 0;
+    parser_.reset();
+    reading_request_ = false;
+    head_seen_ = false;
+    checked_early_ = false;
+    answering_ = false;
+    idle_since_ = time_.now();
+    set_timeout(service_.caller_limits().idle_timeout);
+}
+
+void caller_link::begin_reading() {
+    const caller_service::limits limits = service_.caller_limits();
     // A head has to fit into the input buffer, with a part of what follows it.
     link_->set_max_input(std::max(link_options{}.max_input, limits.max_header_bytes * 2));
     const std::size_t header_limit = std::min(limits.max_header_bytes, max_header_limit);
     parser_ = std::make_unique<parser>(message_limits{
         static_cast<std::uint32_t>(header_limit) + header_limit_slack, limits.max_body_bytes});
-    reading_request_ = false;
-    head_seen_ = false;
-    checked_early_ = false;
-    answering_ = false;
-    set_timeout(limits.idle_timeout);
+    reading_request_ = true;
+    first_byte_ = arrival_time();
+    set_timeout(limits.header_timeout);
 }
 
 void caller_link::set_body_timeout() {
@@ -214,11 +272,28 @@
     if (reading_request_) {
         refuse(status_request_timeout, "the request took too long to arrive");
     } else {
-        link_->finish();
-        handle_close();
+        on_idle_timeout();
     }
 }
 
+void caller_link::on_idle_timeout() {
+    const time_point now = time_.now();
+    const bool is_in_use = link_->undelivered() > 0 || link_->has_unread();
+    if (is_in_use) {
+        idle_since_ = now;
+    }
+    // A lowered limit holds from the next response on: callers go by the one that was in force at
+    // the last.
+    const duration left = idle_since_ + service_.caller_limits().idle_timeout - now;
+    if (left > duration::zero()) {
+        set_timeout(std::chrono::ceil<std::chrono::milliseconds>(left));
+        return;
+    }
+    // A request that crosses the close must not be read, so that its caller may send it again.
+    const auto self = shared_from_this();
+    close(close_reason::idle_timeout);
+}
+
 void caller_link::on_input() {
     const auto self = shared_from_this();
     if (!work_) {
@@ -249,9 +324,7 @@
 
 bool caller_link::parse_part() {
     if (!reading_request_) {
-        reading_request_ = true;
-        first_byte_ = arrival_time();
-        set_timeout(service_.caller_limits().header_timeout);
+        begin_reading();
     }
     auto& input = link_->input();
     error_code ec;
@@ -390,10 +463,10 @@
     }
     answering_ = false;
     work_.reset();
-    // A response whose head was sent before the stop did not carry `Connection: close`.
-    if (!keep_alive_ || service_.is_stopping()) {
-        link_->finish();
-        handle_close();
+    // While the process stops, a connection whose last head did not say that it closes stays open
+    // until it is idle: its next request may be on its way.
+    if (!keep_alive_) {
+        finish(close_reason::last_response);
         return;
     }
     begin_request();
@@ -418,15 +491,16 @@
         return;
     }
     const auto self = shared_from_this();
+    const caller_closure how = closure(close_reason::response_aborted);
     answering_ = false;
     work_.reset();
     link_->abort();
-    handle_close();
+    handle_close(how);
 }
 
 void caller_link::on_end(link_end) {
     const auto self = shared_from_this();
-    handle_close();
+    handle_close(closure(close_reason::by_caller));
 }
 
 void caller_link::on_partly_written(std::size_t bytes) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -120,7 +120,7 @@
         on_caller_left();
         return;
     }
-    find_endpoint();
+    place();
 }
 
 void exchange::refuse_overloaded() {
@@ -182,8 +182,11 @@
             return false;
         }
     }
-    const double point = static_cast<double>(stable_hash(attributes_.id.str()) >> 11) /
-                         static_cast<double>(1ULL << 53);
+    // A stream stays with its service when it is resumed.
+    const bool resumes = is_resumption() && !attributes_.resumed_request.empty();
+    const request_id& drawn_by = resumes ? attributes_.resumed_request : attributes_.id;
+    const double point =
+        static_cast<double>(stable_hash(drawn_by.str()) >> 11) / static_cast<double>(1ULL << 53);
     const service_id* chosen = routing::pick_service(*route_, point);
     service_ = chosen == nullptr ? nullptr : configuration_->find_service(*chosen);
     if (service_ == nullptr) {
@@ -370,6 +373,11 @@
 }
 
 void exchange::finish(unsigned status, std::string_view reason) {
+    if (events_ && reason == answered) {
+        owner_.origins_.on_complete(stream_key());
+    } else if (events_) {
+        note_stream_begin();
+    }
     phase_ = phase::ended;
     on_call_ended();
     deadline_timer_.cancel();
@@ -393,6 +401,7 @@
          {"service",
           service_ == nullptr ? std::string_view("-") : std::string_view(service_->id.str())},
          {"endpoint", endpoint_},
+         {"software", endpoint_software_.version},
          {"adapter", attributes_.target.adapter},
          {"units", account_ == nullptr ? 0 : static_cast<std::uint64_t>(units())},
          {"configuration", configuration_ ? configuration_->version() : 0},
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -1,6 +1,8 @@
 #include "gateway/link.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -120,7 +122,9 @@
 }
 
 void link::on_read(const error_code& ec, const char* bytes, std::size_t n) {
-    if (!finishing_ && n > 0) {
+    if (finishing_ && n > 0 && on_discarded_) {
+        on_discarded_(n);
+    } else if (!finishing_ && n > 0) {
         input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
     }
     if (ec) {
@@ -201,11 +205,12 @@
     }
 }
 
-void link::finish() {
+void link::finish(discard_callback on_discarded) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
+    on_discarded_ = std::move(on_discarded);
     handler_ = nullptr;
     input_.consume(input_.size());
     input_.shrink_to_fit();
@@ -232,6 +237,13 @@
     return ec ? 0 : n;
 }
 
+std::size_t link::undelivered() const {
+    int in_system = 0;
+    const bool is_known =
+        is_open() && ioctl(const_cast<socket&>(socket_).native_handle(), SIOCOUTQ, &in_system) == 0;
+    return unsent_ + (is_known ? static_cast<std::size_t>(std::max(in_system, 0)) : 0);
+}
+
 receive_status link::receiving() {
     if (!is_open()) {
         return {true, std::chrono::milliseconds(0)};
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -34,6 +35,11 @@
         for (std::string id; std::getline(segments, id, ',');) {
             out.segments.push_back({std::stoull(id, nullptr, 16), 100});
         }
+        const std::string_view last_event = find_header(headers, "Last-Event-Id");
+        if (!last_event.empty()) {
+            out.last_event = std::string(last_event);
+            out.resumed_request = request_id(find_header(headers, "X-Resumes"));
+        }
         const std::string_view deadline = find_header(headers, "X-Deadline");
         if (!deadline.empty()) {
             out.deadline = std::chrono::milliseconds(std::stoi(std::string(deadline)));
@@ -41,7 +47,8 @@
         return out;
     }
     bool is_forwarded(std::string_view name) const override {
-        return !same_name(name, "X-Key") && !same_name(name, "X-Account");
+        return !same_name(name, "X-Key") && !same_name(name, "X-Account") &&
+               !same_name(name, "Last-Event-Id");
     }
     void append_call_attributes(const call_attributes& it, std::string& out) const override {
         append_header(out, "X-Expect", it.expected.str());
@@ -255,17 +262,21 @@
         : proxy_(loop, time, codec, metrics, settings()),
           acceptor_(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
         proxy_.set_broker(broker_);
+        // No other software served before.
+        proxy_.on_software_record({});
         accept();
     }
 
-    /// Adds an endpoint of the service.
-    fake_endpoint& add_endpoint(const std::string& id, fake_endpoint::script on_request) {
+    /// Adds an endpoint of the service that runs a version of its software.
+    fake_endpoint& add_endpoint(const std::string& id, fake_endpoint::script on_request,
+                                const std::string& software_version = "v1") {
         endpoints_.emplace_back(loop, std::move(on_request));
         routing::endpoint entry;
         entry.id = endpoint_id(id);
         entry.service = service_id("s");
         entry.address = endpoints_.back().address();
         entry.slots = 4;
+        entry.software_version = software_version;
         proxy_.on_endpoint(entry);
         return endpoints_.back();
     }
@@ -276,6 +287,7 @@
     bool with_engines = false;
     std::chrono::milliseconds idle_timeout{15'000};
     std::size_t max_header_bytes = 2'000;
+    std::size_t max_body_bytes = 10'000;
 
     void configure(double rate = 0) {
         routing::configuration_content content;
@@ -308,7 +320,7 @@
         account.burst = rate;
         content.accounts = {account};
         content.limits.max_header_bytes = max_header_bytes;
-        content.limits.max_body_bytes = 10'000;
+        content.limits.max_body_bytes = max_body_bytes;
         content.limits.idle_timeout = idle_timeout;
         proxy_.on_configuration(std::make_shared<routing::configuration>(content));
     }
@@ -319,9 +331,13 @@
         return it;
     }
 
-    /// Connects a caller that never reads.
-    std::shared_ptr<peer> connect_without_reading() {
-        tcp::socket socket(loop);
+    /// Connects a caller that does not read before it is started; its system keeps about
+    /// `receive_buffer` bytes for it, or its own choice of them.
+    std::shared_ptr<peer> connect_without_reading(std::optional<int> receive_buffer = {}) {
+        tcp::socket socket(loop, tcp::v4());
+        if (receive_buffer) {
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(*receive_buffer));
+        }
         socket.connect(acceptor_.local_endpoint());
         return std::make_shared<peer>(std::move(socket));
     }
