--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -277,6 +277,7 @@
     bool with_engines = false;
     std::chrono::milliseconds idle_timeout{15'000};
     std::size_t max_header_bytes = 2'000;
+    std::size_t max_body_bytes = 10'000;
 
     void configure(double rate = 0) {
         routing::configuration_content content;
@@ -309,7 +310,7 @@
         account.burst = rate;
         content.accounts = {account};
         content.limits.max_header_bytes = max_header_bytes;
-        content.limits.max_body_bytes = 10'000;
+        content.limits.max_body_bytes = max_body_bytes;
         content.limits.idle_timeout = idle_timeout;
         proxy_.on_configuration(std::make_shared<routing::configuration>(content));
     }
