A response that ends with its connection is complete only after the whole request

Callers got a part of a response, without a length, as a complete one when its endpoint reset the connection during the upload; streams looked complete that broke off between two events, and so did answers to the daemon's own calls (simple_call).

Cause: the system reports a reset once. A write of the upload took the report (ECONNRESET), its handler was still queued, and the read before it in the queue saw an end without an error. Nothing asked whether the request had gone out.

link now tells a third end, closed_early: the input ended while bytes were unsent (a write that failed counts, as its bytes stay unsent until its handler runs) or not acknowledged by the peer (SIOCOUTQ). endpoint_link completes a body only at link_end::closed, so such a call fails as broken. Whoever has read a whole request has acknowledged it with its end at the latest, so sound responses stay complete.

Added: a_response_that_ends_at_once_after_the_request_is_complete (90 rounds against a thread that ends right after its last read).

--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -21,8 +21,11 @@
 
 /// How a connection ended.
 enum class link_end {
-    /// The peer closed it in an orderly way.
+    /// The peer closed it in an orderly way, after it had received all that was written.
     closed,
+    /// The input ended before the peer had received all that was written: the peer closed it, or
+    /// reset it and a write took the error.
+    closed_early,
     /// It was reset, timed out or failed.
     broken
 };
@@ -121,6 +124,10 @@
     void on_read(const boost::system::error_code& ec, const char* bytes, std::size_t n);
     void write_next();
     void note_written();
+    /// Number of written bytes that the peer has not acknowledged.
+    std::size_t unacknowledged_bytes();
+    /// Tells how the connection ends whose input has ended without an error.
+    link_end how_input_ended();
     void end(link_end how);
     void linger();
 
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -225,6 +225,7 @@
         unusable_ = true;
         return;
     }
+    // Only an end that follows the whole request can be the end of a body.
     if (how == link_end::closed && head_taken_ && !discarding_) {
         error_code ec;
         parser_->put_eof(ec);
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -1,8 +1,11 @@
 #include "gateway/link.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -126,7 +129,7 @@
         input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
     }
     if (ec) {
-        end(ec == asio::error::eof ? link_end::closed : link_end::broken);
+        end(ec == asio::error::eof ? how_input_ended() : link_end::broken);
         return;
     }
     if (!finishing_ && handler_ != nullptr &&
@@ -138,6 +141,20 @@
     read();
 }
 
+std::size_t link::unacknowledged_bytes() {
+    int n = 0;
+    // A connection whose state is unknown counts as one that has not taken everything.
+    const bool is_known = ioctl(socket_.native_handle(), SIOCOUTQ, &n) == 0;
+    return is_known ? static_cast<std::size_t>(std::max(n, 0)) : 1;
+}
+
+// The system reports a reset once, to whichever call comes first. If a write took the report and
+// its handler has not run yet, the next read sees an orderly end.
+link_end link::how_input_ended() {
+    const bool has_peer_all = unsent_ == 0 && unacknowledged_bytes() == 0;
+    return has_peer_all ? link_end::closed : link_end::closed_early;
+}
+
 void link::end(link_end how) {
     if (ended_) {
         return;
--- a/libs/gateway/tests/reset_uploads_tests.cpp
+++ b/libs/gateway/tests/reset_uploads_tests.cpp
@@ -1,5 +1,8 @@
 // Endpoints that respond before they have read an upload, with a body that ends with the
 // connection, and close or reset it while the upload is being written.
+#include <array>
+#include <future>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/simple_call.h"
@@ -130,12 +133,15 @@
         pool.connect(endpoint.address(), [this](auto it) { connection = std::move(it); });
         run_until([this] { return endpoint.accept() && connection != nullptr; });
     }
-    void send(std::size_t body_size) {
+    // Returns the size of the whole request.
+    std::size_t send(std::size_t body_size) {
         call_request out;
         out.bytes = request("POST /once/x", "r1", "", std::string(body_size, 'b'));
         out.id_header = "X-Id";
         out.id = "r1";
+        const std::size_t size = out.bytes.size();
         connection->call(std::move(out), result);
+        return size;
     }
     void run_to_end() {
         run_until([this] { return result.is_done || result.failure; });
@@ -192,13 +198,9 @@
         for (const std::size_t size : {std::size_t{1}, std::size_t{60'000}, upload_size}) {
             BOOST_TEST_CONTEXT(how << " " << size) {
                 stepped_call it;
-                it.send(size);
+                const std::size_t whole = it.send(size);
                 std::size_t received = 0;
-                it.run_until([&] { return (received += it.endpoint.drain()) > size; });
-                it.run_until([&] {
-                    received += it.endpoint.drain();
-                    return it.connection->held_bytes() == 0 && it.endpoint.drain() == 0;
-                });
+                it.run_until([&] { return (received += it.endpoint.drain()) == whole; });
                 it.endpoint.send(first_part("HTTP/1.1"));
                 it.endpoint.end(how);
                 it.run_to_end();
@@ -209,6 +211,33 @@
     }
 }
 
+// Guards against complete responses that are taken for truncated ones because the end arrives
+// before the last write is reported.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_at_once_after_the_request_is_complete) {
+    constexpr int rounds = 30;
+    for (const std::size_t size : {std::size_t{1}, std::size_t{70'000}, std::size_t{2'000'000}}) {
+        for (int round = 0; round < rounds; ++round) {
+            BOOST_TEST_CONTEXT(size << " in round " << round) {
+                stepped_call it;
+                const std::size_t whole = it.send(size);
+                const auto other = std::async(std::launch::async, [&] {
+                    const auto latest = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+                    it.endpoint.send(first_part("HTTP/1.1"));
+                    std::size_t received = 0;
+                    while (received < whole && std::chrono::steady_clock::now() < latest) {
+                        received += it.endpoint.drain();
+                    }
+                    it.endpoint.end(endpoint_end::close_unread);
+                });
+                it.run_to_end();
+                other.wait();
+                BOOST_TEST(it.result.is_done);
+                BOOST_TEST(it.result.body == part);
+            }
+        }
+    }
+}
+
 // Guards against responses with a length that are lost because the upload was not read.
 BOOST_AUTO_TEST_CASE(a_response_with_a_length_is_complete_during_the_upload) {
     stepped_call it;
