http::client passes on no status out of range

Callers of a daemon got whatever number an endpoint stated as status: its "000" as 0, "2x0" as 2, "-20" as 65516. Answers of the store and of engines were read the same way.

Cause: cpprestsdk reads a number from the status line and checks nothing; the client copied it.

client::call() and client::start() now fail a call whose status is not that of a final response (200 to 599) and cancel it, which closes its connection. Such a request counts as one that may have run.

Before the fix a_status_out_of_range_is_no_response failed for 10 of 13 statuses ("abc", no status and 65736 were refused by the library), for example

status 000: check std::holds_alternative<call_failure>(got) has failed status 000: check end_of_stream(caller, {}, observer) != "end" has failed [end == end] status 2000: check observer->status == 0 has failed [2000 != 0] *** 38 failures are detected

Added as guards, which passed before: unusual_statuses_are_passed_on and a_response_whose_connection_is_reset_during_the_upload_is_a_failure (cpprestsdk writes the whole request before it reads, so that a failed write ends the call).

--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -16,7 +16,8 @@
 enum class failure_stage {
     /// No connection was made, so the server has not received the request.
     not_connected,
-    /// The request may have reached the server and may have run.
+    /// The request may have reached the server and may have run. No response arrived, or none that
+    /// is complete and valid.
     interrupted
 };
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -17,6 +17,10 @@
 using web::http::client::http_client_config;
 
 constexpr std::size_t max_read_size = 64 * 1024;
+// Statuses of final responses (RFC 9110, 15).
+constexpr int first_status = 200;
+constexpr int last_status = 599;
+constexpr const char* bad_status_message = "the status is out of range";
 
 http_request to_cpprest(const request& it) {
     http_request out(it.method);
@@ -31,6 +35,11 @@
     return out;
 }
 
+// The library takes any number for a status, and the digits at the start of any text.
+bool has_valid_status(const http_response& it) {
+    return it.status_code() >= first_status && it.status_code() <= last_status;
+}
+
 response copy_head(const http_response& from) {
     response head;
     head.status = from.status_code();
@@ -75,6 +84,12 @@
         sent.then([self](pplx::task<http_response> done) {
             try {
                 self->head_ = done.get();
+                if (!has_valid_status(self->head_)) {
+                    self->source_.cancel();
+                    self->observer_->on_failure(
+                        {failure_stage::interrupted, bad_status_message, false});
+                    return;
+                }
                 self->observer_->on_head(copy_head(self->head_));
                 self->body_ = self->head_.body().streambuf();
                 self->read_next();
@@ -172,7 +187,12 @@
 
 call_result client::call(const request& it) const {
     try {
-        http_response cpprest_response = details_->send(it, pplx::cancellation_token::none()).get();
+        const pplx::cancellation_token_source source;
+        http_response cpprest_response = details_->send(it, source.get_token()).get();
+        if (!has_valid_status(cpprest_response)) {
+            source.cancel();
+            return call_failure{failure_stage::interrupted, bad_status_message, false};
+        }
         response result = copy_head(cpprest_response);
         const std::vector<unsigned char> body = cpprest_response.extract_vector().get();
         result.body.assign(body.begin(), body.end());
--- a/libs/http/tests/http_tests.cpp
+++ b/libs/http/tests/http_tests.cpp
@@ -84,6 +84,71 @@
     std::thread thread_;
 };
 
+// Sends the same bytes on every connection at once, reads some of the request and ends the
+// connection.
+class scripted_server {
+public:
+    enum class ending { orderly, reset };
+
+    scripted_server(std::string bytes, std::size_t read_bytes, ending how)
+        : bytes_(std::move(bytes)),
+          read_bytes_(read_bytes),
+          ending_(how),
+          acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}) {
+        thread_ = std::thread([this] { run(); });
+    }
+    ~scripted_server() {
+        stopping_ = true;
+        boost::system::error_code ec;
+        boost::asio::io_context other;
+        boost::asio::ip::tcp::socket wake(other);
+        wake.connect(acceptor_.local_endpoint(), ec);
+        thread_.join();
+    }
+    std::string address() const {
+        return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    void run() {
+        while (!stopping_) {
+            boost::system::error_code ec;
+            boost::asio::ip::tcp::socket socket(context_);
+            acceptor_.accept(socket, ec);
+            if (stopping_ || ec) {
+                continue;
+            }
+            std::string received;
+            const auto buf = boost::asio::dynamic_buffer(received);
+            boost::asio::read_until(socket, buf, "\r\n\r\n", ec);
+            boost::asio::write(socket, boost::asio::buffer(bytes_), ec);
+            if (received.size() < read_bytes_) {
+                boost::asio::read(socket, buf,
+                                  boost::asio::transfer_exactly(read_bytes_ - received.size()), ec);
+            }
+            if (ending_ == ending::reset) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+            }
+            socket.close(ec);
+        }
+    }
+    const std::string bytes_;
+    const std::size_t read_bytes_;
+    const ending ending_;
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+// Returns what a streamed call ends with.
+std::string end_of_stream(const client& caller, const request& it,
+                          const std::shared_ptr<stream_recorder>& observer) {
+    auto finished = observer->finished.get_future();
+    const auto running = caller.start(it, observer);
+    return finished.get();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http)
@@ -178,6 +243,54 @@
     BOOST_TEST(closing.requests == 2);
 }
 
+// Guards against responses with a status that no client can rely on: an endpoint in trouble stated
+// 000, and it was passed on as a response.
+BOOST_AUTO_TEST_CASE(a_status_out_of_range_is_no_response) {
+    for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "2x0", "-20",
+                                     "2000", "65736", "abc", ""}) {
+        const std::string bytes = "HTTP/1.1 " + status + " OK\r\nContent-Length: 3\r\n\r\nabc";
+        const scripted_server spoilt(bytes, 0, scripted_server::ending::orderly);
+        const client caller(spoilt.address(), idle_timeout, connection_reuse::one_per_call);
+        BOOST_TEST_CONTEXT("status " << status) {
+            const call_result got = caller.call({});
+            BOOST_TEST(std::holds_alternative<call_failure>(got));
+            const auto observer = std::make_shared<stream_recorder>();
+            BOOST_TEST(end_of_stream(caller, {}, observer) != "end");
+            BOOST_TEST(observer->status == 0);
+            BOOST_TEST(observer->body.empty());
+        }
+    }
+}
+
+// Guards against valid statuses that are taken for invalid ones.
+BOOST_AUTO_TEST_CASE(unusual_statuses_are_passed_on) {
+    for (const int status : {200, 299, 404, 499, 599}) {
+        const std::string bytes =
+            "HTTP/1.1 " + std::to_string(status) + " OK\r\nContent-Length: 3\r\n\r\nabc";
+        const scripted_server odd(bytes, 0, scripted_server::ending::orderly);
+        const client caller(odd.address(), idle_timeout, connection_reuse::one_per_call);
+        BOOST_TEST(response_of(caller.call({})).status == status);
+    }
+}
+
+// Guards against a part of a response, without a length, that counts as complete because the
+// connection was reset while the upload was being written.
+BOOST_AUTO_TEST_CASE(a_response_whose_connection_is_reset_during_the_upload_is_a_failure) {
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n";
+    const request upload{"POST", "/", {}, std::string(8'000'000, 'b')};
+    for (const std::size_t read_bytes : {0U, 65'536U, 500'000U, 2'000'000U, 6'000'000U}) {
+        const scripted_server resetting(part, read_bytes, scripted_server::ending::reset);
+        const client caller(resetting.address(), idle_timeout, connection_reuse::one_per_call);
+        for (int round = 0; round < 5; ++round) {
+            BOOST_TEST_CONTEXT("reset after " << read_bytes << ", round " << round) {
+                BOOST_TEST(std::holds_alternative<call_failure>(caller.call(upload)));
+                const auto observer = std::make_shared<stream_recorder>();
+                BOOST_TEST(end_of_stream(caller, upload, observer) != "end");
+            }
+        }
+    }
+}
+
 // The system may assign an ephemeral port to an outgoing connection before the server listens on
 // it.
 BOOST_AUTO_TEST_CASE(free_ports_are_outside_the_ephemeral_range) {
