One way to ask for bytes that the peer has not acknowledged

Where the system can't tell, the written bytes count that it has not taken: a platform without that question would otherwise make each end of a response a failure.

--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -126,8 +126,6 @@
     void on_read(const boost::system::error_code& ec, const char* bytes, std::size_t n);
     void write_next();
     void note_written();
-    /// Number of written bytes that the peer has not acknowledged.
-    std::size_t unacknowledged_bytes();
     /// Tells how the connection ends whose input has ended without an error.
     link_end how_input_ended();
     void end(link_end how);
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -141,18 +141,10 @@
     read();
 }
 
-std::size_t link::unacknowledged_bytes() {
-    int n = 0;
-    // A connection whose state is unknown counts as one that has not taken everything.
-    const bool is_known = ioctl(socket_.native_handle(), SIOCOUTQ, &n) == 0;
-    return is_known ? static_cast<std::size_t>(std::max(n, 0)) : 1;
-}
-
 // The system reports a reset once, to whichever call comes first. If a write took the report and
 // its handler has not run yet, the next read sees an orderly end.
 link_end link::how_input_ended() {
-    const bool has_peer_all = unsent_ == 0 && unacknowledged_bytes() == 0;
-    return has_peer_all ? link_end::closed : link_end::closed_early;
+    return undelivered() == 0 ? link_end::closed : link_end::closed_early;
 }
 
 void link::end(link_end how) {
@@ -253,10 +245,13 @@
 }
 
 std::size_t link::undelivered() const {
+    // asio has no const access to the descriptor.
+    const int fd = const_cast<socket&>(socket_).native_handle();
     int in_system = 0;
-    const bool is_known =
-        is_open() && ioctl(const_cast<socket&>(socket_).native_handle(), SIOCOUTQ, &in_system) == 0;
-    return unsent_ + (is_known ? static_cast<std::size_t>(std::max(in_system, 0)) : 0);
+    if (ioctl(fd, SIOCOUTQ, &in_system) != 0) {
+        return unsent_;
+    }
+    return unsent_ + static_cast<std::size_t>(std::max(in_system, 0));
 }
 
 receive_status link::receiving() {
