--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -113,8 +113,9 @@
 
     void start() { read(); }
     void send(const std::string& bytes) {
-        boost::system::error_code ignored;
-        boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+        boost::system::error_code ec;
+        boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
+        has_send_failed = has_send_failed || ec;
     }
     /// Sends `bytes` repeatedly until the other side closes.
     void flood(std::string bytes) {
@@ -160,6 +161,8 @@
     bool ended = false;
     /// Whether it ended with a reset.
     bool was_reset = false;
+    /// Whether bytes could not be sent, because the connection had been reset.
+    bool has_send_failed = false;
     std::function<void(peer&)> on_bytes = [](peer&) {};
 
 private:
@@ -278,7 +281,14 @@
     std::chrono::milliseconds idle_timeout{15'000};
     std::size_t max_header_bytes = 2'000;
 
-    void configure(double rate = 0) {
+    void configure(double rate = 0) { apply(content(rate)); }
+
+    void apply(const routing::configuration_content& it) {
+        proxy_.on_configuration(std::make_shared<routing::configuration>(it));
+    }
+
+    /// Returns what configure() applies.
+    routing::configuration_content content(double rate = 0) const {
         routing::configuration_content content;
         content.version = 1;
         for (const char* name : {"once", "again", "events", "open", "stream"}) {
@@ -311,7 +321,7 @@
         content.limits.max_header_bytes = max_header_bytes;
         content.limits.max_body_bytes = 10'000;
         content.limits.idle_timeout = idle_timeout;
-        proxy_.on_configuration(std::make_shared<routing::configuration>(content));
+        return content;
     }
 
     std::shared_ptr<peer> connect() {
