--- a/libs/gateway/tests/early_refusal_tests.cpp
+++ b/libs/gateway/tests/early_refusal_tests.cpp
@@ -1,4 +1,6 @@
 // Requests that are refused after their heads, before their bodies have arrived.
+#include <chrono>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway_fixture.h"
@@ -33,6 +35,35 @@
         return caller->received;
     }
 
+    void run_for(std::chrono::milliseconds time) {
+        loop.restart();
+        loop.run_for(time);
+    }
+
+    // Sends the head, then the body in parts after waits, and reads only then, as callers do that
+    // send a whole request before they look for the response. Requires the refusal.
+    void check_refusal_behind_slow_body(const std::string& whole, const std::string& status,
+                                        std::chrono::milliseconds wait, std::size_t parts) {
+        const auto caller = connect_without_reading();
+        caller->send(head_of(whole));
+        const std::string rest = whole.substr(head_of(whole).size());
+        const std::size_t part = rest.size() / parts;
+        for (std::size_t i = 0; i < parts; ++i) {
+            run_for(wait);
+            caller->send(rest.substr(i * part, part));
+        }
+        run_for(std::chrono::milliseconds(50));
+        BOOST_TEST(!caller->has_send_failed);
+        caller->start();
+        run_until([&] { return caller->ended; });
+        BOOST_TEST(!caller->was_reset);
+        BOOST_TEST(caller->received.find(" " + status + " ") != std::string::npos);
+        BOOST_TEST(endpoint(0).requests.empty());
+        caller->close();
+        run_for(std::chrono::milliseconds(50));
+        BOOST_TEST(proxy().connection_count() == 0U);
+    }
+
     // Runs the loop until what was sent before has been handled.
     void handle_input() {
         const time_point begin = time.now();
@@ -128,6 +159,39 @@
     BOOST_TEST(caller->received.find(" 200 ") != std::string::npos);
 }
 
+// Guards against a reset that takes the refusal from a caller that is still sending its body, in
+// parts that follow each other for longer than a closed connection is kept.
+BOOST_FIXTURE_TEST_CASE(a_refusal_is_not_lost_behind_a_body_that_takes_long, fixture) {
+    const std::chrono::milliseconds wait(100);
+    check_refusal_behind_slow_body(request("POST /nowhere", "r1", "", body), "404", wait, 16);
+    check_refusal_behind_slow_body(request("POST /once/x", "r1", "", std::string(50'000, 'b')),
+                                   "413", wait, 16);
+}
+
+// Guards against the same where the caller pauses once for that long.
+BOOST_FIXTURE_TEST_CASE(a_refusal_is_not_lost_behind_a_body_that_begins_late, fixture) {
+    const std::chrono::milliseconds wait(1'300);
+    check_refusal_behind_slow_body(request("POST /nowhere", "r1", "", body), "404", wait, 2);
+}
+
+// Guards against a refused caller that sends without end and keeps its connection for ever.
+BOOST_FIXTURE_TEST_CASE(a_refused_body_ends_with_the_time_of_bodies, fixture) {
+    idle_timeout = std::chrono::milliseconds(200);
+    configure();
+    const auto caller = connect();
+    caller->send(head_of(request("POST /nowhere", "r1", "", body)));
+    const time_point begin = time.now();
+    while (proxy().connection_count() == 0) {
+        run_for(std::chrono::milliseconds(1));
+    }
+    while (proxy().connection_count() > 0 && time.now() - begin < std::chrono::seconds(5)) {
+        caller->send("b");
+        run_for(std::chrono::milliseconds(10));
+    }
+    BOOST_TEST(proxy().connection_count() == 0U);
+    BOOST_TEST(caller->received.find(" 404 ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
