Failing test: a request that is held past its deadline

A request that is held after a pause until the configuration is confirmed has no deadline: its caller has neither a response nor a refusal when its time is over.

--- a/libs/gateway/tests/configuration_changes_tests.cpp
+++ b/libs/gateway/tests/configuration_changes_tests.cpp
@@ -482,6 +482,22 @@
     }
 }
 
+// Guards against requests that are held for a confirmation past their deadlines, by which time
+// their callers are gone.
+BOOST_FIXTURE_TEST_CASE(a_request_held_past_its_deadline_is_refused_then, fixture) {
+    gateway_settings settings;
+    settings.confirmation_wait = request_time * 4;
+    proxy().reconfigure(settings);
+    proxy().note_running();
+    time.jump(std::chrono::seconds(3));
+    send("GET /again/x");
+    run_until([&] { return proxy().request_count() == 1; });
+    apply_change(all_changes().front());
+    check("held", false);
+    BOOST_TEST(caller->received.find(" 503 ") != std::string::npos);
+    BOOST_TEST(caller->received.find("X-Id: r1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
