A timeout that is not due any more does nothing; unread input goes before it

Callers saw: a connection that ended right after a refusal on it, without notice, and took the next request along (neither a response nor a refusal); 408 for requests whose parts had arrived.

Cause: a timer's handler that is queued can't be cancelled. A new timeout was set when input was handled, and the handler of the old one ran after it in the same turn of the loop. And one turn learns of 128 connections at most, but handles all timers, so that beyond these a request was refused with its last parts unread.

The handler looks at the time of the timeout that was set last, so whatever set a newer one has undone it; a request of which more lies unread is refused only after that has been read.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -219,6 +219,8 @@
     void set_timeout(std::chrono::milliseconds time);
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
+    /// Whether the timeout that was set last is over.
+    bool is_timeout_due() const;
     void on_timeout();
     caller_phase phase() const;
     /// Describes the connection as it is now, to be closed for a reason.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -252,17 +252,25 @@
     timer_.expires_after(time);
     timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
         const auto self = weak.lock();
-        if (!ec && self && !self->closed_) {
+        if (!ec && self && !self->closed_ && self->is_timeout_due()) {
             self->on_timeout();
         }
     });
 }
 
+bool caller_link::is_timeout_due() const {
+    // The handler of an earlier timeout can't be cancelled any more once it is queued.
+    return timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
+}
+
 void caller_link::on_timeout() {
     if (work_) {
         return;
     }
-    if (reading_request_) {
+    if (reading_request_ && link_->has_room() && link_->has_unread()) {
+        // More has arrived in time, as far as this process can tell.
+        set_timeout(std::chrono::milliseconds(0));
+    } else if (reading_request_) {
         refuse(status_request_timeout, "the request took too long to arrive");
     } else {
         finish(close_reason::idle_timeout);
