A connect timeout does nothing once the connection is established

Callers saw: 502 for a request that must not be repeated, and a needless repetition of others, after the process had not run for as long as a connect timeout.

Cause: the handler of the connect timeout was queued in the turn in which the connection was established, and closed it after the request had been written.

Before: late_timeouts_tests/a_connect_timeout_does_not_close_an_established_connection failed (connected, then closed). After: it passes; the handler sees that the attempt is over.

--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -133,6 +133,7 @@
     std::deque<std::string> output_;
     std::deque<std::string> being_written_;
     std::size_t unsent_ = 0;
+    bool is_connect_over_ = false;
     bool reading_ = false;
     bool has_written_ = false;
     bool ended_ = false;
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -61,12 +61,14 @@
     auto self = shared_from_this();
     timer_.expires_after(timeout);
     timer_.async_wait([self](const error_code& ec) {
-        if (!ec) {
+        // A handler that is queued can't be cancelled any more.
+        if (!ec && !self->is_connect_over_) {
             error_code ignored;
             self->socket_.close(ignored);
         }
     });
     socket_.async_connect(to, [self, done = std::move(done)](const error_code& ec) {
+        self->is_connect_over_ = true;
         self->timer_.cancel();
         const bool connected = !ec && self->socket_.is_open() && !self->ended_;
         if (connected) {
