A refused caller may go on sending for as long as an accepted one

Callers saw: beside a change of the configuration that takes their route, key or limit away, a connection that was reset while they sent their body, in place of the refusal.

Cause: a request that is refused at its head is closed on this side with the refusal, and what arrives then is thrown away, but for one second in all. A caller that sends its body for longer, and reads only then, is reset; its sending fails, and what it hasn't read may go with the connection.

Before: early_refusal_tests/a_refusal_is_not_lost_* failed (sending failed in 3 of 3 requests). After: they pass. Where a request has not arrived completely, the connection waits for its caller as long as it would wait for the body: the idle time between two parts, four times that altogether. The connections are among those that make room for new ones first, also those that were refused unread, which were not. Everywhere else the second stays.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -146,6 +146,10 @@
     virtual void on_discarded(close_reason /*why*/, std::size_t /*bytes*/) {}
 };
 
+/// Returns how long a caller whose request was refused before it had arrived may go on sending it:
+/// as long as one whose request is accepted. A reset meanwhile could take the refusal from it.
+linger_limits linger_for_rest(const caller_service::limits& limits);
+
 /// One connection of a caller.
 class caller_link final : public std::enable_shared_from_this<caller_link>,
                           private link_handler,
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -61,6 +61,14 @@
     std::shared_ptr<const void> lease;
 };
 
+/// How long a connection that was closed on this side waits for its peer to close it, too.
+struct linger_limits {
+    /// Longest time without input.
+    std::chrono::milliseconds silence{1'000};
+    /// Longest time altogether.
+    std::chrono::milliseconds total{1'000};
+};
+
 /// A TCP connection.
 class link : public std::enable_shared_from_this<link> {
 public:
@@ -97,7 +105,7 @@
     using discard_callback = std::function<void(std::size_t bytes)>;
     /// Sends what is queued, half-closes the connection and waits for the peer's end, so that no
     /// sent byte is lost. What the peer sends meanwhile is discarded and reported.
-    void finish(discard_callback on_discarded = {});
+    void finish(discard_callback on_discarded = {}, linger_limits limits = {});
     /// Closes at once; the peer sees a reset if there is unread input.
     void close();
     /// Closes with a reset, so that the peer does not take a truncated message for a complete one.
@@ -123,12 +131,17 @@
     void note_written();
     void end(link_end how);
     void linger();
+    /// Waits for the peer's end, up to the limits.
+    void wait_for_peer();
 
     socket socket_;
     boost::asio::steady_timer timer_;
     link_options options_;
     link_handler* handler_ = nullptr;
     discard_callback on_discarded_;
+    linger_limits linger_limits_;
+    /// When the peer must have closed; set once all bytes are sent.
+    std::optional<std::chrono::steady_clock::time_point> linger_ends_;
     boost::beast::flat_buffer input_;
     std::deque<std::string> output_;
     std::deque<std::string> being_written_;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -72,6 +72,12 @@
     return "unknown";
 }
 
+linger_limits linger_for_rest(const caller_service::limits& limits) {
+    const linger_limits least;
+    return {std::max(limits.idle_timeout, least.silence),
+            std::max(limits.idle_timeout * max_body_idle_timeouts, least.total)};
+}
+
 caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
                          const clock& time, caller_service& service)
     : link_(std::move(connection)),
@@ -128,7 +134,9 @@
 
 void caller_link::finish(close_reason why) {
     const caller_closure how = closure(why);
-    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); });
+    const bool is_rest_missing = why == close_reason::last_response && !parser_->is_done();
+    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); },
+                  is_rest_missing ? linger_for_rest(service_.caller_limits()) : linger_limits());
     handle_close(how);
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -577,7 +577,8 @@
     ++refused_unread_;
     it.connection->start();
     it.connection->write(std::string(overloaded_response));
-    it.connection->finish();
+    it.connection->finish({}, linger_for_rest(caller_limits()));
+    lingering_.push_back(it.connection);
 }
 
 bool gateway::has_caller_left(const accepted_connection& it) {
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -20,8 +21,6 @@
 using telemetry::run_guarded;
 
 constexpr std::size_t read_size = 16'384;
-// Time for which a half-closed connection waits for the peer to close.
-constexpr auto linger_time = std::chrono::milliseconds(1'000);
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
@@ -136,6 +135,9 @@
         end(link_end::broken);
         return;
     }
+    if (linger_ends_) {
+        wait_for_peer();
+    }
     release_empty_input();
     read();
 }
@@ -205,12 +207,13 @@
     }
 }
 
-void link::finish(discard_callback on_discarded) {
+void link::finish(discard_callback on_discarded, linger_limits limits) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
     on_discarded_ = std::move(on_discarded);
+    linger_limits_ = limits;
     handler_ = nullptr;
     input_.consume(input_.size());
     input_.shrink_to_fit();
@@ -223,9 +226,22 @@
 void link::linger() {
     error_code ignored;
     socket_.shutdown(socket::shutdown_send, ignored);
-    timer_.expires_after(linger_time);
+    linger_ends_ = std::chrono::steady_clock::now() + linger_limits_.total;
+    wait_for_peer();
+}
+
+void link::wait_for_peer() {
+    timer_.expires_at(
+        std::min(*linger_ends_, std::chrono::steady_clock::now() + linger_limits_.silence));
     timer_.async_wait([self = shared_from_this()](const error_code& ec) {
-        if (!ec) {
+        const auto now = std::chrono::steady_clock::now();
+        // Input may have restarted the time since this handler was queued, or lie unread.
+        if (ec || self->timer_.expiry() > now) {
+            return;
+        }
+        if (self->has_unread() && now < *self->linger_ends_) {
+            self->wait_for_peer();
+        } else {
             self->close();
         }
     });
