Requests that are held for a confirmation have their deadline

Callers saw: neither a response nor a refusal within their time, where it ended while their request was held after a pause until the store confirmed the configuration.

Cause: a request's deadline was set when it was started, and a held request was not started. Its refusal by the end of a stop lacked its id for the same reason.

Before: configuration_changes_tests/a_request_held_past_its_deadline_is_refused_then failed (nothing after twice the request's time). After: it passes; a held request is refused with 503 at the deadline that its head states. The route's timeout, which may be shorter, is known only with the route.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -89,13 +89,7 @@
     if (!accept_route() || !accept_service() || !charge_account() || !set_deadline()) {
         return;
     }
-    deadline_timer_.expires_after(time_left());
-    deadline_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
-        const auto self = weak.lock();
-        if (!ec && self && self->phase_ != phase::ended) {
-            self->on_deadline();
-        }
-    });
+    set_deadline_timer();
     if (const auto blocked = blocked_suspect()) {
         refuse_blocked(*blocked);
         return;
@@ -105,6 +99,23 @@
     owner_.queue_start(shared_from_this());
 }
 
+void exchange::hold() {
+    attributes_ = owner_.codec_.read_request(request_.headers);
+    // The route's timeout is known once the configuration is.
+    deadline_ = request_.received + attributes_.deadline.value_or(default_deadline);
+    set_deadline_timer();
+}
+
+void exchange::set_deadline_timer() {
+    deadline_timer_.expires_after(time_left());
+    deadline_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ != phase::ended) {
+            self->on_deadline();
+        }
+    });
+}
+
 requests::start_queue<std::weak_ptr<exchange>>::terms exchange::start_terms() const {
     const bool is_prioritized = account_ != nullptr && account_->priority;
     const duration wait = std::chrono::duration_cast<duration>(
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -31,6 +31,8 @@
     ~exchange() override;
 
     void start();
+    /// Waits for the configuration to be confirmed, up to the request's deadline.
+    void hold();
     /// Refuses a request whose body is still arriving if it could not be served; returns whether it
     /// did. Charges nothing otherwise.
     bool refuse_early();
@@ -95,6 +97,8 @@
     bool charge_account();
     /// Sets the deadline; refuses if there is too little time until it, or until this daemon stops.
     bool set_deadline();
+    /// Ends the request at its deadline.
+    void set_deadline_timer();
     /// Whether this daemon stops before the request is certain to have ended.
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -669,6 +669,7 @@
     auto it = std::make_shared<exchange>(*this, std::move(request), out);
     if (awaits_confirmation_) {
         held_requests_.push_back(it);
+        it->hold();
     } else {
         it->start();
     }
