Failing test: a wait for a confirmation that an earlier one's timeout ends

After two pauses in a row, the second of which is longer than the wait for the confirmation, held requests and new ones start on a configuration that isn't confirmed: a key that was withdrawn meanwhile is accepted.

--- a/libs/gateway/tests/late_timeouts_tests.cpp
+++ b/libs/gateway/tests/late_timeouts_tests.cpp
@@ -145,6 +145,27 @@
     BOOST_TEST(caller->received.find(" 408 ") != std::string::npos);
 }
 
+// Guards against requests that are started on a configuration that isn't confirmed after a second
+// pause, because the wait for the confirmation after the first one was due at its end.
+BOOST_FIXTURE_TEST_CASE(a_confirmation_timeout_does_not_end_the_wait_after_a_later_pause, fixture) {
+    set_header_timeout(std::chrono::seconds(5));
+    gateway_settings settings;
+    settings.confirmation_wait = short_time;
+    proxy().reconfigure(settings);
+    const auto callers = connect_many(2);
+    proxy().note_running();
+    time.jump(std::chrono::seconds(3));
+    callers[0]->send(request("GET /again/x", "r1"));
+    run_until([&] { return proxy().awaits_confirmation(); });
+    callers[1]->send(request("GET /again/x", "r2"));
+    time.jump(std::chrono::seconds(3));
+    pause();
+    run_for(short_time / 2);
+    BOOST_TEST(proxy().awaits_confirmation());
+    BOOST_TEST(endpoint(0).requests.empty());
+    run_until([&] { return is_answered(*callers[0]) && is_answered(*callers[1]); });
+}
+
 // Guards against a call that breaks off because the timeout of its connection's establishment was
 // due together with the establishment.
 BOOST_AUTO_TEST_CASE(a_connect_timeout_does_not_close_an_established_connection) {
