The wait for a confirmation ends with its own timeout only

Callers saw: after two pauses in a row, requests that were served by a configuration that had not been confirmed since the second one.

Cause: the timeout of the first wait was due in the turn of the loop in which the second pause was noticed; its handler was queued, ran after the second wait had begun, and ended it.

Before: late_timeouts_tests/a_confirmation_timeout_does_not_end_the_wait_after_a_later_pause failed (both requests served at once). After: it passes; the handler looks at the time that was set last.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -139,7 +139,8 @@
     pause_ended_ = now;
     confirmation_timer_.expires_after(settings_.confirmation_wait);
     confirmation_timer_.async_wait([this](const boost::system::error_code& ec) {
-        if (!ec) {
+        // Another pause may have ended since this handler was queued.
+        if (!ec && confirmation_timer_.expiry() <= boost::asio::steady_timer::clock_type::now()) {
             release_held_requests();
         }
     });
