--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -146,6 +146,10 @@
     virtual void on_discarded(close_reason /*why*/, std::size_t /*bytes*/) {}
 };
 
+/// Returns how long a caller whose request was refused before it had arrived may go on sending it:
+/// as long as one whose request is accepted. A reset meanwhile could take the refusal from it.
+linger_limits linger_for_rest(const caller_service::limits& limits);
+
 /// One connection of a caller.
 class caller_link final : public std::enable_shared_from_this<caller_link>,
                           private link_handler,
@@ -222,6 +226,8 @@
     void set_timeout(std::chrono::milliseconds time);
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
+    /// Whether the timeout that was set last is over.
+    bool is_timeout_due() const;
     void on_timeout();
     /// Closes the connection if it has been idle for as long as the limit in force allows.
     void on_idle_timeout();
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -72,6 +72,12 @@
     return "unknown";
 }
 
+linger_limits linger_for_rest(const caller_service::limits& limits) {
+    const linger_limits least;
+    return {std::max(limits.idle_timeout, least.silence),
+            std::max(limits.idle_timeout * max_body_idle_timeouts, least.total)};
+}
+
 caller_link::caller_link(std::shared_ptr<link> connection, boost::asio::io_context& loop,
                          const clock& time, caller_service& service)
     : link_(std::move(connection)),
@@ -128,7 +134,9 @@
 
 void caller_link::finish(close_reason why) {
     const caller_closure how = closure(why);
-    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); });
+    const bool is_rest_missing = why == close_reason::last_response && !parser_->is_done();
+    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); },
+                  is_rest_missing ? linger_for_rest(service_.caller_limits()) : linger_limits());
     handle_close(how);
 }
 
@@ -259,17 +267,25 @@
     timer_.expires_after(time);
     timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
         const auto self = weak.lock();
-        if (!ec && self && !self->closed_) {
+        if (!ec && self && !self->closed_ && self->is_timeout_due()) {
             self->on_timeout();
         }
     });
 }
 
+bool caller_link::is_timeout_due() const {
+    // The handler of an earlier timeout can't be cancelled any more once it is queued.
+    return timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
+}
+
 void caller_link::on_timeout() {
     if (work_) {
         return;
     }
-    if (reading_request_) {
+    if (reading_request_ && link_->has_room() && link_->has_unread()) {
+        // More has arrived in time, as far as this process can tell.
+        set_timeout(std::chrono::milliseconds(0));
+    } else if (reading_request_) {
         refuse(status_request_timeout, "the request took too long to arrive");
     } else {
         on_idle_timeout();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -228,7 +228,8 @@
     pause_ended_ = now;
     confirmation_timer_.expires_after(settings_.confirmation_wait);
     confirmation_timer_.async_wait([this](const boost::system::error_code& ec) {
-        if (!ec) {
+        // Another pause may have ended since this handler was queued.
+        if (!ec && confirmation_timer_.expiry() <= boost::asio::steady_timer::clock_type::now()) {
             release_held_requests();
         }
     });
@@ -673,7 +674,8 @@
     ++refused_unread_;
     it.connection->start();
     it.connection->write(std::string(overloaded_response));
-    it.connection->finish();
+    it.connection->finish({}, linger_for_rest(caller_limits()));
+    lingering_.push_back(it.connection);
 }
 
 bool gateway::has_caller_left(const accepted_connection& it) {
@@ -764,6 +766,7 @@
     auto it = std::make_shared<exchange>(*this, std::move(request), out);
     if (awaits_confirmation_) {
         held_requests_.push_back(it);
+        it->hold();
     } else {
         it->start();
     }
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -23,8 +23,6 @@
 using telemetry::run_guarded;
 
 constexpr std::size_t read_size = 16'384;
-// Time for which a half-closed connection waits for the peer to close.
-constexpr auto linger_time = std::chrono::milliseconds(1'000);
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
@@ -64,12 +62,14 @@
     auto self = shared_from_this();
     timer_.expires_after(timeout);
     timer_.async_wait([self](const error_code& ec) {
-        if (!ec) {
+        // A handler that is queued can't be cancelled any more.
+        if (!ec && !self->is_connect_over_) {
             error_code ignored;
             self->socket_.close(ignored);
         }
     });
     socket_.async_connect(to, [self, done = std::move(done)](const error_code& ec) {
+        self->is_connect_over_ = true;
         self->timer_.cancel();
         const bool connected = !ec && self->socket_.is_open() && !self->ended_;
         if (connected) {
@@ -137,6 +137,9 @@
         end(link_end::broken);
         return;
     }
+    if (linger_ends_) {
+        wait_for_peer();
+    }
     release_empty_input();
     read();
 }
@@ -212,12 +215,13 @@
     }
 }
 
-void link::finish(discard_callback on_discarded) {
+void link::finish(discard_callback on_discarded, linger_limits limits) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
     on_discarded_ = std::move(on_discarded);
+    linger_limits_ = limits;
     handler_ = nullptr;
     input_.consume(input_.size());
     input_.shrink_to_fit();
@@ -230,9 +234,22 @@
 void link::linger() {
     error_code ignored;
     socket_.shutdown(socket::shutdown_send, ignored);
-    timer_.expires_after(linger_time);
+    linger_ends_ = std::chrono::steady_clock::now() + linger_limits_.total;
+    wait_for_peer();
+}
+
+void link::wait_for_peer() {
+    timer_.expires_at(
+        std::min(*linger_ends_, std::chrono::steady_clock::now() + linger_limits_.silence));
     timer_.async_wait([self = shared_from_this()](const error_code& ec) {
-        if (!ec) {
+        const auto now = std::chrono::steady_clock::now();
+        // Input may have restarted the time since this handler was queued, or lie unread.
+        if (ec || self->timer_.expiry() > now) {
+            return;
+        }
+        if (self->has_unread() && now < *self->linger_ends_) {
+            self->wait_for_peer();
+        } else {
             self->close();
         }
     });
