Closing idle connections in a stop cuts no response; idle time begins when it is taken

Now such connections count as busy, and within the idle time it is checked five times whether the caller still receives.

keep_alive_connections_close_after_the_response_while_stopping relied on the connection ending with its response; since only the idle timer ended it after 15 s. Such a connection now stays until the next look at idle connections, as its next request may be on its way; the test does that look and bounds the time.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -85,8 +85,10 @@
 enum class close_reason {
     /// It was idle for too long.
     idle_timeout,
-    /// The caller closed or reset it, or stopped acknowledging.
+    /// The caller closed it.
     by_caller,
+    /// The caller reset it, or has not acknowledged anything for too long.
+    connection_broken,
     /// The response that was sent is the last one of the connection.
     last_response,
     /// The response could not be completed.
@@ -106,6 +108,8 @@
     close_reason reason = close_reason::by_caller;
     /// Received bytes that were not handled.
     std::size_t unread = 0;
+    /// Written bytes that the caller's system has not acknowledged, if the connection was open.
+    std::size_t undelivered = 0;
     /// Time since the phase began.
     duration phase_age{};
 };
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -22,6 +22,9 @@
 // Unsent bytes of earlier responses beyond which the next request of the connection waits, so that
 // a caller that sends requests and does not read holds a bounded number of responses.
 constexpr std::size_t max_response_backlog = 65'536;
+// Number of times within the idle timeout that it is checked whether the caller still receives the
+// last response. The idle time begins at the last check at which it did.
+constexpr int idle_looks = 5;
 // Longest time for a body, in multiples of the idle timeout.
 constexpr int max_body_idle_timeouts = 4;
 
@@ -60,6 +63,8 @@
             return "idle_timeout";
         case close_reason::by_caller:
             return "by_caller";
+        case close_reason::connection_broken:
+            return "connection_broken";
         case close_reason::last_response:
             return "last_response";
         case close_reason::response_aborted:
@@ -110,7 +115,8 @@
 }
 
 bool caller_link::is_busy() const {
-    return reading_request_ || work_ != nullptr || link_->input().size() > 0 || link_->has_unread();
+    return reading_request_ || work_ != nullptr || link_->input().size() > 0 ||
+           link_->has_unread() || link_->unsent() > 0;
 }
 
 caller_phase caller_link::phase() const {
@@ -123,7 +129,8 @@
 caller_closure caller_link::closure(close_reason why) const {
     const caller_phase now_in = phase();
     const time_point began = now_in == caller_phase::idle ? idle_since_ : first_byte_;
-    return {now_in, why, link_->unread_bytes() + link_->input().size(), time_.now() - began};
+    return {now_in, why, link_->unread_bytes() + link_->input().size(), link_->undelivered(),
+            time_.now() - began};
 }
 
 void caller_link::close(close_reason why) {
@@ -233,7 +240,7 @@
     checked_early_ = false;
     answering_ = false;
     idle_since_ = time_.now();
-    set_timeout(service_.caller_limits().idle_timeout);
+    set_timeout(service_.caller_limits().idle_timeout / idle_looks);
 }
 
 void caller_link::begin_reading() {
@@ -300,7 +307,8 @@
     }
     // A lowered limit holds from the next response on: callers go by the one that was in force at
     // the last.
-    const duration left = idle_since_ + service_.caller_limits().idle_timeout - now;
+    const std::chrono::milliseconds limit = service_.caller_limits().idle_timeout;
+    const duration left = is_in_use ? limit / idle_looks : idle_since_ + limit - now;
     if (left > duration::zero()) {
         set_timeout(std::chrono::ceil<std::chrono::milliseconds>(left));
         return;
@@ -514,9 +522,10 @@
     handle_close(how);
 }
 
-void caller_link::on_end(link_end) {
+void caller_link::on_end(link_end how) {
     const auto self = shared_from_this();
-    handle_close(closure(close_reason::by_caller));
+    const bool is_broken = how == link_end::broken;
+    handle_close(closure(is_broken ? close_reason::connection_broken : close_reason::by_caller));
 }
 
 void caller_link::on_partly_written(std::size_t bytes) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -870,6 +870,7 @@
                          {{"phase", to_text(how.phase)},
                           {"reason", to_text(how.reason)},
                           {"unread", how.unread},
+                          {"undelivered", how.undelivered},
                           {"phase_age", how.phase_age},
                           {"idle_timeout_ms", caller_limits().idle_timeout.count()},
                           {"configuration", configuration_ ? configuration_->version() : 0},
@@ -889,7 +890,8 @@
     // What arrives after the last response was announced needs no response.
     const bool is_expected =
         how.reason == close_reason::by_caller || how.reason == close_reason::last_response;
-    const bool is_unanswered = how.phase != caller_phase::idle || how.unread > 0;
+    const bool is_unanswered =
+        how.phase != caller_phase::idle || how.unread > 0 || how.undelivered > 0;
     if (!is_expected && is_unanswered) {
         log_cut(how);
     }
--- a/libs/gateway/tests/gateway_tests.cpp
+++ b/libs/gateway/tests/gateway_tests.cpp
@@ -363,7 +363,14 @@
     // The head is sent already, without `Connection: close`.
     proxy().begin_stop(stop_in(std::chrono::seconds(3), std::chrono::seconds(8)));
     waiting->send("lf");
-    run_until([&] { return caller->ended; });
+    run_until([&] { return ends_with(caller->received, "half"); });
+    // The daemon does this every few hundred milliseconds.
+    const time_point begin = time.now();
+    run_until([&] {
+        proxy().close_idle_callers();
+        return caller->ended;
+    });
+    BOOST_TEST((time.now() - begin < std::chrono::seconds(1)));
     BOOST_TEST(ends_with(caller->received, "half"));
 }
 
