--- a/libs/routing/src/stream_origins.cpp
+++ b/libs/routing/src/stream_origins.cpp
@@ -41,12 +41,19 @@
 std::vector<stream_group> stream_origins::take_unannounced(
     const std::function<bool(const software&)>& is_wanted) {
     std::map<software, std::vector<stream_key>> groups;
+    std::map<const software*, bool> wanted;
     std::deque<noted_stream> kept;
     for (const noted_stream& it : unannounced_) {
         const software* at = find(it.stream);
-        if (at != nullptr && is_wanted(*at)) {
+        if (at == nullptr) {
+            continue;
+        }
+        if (wanted.count(at) == 0) {
+            wanted[at] = is_wanted(*at);
+        }
+        if (wanted[at]) {
             groups[*at].push_back(it.stream);
-        } else if (at != nullptr) {
+        } else {
             kept.push_back(it);
         }
     }
--- a/radishpulley/cli/src/explain.cpp
+++ b/radishpulley/cli/src/explain.cpp
@@ -43,6 +43,13 @@
     {"endpoints_unreachable", "No connection to an endpoint could be made."},
     {"no_configuration", "The VM had no configuration yet."},
     {"stopping", "The VM was shutting down."},
+    {"stream_software_unknown",
+     "It resumes a stream, and neither this VM nor those asked know which version of the "
+     "endpoints' "
+     "software began it: see the line stream_resumption."},
+    {"stream_software_gone",
+     "It resumes a stream, and no endpoint with the version of the software that began it is left: "
+     "see the line stream_resumption."},
     {"caller_left", "The caller closed its connection before the answer's end."},
 };
 
--- a/radishpulley/cli/tests/explain_tests.cpp
+++ b/radishpulley/cli/tests/explain_tests.cpp
@@ -20,6 +20,8 @@
     "edge-1 time=2026-01-01T00:00:02.200Z level=info event=request_placed request=r1 endpoint=e1\n"
     "edge-1 time=2026-01-01T00:00:02.500Z level=info event=request_finished request=r2 status=200 "
     "reason=answered endpoint=e1 adapter=a7 load_wait_ms=265 first_byte_ms=400\n"
+    "edge-1 time=2026-01-01T00:00:02.600Z level=warning event=request_finished request=r4 "
+    "status=503 reason=stream_software_gone endpoint=\"\"\n"
     "edge-1 time=2026-01-01T00:00:09.000Z level=info event=endpoint_gone endpoint=e1\n";
 
 std::string explain(const std::string& id) {
@@ -60,6 +62,10 @@
     BOOST_TEST(contains(explain("r2"), "waited 265 ms for its adapter"));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_that_is_not_resumed_names_why) {
+    BOOST_TEST(contains(explain("r4"), "Cause: It resumes a stream, and no endpoint"));
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_request_has_no_explanation) {
     BOOST_TEST(explain("r3").empty());
 }
