One filter of endpoints, one lifetime of streams, one way to tell a late handler

The wait for a refused load builds it once again, not once for each engine. - stream_origins and stream_archive each had the time for which a stream can be resumed; had one been changed, the archive would have written over streams that can be resumed: routing::stream_lifetime. - Three places compared a timer's expiry with the clock to tell a handler that was queued too early: is_due(). Run: format; clang-tidy of the changed sources; the whole of routing_tests, edge_tests and cli_tests; eight suites of gateway_tests.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -230,8 +230,6 @@
     void set_timeout(std::chrono::milliseconds time);
     /// Sets the timer for the next part of a body.
     void set_body_timeout();
-    /// Whether the timeout that was set last is over.
-    bool is_timeout_due() const;
     void on_timeout();
     /// Closes the connection if it has been idle for as long as the limit in force allows.
     void on_idle_timeout();
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include "gateway/http_status.h"
+#include "timers.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -274,17 +275,12 @@
     timer_.expires_after(time);
     timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
         const auto self = weak.lock();
-        if (!ec && self && !self->closed_ && self->is_timeout_due()) {
+        if (!ec && self && !self->closed_ && is_due(self->timer_)) {
             self->on_timeout();
         }
     });
 }
 
-bool caller_link::is_timeout_due() const {
-    // The handler of an earlier timeout can't be cancelled any more once it is queued.
-    return timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
-}
-
 void caller_link::on_timeout() {
     if (work_) {
         return;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -127,8 +127,8 @@
     routing::allowed_regions allowed_regions() const;
     /// The availability zones to which the request may be sent now.
     routing::zone_filter zones() const;
-    /// Whether the request may be sent to the endpoint as far as its zone and software go.
-    bool permits(const routing::endpoint& it) const;
+    /// The endpoints to which the request may be sent now.
+    routing::endpoint_filter permitted() const;
     std::optional<routing::endpoint_choice> choose_endpoint() const;
     /// Returns the engine that can load the adapter first, among those that refused to load it
     /// soon, if the request can wait for it.
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -76,8 +76,8 @@
     return {allowed_regions(), owner_.settings_.location, owner_.evacuations_};
 }
 
-bool exchange::permits(const routing::endpoint& it) const {
-    return zones().permits(it.zone) && (!began_at_ || *began_at_ == routing::software_of(it));
+routing::endpoint_filter exchange::permitted() const {
+    return {zones(), began_at_};
 }
 
 void exchange::on_zones_changed() {
@@ -100,18 +100,19 @@
     const bool may_load = load_refusals_ < owner_.settings_.max_load_refusals;
     const routing::choice_request wanted{attributes_,      *service_, excluded_,
                                          load_refused_by_, may_load,  owner_.fleet_loads(),
-                                         zones(),          began_at_};
+                                         permitted()};
     return owner_.chooser_.choose(wanted, owner_.time_.now());
 }
 
 std::optional<routing::endpoint_choice> exchange::soonest_refused_load() const {
     const time_point now = owner_.time_.now();
     const time_point latest = now + load_wait_limit();
+    const routing::endpoint_filter filter = permitted();
     std::optional<routing::endpoint_choice> best;
     for (const auto& [id, ready_at] : possible_loads_) {
         const routing::endpoint* known = owner_.directory_.find(id);
-        const bool is_usable =
-            known != nullptr && !known->draining && excluded_.count(id) == 0 && permits(*known);
+        const bool is_usable = known != nullptr && !known->draining && excluded_.count(id) == 0 &&
+                               filter.permits(*known);
         const duration wait = std::max(duration::zero(), ready_at - now);
         if (is_usable && ready_at <= latest && (!best || wait < best->expected)) {
             best.emplace();
@@ -308,7 +309,7 @@
 void exchange::send_to(const endpoint_id& id) {
     const routing::endpoint* target = owner_.directory_.find(id);
     const time_point now = owner_.time_.now();
-    const bool may_send = target != nullptr && !target->draining && permits(*target) &&
+    const bool may_send = target != nullptr && !target->draining && permitted().permits(*target) &&
                           owner_.wait_for(id) == duration::zero();
     if (!may_send) {
         excluded_.insert(id);
@@ -344,7 +345,7 @@
 
 void exchange::on_connected(std::shared_ptr<endpoint_link> connection) {
     const routing::endpoint* target = owner_.directory_.find(endpoint_);
-    const bool left = target == nullptr || target->draining || !permits(*target);
+    const bool left = target == nullptr || target->draining || !permitted().permits(*target);
     const bool is_paused =
         owner_.directory_.pause_left(endpoint_, owner_.time_.now()) > duration::zero();
     if (!connection || left || is_paused) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "crash_detector.h"
 #include "exchange.h"
 #include "telemetry/event_log.h"
+#include "timers.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -229,7 +230,7 @@
     confirmation_timer_.expires_after(settings_.confirmation_wait);
     confirmation_timer_.async_wait([this](const boost::system::error_code& ec) {
         // Another pause may have ended since this handler was queued.
-        if (!ec && confirmation_timer_.expiry() <= boost::asio::steady_timer::clock_type::now()) {
+        if (!ec && is_due(confirmation_timer_)) {
             release_held_requests();
         }
     });
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include "telemetry/guarded.h"
+#include "timers.h"
 
 namespace radishpulley::gateway {
 namespace {
@@ -242,12 +243,10 @@
     timer_.expires_at(
         std::min(*linger_ends_, std::chrono::steady_clock::now() + linger_limits_.silence));
     timer_.async_wait([self = shared_from_this()](const error_code& ec) {
-        const auto now = std::chrono::steady_clock::now();
-        // Input may have restarted the time since this handler was queued, or lie unread.
-        if (ec || self->timer_.expiry() > now) {
+        if (ec || !is_due(self->timer_)) {
             return;
         }
-        if (self->has_unread() && now < *self->linger_ends_) {
+        if (self->has_unread() && std::chrono::steady_clock::now() < *self->linger_ends_) {
             self->wait_for_peer();
         } else {
             self->close();
--- a/libs/routing/include/routing/endpoint_choice.h
+++ b/libs/routing/include/routing/endpoint_choice.h
@@ -73,6 +73,18 @@
     std::uint32_t prefill_work = 0;
 };
 
+/// The endpoints to which a request may be sent as far as their zone and software go.
+struct endpoint_filter {
+    /// Availability zones to which the request may be sent.
+    zone_filter zones{};
+    /// The software that began the request's stream; others must not be selected.
+    std::optional<software> began_at{};
+
+    bool permits(const endpoint& it) const {
+        return zones.permits(it.zone) && (!began_at || *began_at == software_of(it));
+    }
+};
+
 /// Request for a selection.
 struct choice_request {
     const request_attributes& attributes;
@@ -86,15 +98,7 @@
     bool may_load = true;
     /// Adapters that are loading at all engines.
     std::size_t fleet_loads = 0;
-    /// Availability zones to which the request may be sent.
-    zone_filter zones{};
-    /// The software that began the request's stream; others must not be selected.
-    std::optional<software> began_at{};
-
-    /// Whether the request may be sent to the endpoint as far as its place and software go.
-    bool permits(const endpoint& it) const {
-        return zones.permits(it.zone) && (!began_at || *began_at == software_of(it));
-    }
+    endpoint_filter permitted{};
 };
 
 /// Selects endpoints from the routing tables, which must outlive it.
--- a/libs/routing/include/routing/stream_origins.h
+++ b/libs/routing/include/routing/stream_origins.h
@@ -26,6 +26,9 @@
 /// that require no key.
 stream_key stream_key_of(const client_account_id& account, const request_id& first);
 
+/// Time for which a stream can be resumed after it was last noted.
+constexpr duration stream_lifetime = std::chrono::minutes(1);
+
 /// Streams that began at one software.
 struct stream_group {
     software at;
@@ -38,8 +41,7 @@
     /// `lifetime` is the time for which a stream is remembered after it was last noted, and
     /// `capacity` the number of streams beyond which those that were noted longest ago are
     /// forgotten.
-    explicit stream_origins(duration lifetime = std::chrono::minutes(1),
-                            std::size_t capacity = 100'000);
+    explicit stream_origins(duration lifetime = stream_lifetime, std::size_t capacity = 100'000);
 
     /// A stream began or goes on at the software. Such streams are to be announced to other VMs.
     void on_begin(stream_key stream, const software& at, time_point now);
--- a/libs/routing/src/endpoint_choice.cpp
+++ b/libs/routing/src/endpoint_choice.cpp
@@ -159,7 +159,7 @@
         const endpoint_id& id = endpoints[rank]->id;
         const bool takes_requests = limits_.allows(id, now) && cold_limits_.allows(id, now) &&
                                     directory_.pause_left(id, now) == duration::zero();
-        const bool is_permitted = request.permits(*endpoints[rank]);
+        const bool is_permitted = request.permitted.permits(*endpoints[rank]);
         if (request.excluded.count(id) != 0 || !takes_requests || !is_permitted) {
             continue;
         }
--- a/radishpulley/cli/src/explain.cpp
+++ b/radishpulley/cli/src/explain.cpp
@@ -45,8 +45,7 @@
     {"stopping", "The VM was shutting down."},
     {"stream_software_unknown",
      "It resumes a stream, and neither this VM nor those asked know which version of the "
-     "endpoints' "
-     "software began it: see the line stream_resumption."},
+     "endpoints' software began it: see the line stream_resumption."},
     {"stream_software_gone",
      "It resumes a stream, and no endpoint with the version of the software that began it is left: "
      "see the line stream_resumption."},
--- a/radishpulley/edge/src/stream_archive.cpp
+++ b/radishpulley/edge/src/stream_archive.cpp
@@ -17,8 +17,6 @@
 constexpr std::chrono::milliseconds retry_delay{500};
 // Streams that began within this time before all VMs fail are lost.
 constexpr std::chrono::milliseconds flush_delay{250};
-// Time after which streams of an object are not resumed any more.
-constexpr duration retention = std::chrono::minutes(1);
 // Streams in one object; each write sends the whole object.
 constexpr std::size_t max_streams = 256;
 
@@ -127,7 +125,7 @@
         return slots_.back();
     }
     const bool is_reusable =
-        !slots_.empty() && time_.now() - slots_.front().last_written > retention;
+        !slots_.empty() && time_.now() - slots_.front().last_written > routing::stream_lifetime;
     slot next;
     if (is_reusable) {
         next.number = slots_.front().number;
