A holder that is cut off from its engines hands them over

What callers saw: while VMs are cut off from all engines, adapters don't load at the engines that these VMs hold, for all callers. Cause: a holder is replaced when other VMs don't hear it, and handed over when it stops; that it doesn't reach its engine was no input. A holding now names the VMs that are cut off from it: they hand it over while another VM reaches it, in one write a shard, and get none; where all are cut off, or the engine accepts old fencing numbers, nothing moves.

--- a/libs/ownership/include/ownership/ownership_policy.h
+++ b/libs/ownership/include/ownership/ownership_policy.h
@@ -29,6 +29,10 @@
     /// VMs close to the resource, which are preferred. If none of them is eligible, any VM may hold
     /// it.
     std::set<vm_id> preferred_vms = {};
+    /// VMs that are cut off from the resource. While another eligible VM is not, they get no
+    /// holding of it, and hand over one that they have if the receivers of its orders reject old
+    /// fencing numbers.
+    std::set<vm_id> cut_off_vms = {};
 };
 
 /// Timing and balancing parameters of the policy.
@@ -121,6 +125,9 @@
                       const failure_detector& detector, time_point now) const;
     std::vector<vm_incarnation> eligible_candidates(const failure_detector& detector,
                                                     time_point now) const;
+    /// Whether this VM holds a resource from which it is cut off, unlike one of the candidates.
+    bool is_cut_off_holder(const holding_spec& spec,
+                           const std::vector<vm_incarnation>& candidates) const;
 
     vm_incarnation self_;
     ownership_settings settings_;
--- a/libs/ownership/src/ownership_policy.cpp
+++ b/libs/ownership/src/ownership_policy.cpp
@@ -1,6 +1,7 @@
 #include "ownership/ownership_policy.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/digest.h"
@@ -12,6 +13,30 @@
     return std::find(list.begin(), list.end(), it) != list.end();
 }
 
+template <typename Predicate>
+std::vector<vm_incarnation> filter(const std::vector<vm_incarnation>& list, Predicate is_wanted) {
+    std::vector<vm_incarnation> result;
+    std::copy_if(list.begin(), list.end(), std::back_inserter(result), is_wanted);
+    return result;
+}
+
+/// Returns the candidates that are not cut off from the resource, or all if each of them is.
+std::vector<vm_incarnation> reaching(const holding_spec& spec,
+                                     const std::vector<vm_incarnation>& candidates) {
+    const auto result = filter(
+        candidates, [&](const vm_incarnation& it) { return spec.cut_off_vms.count(it.vm) == 0; });
+    return result.empty() ? candidates : result;
+}
+
+/// Returns the candidates among which the holder of the resource is chosen.
+std::vector<vm_incarnation> best_candidates(const holding_spec& spec,
+                                            const std::vector<vm_incarnation>& candidates) {
+    const std::vector<vm_incarnation> all = reaching(spec, candidates);
+    const auto preferred =
+        filter(all, [&](const vm_incarnation& it) { return spec.preferred_vms.count(it.vm) != 0; });
+    return preferred.empty() ? all : preferred;
+}
+
 }  // namespace
 
 std::vector<vm_incarnation> rendezvous_order(std::string_view subject,
@@ -152,11 +177,7 @@
                                     const failure_detector& detector, time_point now) const {
     assignment result;
     result.id = spec.id;
-    std::vector<vm_incarnation> preferred;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred),
-                 [&](const vm_incarnation& it) { return spec.preferred_vms.count(it.vm) != 0; });
-    result.holder =
-        rendezvous_order(spec.id.str(), preferred.empty() ? candidates : preferred).front();
+    result.holder = rendezvous_order(spec.id.str(), best_candidates(spec, candidates)).front();
     const holding* entry = find_entry(spec.id);
     result.min_fence = min_fence_;
     if (entry == nullptr) {
@@ -217,21 +238,39 @@
     return result;
 }
 
+bool ownership_policy::is_cut_off_holder(const holding_spec& spec,
+                                         const std::vector<vm_incarnation>& candidates) const {
+    // Elsewhere an order under way could be carried out after the orders of the next holder.
+    const bool orders_refused = spec.rule == replacement_rule::on_suspicion;
+    const bool is_cut_off = spec.cut_off_vms.count(self_.vm) != 0;
+    return orders_refused && is_cut_off &&
+           std::any_of(candidates.begin(), candidates.end(), [&](const vm_incarnation& it) {
+               return spec.cut_off_vms.count(it.vm) == 0;
+           });
+}
+
 std::vector<holding_id> ownership_policy::holdings_to_hand_over(const failure_detector& detector,
                                                                 time_point now) {
     std::vector<holding_id> result;
     const std::vector<holding> held = own_holdings();
     const bool release_all = leaving_ || !detector.may_hold();
     const std::vector<vm_incarnation> candidates = eligible_candidates(detector, now);
-    if (!release_all &&
-        (candidates.size() < 2 || now < last_balance_ + settings_.balance_interval)) {
+    for (const holding& it : held) {
+        const auto spec = specs_.find(it.id);
+        const bool is_cut_off = spec != specs_.end() && is_cut_off_holder(spec->second, candidates);
+        if (release_all || is_cut_off) {
+            result.push_back(it.id);
+        }
+    }
+    const bool may_balance =
+        candidates.size() > 1 && now >= last_balance_ + settings_.balance_interval;
+    if (!result.empty() || !may_balance) {
         return result;
     }
-    const std::size_t mean =
-        release_all ? 0 : (specs_.size() + candidates.size() - 1) / candidates.size();
+    const std::size_t mean = (specs_.size() + candidates.size() - 1) / candidates.size();
     const bool above_balance = held.size() > mean + settings_.balance_slack;
     for (const holding& it : held) {
-        if (release_all || specs_.count(it.id) == 0) {
+        if (specs_.count(it.id) == 0) {
             result.push_back(it.id);
         } else if (above_balance && rendezvous_order(it.id.str(), candidates).front() != self_) {
             last_balance_ = now;
--- a/libs/ownership/tests/ownership_tests.cpp
+++ b/libs/ownership/tests/ownership_tests.cpp
@@ -275,6 +275,52 @@
     BOOST_TEST(other.policy.find(engine)->fence == 3U);
 }
 
+// Guards against an engine that gets no orders while only its holder is cut off from it.
+BOOST_AUTO_TEST_CASE(holder_that_is_cut_off_hands_over_to_a_vm_that_reaches_the_engine) {
+    memory_object_store store;
+    fake_daemon cut_off(store, vm_a, small_settings());
+    fake_daemon other(store, vm_c, small_settings());
+    const holding_spec spec{
+        engine, replacement_rule::on_suspicion, {vm_a.vm, vm_b.vm}, {vm_a.vm, vm_b.vm}};
+    for (fake_daemon* it : {&cut_off, &other}) {
+        it->policy.configure({spec});
+        it->detector.on_list(list_of({vm_a, vm_b, vm_c}), start);
+        it->receive_from({vm_a, vm_b, vm_c}, start);
+    }
+    cut_off.store.commit({0, {{engine, 0, vm_a, {}}}});
+    cut_off.read_all(start);
+    const auto handed_over = cut_off.policy.holdings_to_hand_over(cut_off.detector, start);
+    BOOST_REQUIRE(handed_over.size() == 1U);
+    cut_off.apply(cut_off.store.commit(cut_off.policy.vacate(engine)), start);
+    other.read_all(start);
+    for (const duration wait : {0s, 2s, 4s}) {
+        other.receive_from({vm_a, vm_b, vm_c}, start + wait);
+        other.step(start + wait);
+    }
+    BOOST_TEST(other.policy.find(engine)->holder.vm == vm_c.vm);
+    BOOST_TEST(other.policy.holdings_to_hand_over(other.detector, start + 4s).empty());
+}
+
+// Guards against holders that are exchanged although no VM would do better: all are cut off, or
+// the engine may still carry out an order under way after those of the next holder.
+BOOST_AUTO_TEST_CASE(holder_that_is_cut_off_stays_where_handing_over_does_not_help) {
+    const std::set<vm_id> all = {vm_a.vm, vm_b.vm, vm_c.vm};
+    const std::vector<holding_spec> cases = {
+        {engine, replacement_rule::on_suspicion, {}, all},
+        {engine, replacement_rule::on_confirmed_end, {}, {vm_a.vm}},
+    };
+    for (const holding_spec& spec : cases) {
+        memory_object_store store;
+        fake_daemon holder(store, vm_a, small_settings());
+        holder.policy.configure({spec});
+        holder.detector.on_list(list_of({vm_a, vm_b, vm_c}), start);
+        holder.receive_from({vm_a, vm_b, vm_c}, start);
+        holder.store.commit({0, {{engine, 0, vm_a, {}}}});
+        holder.read_all(start);
+        BOOST_TEST(holder.policy.holdings_to_hand_over(holder.detector, start).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fleet_of_380_assigns_600_engines_with_one_write_per_shard) {
     memory_object_store store;
     std::vector<vm_incarnation> fleet;
--- a/radishpulley/edge/include/edge/load_coordinator.h
+++ b/radishpulley/edge/include/edge/load_coordinator.h
@@ -50,6 +50,9 @@
         endpoints_check_fencing_ = check;
         engines_changed_ = true;
     }
+    /// Sets for each service the VMs that are cut off from its endpoints; they hold no engine of it
+    /// while others reach them.
+    void set_cut_off_vms(std::map<service_id, std::set<vm_id>> it);
     /// Follower of the collection of engine holders.
     gateway::collection_follower& holders() { return follower_; }
     /// Sets the callback for each confirmation of that collection by the store.
@@ -136,6 +139,7 @@
     bool has_holder_list_ = false;
     bool reread_in_flight_ = false;
     time_point next_reread_ = time_point::min();
+    std::map<service_id, std::set<vm_id>> cut_off_vms_;
     /// Whether engines changed since the policy was configured, and the fleet changes and the
     /// configuration version that it was configured from.
     bool engines_changed_ = true;
--- a/radishpulley/edge/src/load_coordinator.cpp
+++ b/radishpulley/edge/src/load_coordinator.cpp
@@ -283,11 +283,13 @@
     std::vector<ownership::holding_spec> specs;
     for (const routing::endpoint* it : data_path_.directory().all()) {
         if (capacity_of(*it) != nullptr) {
+            const auto cut_off = cut_off_vms_.find(it->service);
             specs.push_back({holding_id_of(it->id),
                              endpoints_check_fencing_
                                  ? ownership::replacement_rule::on_suspicion
                                  : ownership::replacement_rule::on_confirmed_end,
-                             fleet_.vms_in(it->zone)});
+                             fleet_.vms_in(it->zone),
+                             cut_off == cut_off_vms_.end() ? std::set<vm_id>() : cut_off->second});
         }
     }
     policy_->configure(std::move(specs));
@@ -347,12 +349,27 @@
                result);
 }
 
+void load_coordinator::set_cut_off_vms(std::map<service_id, std::set<vm_id>> it) {
+    if (it != cut_off_vms_) {
+        cut_off_vms_ = std::move(it);
+        engines_changed_ = true;
+    }
+}
+
 void load_coordinator::hand_over(time_point now) {
+    std::map<ownership::shard_index, ownership::shard_update> updates;
     for (const ownership::holding_id& id :
          policy_->holdings_to_hand_over(*fleet_.detector(), now)) {
         guard_->stop(id);
         held_engines_stale_ = true;
-        commit(policy_->vacate(id));
+        const ownership::shard_update vacated = policy_->vacate(id);
+        ownership::shard_update& update = updates[vacated.index];
+        update.index = vacated.index;
+        update.assignments.insert(update.assignments.end(), vacated.assignments.begin(),
+                                  vacated.assignments.end());
+    }
+    for (const auto& it : updates) {
+        commit(it.second);
     }
 }
 
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -341,6 +341,25 @@
     run_until([&] { return holder() != nullptr && holder() != first_holder; });
 }
 
+// Guards against engines that load nothing while only their holder is cut off from them.
+BOOST_FIXTURE_TEST_CASE(a_daemon_that_is_cut_off_from_engines_hands_them_over, fixture) {
+    add_three();
+    run_until([&] { return holder() != nullptr; });
+    test_daemon* first_holder = holder();
+    for (const auto& it : daemons) {
+        it->loads.set_cut_off_vms({{service_id("s"), {vm_id(first_holder->name)}}});
+    }
+    run_until([&] { return holder() != nullptr && holder() != first_holder; });
+    test_daemon* next_holder = holder();
+    run_until([&] { return can_load(*first_holder, adapter); });
+    run_until([&] { return !engines.orders.empty(); });
+    for (const auto& it : daemons) {
+        it->loads.set_cut_off_vms({});
+    }
+    run_until([&] { return holder() != nullptr; });
+    BOOST_TEST(holder() == next_holder);
+}
+
 BOOST_FIXTURE_TEST_CASE(holders_send_orders_while_the_store_is_unavailable, fixture) {
     test_daemon& a = add("a");
     run_until([&] { return a.loads.engines_held() == 1; });
