Pass requests on to another VM where this one reaches no endpoint of the service

The origin keeps route, key, charge, deadline and the count for the retry budget; the relay looks up the same, charges nothing and never relays again. Terms and their HMAC-SHA256 travel in headers that appear between VMs only. Not joined to the daemon yet.

Run: the relay suite alone. The whole of gateway_tests was not run on this commit when it was made.

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -38,6 +38,23 @@
     }
 };
 
+/// Source of the time of day, which VMs share to within their clocks' error.
+class wall_clock {
+public:
+    virtual ~wall_clock() = default;
+    /// Returns the time since the epoch; may go back.
+    virtual std::chrono::milliseconds since_epoch() const = 0;
+};
+
+/// The machine's time of day.
+class system_wall_clock final : public wall_clock {
+public:
+    std::chrono::milliseconds since_epoch() const override {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    }
+};
+
 /// A clock that moves only when told to.
 class virtual_clock final : public clock {
 public:
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -24,6 +24,8 @@
 #include "gateway/header_codec.h"
 #include "gateway/loop_turns.h"
 #include "gateway/pause_monitor.h"
+#include "gateway/relay_peers.h"
+#include "gateway/relay_protocol.h"
 #include "requests/retry_budget.h"
 #include "requests/start_queue.h"
 #include "routing/account_limiter.h"
@@ -111,6 +113,10 @@
     double max_start_wait_share = 0.5;
     /// Remaining time until a caller's deadline below which a request is not sent.
     std::chrono::milliseconds min_time_left{15};
+    /// Part of `max_connections` that other VMs may have besides, to pass requests on to this one.
+    double relay_connection_share = 0.25;
+    /// Part of `max_held_bytes` from which requests of other VMs' callers are refused.
+    double relay_memory_share = 0.5;
     /// Whether requests are refused until the evacuated availability zones are known.
     bool requires_evacuations = false;
 };
@@ -170,6 +176,7 @@
 
 class crash_detector;
 class exchange;
+class relay_service;
 
 /// State shared by the requests of one daemon.
 class gateway final : public caller_service {
@@ -183,6 +190,35 @@
 
     /// Sets the other daemons that remember streams.
     void set_stream_peers(stream_peers& peers) { stream_peers_ = &peers; }
+    /// Sets the other VMs that serve requests in place of this one, and the time of day by which
+    /// their requests prove their age.
+    void set_relay_peers(relay_peers& peers, const wall_clock& time_of_day);
+    /// Sets the function that returns whether this VM reaches endpoints of a service. Where it
+    /// doesn't, requests are passed on to other VMs.
+    void set_reaches(std::function<bool(const service_id&)> reaches) {
+        reaches_ = std::move(reaches);
+    }
+    /// This VM no longer reaches the endpoints of a service: requests that wait for one of them are
+    /// passed on, as far as they have not run or may run again.
+    void on_service_unreachable(const service_id& service);
+    /// Accepts a connection of another VM, which passes requests on to this one.
+    void accept_peer(link::socket socket);
+    /// Returns the terms of a request that a peer has passed on; nothing without a valid token.
+    std::optional<relay_terms> relay_terms_of(const header_list& headers) const;
+    /// Starts a request that another VM has passed on, or refuses it.
+    std::shared_ptr<request_work> start_relayed(caller_request request, const relay_terms& terms,
+                                                response_writer& out);
+    /// Refuses such a request whose body is still arriving if it could not be served.
+    bool refuse_relayed_early(caller_request head, const relay_terms& terms, response_writer& out);
+    /// Refuses such a request that has not arrived completely.
+    void refuse_relayed(caller_request head, const relay_terms& terms, std::string_view reason,
+                        response_writer& out);
+    /// Number of connections that other VMs have to pass requests on.
+    std::size_t relay_connection_count() const {
+        return static_cast<std::size_t>(relay_connections_.use_count()) - 1;
+    }
+    /// Connections to other VMs, to which requests are passed on.
+    const endpoint_pool& peer_pool() const { return peer_pool_; }
     /// Applies the record of software that served lately, also before this process started.
     void on_software_record(const std::vector<routing::software>& seen);
     /// Records that a stream began or goes on at the software.
@@ -324,6 +360,16 @@
     };
 
     requests::retry_budget& budget_of(const service_id& id);
+    /// Why a request of another VM's caller is refused at once; empty if it is not.
+    std::string_view refusal_of_relayed(const service_id& service) const;
+    std::size_t max_relay_connections() const;
+    /// Returns the VM to which the request should be passed on, if there is one.
+    std::optional<relay_target> choose_relay(const service_id& service,
+                                             const routing::allowed_regions& regions,
+                                             const request_id& request,
+                                             std::set<vm_id> excluded) const;
+    /// No connection could be made to the VM, which is left out for a while.
+    void on_relay_unreachable(const vm_id& vm);
     /// Number of adapters that are loading at all engines, as of a moment ago.
     std::size_t fleet_loads() const;
     /// Version of an endpoint's software; empty if the endpoint is unknown.
@@ -423,6 +469,14 @@
     std::size_t turned_away_ = 0;
     load_broker* broker_ = nullptr;
     stream_peers* stream_peers_ = nullptr;
+    relay_peers* relay_peers_ = nullptr;
+    const wall_clock* time_of_day_ = nullptr;
+    std::function<bool(const service_id&)> reaches_ = [](const service_id&) { return true; };
+    std::unique_ptr<relay_service> relay_service_;
+    /// Shared by all connections of other VMs, which are counted by its uses.
+    std::shared_ptr<const void> relay_connections_ = std::make_shared<char>();
+    /// VMs to which no connection could be made, and until when they are left out.
+    std::map<vm_id, time_point> unreachable_relays_;
     routing::configuration_ptr configuration_;
     std::function<duration()> configuration_age_ = [] { return duration::zero(); };
     routing::endpoint_directory directory_;
@@ -439,6 +493,8 @@
     routing::endpoint_chooser chooser_;
     routing::account_limiter limiter_;
     endpoint_pool pool_;
+    /// Connections to other VMs, by the names of the VMs.
+    endpoint_pool peer_pool_;
     routing::request_quarantine quarantine_;
     std::optional<stop_limits> stop_;
     std::unique_ptr<crash_detector> crashes_;
@@ -469,6 +525,8 @@
     telemetry::counter_family& turn_aways_;
     telemetry::counter_family& closures_;
     telemetry::counter_family& resumptions_;
+    telemetry::counter_family& passed_on_;
+    telemetry::counter_family& relayed_;
     telemetry::counter_family& discarded_bytes_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
--- a/libs/gateway/include/gateway/http_status.h
+++ b/libs/gateway/include/gateway/http_status.h
@@ -10,6 +10,7 @@
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_forbidden = 403;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_conflict = 409;
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -36,16 +36,21 @@
 
 }  // namespace
 
-exchange::exchange(gateway& owner, caller_request request, response_writer& out)
+exchange::exchange(gateway& owner, caller_request request, response_writer& out,
+                   std::optional<relay_terms> terms)
     : owner_(owner),
       request_(std::move(request)),
       out_(&out),
       configuration_(owner.configuration_),
       number_(++owner.last_number_),
+      relay_terms_(std::move(terms)),
       deadline_timer_(owner.loop_),
       wait_timer_(owner.loop_),
       silence_timer_(owner.loop_) {
     unread_ = elapsed();
+    if (relay_terms_) {
+        request_.received -= relay_terms_->age;
+    }
     owner_.exchanges_.insert(this);
 }
 
@@ -94,7 +99,9 @@
         refuse_blocked(*blocked);
         return;
     }
-    owner_.budget_of(service_->id).count_request();
+    if (!relay_terms_) {
+        owner_.budget_of(service_->id).count_request();
+    }
     phase_ = phase::queued;
     owner_.queue_start(shared_from_this());
 }
@@ -160,6 +167,9 @@
 
 bool exchange::accept_route() {
     attributes_ = owner_.codec_.read_request(request_.headers);
+    if (relay_terms_ && relay_terms_->last_event) {
+        attributes_.last_event = relay_terms_->last_event;
+    }
     suspects_ = routing::suspects_of(attributes_.shared_segments());
     if (!configuration_) {
         refuse({status_unavailable, "no_configuration", startup_retry_after});
@@ -199,6 +209,10 @@
     const double point =
         static_cast<double>(stable_hash(drawn_by.str()) >> 11) / static_cast<double>(1ULL << 53);
     const service_id* chosen = routing::pick_service(*route_, point);
+    if (relay_terms_) {
+        const bool is_allowed = routing::allows(*route_, relay_terms_->service);
+        chosen = is_allowed ? &relay_terms_->service : nullptr;
+    }
     service_ = chosen == nullptr ? nullptr : configuration_->find_service(*chosen);
     if (service_ == nullptr) {
         refuse({status_unavailable, "no_service", startup_retry_after});
@@ -212,7 +226,7 @@
 }
 
 bool exchange::charge_account() {
-    if (account_ == nullptr) {
+    if (account_ == nullptr || relay_terms_) {
         return true;
     }
     const auto result = owner_.limiter_.admit(account_->id, units(), owner_.time_.now());
@@ -237,6 +251,9 @@
     if (route_->timeout.count() > 0) {
         wait = std::min(wait, route_->timeout);
     }
+    if (relay_terms_) {
+        wait = std::min(wait, relay_terms_->age + relay_terms_->time_left);
+    }
     deadline_ = request_.received + wait;
     if (time_left() < owner_.settings_.min_time_left) {
         refuse({status_unavailable, "no_time_left", default_retry_after});
@@ -254,7 +271,7 @@
         return true;
     }
     const bool is_over_limit =
-        account_ != nullptr &&
+        account_ != nullptr && !relay_terms_ &&
         !owner_.limiter_.would_admit(account_->id, units(), owner_.time_.now());
     if (is_over_limit && !charge_account()) {
         return true;
@@ -334,6 +351,11 @@
         // 503 states that the request has not run.
         it = {status_bad_gateway, wanted.reason, std::nullopt};
     }
+    const bool is_unknown_here = relay_terms_ && it.status < status_bad_gateway;
+    if (is_unknown_here && it.status != status_too_many) {
+        // The VM that has the caller knows better what its request may do.
+        it = {status_unavailable, wanted.reason, default_retry_after};
+    }
     if (phase_ == phase::ended || out_ == nullptr) {
         return;
     }
@@ -352,6 +374,9 @@
     if (it.retry_after) {
         head.headers.push_back({"Retry-After", seconds_text(*it.retry_after)});
     }
+    if (relay_terms_) {
+        head.headers.push_back(relay_result_header(result_for_origin(it.reason)));
+    }
     const std::string body = "{\"error\":\"" + std::string(it.reason) + "\"}";
     head.length = body.size();
     response_writer* out = out_;
@@ -398,8 +423,15 @@
         account_ == nullptr ? std::string_view("-") : std::string_view(account_->id.str());
     const std::string_view route =
         route_ == nullptr ? std::string_view("-") : std::string_view(route_->name);
-    owner_.responses_.with({account, route, std::to_string(status)}).add();
-    owner_.latencies_.with({account, route}).record(elapsed());
+    if (relay_terms_) {
+        owner_.relayed_.with({std::to_string(status)}).add();
+    } else {
+        owner_.responses_.with({account, route, std::to_string(status)}).add();
+        owner_.latencies_.with({account, route}).record(elapsed());
+    }
+    if (relay_ && reason == answered) {
+        owner_.passed_on_.with({"answered"}).add();
+    }
     // Warnings and infos have separate rate limits in the log, so that successes don't displace
     // failures.
     telemetry::log_event(
@@ -412,6 +444,9 @@
          {"service",
           service_ == nullptr ? std::string_view("-") : std::string_view(service_->id.str())},
          {"endpoint", endpoint_},
+         {"relay", relay_ ? std::string_view(relay_->vm.str()) : std::string_view()},
+         {"origin",
+          relay_terms_ ? std::string_view(relay_terms_->origin.str()) : std::string_view()},
          {"software", endpoint_software_.version},
          {"adapter", attributes_.target.adapter},
          {"units", account_ == nullptr ? 0 : static_cast<std::uint64_t>(units())},
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -27,7 +27,9 @@
                        public std::enable_shared_from_this<exchange>,
                        private call_handler {
 public:
-    exchange(gateway& owner, caller_request request, response_writer& out);
+    /// `terms` are set for a request that another VM has passed on.
+    exchange(gateway& owner, caller_request request, response_writer& out,
+             std::optional<relay_terms> terms = std::nullopt);
     ~exchange() override;
 
     void start();
@@ -50,6 +52,10 @@
     void turn_away(std::string_view reason) override;
     /// Refuses a request that has not arrived completely, because its caller is turned away.
     void refuse_incomplete(std::string_view reason);
+    /// Refuses a request that another VM has passed on, before it is started.
+    void refuse_relayed(std::string_view reason);
+    /// Passes the request on to another VM if it waits for an endpoint of the service.
+    void on_service_unreachable(const service_id& service);
     /// The adapter that this request waits for is loaded on the engine, or will be at `ready_at`.
     void on_load_granted(const endpoint_id& engine, time_point ready_at);
     /// The engine cannot load the adapter soon; `ready_in` is when it could, if known.
@@ -66,6 +72,13 @@
     void on_zones_changed();
 
 private:
+    /// A relay's own refusal.
+    struct relay_refusal {
+        relay_result result;
+        unsigned status = 0;
+        std::optional<duration> retry_after;
+    };
+
     enum class phase {
         starting,
         /// Read, but the process is busy with other work.
@@ -160,7 +173,32 @@
     std::uint64_t version_to_require() const;
     void on_rejection(const response_head& head);
     void apply_notice(const response_head& head, const response_attributes& attributes);
+    /// Handles the head of a response that answers the request.
+    void accept_head(const response_head& head);
     void relay_head(const response_head& head);
+    /// Number of endpoints on which the request may run.
+    unsigned max_runs() const;
+    /// Whether another VM should serve the request, as this one doesn't reach endpoints.
+    bool should_pass_on() const;
+    /// Passes the request on to another VM, or refuses it; returns false if there is no such VM.
+    bool pass_on();
+    void connect_to_relay(const relay_target& target);
+    void on_relay_connected(std::shared_ptr<endpoint_link> connection);
+    relay_terms terms_for_relay() const;
+    std::string build_relayed_request(const relay_terms& terms) const;
+    void on_relay_head(const response_head& head);
+    void on_relay_refused();
+    void on_relay_failure(call_failure why, std::string_view reason);
+    /// Passes the request on to a VM other than the last, or refuses it.
+    void try_another_relay(std::string_view outcome, const refusal& otherwise);
+    relay_result result_for_origin(std::string_view refusal) const;
+    bool may_repeat_unanswered();
+    /// Passes the request on, or finds an endpoint; a relay refuses it.
+    void move_to_relay(const refusal& otherwise);
+    /// Returns the connection of the call that ended to its pool.
+    void release_connection();
+    /// Appends the length of the body, the end of the head and the body.
+    void append_body(std::string& out) const;
     /// Watches for the last event's end where nothing else shows that the stream is complete.
     void watch_stream_end(const response_head& head);
     /// If the call that ended produced no response for the caller, sends the request again or
@@ -215,6 +253,19 @@
     response_writer* out_;
     routing::configuration_ptr configuration_;
     routing::request_number number_;
+    /// Terms of the VM that has the caller, for a request that was passed on to this one.
+    std::optional<relay_terms> relay_terms_;
+    /// The VM to which the request was passed on; empty while it is sent to endpoints.
+    std::optional<relay_target> relay_;
+    std::set<vm_id> excluded_relays_;
+    unsigned relay_refusals_ = 0;
+    std::optional<relay_refusal> relay_refusal_;
+    /// Number of runs before the request was passed on.
+    unsigned runs_before_relay_ = 0;
+    /// Number of endpoints to which no byte of the request could be sent.
+    unsigned unreachable_endpoints_ = 0;
+    /// Whether the request may have crashed the last endpoint.
+    bool is_suspect_ = false;
     routing::request_attributes attributes_;
     const routing::route* route_ = nullptr;
     const routing::client_account* account_ = nullptr;
--- a/libs/gateway/src/exchange_quarantine.cpp
+++ b/libs/gateway/src/exchange_quarantine.cpp
@@ -112,6 +112,7 @@
     } else if (!is_open && may_run_again() && spend_retry()) {
         find_endpoint();
     } else {
+        is_suspect_ = is_open;
         refuse({status_bad_gateway, "connection_broken", std::nullopt});
     }
 }
--- a/libs/gateway/src/exchange_response.cpp
+++ b/libs/gateway/src/exchange_response.cpp
@@ -17,6 +17,10 @@
 void exchange::on_head(const response_head& head) {
     const auto self = shared_from_this();
     owner_.turns_.note_input();
+    if (relay_) {
+        on_relay_head(head);
+        return;
+    }
     const response_attributes attributes = owner_.codec_.read_response(head.status, head.headers);
     apply_notice(head, attributes);
     if (attributes.not_run) {
@@ -40,6 +44,11 @@
     owner_.directory_.on_call(
         endpoint_, failed ? routing::call_outcome::failed : routing::call_outcome::answered,
         owner_.time_.now());
+    accept_head(head);
+}
+
+void exchange::accept_head(const response_head& head) {
+    const bool is_success = head.status / 100 == 2;
     if (head_sent_) {
         // A resumed stream keeps the head of its first endpoint.
         if (!is_success) {
@@ -50,8 +59,12 @@
         watch_stream_end(head);
         return;
     }
+    const bool failed = head.status >= 500;
     if (failed && may_run_again() && spend_retry()) {
         excluded_.insert(endpoint_);
+        if (relay_) {
+            excluded_relays_.insert(relay_->vm);
+        }
         discards_response_ = true;
         status_ = head.status;
         return;
@@ -92,7 +105,14 @@
     caller_response out;
     out.status = head.status;
     out.reason = head.reason;
-    out.headers = end_to_end_headers(head.headers);
+    for (header& it : end_to_end_headers(head.headers)) {
+        if (!is_relay_header(it.name)) {
+            out.headers.push_back(std::move(it));
+        }
+    }
+    if (relay_terms_) {
+        out.headers.push_back(relay_result_header(result_for_origin({})));
+    }
     out.length = head.length;
     if (route_->resumable && head.status / 100 == 2) {
         note_stream_begin();
@@ -179,6 +199,10 @@
 }
 
 bool exchange::send_again_if_discarded() {
+    if (relay_refusal_) {
+        on_relay_refused();
+        return true;
+    }
     if (rejected_) {
         rejected_by_.insert(endpoint_);
         retry("rejected");
@@ -199,8 +223,7 @@
         return;
     }
     on_call_ended();
-    owner_.pool_.release(endpoint_, std::move(connection_));
-    connection_.reset();
+    release_connection();
     if (send_again_if_discarded()) {
         return;
     }
@@ -239,6 +262,10 @@
     if (send_again_if_discarded()) {
         return;
     }
+    if (relay_) {
+        on_relay_failure(why, reason);
+        return;
+    }
     const bool is_unanswered = why == call_failure::broken && !is_answered_;
     if (is_unanswered) {
         owner_.on_unanswered({endpoint_, endpoint_started_at_ms_}, all_suspects());
@@ -249,6 +276,7 @@
                               owner_.time_.now());
     if (why == call_failure::not_sent) {
         --runs_;
+        ++unreachable_endpoints_;
         try_another_endpoint();
         return;
     }
@@ -261,7 +289,7 @@
     }
     excluded_.insert(endpoint_);
     is_trial_ = false;
-    if (may_run_again() && is_unanswered) {
+    if (is_unanswered && (may_run_again() || relay_terms_)) {
         evidence_wait_ends_ = owner_.time_.now() + evidence_wait;
         send_again_unless_suspect();
     } else if (may_run_again() && spend_retry()) {
@@ -281,8 +309,8 @@
 }
 
 bool exchange::may_run_again() const {
-    return route_->repeatable() && runs_ < std::max(1U, route_->max_attempts) &&
-           sends_ < owner_.settings_.max_sends && time_left() > owner_.settings_.min_time_left;
+    return route_->repeatable() && runs_ < max_runs() && sends_ < owner_.settings_.max_sends &&
+           time_left() > owner_.settings_.min_time_left;
 }
 
 bool exchange::spend_retry() {
--- a/libs/gateway/src/exchange_resumption.cpp
+++ b/libs/gateway/src/exchange_resumption.cpp
@@ -27,6 +27,10 @@
 }
 
 void exchange::place() {
+    if (relay_terms_ && relay_terms_->began_at) {
+        resume_at(*relay_terms_->began_at, "origin");
+        return;
+    }
     if (!is_resumption()) {
         find_endpoint();
         return;
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -17,11 +17,17 @@
 
 void exchange::find_endpoint() {
     owner_.work_.finish(number_);
+    if (should_pass_on() && pass_on()) {
+        return;
+    }
     auto choice = choose_endpoint();
     if (!choice && !accepts_long_wait_) {
         choice = soonest_refused_load();
         accepts_long_wait_ = choice.has_value();
     }
+    if (!choice && unreachable_endpoints_ > 0 && pass_on()) {
+        return;
+    }
     if (!choice) {
         refuse_without_endpoint();
         return;
@@ -301,7 +307,11 @@
 
 void exchange::note_connection_fault() {
     if (connection_ && connection_->responses() > 0) {
-        owner_.pool_.close_idle(endpoint_);
+        if (relay_) {
+            owner_.peer_pool_.close_idle(endpoint_id(relay_->vm.str()));
+        } else {
+            owner_.pool_.close_idle(endpoint_);
+        }
         avoids_kept_connections_ = true;
     }
 }
@@ -320,6 +330,7 @@
         return;
     }
     phase_ = phase::connecting;
+    relay_.reset();
     endpoint_ = id;
     if (wait_began_ != time_point{}) {
         load_wait_ = now - wait_began_;
@@ -353,6 +364,7 @@
         if (connection && !left) {
             owner_.pool_.release(endpoint_, std::move(connection));
         } else if (!connection) {
+            ++unreachable_endpoints_;
             owner_.directory_.on_call(endpoint_, routing::call_outcome::unreachable,
                                       owner_.time_.now());
         }
@@ -427,7 +439,7 @@
 }
 
 void exchange::on_version_in_force(const routing::model_ref& adapter, std::uint64_t version) {
-    const bool waits = phase_ == phase::sent && attributes_.target == adapter &&
+    const bool waits = phase_ == phase::sent && !relay_ && attributes_.target == adapter &&
                        required_version_ < version && !discards_response_;
     const auto view = owner_.adapters_.view(endpoint_, adapter, owner_.time_.now());
     if (!waits || view.version >= version) {
@@ -453,7 +465,7 @@
     std::string out = request_.method + " " + request_.target + " HTTP/1.1\r\n";
     for (const header& it : end_to_end_headers(request_.headers)) {
         const bool is_expect = same_name(it.name, "expect");
-        if (!is_expect && owner_.codec_.is_forwarded(it.name)) {
+        if (!is_expect && !is_relay_header(it.name) && owner_.codec_.is_forwarded(it.name)) {
             append_header(out, it.name, it.value);
         }
     }
@@ -475,6 +487,11 @@
         attributes.last_event = events_->last_id();
     }
     owner_.codec_.append_call_attributes(attributes, out);
+    append_body(out);
+    return out;
+}
+
+void exchange::append_body(std::string& out) const {
     const bool has_body = !request_.body.empty() || request_.method == "POST" ||
                           request_.method == "PUT" || request_.method == "PATCH";
     if (has_body) {
@@ -482,7 +499,6 @@
     }
     out += "\r\n";
     out += request_.body;
-    return out;
 }
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 
 #include "crash_detector.h"
 #include "exchange.h"
+#include "relay_service.h"
 #include "telemetry/event_log.h"
 #include "timers.h"
 
@@ -47,6 +48,8 @@
                settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
+      peer_pool_(loop, time),
+      relay_service_(std::make_unique<relay_service>(*this)),
       crashes_(std::make_unique<crash_detector>(
           loop,
           [this](const auto& crashed, const auto& requests) { on_crash(crashed, requests); })),
@@ -60,6 +63,10 @@
                                      {"phase", "reason"})),
       resumptions_(metrics.add_counters("stream_resumptions_total",
                                         "Streams that callers resumed, by outcome.", {"outcome"})),
+      passed_on_(metrics.add_counters("requests_passed_on_total",
+                                      "Requests passed on to other VMs, by outcome.", {"outcome"})),
+      relayed_(metrics.add_counters("requests_relayed_total",
+                                    "Requests of other VMs' callers, by status.", {"status"})),
       discarded_bytes_(metrics.add_counters("caller_bytes_discarded_total",
                                             "Input that arrived on closed connections of callers.",
                                             {"reason"})),
@@ -540,6 +547,7 @@
 }
 
 void gateway::sweep() {
+    peer_pool_.sweep();
     note_serving_software();
     finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
                                     [](const auto& it) { return !it->is_sending(); }),
