Passing on: harden it, and join it to the daemon

- A silent relay is replaced for an idempotent call; requests move when their service becomes unreachable; runs of a stream that may be resumed by the relay count as granted; a request goes back to endpoints that are reached again.
- The daemon listens with TCP on its peers' address, stops that with its callers' port, and chooses among VMs that are heard and don't leave.
The detection of unreachable services is not joined: gateway::set_reaches() has its default.

--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -192,9 +192,10 @@
     /// Passes the request on to a VM other than the last, or refuses it.
     void try_another_relay(std::string_view outcome, const refusal& otherwise);
     relay_result result_for_origin(std::string_view refusal) const;
-    bool may_repeat_unanswered();
-    /// Passes the request on, or finds an endpoint; a relay refuses it.
-    void move_to_relay(const refusal& otherwise);
+    /// Whether there is a VM to pass the request on to that was not tried yet.
+    bool has_other_relay() const;
+    /// Sends an idempotent call to another VM if the relay does not answer it.
+    void retry_if_relay_silent();
     /// Returns the connection of the call that ended to its pool.
     void release_connection();
     /// Appends the length of the body, the end of the head and the body.
--- a/libs/gateway/src/exchange_relaying.cpp
+++ b/libs/gateway/src/exchange_relaying.cpp
@@ -1,6 +1,6 @@
 // Passing a request on to another VM, and serving one that another VM has passed on.
 #include <algorithm>
-#include <charconv>
+#include <cstdlib>
 
 #include "exchange.h"
 #include "exchange_constants.h"
@@ -18,6 +18,9 @@
 constexpr std::size_t max_relay_tries = 3;
 // Number of VMs of these that may refuse it.
 constexpr unsigned max_relay_refusals = 2;
+// Time without a response after which an idempotent call is sent to another VM, as a multiple of
+// that for endpoints: the relay looks for another endpoint before.
+constexpr int relay_silence_factor = 2;
 
 std::optional<duration> retry_after_of(const header_list& headers) {
     const std::string text(find_header(headers, "retry-after"));
@@ -131,6 +134,7 @@
                           {"unreachable_endpoints", unreachable_endpoints_},
                           {"refusals", relay_refusals_},
                           {"elapsed_ms", to_ms(elapsed()).count()}});
+    retry_if_relay_silent();
     const auto call_connection = connection_;
     call_connection->call(std::move(call), *this);
     if (out_ != nullptr) {
@@ -176,7 +180,10 @@
         on_failure(call_failure::malformed);
         return;
     }
-    runs_ = runs_before_relay_ + result->runs;
+    const bool may_be_resumed = route_->resumable && head.status / 100 == 2;
+    if (!may_be_resumed) {
+        runs_ = runs_before_relay_ + result->runs;
+    }
     endpoint_ = result->endpoint;
     endpoint_software_ = result->software;
     if (!result->refusal.empty()) {
@@ -228,8 +235,14 @@
         owner_.passed_on_.with({outcome}).add();
     }
     excluded_relays_.insert(relay_->vm);
-    if (!pass_on()) {
+    if (pass_on()) {
+        return;
+    }
+    if (should_pass_on()) {
         refuse(otherwise);
+    } else {
+        // The endpoints are reached again.
+        find_endpoint();
     }
 }
 
@@ -285,33 +298,45 @@
                        phase_ == phase::waiting_for_budget || phase_ == phase::connecting;
     const bool is_unanswered = phase_ == phase::sent && !discards_response_;
     const auto self = shared_from_this();
-    if (waits) {
-        wait_timer_.cancel();
-        move_to_relay({status_unavailable, "service_unreachable", default_retry_after});
-    } else if (is_unanswered && may_repeat_unanswered()) {
-        stop_call();
-        move_to_relay({status_bad_gateway, "service_unreachable", std::nullopt});
+    if (relay_terms_) {
+        // The VM that has the caller passes it on to another one, or repeats it.
+        if (waits || (is_unanswered && route_->repeatable())) {
+            give_up("service_unreachable", default_retry_after);
+        }
+        return;
+    }
+    const bool may_move = waits || (is_unanswered && may_run_again());
+    if (!may_move || !has_other_relay() || (is_unanswered && !spend_retry())) {
+        return;
     }
+    wait_timer_.cancel();
+    stop_call();
+    pass_on();
 }
 
-bool exchange::may_repeat_unanswered() {
-    if (relay_terms_) {
-        // The VM that has the caller repeats it.
-        return route_->repeatable();
+bool exchange::has_other_relay() const {
+    std::set<vm_id> excluded = excluded_relays_;
+    if (relay_) {
+        excluded.insert(relay_->vm);
     }
-    return may_run_again() && spend_retry();
+    return owner_.choose_relay(service_->id, allowed_regions(), attributes_.id, excluded)
+        .has_value();
 }
 
-void exchange::move_to_relay(const refusal& otherwise) {
-    owner_.work_.finish(number_);
-    if (pass_on()) {
+void exchange::retry_if_relay_silent() {
+    if (route_->kind != routing::request_kind::idempotent || service_->engine) {
         return;
     }
-    if (relay_terms_) {
-        refuse(otherwise);
-    } else {
-        find_endpoint();
-    }
+    silence_timer_.expires_after(owner_.settings_.silence_timeout * relay_silence_factor);
+    silence_timer_.async_wait([weak = weak_from_this(), send = sends_](const error_code& ec) {
+        const auto self = weak.lock();
+        const bool is_silent = !ec && self && self->phase_ == phase::sent && self->sends_ == send;
+        if (is_silent && self->may_run_again() && self->has_other_relay() && self->spend_retry()) {
+            self->note_connection_fault();
+            self->stop_call();
+            self->try_another_relay("silent", {status_gateway_timeout, "relay_silent", {}});
+        }
+    });
 }
 
 }  // namespace radishpulley::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -44,12 +44,12 @@
       codec_(codec),
       settings_(std::move(settings)),
       budget_(std::make_shared<memory_budget>(settings_.max_held_bytes)),
+      relay_service_(std::make_unique<relay_service>(*this)),
       chooser_(directory_, limits_, cold_limits_, adapters_, load_times_, prompts_, work_,
                settings_.location),
       limiter_(settings_.limiter),
       pool_(loop, time),
       peer_pool_(loop, time),
-      relay_service_(std::make_unique<relay_service>(*this)),
       crashes_(std::make_unique<crash_detector>(
           loop,
           [this](const auto& crashed, const auto& requests) { on_crash(crashed, requests); })),
--- a/libs/gateway/tests/relay_fixture.h
+++ b/libs/gateway/tests/relay_fixture.h
@@ -129,6 +129,15 @@
         return round_trip(text, [&](const peer& it) { return ends_with(it.received, end); });
     }
 
+    /// Connects to a peer's port.
+    std::shared_ptr<peer> connect_to(const std::string& address) {
+        tcp::socket socket(loop, tcp::v4());
+        socket.connect(parse_address(address));
+        auto it = std::make_shared<peer>(std::move(socket));
+        it->start();
+        return it;
+    }
+
     bool reaches = false;
     manual_wall_clock time_of_day;
     stub_relay_peers origin_peers{"origin"};
--- a/radishpulley/edge/include/edge/fleet_member.h
+++ b/radishpulley/edge/include/edge/fleet_member.h
@@ -20,6 +20,7 @@
 #include "gateway/object_collections.h"
 #include "ownership/failure_detector.h"
 #include "routing/hints.h"
+#include "routing/relay_choice.h"
 #include "routing/status_schedule.h"
 
 namespace radishpulley::edge {
@@ -84,6 +85,10 @@
     std::set<vm_id> vms_in(const zone_id& zone) const;
     /// Returns the VMs that are known to serve callers now, including this one.
     std::vector<vm_id> serving(time_point now) const;
+    /// Returns the other VMs that were heard lately and don't leave.
+    std::vector<routing::relay_candidate> relay_candidates(time_point now) const;
+    /// The secret that the VMs share; empty until it is known.
+    const std::string& secret() const { return socket_.secret(); }
     /// Returns the VMs that may serve callers, including this one. A VM that was not heard lately
     /// is one of them, as it may only be cut off, until its entry in the store is marked as gone.
     std::vector<vm_id> members(time_point now) const;
@@ -117,6 +122,8 @@
     /// Whether the last hint from a VM is too old. For a VM that never sent one, the time since
     /// this daemon started counts.
     bool is_silent(const peer& it, time_point now) const;
+    /// Whether another VM was heard so lately that it is not suspected to have failed.
+    bool is_alive(const vm_id& vm, const peer& it, time_point now) const;
     void update_schedule();
     void on_list(const gateway::object_list& it);
     void on_object(const gateway::stored_object& it);
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -21,6 +21,7 @@
 #include "edge/load_coordinator.h"
 #include "edge/load_time_monitor.h"
 #include "evacuation_follower.h"
+#include "fleet_relays.h"
 #include "gateway/collection_follower.h"
 #include "gateway/gateway.h"
 #include "gateway/http_status.h"
@@ -152,6 +153,7 @@
           engines_(loop_, data_path_.pool()),
           fleet_(loop_, time_, store_, member_settings_of(settings),
                  [this](const routing::hint_message& it) { on_hint(it); }),
+          relays_(time_, member_settings_of(settings), fleet_),
           loads_(loop_, time_, store_, engines_, fleet_, data_path_,
                  settings.bounds.endpoints_check_fencing),
           accounts_(loop_, time_, settings.vm, fleet_, data_path_),
@@ -186,6 +188,8 @@
                           }),
           callers_(loop_, settings.listen.callers,
                    [this](auto socket) { data_path_.accept(std::move(socket)); }),
+          peers_port_(loop_, settings.listen.peers,
+                      [this](auto socket) { data_path_.accept_peer(std::move(socket)); }),
           readiness_port_(loop_, settings.listen.readiness,
                           [this](auto socket) { readiness_.accept(std::move(socket)); }),
           metrics_port_(loop_, settings.listen.metrics,
@@ -201,6 +205,7 @@
         });
         data_path_.set_broker(loads_);
         data_path_.set_stream_peers(streams_);
+        data_path_.set_relay_peers(relays_, time_of_day_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { schedule_store_reports(); });
@@ -726,6 +731,7 @@
             return false;
         }
         callers_.close();
+        peers_port_.close();
         data_path_.close_idle_callers();
         return data_path_.request_count() == 0 && data_path_.caller_count() == 0 &&
                !data_path_.is_sending_last_answers();
@@ -735,6 +741,7 @@
     settings_file settings_file_;
     time_point settings_checked_{};
     boot_clock time_;
+    system_wall_clock time_of_day_;
     boost::asio::io_context loop_{1};
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
@@ -795,6 +802,7 @@
     platform_adapter::wire_object_collections store_;
     platform_adapter::wire_engine_port engines_;
     fleet_member fleet_;
+    fleet_relays relays_;
     load_coordinator loads_;
     account_watcher accounts_;
     stream_archive archive_;
@@ -813,6 +821,7 @@
     status_server readiness_;
     status_server metrics_server_;
     acceptor callers_;
+    acceptor peers_port_;
     acceptor readiness_port_;
     acceptor metrics_port_;
     heap_trim heap_trim_;
--- a/radishpulley/edge/src/fleet_member.cpp
+++ b/radishpulley/edge/src/fleet_member.cpp
@@ -437,14 +437,29 @@
     send_where(it, [this](const peer& to) { return to.zone == settings_.zone; });
 }
 
+bool fleet_member::is_alive(const vm_id& vm, const peer& it, time_point now) const {
+    return it.last_alive != time_point::min() &&
+           now - it.last_alive < lifetime_of(vm, settings_.suspicion_timeout);
+}
+
+std::vector<routing::relay_candidate> fleet_member::relay_candidates(time_point now) const {
+    std::vector<routing::relay_candidate> out;
+    for (const auto& [vm, it] : peers_) {
+        if (vm != settings_.vm && !it.leaving && is_alive(vm, it, now)) {
+            out.push_back({vm, it.zone, it.region, it.address});
+        }
+    }
+    return out;
+}
+
 fleet_member::zone_rank fleet_member::rank_in_zone(time_point now) const {
     const auto order_of = [](const vm_id& vm) { return stable_hash("zone-rank|" + vm.str()); };
     const std::uint64_t own = order_of(settings_.vm);
     zone_rank out;
     for (const auto& [vm, it] : peers_) {
-        const bool is_alive = it.last_alive != time_point::min() &&
-                              now - it.last_alive < lifetime_of(vm, settings_.suspicion_timeout);
-        if (vm == settings_.vm || it.zone != settings_.zone || it.leaving || !is_alive) {
+        const bool is_ranked =
+            vm != settings_.vm && it.zone == settings_.zone && !it.leaving && is_alive(vm, it, now);
+        if (!is_ranked) {
             continue;
         }
         ++out.vms;
