Say which endpoints this VM reaches, and by what evidence

No decision is changed by this.

- endpoint_pool and endpoint_link tell a contact_observer of each proof and each failure of contact: connects that time out, are refused or fail, connections that break, and calls without progress.
- Calls in flight are sampled each 100 ms (connection_sweep, which runs only while there are any).
Without progress is a call whose bytes, or whose keep-alive probe, the peer's system has not acknowledged for 700 ms (TCP_INFO; after the second retransmission on a path of usual delay).
A peer that reads and says nothing, or that has no room for the request, acknowledges and so is none.
- Lines endpoint_unreached (by) and endpoint_reached; `explain` shows them.

The test reset_uploads_tests only passes the new argument of endpoint_pool::connect().

--- a/libs/gateway/include/gateway/endpoint_link.h
+++ b/libs/gateway/include/gateway/endpoint_link.h
@@ -8,9 +8,11 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "gateway/contact_observer.h"
 #include "gateway/http_text.h"
 #include "gateway/link.h"
 #include "gateway/message_parser.h"
+#include "gateway/progress_watch.h"
 
 namespace radishpulley::gateway {
 
@@ -62,7 +64,13 @@
 class endpoint_link final : public std::enable_shared_from_this<endpoint_link>,
                             private link_handler {
 public:
-    explicit endpoint_link(std::shared_ptr<link> connection, const clock& time);
+    /// Time without acknowledgement after which a call makes no progress: the operating system has
+    /// sent the bytes three times by then.
+    static constexpr std::chrono::milliseconds progress_timeout{700};
+
+    /// `observer`, which may be null, is told what the connection shows of the path to `to`.
+    endpoint_link(std::shared_ptr<link> connection, const clock& time, endpoint_id to = {},
+                  contact_observer* observer = nullptr);
     ~endpoint_link() override;
     endpoint_link(const endpoint_link&) = delete;
     endpoint_link& operator=(const endpoint_link&) = delete;
@@ -74,6 +82,12 @@
     /// Pauses or resumes reading the response, for a slow caller.
     void set_paused(bool paused);
 
+    /// Whether a call is in flight.
+    bool in_flight() const { return handler_ != nullptr; }
+    /// Tells the observer once if the call in flight makes no progress. Must be called regularly
+    /// while there is one.
+    void check_progress();
+
     /// Whether the connection can take another call.
     bool reusable() const;
     /// Memory of the request that is not sent yet and of input that is not handled yet.
@@ -102,6 +116,11 @@
 
     std::shared_ptr<link> link_;
     const clock& time_;
+    endpoint_id to_;
+    contact_observer* observer_;
+    progress_watch progress_;
+    /// Whether the observer knows that the call in flight makes no progress.
+    bool is_stall_told_ = false;
     call_request request_;
     call_handler* handler_ = nullptr;
     std::unique_ptr<parser> parser_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -170,6 +170,7 @@
 
 class crash_detector;
 class exchange;
+class reachability_monitor;
 
 /// State shared by the requests of one daemon.
 class gateway final : public caller_service {
@@ -438,6 +439,7 @@
     routing::work_table work_;
     routing::endpoint_chooser chooser_;
     routing::account_limiter limiter_;
+    std::unique_ptr<reachability_monitor> reachability_;
     endpoint_pool pool_;
     routing::request_quarantine quarantine_;
     std::optional<stop_limits> stop_;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -17,6 +17,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "gateway/progress_watch.h"
+#include "routing/contact_failure.h"
+
 namespace radishpulley::gateway {
 
 /// How a connection ended.
@@ -84,6 +87,8 @@
     /// Connects and starts reading; the callback runs once and never from inside this call.
     void connect(const boost::asio::ip::tcp::endpoint& to, std::chrono::milliseconds timeout,
                  connect_callback done);
+    /// Why the connection could not be established, once connect() has failed.
+    routing::contact_failure connect_failure() const { return connect_failure_; }
     /// Starts reading on an accepted connection.
     void start();
     /// Sets the receiver of events; null for none.
@@ -120,6 +125,8 @@
     bool has_unread() const { return unread_bytes() > 0; }
     /// Asks the operating system about what has arrived.
     receive_status receiving();
+    /// Asks the operating system about what was sent.
+    send_status sending();
     /// Whether reading continues before input is consumed.
     bool has_room() const { return input_.size() < options_.max_input; }
 
@@ -154,6 +161,7 @@
     std::deque<std::string> being_written_;
     std::size_t unsent_ = 0;
     bool is_connect_over_ = false;
+    routing::contact_failure connect_failure_ = routing::contact_failure::connect_failed;
     bool reading_ = false;
     bool has_written_ = false;
     bool ended_ = false;
--- a/libs/gateway/src/endpoint_link.cpp
+++ b/libs/gateway/src/endpoint_link.cpp
@@ -26,8 +26,13 @@
 
 }  // namespace
 
-endpoint_link::endpoint_link(std::shared_ptr<link> connection, const clock& time)
-    : link_(std::move(connection)), time_(time), idle_since_(time.now()) {
+endpoint_link::endpoint_link(std::shared_ptr<link> connection, const clock& time, endpoint_id to,
+                             contact_observer* observer)
+    : link_(std::move(connection)),
+      time_(time),
+      to_(std::move(to)),
+      observer_(observer),
+      idle_since_(time.now()) {
     link_->set_handler(this);
 }
 
@@ -40,6 +45,8 @@
     handler_ = &handler;
     discarded_responses_ = 0;
     discarded_bytes_ = 0;
+    progress_ = {};
+    is_stall_told_ = false;
     begin_response();
     link_->write(std::move(request_.bytes));
 }
@@ -57,6 +64,17 @@
     link_->close();
 }
 
+void endpoint_link::check_progress() {
+    if (observer_ == nullptr || handler_ == nullptr) {
+        return;
+    }
+    const bool is_stalled = progress_.on_sample(link_->sending(), time_.now()) >= progress_timeout;
+    if (is_stalled && !is_stall_told_) {
+        observer_->on_contact_failed(to_, routing::contact_failure::no_progress);
+    }
+    is_stall_told_ = is_stalled;
+}
+
 void endpoint_link::set_paused(bool paused) {
     if (paused_ == paused) {
         return;
@@ -75,6 +93,9 @@
 
 void endpoint_link::on_input() {
     const auto self = shared_from_this();
+    if (observer_ != nullptr && link_->input().size() > 0) {
+        observer_->on_contact(to_, routing::contact_proof::received);
+    }
     if (!telemetry::run_guarded("response", [this] { take_input(); })) {
         fail(call_failure::malformed);
     }
@@ -217,6 +238,9 @@
 void endpoint_link::on_end(link_end how) {
     const auto self = shared_from_this();
     paused_ = false;
+    if (observer_ != nullptr && how == link_end::broken) {
+        observer_->on_contact_failed(to_, routing::contact_failure::connection_broken);
+    }
     telemetry::run_guarded("last response", [this] {
         while (handler_ != nullptr && parse()) {
         }
--- a/libs/gateway/src/endpoint_pool.cpp
+++ b/libs/gateway/src/endpoint_pool.cpp
@@ -29,7 +29,7 @@
 
 endpoint_pool::endpoint_pool(boost::asio::io_context& loop, const clock& time,
                              pool_settings settings)
-    : loop_(loop), time_(time), settings_(settings) {}
+    : loop_(loop), time_(time), settings_(settings), sweep_(loop) {}
 
 void endpoint_pool::acquire(const endpoint_id& id, const std::string& address, callback done) {
     auto& kept = idle_[id];
@@ -37,14 +37,14 @@
         std::shared_ptr<endpoint_link> it = std::move(kept.back());
         kept.pop_back();
         if (it->reusable()) {
-            done(std::move(it));
+            hand_over(std::move(it), done);
             return;
         }
     }
-    connect(address, std::move(done));
+    connect(id, address, std::move(done));
 }
 
-void endpoint_pool::connect(const std::string& address, callback done) {
+void endpoint_pool::connect(const endpoint_id& id, const std::string& address, callback done) {
     boost::asio::ip::tcp::endpoint to;
     try {
         to = parse_address(address);
@@ -54,10 +54,28 @@
     }
     ++connections_made_;
     auto connection = std::make_shared<link>(loop_);
-    connection->connect(
-        to, settings_.connect_timeout, [this, connection, done = std::move(done)](bool connected) {
-            done(connected ? std::make_shared<endpoint_link>(connection, time_) : nullptr);
-        });
+    connection->connect(to, settings_.connect_timeout,
+                        [this, id, connection, done = std::move(done)](bool connected) {
+                            hand_over(on_connect_end(id, connection, connected), done);
+                        });
+}
+
+std::shared_ptr<endpoint_link> endpoint_pool::on_connect_end(const endpoint_id& id,
+                                                             const std::shared_ptr<link>& it,
+                                                             bool connected) {
+    if (observer_ != nullptr && connected) {
+        observer_->on_contact(id, routing::contact_proof::connected);
+    } else if (observer_ != nullptr) {
+        observer_->on_contact_failed(id, it->connect_failure());
+    }
+    return connected ? std::make_shared<endpoint_link>(it, time_, id, observer_) : nullptr;
+}
+
+void endpoint_pool::hand_over(std::shared_ptr<endpoint_link> it, const callback& done) {
+    if (it && observer_ != nullptr) {
+        sweep_.add(it);
+    }
+    done(std::move(it));
 }
 
 void endpoint_pool::release(const endpoint_id& id, std::shared_ptr<endpoint_link> it) {
--- a/libs/gateway/src/exchange_sending.cpp
+++ b/libs/gateway/src/exchange_sending.cpp
@@ -337,7 +337,7 @@
         }
     };
     if (avoids_kept_connections_ || rejected_by_.count(id) != 0) {
-        owner_.pool_.connect(target->address, std::move(on_connection));
+        owner_.pool_.connect(id, target->address, std::move(on_connection));
     } else {
         owner_.pool_.acquire(id, target->address, std::move(on_connection));
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 
 #include "crash_detector.h"
 #include "exchange.h"
+#include "reachability_monitor.h"
 #include "telemetry/event_log.h"
 #include "timers.h"
 
@@ -46,6 +47,7 @@
       chooser_(directory_, limits_, cold_limits_, adapters_, load_times_, prompts_, work_,
                settings_.location),
       limiter_(settings_.limiter),
+      reachability_(std::make_unique<reachability_monitor>(time, directory_)),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
           loop,
@@ -75,7 +77,9 @@
                       .with({})),
       turns_(loop, time, [this](duration it) { on_turn(it); }),
       pauses_(settings_.pause_limit),
-      confirmation_timer_(loop) {}
+      confirmation_timer_(loop) {
+    pool_.set_observer(*reachability_);
+}
 
 gateway::~gateway() = default;
 
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -66,6 +66,7 @@
         // A handler that is queued can't be cancelled any more.
         if (!ec && !self->is_connect_over_) {
             error_code ignored;
+            self->connect_failure_ = routing::contact_failure::connect_timed_out;
             self->socket_.close(ignored);
         }
     });
@@ -76,6 +77,9 @@
         if (connected) {
             self->start();
         } else {
+            if (ec == asio::error::connection_refused) {
+                self->connect_failure_ = routing::contact_failure::connect_refused;
+            }
             self->ended_ = true;
         }
         run_guarded("connect", [&] { done(connected); });
@@ -283,6 +287,19 @@
             std::chrono::milliseconds(info.tcpi_last_data_recv)};
 }
 
+send_status link::sending() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (!is_open() ||
+        getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return {};
+    }
+    // A probe of a peer that has no room may be answered late; one of an idle peer is answered.
+    const bool is_idle_probed = info.tcpi_probes > 0 && undelivered() == 0;
+    return {info.tcpi_unacked > 0 || is_idle_probed,
+            std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+}
+
 void link::abort() {
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/libs/gateway/tests/reset_uploads_tests.cpp
+++ b/libs/gateway/tests/reset_uploads_tests.cpp
@@ -131,7 +131,8 @@
 // One call over a connection to a stepped endpoint.
 struct stepped_call : stepped_loop {
     explicit stepped_call(std::optional<int> receive_buffer = {}) : endpoint(receive_buffer) {
-        pool.connect(endpoint.address(), [this](auto it) { connection = std::move(it); });
+        pool.connect(endpoint_id("e"), endpoint.address(),
+                     [this](auto it) { connection = std::move(it); });
         run_until([this] { return endpoint.accept() && connection != nullptr; });
     }
     // Returns the size of the whole request.
--- a/radishpulley/cli/src/explain.cpp
+++ b/radishpulley/cli/src/explain.cpp
@@ -10,7 +10,8 @@
 
 // Events that tell what a daemon believes of an endpoint.
 const std::set<std::string, std::less<>> endpoint_events = {
-    "endpoint", "endpoint_gone", "engine_order", "load_refused", "holds_engine"};
+    "endpoint",     "endpoint_gone", "endpoint_unreached", "endpoint_reached",
+    "engine_order", "load_refused",  "holds_engine"};
 // Events that concern every request of a VM.
 const std::set<std::string, std::less<>> vm_events = {"started", "stopping", "store_lost",
                                                       "store_regained", "configuration_in_force"};
--- a/radishpulley/cli/tests/explain_tests.cpp
+++ b/radishpulley/cli/tests/explain_tests.cpp
@@ -15,6 +15,8 @@
     "edge-2 time=2026-01-01T00:00:02.100Z level=info event=engine_order engine=e1 kind=load "
     "adapter=a9 outcome=accepted\n"
     "not a line of ours\n"
+    "edge-1 time=2026-01-01T00:00:02.300Z level=warning event=endpoint_unreached endpoint=e1 "
+    "by=connection_broken\n"
     "edge-1 time=2026-01-01T00:00:02.400Z level=warning event=request_finished request=r1 "
     "status=502 reason=connection_broken account=acme endpoint=e1 adapter=a7\n"
     "edge-1 time=2026-01-01T00:00:02.200Z level=info event=request_placed request=r1 endpoint=e1\n"
@@ -52,6 +54,7 @@
     BOOST_TEST(out.find("request_placed") < out.find("request_finished"));
     BOOST_TEST(contains(out, "adapter=a7 outcome=accepted"));
     BOOST_TEST(contains(out, "vm=edge-1"));
+    BOOST_TEST(contains(out, "endpoint_unreached"));
     BOOST_TEST(!contains(out, "adapter=a9"));
     BOOST_TEST(!contains(out, "vm=edge-2"));
     BOOST_TEST(!contains(out, "endpoint_gone"));
