State unreached services to other VMs

vm_status::unreached_services is a tenth element of the encoded status, left out while it is empty: a status of a VM that reaches all services has the bytes that it had.

--- a/libs/routing/include/routing/hints.h
+++ b/libs/routing/include/routing/hints.h
@@ -36,6 +36,8 @@
     std::vector<suspect> suspects;
     /// Members with which the sender exchanges no messages in both directions.
     stated_losses losses{};
+    /// Services of which the sender reaches no endpoint.
+    std::vector<service_id> unreached_services{};
 };
 
 /// Adapter usage at one engine, sent to the engine's holder.
--- a/libs/routing/src/hints.cpp
+++ b/libs/routing/src/hints.cpp
@@ -253,6 +253,22 @@
     return out;
 }
 
+json services_to_json(const std::vector<service_id>& list) {
+    json out = json::array();
+    for (const service_id& it : list) {
+        out.push_back(it.str());
+    }
+    return out;
+}
+
+std::vector<service_id> read_services(const json& in) {
+    std::vector<service_id> out;
+    for (const json& it : in) {
+        out.push_back(service_id(it.get<std::string>()));
+    }
+    return out;
+}
+
 json to_json(const stated_losses& it) {
     return {it.more_unheard, to_json(it.unheard), it.more_deaf, to_json(it.deaf)};
 }
@@ -261,6 +277,22 @@
     return {read_vms(in.at(1)), in.at(0).get<bool>(), read_vms(in.at(3)), in.at(2).get<bool>()};
 }
 
+json to_json(const vm_status& it) {
+    json out = {"p",
+                it.configuration_version,
+                it.leaving,
+                work_to_json(it.work),
+                demand_to_json(it.demand),
+                limits_to_json(it.limits),
+                to_json(it.suspects, false),
+                to_json(it.suspects, true),
+                to_json(it.losses)};
+    if (!it.unreached_services.empty()) {
+        out.push_back(services_to_json(it.unreached_services));
+    }
+    return out;
+}
+
 json to_json(const store_reports& it) {
     json out = json::array();
     for (const relay::copy_report& report : it.reports) {
@@ -340,12 +372,7 @@
 json encode_body(const hint& it) {
     return std::visit(
         overloaded{
-            [](const vm_status& p) {
-                return json::array({"p", p.configuration_version, p.leaving, work_to_json(p.work),
-                                    demand_to_json(p.demand), limits_to_json(p.limits),
-                                    to_json(p.suspects, false), to_json(p.suspects, true),
-                                    to_json(p.losses)});
-            },
+            [](const vm_status& p) { return to_json(p); },
             [](const adapter_usage& u) {
                 return json::array({"u", u.engine.str(), to_json(u.sent), to_json(u.running)});
             },
@@ -393,6 +420,7 @@
                       read_demand(in.at(4)),
                       {},
                       {},
+                      {},
                       {}};
         // Daemons of older releases send no limits.
         if (in.size() > 5) {
@@ -409,6 +437,10 @@
         if (in.size() > 8) {
             out.losses = read_losses(in.at(8));
         }
+        // A sender that reaches all services leaves them out.
+        if (in.size() > 9) {
+            out.unreached_services = read_services(in.at(9));
+        }
         return out;
     }
     if (kind == "s") {
