--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -176,6 +176,7 @@
 
 class crash_detector;
 class exchange;
+class reachability_monitor;
 class relay_service;
 
 /// State shared by the requests of one daemon.
@@ -492,6 +493,7 @@
     routing::work_table work_;
     routing::endpoint_chooser chooser_;
     routing::account_limiter limiter_;
+    std::unique_ptr<reachability_monitor> reachability_;
     endpoint_pool pool_;
     /// Connections to other VMs, by the names of the VMs.
     endpoint_pool peer_pool_;
