Find out that this VM is cut off from a service, and when it is back

- Lines service_unreached (evidence: endpoint, kind and age of each failure) and service_reached.
- A call without progress deprioritizes its endpoint and closes its kept connections, as the call in flight fails only when its connection times out (3 s).
- While a service is cut off, one new connection a second is tried, to one of its endpoints after the other, with a delay of each VM's own.
One that stands goes to the pool and ends the state; the endpoints that failed by the cut are no longer deprioritized for it.
No caller's request is spent.
- The services that other VMs state as unreached are kept for the lifetime of their statuses.

Run: gateway_tests, suites reachability_tests, endpoint_contact_tests.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -34,6 +34,7 @@
 #include "routing/endpoint_directory.h"
 #include "routing/endpoint_limits.h"
 #include "routing/hints.h"
+#include "routing/peer_reachability.h"
 #include "routing/prefix_cache_index.h"
 #include "routing/request_quarantine.h"
 #include "routing/stream_origins.h"
@@ -237,6 +238,18 @@
     }
     /// Sets the callback invoked when other VMs should receive a changed limit soon.
     void set_on_limit_change(std::function<void()> call) { on_limit_change_ = std::move(call); }
+    /// Whether this VM reaches endpoints of the service, by what its own connections show.
+    bool reaches(const service_id& it) const;
+    /// Returns the services that this VM is cut off from, ordered by id.
+    std::vector<service_id> unreached_services() const;
+    /// Sets the callback invoked when a service is cut off or reached again. It may run from inside
+    /// a connection's event, before the call there fails.
+    void set_on_reachability_change(
+        std::function<void(const service_id& service, bool reached)> call);
+    /// Applies the services that another VM states as unreached; valid for `lifetime`.
+    void on_peer_unreached(const vm_id& by, const std::vector<service_id>& services,
+                           duration lifetime);
+    const routing::peer_reachability& peer_reachability() const { return peer_reachability_; }
     /// Applies the complete list of evacuated availability zones.
     routing::evacuation_changes on_evacuations(gsl::span<const zone_id> zones);
     /// The evacuation of an availability zone has begun or ended.
@@ -441,6 +454,7 @@
     routing::account_limiter limiter_;
     std::unique_ptr<reachability_monitor> reachability_;
     endpoint_pool pool_;
+    routing::peer_reachability peer_reachability_;
     routing::request_quarantine quarantine_;
     std::optional<stop_limits> stop_;
     std::unique_ptr<crash_detector> crashes_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -47,7 +47,7 @@
       chooser_(directory_, limits_, cold_limits_, adapters_, load_times_, prompts_, work_,
                settings_.location),
       limiter_(settings_.limiter),
-      reachability_(std::make_unique<reachability_monitor>(time, directory_)),
+      reachability_(std::make_unique<reachability_monitor>(loop, time, directory_, pool_)),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
           loop,
@@ -264,6 +264,7 @@
 
 void gateway::set_members(const vm_id& self, gsl::span<const vm_id> vms, bool is_counted) {
     fleet_size_ = std::max<std::size_t>(1, vms.size());
+    reachability_->set_vm(self);
     std::vector<vm_id> others(vms.begin(), vms.end());
     others.erase(std::remove(others.begin(), others.end(), self), others.end());
     limiter_.set_members(others);
@@ -392,6 +393,24 @@
     }
 }
 
+bool gateway::reaches(const service_id& it) const {
+    return reachability_->reaches(it);
+}
+
+std::vector<service_id> gateway::unreached_services() const {
+    return reachability_->unreached();
+}
+
+void gateway::set_on_reachability_change(
+    std::function<void(const service_id& service, bool reached)> call) {
+    reachability_->set_on_change(std::move(call));
+}
+
+void gateway::on_peer_unreached(const vm_id& by, const std::vector<service_id>& services,
+                                duration lifetime) {
+    peer_reachability_.on_status(by, services, time_.now(), lifetime);
+}
+
 void gateway::begin_trial(const routing::suspect_id& id, const request_id& request) {
     telemetry::log_event(telemetry::severity::warning, "suspect_trial",
                          {{"suspect", routing::to_text(id)}, {"request", request}});
@@ -482,6 +501,7 @@
         adapters_.on_removed(it.id);
         prompts_.forget(it.id);
         pool_.close_idle(it.id);
+        reachability_->forget(it.id);
     }
     limits_.on_entry(it);
     cold_limits_.on_entry(it, time_.now());
@@ -491,6 +511,7 @@
 void gateway::on_endpoint_removed(const endpoint_id& id) {
     cold_limits_.on_entry_removed(id, time_.now());
     adapters_.on_removed(id);
+    reachability_->forget(id);
     pool_.close_idle(id);
 }
 
@@ -545,6 +566,7 @@
 
 void gateway::sweep() {
     note_serving_software();
+    peer_reachability_.drop_expired(time_.now());
     finishing_.erase(std::remove_if(finishing_.begin(), finishing_.end(),
                                     [](const auto& it) { return !it->is_sending(); }),
                      finishing_.end());
--- a/libs/routing/include/routing/endpoint_directory.h
+++ b/libs/routing/include/routing/endpoint_directory.h
@@ -66,6 +66,8 @@
     std::vector<endpoint_id> advance(time_point now);
     /// Records the outcome of a call.
     void on_call(const endpoint_id& id, call_outcome outcome, time_point now);
+    /// Ends the effect of failed calls, because this VM and not the endpoint caused them.
+    void reset_failures(const endpoint_id& id);
     /// Records what an endpoint announces in a response; returns whether it is new. Directory
     /// entries may be stale and don't revert what the same endpoint start announced.
     bool on_notice(const endpoint_incarnation& from, const endpoint_notice& it, time_point now);
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -120,6 +120,15 @@
     }
 }
 
+void endpoint_directory::reset_failures(const endpoint_id& id) {
+    const auto found = records_.find(id);
+    if (found != records_.end()) {
+        found->second.backoff = duration::zero();
+        found->second.backoff_until = time_point::min();
+        found->second.failure_rate = 0;
+    }
+}
+
 const endpoint_directory::notice_record* endpoint_directory::notice_of(
     const endpoint_incarnation& from) const {
     const auto found = notices_.find(from.id);
