Refusals accuse no request while other endpoints can't be reached either

What callers would see: a VM whose path is cut, and whose new connections are refused, accused the requests that broke off there of crashing their endpoint; two such VMs, or two such requests with a shared part of the prompt, block it at all VMs. Cause: crash_detector took any refused connection for the end of a process. Fix: a check also connects to up to three other endpoints that this VM is not known to have lost, those of the service first. The refusal counts if more of them stand than not; where there is no other endpoint at all, it counts as before. The connections go to the pool. Endpoints that crashed before don't spoil the evidence: they are known as lost, or are outvoted.

Run: gateway_tests, suites crash_evidence_tests, request_quarantine_tests, reachability_tests.

--- a/libs/gateway/src/crash_detector.cpp
+++ b/libs/gateway/src/crash_detector.cpp
@@ -1,12 +1,12 @@
 #include "crash_detector.h"
 
+#include <optional>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/findings.h"
-#include "gateway/endpoint_pool.h"
 #include "telemetry/event_log.h"
 
 namespace radishpulley::gateway {
@@ -28,15 +28,26 @@
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
     std::vector<suspects> requests;
+    /// Whether the suspect refused the connection; unset until that is known.
+    std::optional<bool> is_refused;
+    /// Whether there are other endpoints, which would tell a crash from a cut.
+    bool has_others = false;
+    std::size_t controls_left = 0;
+    std::size_t controls_connected = 0;
+    std::size_t controls_failed = 0;
+
+    /// Whether more of the other endpoints were reached than not.
+    bool reaches_others() const { return !has_others || controls_connected > controls_failed; }
 };
 
-crash_detector::crash_detector(boost::asio::io_context& loop, crash_handler on_crash)
-    : loop_(loop), on_crash_(std::move(on_crash)) {}
+crash_detector::crash_detector(boost::asio::io_context& loop, endpoint_pool& pool,
+                               crash_handler on_crash)
+    : loop_(loop), pool_(pool), on_crash_(std::move(on_crash)) {}
 
 crash_detector::~crash_detector() = default;
 
 void crash_detector::check(const routing::endpoint_incarnation& suspect, const std::string& address,
-                           suspects of_request) {
+                           const control_group& controls, suspects of_request) {
     const auto found = checks_.find(suspect.id);
     if (found != checks_.end()) {
         found->second->requests.push_back(std::move(of_request));
@@ -64,19 +75,51 @@
     });
     it->socket.async_connect(to, [this, weak](const error_code& ec) {
         if (const auto held = weak.lock()) {
-            finish(held, ec == boost::asio::error::connection_refused);
+            held->timer.cancel();
+            held->is_refused = ec == boost::asio::error::connection_refused;
+            finish_if_complete(held);
         }
     });
+    connect_to_controls(it, controls);
+}
+
+void crash_detector::connect_to_controls(const std::shared_ptr<pending_check>& it,
+                                         const control_group& controls) {
+    it->has_others = controls.has_others;
+    it->controls_left = controls.endpoints.size();
+    for (const target& each : controls.endpoints) {
+        pool_.connect(each.id, each.address,
+                      [this, weak = std::weak_ptr<pending_check>(it),
+                       id = each.id](std::shared_ptr<endpoint_link> connection) {
+                          const auto held = weak.lock();
+                          if (held) {
+                              --held->controls_left;
+                              ++(connection ? held->controls_connected : held->controls_failed);
+                          }
+                          if (connection) {
+                              pool_.release(id, std::move(connection));
+                          }
+                          if (held) {
+                              finish_if_complete(held);
+                          }
+                      });
+    }
 }
 
-void crash_detector::finish(const std::shared_ptr<pending_check>& it, bool is_refused) {
-    it->timer.cancel();
-    checks_.erase(it->suspect.id);
+void crash_detector::finish_if_complete(const std::shared_ptr<pending_check>& it) {
+    const bool is_complete = it->is_refused && (!*it->is_refused || it->controls_left == 0);
+    if (!is_complete || checks_.erase(it->suspect.id) == 0) {
+        return;
+    }
+    const bool has_crashed = *it->is_refused && it->reaches_others();
     telemetry::log_event(severity::info, "crash_check",
                          {{"endpoint", it->suspect.id},
-                          {"crashed", is_refused},
+                          {"crashed", has_crashed},
+                          {"refused", *it->is_refused},
+                          {"others_connected", it->controls_connected},
+                          {"others_failed", it->controls_failed},
                           {"unanswered_requests", it->requests.size()}});
-    if (is_refused) {
+    if (has_crashed) {
         on_crash_(it->suspect, it->requests);
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -50,7 +50,7 @@
       reachability_(std::make_unique<reachability_monitor>(loop, time, directory_, pool_)),
       pool_(loop, time),
       crashes_(std::make_unique<crash_detector>(
-          loop,
+          loop, pool_,
           [this](const auto& crashed, const auto& requests) { on_crash(crashed, requests); })),
       responses_(metrics.add_counters("answers_total", "Answers by account, route and status.",
                                       {"account", "route", "status"})),
@@ -368,7 +368,8 @@
     const bool may_have_crashed =
         known != nullptr && !known->draining && known->started_at_ms == at.started_at_ms;
     if (may_have_crashed) {
-        crashes_->check(at, known->address, {suspects.begin(), suspects.end()});
+        crashes_->check(at, known->address, reachability_->controls_for(*known),
+                        {suspects.begin(), suspects.end()});
     }
 }
 
--- a/libs/gateway/src/reachability_monitor.cpp
+++ b/libs/gateway/src/reachability_monitor.cpp
@@ -40,6 +40,26 @@
     services_.forget(id);
 }
 
+crash_detector::control_group reachability_monitor::controls_for(
+    const routing::endpoint& it) const {
+    crash_detector::control_group out;
+    std::vector<const routing::endpoint*> others = directory_.all();
+    std::stable_partition(others.begin(), others.end(), [&it](const routing::endpoint* each) {
+        return each->service == it.service;
+    });
+    for (const routing::endpoint* each : others) {
+        if (each->id == it.id || each->draining) {
+            continue;
+        }
+        out.has_others = true;
+        const bool is_known_lost = failed_.count(each->id) != 0;
+        if (!is_known_lost && out.endpoints.size() < crash_detector::max_controls) {
+            out.endpoints.push_back({each->id, each->address});
+        }
+    }
+    return out;
+}
+
 void reachability_monitor::on_contact(const endpoint_id& with, routing::contact_proof by) {
     const time_point now = time_.now();
     const auto found = failed_.find(with);
--- a/libs/gateway/src/reachability_monitor.h
+++ b/libs/gateway/src/reachability_monitor.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/clock.h"
+#include "crash_detector.h"
 #include "gateway/contact_observer.h"
 #include "gateway/endpoint_pool.h"
 #include "routing/endpoint_directory.h"
@@ -35,8 +36,9 @@
 
     bool reaches(const service_id& it) const { return services_.reaches(it); }
     std::vector<service_id> unreached() const { return services_.unreached(); }
-    /// Whether contact with the endpoint has failed since it was reached last.
-    bool has_failed(const endpoint_id& id) const { return failed_.count(id) != 0; }
+    /// Returns endpoints that show whether this VM is cut off if contact with `it` fails: those of
+    /// its service first.
+    crash_detector::control_group controls_for(const routing::endpoint& it) const;
 
     void on_contact(const endpoint_id& with, routing::contact_proof by) override;
     void on_contact_failed(const endpoint_id& with, routing::contact_failure by) override;
