--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -210,6 +210,8 @@
         });
         data_path_.set_on_suspects_change([this] { suspects_call_.request(); });
         data_path_.set_on_limit_change([this] { fleet_status_call_.request(); });
+        data_path_.set_on_reachability_change(
+            [this](const service_id&, bool) { fleet_status_call_.request(); });
     }
 
     void run() {
@@ -543,6 +545,7 @@
             data_path_.work().on_peer_work(it.from.vm, status->work, now, work_lifetime);
             data_path_.limiter().on_peer_demand(it.from.vm, status->demand);
             contacts_.on_status(it.from.vm, status->losses, now);
+            data_path_.on_peer_unreached(it.from.vm, status->unreached_services, work_lifetime);
             for (const routing::advertised_limit& limit : status->limits) {
                 data_path_.on_peer_limit(it.from.vm, limit);
             }
@@ -580,6 +583,7 @@
         endpoints_known_.set(static_cast<double>(data_path_.directory().all().size()));
         endpoints_limited_.set(static_cast<double>(data_path_.limits().count()));
         endpoints_cold_.set(static_cast<double>(data_path_.cold_limits().cold_count(time_.now())));
+        services_unreached_.set(static_cast<double>(data_path_.unreached_services().size()));
         requests_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(true)));
         segments_blocked_.set(static_cast<double>(data_path_.quarantine().blocked_count(false)));
         engines_held_.set(static_cast<double>(loads_.engines_held()));
@@ -619,6 +623,7 @@
         status.limits = data_path_.limits().advertised_limits(time_.now());
         status.suspects = data_path_.quarantine().suspects(time_.now());
         status.losses = contacts_.to_state(time_.now());
+        status.unreached_services = data_path_.unreached_services();
         return status;
     }
 
@@ -752,6 +757,8 @@
     telemetry::gauge& endpoints_limited_ =
         add_gauge("endpoints_limited", "Endpoints that name a limit in their answers.");
     telemetry::gauge& endpoints_cold_ = add_gauge("endpoints_cold", "Endpoints that are cold.");
+    telemetry::gauge& services_unreached_ =
+        add_gauge("services_unreached", "Services of which this VM reaches no endpoint.");
     telemetry::gauge& requests_blocked_ =
         add_gauge("requests_blocked", "Single requests that are refused, as they crash endpoints.");
     telemetry::gauge& segments_blocked_ =
