--- a/libs/gateway/src/connection_sweep.cpp
+++ b/libs/gateway/src/connection_sweep.cpp
@@ -32,6 +32,13 @@
     };
     connections_.erase(std::remove_if(connections_.begin(), connections_.end(), is_idle),
                        connections_.end());
+    // A connection is added for each of its calls.
+    std::sort(connections_.begin(), connections_.end(), std::owner_less<>());
+    const auto is_same = [](const auto& a, const auto& b) {
+        return !a.owner_before(b) && !b.owner_before(a);
+    };
+    connections_.erase(std::unique(connections_.begin(), connections_.end(), is_same),
+                       connections_.end());
     // The checks may add connections.
     const auto all = connections_;
     for (const std::weak_ptr<endpoint_link>& it : all) {
