A line and a counter for each close of a caller's connection

Connections that a stop dropped before they were read (close_callers() cleared them), those over the limit and those whose caller had left first were in no counter; further requests in the buffer behind a last response were thrown away uncounted, and a connection that was closed, reset or given up before its caller had received the last response left nothing.

- caller_connections_closed_total: phase `accepted`, reason `refused_early`; caller_cut with unread bytes for connections that a stop closes unread.
- caller_response_undelivered and caller_responses_undelivered_total: bytes of a last response that were not acknowledged when the connection ended, also at the end of the process.
- caller_input_discarded counts the buffered bytes, too, and is logged once for each connection; the rest of a request that was refused early is counted under its own reason and not logged.
- idle_callers_closed: how many connections a stop closed, and the shortest time one lay idle.
- stopped: connections that were left.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -73,6 +73,8 @@
 
 /// What a caller's connection was doing when it was closed.
 enum class caller_phase {
+    /// It was accepted, and not read yet.
+    accepted,
     /// No request had begun to arrive since the last response.
     idle,
     /// A part of a request had arrived.
@@ -91,6 +93,8 @@
     connection_broken,
     /// The response that was sent is the last one of the connection.
     last_response,
+    /// The same, for a request that had not arrived completely.
+    refused_early,
     /// The response could not be completed.
     response_aborted,
     /// Its memory or its descriptor was needed for others.
@@ -146,8 +150,8 @@
     virtual duration max_unread() const { return duration::zero(); }
     virtual void on_closed(const std::shared_ptr<class caller_link>& it,
                            const caller_closure& how) = 0;
-    /// Input was discarded that arrived after the connection was closed.
-    virtual void on_discarded(close_reason /*why*/, std::size_t /*bytes*/) {}
+    /// A connection was closed that had been announced as closing.
+    virtual void on_finished(close_reason /*why*/, const finish_outcome& /*it*/) {}
 };
 
 /// Returns how long a caller whose request was refused before it had arrived may go on sending it:
@@ -177,6 +181,8 @@
     bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
     /// Whether a request is being read or processed.
     bool is_busy() const;
+    /// Time since the last response, or since the connection was established.
+    duration idle_time(time_point now) const { return now - idle_since_; }
     /// Closes at once.
     void close(close_reason why);
     /// Refuses the request or closes the connection, to free what it holds.
@@ -238,7 +244,7 @@
     caller_closure closure(close_reason why) const;
     void handle_close(const caller_closure& how);
     /// Sends what is queued and closes.
-    void finish(close_reason why);
+    void finish();
 
     std::shared_ptr<link> link_;
     boost::asio::steady_timer timer_;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -292,7 +292,7 @@
     bool is_stopping() const override { return stop_.has_value(); }
     duration max_unread() const override { return turns_.max_unread(); }
     void on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) override;
-    void on_discarded(close_reason why, std::size_t bytes) override;
+    void on_finished(close_reason why, const finish_outcome& it) override;
     bool refuse_early(caller_request head, response_writer& out) override;
     void refuse(caller_request head, std::string_view reason, response_writer& out) override;
     std::shared_ptr<memory_budget> budget() override { return budget_; }
@@ -371,6 +371,8 @@
     void log_turned_away();
     /// Logs a closed connection from which a request was taken without an answer.
     void log_cut(const caller_closure& how) const;
+    /// Closes a connection that was not read.
+    void close_unread(const accepted_connection& it, close_reason why);
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
     void on_stated_limit(const routing::endpoint_incarnation& from,
@@ -470,6 +472,7 @@
     telemetry::counter_family& closures_;
     telemetry::counter_family& resumptions_;
     telemetry::counter_family& discarded_bytes_;
+    telemetry::counter_family& undelivered_responses_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
     telemetry::histogram& turn_times_;
--- a/libs/gateway/include/gateway/link.h
+++ b/libs/gateway/include/gateway/link.h
@@ -72,6 +72,14 @@
     std::chrono::milliseconds total{1'000};
 };
 
+/// What was lost on a connection after link::finish().
+struct finish_outcome {
+    /// Received bytes that were thrown away, with those that were not handled before.
+    std::size_t discarded = 0;
+    /// Written bytes that the peer's system had not acknowledged when the connection was closed.
+    std::size_t undelivered = 0;
+};
+
 /// A TCP connection.
 class link : public std::enable_shared_from_this<link> {
 public:
@@ -107,10 +115,11 @@
     std::size_t unread_bytes() const;
     /// Whether any byte was passed to the operating system.
     bool has_written() const { return has_written_; }
-    using discard_callback = std::function<void(std::size_t bytes)>;
+    using finish_callback = std::function<void(const finish_outcome& it)>;
     /// Sends what is queued, half-closes the connection and waits for the peer's end, so that no
-    /// sent byte is lost. What the peer sends meanwhile is discarded and reported.
-    void finish(discard_callback on_discarded = {}, linger_limits limits = {});
+    /// sent byte is lost. What the peer sends meanwhile is discarded. `on_closed` runs once, when
+    /// the connection is closed.
+    void finish(finish_callback on_closed = {}, linger_limits limits = {});
     /// Closes at once; the peer sees a reset if there is unread input.
     void close();
     /// Closes with a reset, so that the peer does not take a truncated message for a complete one.
@@ -140,12 +149,16 @@
     void linger();
     /// Waits for the peer's end, up to the limits.
     void wait_for_peer();
+    /// Reports how the connection ends, before it is closed.
+    void report_finish();
 
     socket socket_;
     boost::asio::steady_timer timer_;
     link_options options_;
     link_handler* handler_ = nullptr;
-    discard_callback on_discarded_;
+    finish_callback on_finished_;
+    /// Received bytes that were thrown away.
+    std::size_t discarded_ = 0;
     linger_limits linger_limits_;
     /// When the peer must have closed; set once all bytes are sent.
     std::optional<std::chrono::steady_clock::time_point> linger_ends_;
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -48,6 +48,8 @@
 
 std::string_view to_text(caller_phase it) {
     switch (it) {
+        case caller_phase::accepted:
+            return "accepted";
         case caller_phase::idle:
             return "idle";
         case caller_phase::arriving:
@@ -68,6 +70,8 @@
             return "connection_broken";
         case close_reason::last_response:
             return "last_response";
+        case close_reason::refused_early:
+            return "refused_early";
         case close_reason::response_aborted:
             return "response_aborted";
         case close_reason::turned_away:
@@ -140,11 +144,14 @@
     handle_close(how);
 }
 
-void caller_link::finish(close_reason why) {
+void caller_link::finish() {
+    const bool is_rest_missing = !parser_->is_done();
+    const close_reason why =
+        is_rest_missing ? close_reason::refused_early : close_reason::last_response;
     const caller_closure how = closure(why);
-    const bool is_rest_missing = why == close_reason::last_response && !parser_->is_done();
-    link_->finish([&service = service_, why](std::size_t n) { service.on_discarded(why, n); },
-                  is_rest_missing ? linger_for_rest(service_.caller_limits()) : linger_limits());
+    link_->finish(
+        [&service = service_, why](const finish_outcome& it) { service.on_finished(why, it); },
+        is_rest_missing ? linger_for_rest(service_.caller_limits()) : linger_limits());
     handle_close(how);
 }
 
@@ -486,7 +493,7 @@
     // While the process stops, a connection whose last head did not say that it closes stays open
     // until it is idle: its next request may be on its way.
     if (!keep_alive_) {
-        finish(close_reason::last_response);
+        finish();
         return;
     }
     begin_request();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -63,6 +63,11 @@
       discarded_bytes_(metrics.add_counters("caller_bytes_discarded_total",
                                             "Input that arrived on closed connections of callers.",
                                             {"reason"})),
+      undelivered_responses_(
+          metrics.add_counters("caller_responses_undelivered_total",
+                               "Last responses of connections that were closed before their "
+                               "callers had received them.",
+                               {"reason"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
                                         {"account", "route"})),
       unread_times_(
@@ -675,13 +680,29 @@
     ++refused_unread_;
     it.connection->start();
     it.connection->write(std::string(overloaded_response));
-    it.connection->finish({}, linger_for_rest(caller_limits()));
+    it.connection->finish(
+        [this](const finish_outcome& how) { on_finished(close_reason::refused_early, how); },
+        linger_for_rest(caller_limits()));
     lingering_.push_back(it.connection);
+    closures_.with({to_text(caller_phase::accepted), to_text(close_reason::refused_early)}).add();
+}
+
+void gateway::close_unread(const accepted_connection& it, close_reason why) {
+    const caller_closure how{caller_phase::accepted, why, it.connection->unread_bytes(), 0,
+                             time_.now() - it.established};
+    closures_.with({to_text(how.phase), to_text(how.reason)}).add();
+    if (how.unread > 0) {
+        log_cut(how);
+    }
+    it.connection->close();
 }
 
 bool gateway::has_caller_left(const accepted_connection& it) {
     const bool has_left = it.connection->receiving().has_ended;
-    callers_left_unread_ += has_left ? 1 : 0;
+    if (has_left) {
+        ++callers_left_unread_;
+        closures_.with({to_text(caller_phase::accepted), to_text(close_reason::by_caller)}).add();
+    }
     return has_left;
 }
 
@@ -690,6 +711,7 @@
     if (connection_count() >= settings_.max_connections && !free_connection()) {
         // The new connection is closed with its socket.
         note_turned_away(connection_limit);
+        closures_.with({to_text(caller_phase::accepted), to_text(close_reason::turned_away)}).add();
         return;
     }
     link_options options;
@@ -708,11 +730,20 @@
 
 void gateway::close_idle_callers() {
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    const time_point now = time_.now();
+    std::size_t closed = 0;
+    duration least_idle = duration::max();
     for (const auto& it : all) {
         if (!it->is_busy()) {
+            ++closed;
+            least_idle = std::min(least_idle, it->idle_time(now));
             it->close(close_reason::stopping);
         }
     }
+    if (closed > 0) {
+        telemetry::log_event(telemetry::severity::info, "idle_callers_closed",
+                             {{"callers", closed}, {"least_idle", least_idle}});
+    }
 }
 
 void gateway::end_requests() {
@@ -722,11 +753,19 @@
 }
 
 void gateway::close_callers() {
+    for (const accepted_connection& it : accepted_) {
+        close_unread(it, close_reason::stopping);
+    }
     accepted_.clear();
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
         it->close(close_reason::stopping);
     }
+    for (const std::weak_ptr<link>& it : lingering_) {
+        if (const auto open = it.lock()) {
+            open->close();
+        }
+    }
 }
 
 bool gateway::is_sending_last_answers() const {
@@ -878,19 +917,32 @@
                           {"configuration_age", configuration_age_()}});
 }
 
-void gateway::on_discarded(close_reason why, std::size_t bytes) {
-    discarded_bytes_.with({to_text(why)}).add(bytes);
-    if (why != close_reason::last_response) {
+void gateway::on_finished(close_reason why, const finish_outcome& it) {
+    if (it.discarded > 0) {
+        discarded_bytes_.with({to_text(why)}).add(it.discarded);
+    }
+    // What arrives behind a request that was refused early is its own rest.
+    const bool is_request_lost = it.discarded > 0 && why != close_reason::refused_early;
+    if (is_request_lost) {
         telemetry::log_event(telemetry::severity::warning, "caller_input_discarded",
-                             {{"reason", to_text(why)}, {"bytes", bytes}});
+                             {{"reason", to_text(why)}, {"bytes", it.discarded}});
+    }
+    if (it.undelivered > 0) {
+        undelivered_responses_.with({to_text(why)}).add();
+        telemetry::log_event(telemetry::severity::warning, "caller_response_undelivered",
+                             {{"reason", to_text(why)},
+                              {"bytes", it.undelivered},
+                              {"discarded", it.discarded},
+                              {"stopping", is_stopping()}});
     }
 }
 
 void gateway::on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) {
     closures_.with({to_text(how.phase), to_text(how.reason)}).add();
     // What arrives after the last response was announced needs no response.
-    const bool is_expected =
-        how.reason == close_reason::by_caller || how.reason == close_reason::last_response;
+    const bool is_expected = how.reason == close_reason::by_caller ||
+                             how.reason == close_reason::last_response ||
+                             how.reason == close_reason::refused_early;
     const bool is_unanswered =
         how.phase != caller_phase::idle || how.unread > 0 || how.undelivered > 0;
     if (!is_expected && is_unanswered) {
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -124,9 +125,9 @@
 }
 
 void link::on_read(const error_code& ec, const char* bytes, std::size_t n) {
-    if (finishing_ && n > 0 && on_discarded_) {
-        on_discarded_(n);
-    } else if (!finishing_ && n > 0) {
+    if (finishing_) {
+        discarded_ += n;
+    } else if (n > 0) {
         input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
     }
     if (ec) {
@@ -216,14 +217,15 @@
     }
 }
 
-void link::finish(discard_callback on_discarded, linger_limits limits) {
+void link::finish(finish_callback on_closed, linger_limits limits) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
-    on_discarded_ = std::move(on_discarded);
+    on_finished_ = std::move(on_closed);
     linger_limits_ = limits;
     handler_ = nullptr;
+    discarded_ = input_.size();
     input_.consume(input_.size());
     input_.shrink_to_fit();
     if (being_written_.empty()) {
@@ -256,7 +258,7 @@
 
 std::size_t link::unread_bytes() const {
     error_code ec;
-    const std::size_t n = is_open() ? socket_.available(ec) : 0;
+    const std::size_t n = socket_.is_open() ? socket_.available(ec) : 0;
     return ec ? 0 : n;
 }
 
@@ -289,7 +291,20 @@
     close();
 }
 
+void link::report_finish() {
+    const auto report = std::exchange(on_finished_, {});
+    if (!report) {
+        return;
+    }
+    // The system counts the end of the output as one byte.
+    const std::size_t end_marker = linger_ends_ ? 1 : 0;
+    const std::size_t left = undelivered();
+    const finish_outcome outcome{discarded_ + unread_bytes(), left - std::min(left, end_marker)};
+    run_guarded("finish", [&] { report(outcome); });
+}
+
 void link::close() {
+    report_finish();
     ended_ = true;
     handler_ = nullptr;
     options_.lease.reset();
--- /dev/null
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -0,0 +1,128 @@
+// Connections of callers that this process closes: what it counts, and what their callers get.
+#include <chrono>
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+
+namespace radishpulley::gateway::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int small_receive_buffer = 4'096;
+// More than a caller's system takes while the caller doesn't read, and less than what this one
+// keeps.
+constexpr std::size_t unread_body_size = 20'000;
+
+struct fixture : gateway_fixture {
+    fixture() {
+        configure();
+        add_endpoint("e1", [this](const std::string& request, peer& it) {
+            it.send(response("200 OK", id_of(request), body));
+        });
+    }
+
+    bool is_counted(const std::string& counter) const {
+        return metrics.to_text().find(counter) != std::string::npos;
+    }
+
+    // Returns a caller that has sent a request and does not read its response, which waits in the
+    // operating system.
+    std::shared_ptr<peer> leave_response_unread(const std::string& headers) {
+        body = std::string(unread_body_size, 'x') + "done";
+        const auto caller = connect_without_reading(small_receive_buffer);
+        caller->send(request("GET /again/x", "r1", headers));
+        run_until([&] { return endpoint(0).requests.size() == 1 && proxy().request_count() == 0; });
+        run_until([&] { return proxy().unsent_bytes() == 0; });
+        return caller;
+    }
+
+    // Returns a caller on which a response has just ended whose head, sent before the stop, did not
+    // announce the close.
+    std::shared_ptr<peer> end_response_in_stop() {
+        proxy().on_endpoint_removed(endpoint_id("e1"));
+        proxy().directory().on_removed(endpoint_id("e1"), time.now());
+        std::shared_ptr<peer> pending;
+        add_endpoint("e2", [&pending, this](const std::string& request, peer& it) {
+            if (id_of(request) == "r1") {
+                it.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signature: s\r\n" +
+                        std::string("Content-Length: 4\r\n\r\nha"));
+                pending = it.shared_from_this();
+            } else {
+                it.send(response("200 OK", id_of(request), body));
+            }
+        });
+        const auto caller = connect();
+        caller->send(request("GET /again/x", "r1"));
+        run_until([&] { return ends_with(caller->received, "ha"); });
+        proxy().begin_stop(usual_stop());
+        pending->send("lf");
+        run_until([&] { return ends_with(caller->received, "half"); });
+        return caller;
+    }
+
+    // Sends a request and requires that it is answered.
+    void check_answered(peer& caller, const std::string& id) {
+        caller.send(request("GET /again/x", id));
+        run_until([&] { return caller.ended; });
+        BOOST_TEST(caller.received.find("X-Id: " + id) != std::string::npos);
+        BOOST_TEST(ends_with(caller.received, "done"));
+    }
+
+    void run_for(milliseconds time) {
+        loop.restart();
+        loop.run_for(time);
+    }
+
+    stop_limits usual_stop() const {
+        return stop_in(std::chrono::seconds(3), std::chrono::seconds(8));
+    }
+
+    // Bytes of a request whose body does not arrive completely.
+    static std::string part_of_request(const std::string& line) {
+        const std::string all = request(line, "r1", "", std::string(1'000, 'b'));
+        return all.substr(0, all.size() - 500);
+    }
+
+    std::string body = "done";
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(closing_connections_tests)
+
+// Guards against a stop that drops connections which it has accepted without a trace.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_is_closed_unread_is_counted, fixture) {
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return proxy().caller_count() == 1; });
+    proxy().close_callers();
+    BOOST_TEST(is_counted(R"(closed_total{phase="accepted",reason="stopping"} 1)"));
+}
+
+// Guards against requests that are discarded behind a last response without a trace, because they
+// were read together with the one before.
+BOOST_FIXTURE_TEST_CASE(a_request_that_was_read_behind_the_last_one_is_counted, fixture) {
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1", "Connection: close\r\n") +
+                 request("GET /again/x", "r2"));
+    run_until([&] { return caller->ended; });
+    caller->close();
+    run_until([&] { return proxy().connection_count() == 0; });
+    BOOST_TEST(is_counted(R"(caller_bytes_discarded_total{reason="last_response"})"));
+}
+
+// Guards against a process that ends before a caller has received its last response, without a
+// trace.
+BOOST_FIXTURE_TEST_CASE(a_last_response_that_is_not_received_is_counted, fixture) {
+    const auto caller = leave_response_unread("Connection: close\r\n");
+    BOOST_TEST(proxy().connection_count() == 1U);
+    proxy().close_callers();
+    BOOST_TEST(proxy().connection_count() == 0U);
+    BOOST_TEST(is_counted(R"(caller_responses_undelivered_total{reason="last_response"} 1)"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace radishpulley::gateway::testing
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -232,9 +232,12 @@
         while (!telemetry::run_guarded("event loop", [this] { loop_.run(); })) {
         }
         const std::size_t left = data_path_.request_count();
+        const std::size_t connections_left = data_path_.connection_count();
         data_path_.close_callers();
         telemetry::log_event(severity::info, "stopped",
-                             {{"vm", settings_.vm}, {"requests_left", left}});
+                             {{"vm", settings_.vm},
+                              {"requests_left", left},
+                              {"connections_left", connections_left}});
     }
 
 private:
