A lowered idle limit holds from the next response on, also at the looks before

Callers saw: beside changes of the configuration, one of the idle limit, requests on kept connections that were cut without an answer, with no stop near.

Cause: the timer of an idle connection looks five times within the limit and went by the limit in force at the look. After a change that lowers it, a connection ended at the next look, within the time for which its caller may still use it. The case that guards against this, a_lowered_idle_limit_holds_from_the_next_response_on, ends before the first look (0.36 s of 1 s).

Evidence: closing_connections_tests/a_lowered_idle_limit_ends_no_connection_that_lies_idle failed on the code before (both connections had ended after half of the earlier limit, and the request on one got nothing; 2 of 2 runs), and passes. That the two cuts which the users' developers saw are these is not shown: they left no line.

Now the longest limit that was in force since the last response holds.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -265,6 +265,8 @@
     time_point body_began_{};
     /// Since when no request has begun to arrive.
     time_point idle_since_{};
+    /// Longest idle timeout that was in force since then.
+    std::chrono::milliseconds idle_limit_{0};
     bool reading_request_ = false;
     bool head_seen_ = false;
     /// Whether it was checked that the request, whose body is arriving, could be served.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -248,7 +248,8 @@
     checked_early_ = false;
     answering_ = false;
     idle_since_ = time_.now();
-    set_timeout(service_.caller_limits().idle_timeout / idle_looks);
+    idle_limit_ = service_.caller_limits().idle_timeout;
+    set_timeout(idle_limit_ / idle_looks);
 }
 
 void caller_link::begin_reading() {
@@ -305,13 +306,15 @@
 void caller_link::on_idle_timeout() {
     const time_point now = time_.now();
     const bool is_in_use = link_->undelivered() > 0 || link_->has_unread();
+    const std::chrono::milliseconds limit = service_.caller_limits().idle_timeout;
     if (is_in_use) {
         idle_since_ = now;
+        idle_limit_ = limit;
     }
     // A lowered limit holds from the next response on: callers go by the one that was in force at
     // the last.
-    const std::chrono::milliseconds limit = service_.caller_limits().idle_timeout;
-    const duration left = is_in_use ? limit / idle_looks : idle_since_ + limit - now;
+    idle_limit_ = std::max(idle_limit_, limit);
+    const duration left = is_in_use ? limit / idle_looks : idle_since_ + idle_limit_ - now;
     if (left > duration::zero()) {
         set_timeout(std::chrono::ceil<std::chrono::milliseconds>(left));
         return;
--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -123,6 +123,29 @@
     BOOST_TEST(is_counted(R"(caller_responses_undelivered_total{reason="last_response"} 1)"));
 }
 
+// Guards against connections that a lowered idle limit ends while callers count on the earlier one,
+// when its time is looked at.
+BOOST_FIXTURE_TEST_CASE(a_lowered_idle_limit_ends_no_connection_that_lies_idle, fixture) {
+    constexpr milliseconds earlier_limit{1'000};
+    constexpr milliseconds lowered_limit{50};
+    idle_timeout = earlier_limit;
+    configure();
+    const auto caller = connect();
+    const auto unused = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return ends_with(caller->received, "done"); });
+    idle_timeout = lowered_limit;
+    configure();
+    run_for(earlier_limit / 2);
+    BOOST_TEST(!caller->ended);
+    BOOST_TEST(!unused->ended);
+    caller->received.clear();
+    caller->send(request("GET /again/x", "r2"));
+    run_until([&] { return caller->ended || ends_with(caller->received, "done"); });
+    BOOST_TEST(ends_with(caller->received, "done"));
+    run_until([&] { return caller->ended; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
