A stop closes a connection once it is quiet and its response received

Callers saw: beside rolling stops, requests that were cut without an answer, most without a line, one with caller_cut phase=idle reason=stopping undelivered=81 phase_age=0.0128s.

Cause: a stop closed each connection that had no request and no unsent bytes at that moment. One that was new, or had just been answered without a notice, mostly has a request on its way; the operating system answers it with a reset, which also takes what the caller has not received of its response. With everything acknowledged such a close leaves no line.

Now a stop closes a connection half a second after its last event, and not while bytes of a response are under way. What is left: a request that is sent right when a connection that was quiet for longer is closed. It is not read, so that its caller may send it again.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -179,7 +179,7 @@
     bool has_caller_left() const override { return link_->receiving().has_ended; }
     /// Whether the operating system has not taken all written bytes yet.
     bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
-    /// Whether a request is being read or processed.
+    /// Whether a request is being read or processed, or a response is on its way.
     bool is_busy() const;
     /// Time since the last response, or since the connection was established.
     duration idle_time(time_point now) const { return now - idle_since_; }
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -260,7 +260,8 @@
     void end_requests();
     /// Accepts a caller's connection. Its requests are read when the process has time for them.
     void accept(link::socket socket);
-    /// Closes callers' connections that have no request in progress.
+    /// Closes callers' connections that have no request in progress, nor one that can be expected
+    /// to be on its way.
     void close_idle_callers();
     /// Closes all callers' connections and ends their requests. Must be called before the broker is
     /// destroyed.
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -121,7 +121,7 @@
 
 bool caller_link::is_busy() const {
     return reading_request_ || work_ != nullptr || link_->input().size() > 0 ||
-           link_->has_unread() || link_->unsent() > 0;
+           link_->has_unread() || link_->undelivered() > 0;
 }
 
 caller_phase caller_link::phase() const {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -31,6 +31,9 @@
 constexpr int caller_receive_buffer = 65'536;
 // Part of what callers may hold that their unread responses may be.
 constexpr std::size_t unsent_part_of_budget = 4;
+// Time without a request after which a stop closes a connection. Earlier, the first request of a
+// new connection or the next one behind a response is likely to be on its way.
+constexpr duration quiet_time = std::chrono::milliseconds(500);
 // Interval at which the loads of all engines are counted.
 constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
@@ -734,7 +737,7 @@
     std::size_t closed = 0;
     duration least_idle = duration::max();
     for (const auto& it : all) {
-        if (!it->is_busy()) {
+        if (!it->is_busy() && it->idle_time(now) >= quiet_time) {
             ++closed;
             least_idle = std::min(least_idle, it->idle_time(now));
             it->close(close_reason::stopping);
--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -123,6 +123,37 @@
     BOOST_TEST(is_counted(R"(caller_responses_undelivered_total{reason="last_response"} 1)"));
 }
 
+// Guards against a stop that closes a new connection while its first request is on its way.
+BOOST_FIXTURE_TEST_CASE(a_stop_waits_for_the_first_request_of_a_connection, fixture) {
+    const auto caller = connect();
+    run_until([&] { return proxy().caller_count() == 1; });
+    run_for(milliseconds(20));
+    proxy().begin_stop(usual_stop());
+    proxy().close_idle_callers();
+    check_answered(*caller, "r1");
+}
+
+// Guards against the same for the next request of a caller that was just answered and was not told
+// that its connection closes.
+BOOST_FIXTURE_TEST_CASE(a_stop_waits_for_the_request_behind_a_response_without_notice, fixture) {
+    const auto caller = end_response_in_stop();
+    proxy().close_idle_callers();
+    check_answered(*caller, "r2");
+}
+
+// Guards against a stop that takes from a caller the response that it is receiving, because a
+// request of the caller crosses the close and is answered with a reset.
+BOOST_FIXTURE_TEST_CASE(a_stop_keeps_a_connection_until_its_response_is_received, fixture) {
+    const auto caller = leave_response_unread("");
+    proxy().begin_stop(usual_stop());
+    time.jump(std::chrono::seconds(2));
+    proxy().close_idle_callers();
+    caller->send(request("GET /again/x", "r2"));
+    caller->start();
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(caller->received.size() > 2 * unread_body_size);
+}
+
 // Guards against connections that a lowered idle limit ends while callers count on the earlier one,
 // when its time is looked at.
 BOOST_FIXTURE_TEST_CASE(a_lowered_idle_limit_ends_no_connection_that_lies_idle, fixture) {
