A connection is kept while its caller still receives the last response

Callers could see: a last response that was cut. A connection that had announced its close was closed a second after its last bytes were given to the operating system, or at once for a new connection at the limit, though the caller had not received them. What the caller sent then was answered with a reset, which took the rest.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -846,8 +846,8 @@
 bool gateway::free_connection() {
     for (const std::weak_ptr<link>& it : lingering_) {
         const auto open = it.lock();
-        // A last response that is still being sent is not cut.
-        if (open && open->is_open() && open->unsent() == 0) {
+        // A last response that its caller still receives is not cut.
+        if (open && open->is_open() && open->undelivered() == 0) {
             open->close();
             return true;
         }
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -248,7 +248,12 @@
         if (ec || !is_due(self->timer_)) {
             return;
         }
-        if (self->has_unread() && std::chrono::steady_clock::now() < *self->linger_ends_) {
+        const auto now = std::chrono::steady_clock::now();
+        if (self->undelivered() > 0) {
+            // The system ends the connection if the peer acknowledges nothing for too long.
+            self->linger_ends_ = now + self->linger_limits_.silence;
+            self->wait_for_peer();
+        } else if (self->has_unread() && now < *self->linger_ends_) {
             self->wait_for_peer();
         } else {
             self->close();
@@ -269,7 +274,9 @@
     if (ioctl(fd, SIOCOUTQ, &in_system) != 0) {
         return unsent_;
     }
-    return unsent_ + static_cast<std::size_t>(std::max(in_system, 0));
+    // The system counts the end of the output as one byte.
+    const int end_marker = linger_ends_ ? 1 : 0;
+    return unsent_ + static_cast<std::size_t>(std::max(in_system - end_marker, 0));
 }
 
 receive_status link::receiving() {
@@ -296,10 +303,7 @@
     if (!report) {
         return;
     }
-    // The system counts the end of the output as one byte.
-    const std::size_t end_marker = linger_ends_ ? 1 : 0;
-    const std::size_t left = undelivered();
-    const finish_outcome outcome{discarded_ + unread_bytes(), left - std::min(left, end_marker)};
+    const finish_outcome outcome{discarded_ + unread_bytes(), undelivered()};
     run_guarded("finish", [&] { report(outcome); });
 }
 
--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -154,6 +154,31 @@
     BOOST_TEST(caller->received.size() > 2 * unread_body_size);
 }
 
+// Guards against a last response that is cut because its caller is still receiving it when the
+// connection has waited for the caller's end.
+BOOST_FIXTURE_TEST_CASE(a_last_response_is_not_cut_while_it_is_received, fixture) {
+    const auto caller = leave_response_unread("Connection: close\r\n");
+    run_for(linger_limits().total + milliseconds(100));
+    caller->send("more");
+    caller->start();
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(ends_with(caller->received, "done"));
+}
+
+// Guards against the same where the connection makes room for a new one.
+BOOST_FIXTURE_TEST_CASE(a_last_response_is_not_cut_for_a_new_connection, fixture) {
+    const auto caller = leave_response_unread("Connection: close\r\n");
+    gateway_settings full;
+    full.max_connections = 1;
+    proxy().reconfigure(full);
+    const auto late = connect();
+    run_until([&] { return late->ended; });
+    caller->send("more");
+    caller->start();
+    run_until([&] { return caller->ended; });
+    BOOST_TEST(ends_with(caller->received, "done"));
+}
+
 // Guards against connections that a lowered idle limit ends while callers count on the earlier one,
 // when its time is looked at.
 BOOST_FIXTURE_TEST_CASE(a_lowered_idle_limit_ends_no_connection_that_lies_idle, fixture) {
