The end of a stop refuses requests that are arriving or lie unread

Callers could see: at the end of the grace period a connection that ended without a word, though a part of a request had been read, or a whole one lay unread because the process was busy. end_requests() answered only those that had been read whole.

Neither has reached an endpoint, so that the 503 is true.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -181,6 +181,7 @@
     bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
     /// Whether a request is being read or processed, or a response is on its way.
     bool is_busy() const;
+    caller_phase phase() const;
     /// Time since the last response, or since the connection was established.
     duration idle_time(time_point now) const { return now - idle_since_; }
     /// Closes at once.
@@ -239,7 +240,6 @@
     void on_timeout();
     /// Closes the connection if it has been idle for as long as the limit in force allows.
     void on_idle_timeout();
-    caller_phase phase() const;
     /// Describes the connection as it is now, to be closed for a reason.
     caller_closure closure(close_reason why) const;
     void handle_close(const caller_closure& how);
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -256,7 +256,8 @@
     /// From now on, responses ask callers to close their connections, and requests are refused as
     /// the limits say.
     void begin_stop(const stop_limits& limits) { stop_ = limits; }
-    /// Gives every request that is left its final response.
+    /// Gives every request that is left its final response, also those that have not arrived
+    /// completely or were not read.
     void end_requests();
     /// Accepts a caller's connection. Its requests are read when the process has time for them.
     void accept(link::socket socket);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -22,6 +22,7 @@
 // Reasons for turning a caller away.
 constexpr std::string_view memory_limit = "memory_limit";
 constexpr std::string_view connection_limit = "connection_limit";
+constexpr std::string_view stopping = "stopping";
 // The response to a request that was not read.
 constexpr std::string_view overloaded_response =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n"
@@ -753,6 +754,17 @@
     for (const auto& it : requests_in_progress()) {
         it->on_stop();
     }
+    const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    for (const auto& it : all) {
+        if (it->phase() == caller_phase::arriving) {
+            it->turn_away(stopping);
+        }
+    }
+    for (accepted_connection& it : std::exchange(accepted_, {})) {
+        if (!has_caller_left(it)) {
+            refuse_unread(std::move(it));
+        }
+    }
 }
 
 void gateway::close_callers() {
--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -154,6 +154,36 @@
     BOOST_TEST(caller->received.size() > 2 * unread_body_size);
 }
 
+// Guards against a stop that ends without a word to callers whose requests have arrived in part.
+BOOST_FIXTURE_TEST_CASE(requests_that_arrive_at_the_end_of_a_stop_are_refused, fixture) {
+    const auto caller = connect();
+    caller->send(part_of_request("POST /once/x"));
+    run_until([&] { return proxy().caller_count() == 1; });
+    run_for(milliseconds(20));
+    proxy().begin_stop(usual_stop());
+    proxy().end_requests();
+    run_until([&] { return caller->ended || ends_with(caller->received, "}"); });
+    BOOST_TEST(caller->received.find(" 503 ") != std::string::npos);
+    BOOST_TEST(caller->received.find("\"stopping\"") != std::string::npos);
+    BOOST_TEST(endpoint(0).requests.empty());
+}
+
+// Guards against a stop that ends without a word to callers whose requests it has not read.
+BOOST_FIXTURE_TEST_CASE(requests_unread_at_the_end_of_a_stop_are_refused, fixture) {
+    gateway_settings busy;
+    busy.new_work_per_turn = 0;
+    proxy().reconfigure(busy);
+    const auto caller = connect();
+    caller->send(request("GET /again/x", "r1"));
+    run_until([&] { return proxy().caller_count() == 1; });
+    proxy().begin_stop(usual_stop());
+    proxy().end_requests();
+    run_for(milliseconds(20));
+    proxy().close_callers();
+    BOOST_TEST(caller->received.find(" 503 ") != std::string::npos);
+    BOOST_TEST(endpoint(0).requests.empty());
+}
+
 // Guards against a last response that is cut because its caller is still receiving it when the
 // connection has waited for the caller's end.
 BOOST_FIXTURE_TEST_CASE(a_last_response_is_not_cut_while_it_is_received, fixture) {
