A stop ends when no connection arrives and all are closed

Callers could see: a refusal or a last response that was lost because the process ended while they still sent; and a new connection that was reset because the listening socket closed between its establishment and the next accept.

Cause: the process ended when no request was left and the operating system had taken all responses; connections that waited for their callers' end were closed with it, and a close with bytes on their way is a reset. The listening socket was closed at a fixed time, whether connections arrived or not.

The listening socket closes once no connection has arrived between two rounds of housekeeping.

Evidence: closing_connections_tests/a_stop_waits_for_callers_that_send_what_was_refused and acceptor_tests/an_acceptor_closes_only_once_no_connection_arrives ask for behaviour that did not exist, so they were not run on the earlier code. What a whole process does then is not tested here.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -284,6 +284,8 @@
     std::uint64_t refused_unread() const { return refused_unread_; }
     /// Whether a connection that closes after its last response is still sending it.
     bool is_sending_last_answers() const;
+    /// Whether all requests are answered and all connections closed, so that the process may end.
+    bool is_drained() const;
     /// Number of response bytes that callers have not taken yet.
     std::size_t unsent_bytes() const;
     /// Current limit of unsent response bytes per caller.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -783,6 +783,12 @@
     }
 }
 
+bool gateway::is_drained() const {
+    // The end of the process resets a connection whose caller still sends, with what it has not
+    // received.
+    return request_count() == 0 && connection_count() == 0;
+}
+
 bool gateway::is_sending_last_answers() const {
     return std::any_of(finishing_.begin(), finishing_.end(),
                        [](const auto& it) { return it->is_sending(); });
--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -154,6 +154,18 @@
     BOOST_TEST(caller->received.size() > 2 * unread_body_size);
 }
 
+// Guards against a process that ends, and so resets the connection, while a caller whose request it
+// has refused still sends it.
+BOOST_FIXTURE_TEST_CASE(a_stop_waits_for_callers_that_send_what_was_refused, fixture) {
+    const auto caller = connect_without_reading();
+    caller->send(part_of_request("POST /nowhere"));
+    run_until([&] { return proxy().connection_count() == 1 && proxy().caller_count() == 0; });
+    run_until([&] { return !proxy().is_sending_last_answers(); });
+    BOOST_TEST(!proxy().is_drained());
+    caller->close();
+    run_until([&] { return proxy().is_drained(); });
+}
+
 // Guards against a stop that ends without a word to callers whose requests have arrived in part.
 BOOST_FIXTURE_TEST_CASE(requests_that_arrive_at_the_end_of_a_stop_are_refused, fixture) {
     const auto caller = connect();
--- a/radishpulley/edge/src/acceptor.cpp
+++ b/radishpulley/edge/src/acceptor.cpp
@@ -1,6 +1,7 @@
 #include "acceptor.h"
 
 #include <limits>
+#include <utility>
 
 #include "gateway/endpoint_pool.h"
 #include "telemetry/event_log.h"
@@ -51,6 +52,7 @@
 }
 
 void acceptor::hand_over(boost::asio::ip::tcp::socket socket) {
+    ++accepted_;
     telemetry::run_guarded("accept", [&] { on_connection_(std::move(socket)); });
 }
 
@@ -65,6 +67,13 @@
     }
 }
 
+void acceptor::close_if_quiet() {
+    accept_waiting(std::numeric_limits<int>::max());
+    if (std::exchange(accepted_before_, accepted_) == accepted_) {
+        close();
+    }
+}
+
 void acceptor::close() {
     if (!socket_.is_open()) {
         return;
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -306,6 +306,7 @@
         const auto careful_after = std::chrono::duration_cast<duration>(grace * careful_part);
         data_path_.begin_stop({*stop_began_ + careful_after, *stop_began_ + ends_after});
         run_after(ends_after, [this] {
+            callers_.close();
             data_path_.end_requests();
             run_after(last_responses_time, [this] { loop_.stop(); });
         });
@@ -728,10 +729,9 @@
         if (time_stopping < balancer_delay) {
             return false;
         }
-        callers_.close();
+        callers_.close_if_quiet();
         data_path_.close_idle_callers();
-        return data_path_.request_count() == 0 && data_path_.caller_count() == 0 &&
-               !data_path_.is_sending_last_answers();
+        return !callers_.is_open() && data_path_.is_drained();
     }
 
     settings::edge_settings settings_;
--- a/radishpulley/edge/tests/acceptor_tests.cpp
+++ b/radishpulley/edge/tests/acceptor_tests.cpp
@@ -56,6 +56,19 @@
     BOOST_TEST(accepted.size() == client_count);
 }
 
+// Guards against resets at shutdown of connections that are established while the acceptor closes.
+BOOST_FIXTURE_TEST_CASE(an_acceptor_closes_only_once_no_connection_arrives, fixture) {
+    it.close_if_quiet();
+    BOOST_TEST(it.is_open());
+    clients.emplace_back(loop);
+    clients.back().connect({boost::asio::ip::address_v4::loopback(), port});
+    it.close_if_quiet();
+    BOOST_TEST(it.is_open());
+    it.close_if_quiet();
+    BOOST_TEST(!it.is_open());
+    BOOST_TEST(accepted.size() == client_count + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::edge::testing
