--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -73,6 +73,8 @@
 
 /// What a caller's connection was doing when it was closed.
 enum class caller_phase {
+    /// It was accepted, and not read yet.
+    accepted,
     /// No request had begun to arrive since the last response.
     idle,
     /// A part of a request had arrived.
@@ -91,6 +93,8 @@
     connection_broken,
     /// The response that was sent is the last one of the connection.
     last_response,
+    /// The same, for a request that had not arrived completely.
+    refused_early,
     /// The response could not be completed.
     response_aborted,
     /// Its memory or its descriptor was needed for others.
@@ -146,8 +150,8 @@
     virtual duration max_unread() const { return duration::zero(); }
     virtual void on_closed(const std::shared_ptr<class caller_link>& it,
                            const caller_closure& how) = 0;
-    /// Input was discarded that arrived after the connection was closed.
-    virtual void on_discarded(close_reason /*why*/, std::size_t /*bytes*/) {}
+    /// A connection was closed that had been announced as closing.
+    virtual void on_finished(close_reason /*why*/, const finish_outcome& /*it*/) {}
 };
 
 /// Returns how long a caller whose request was refused before it had arrived may go on sending it:
@@ -175,8 +179,11 @@
     bool has_caller_left() const override { return link_->receiving().has_ended; }
     /// Whether the operating system has not taken all written bytes yet.
     bool is_sending() const { return link_->is_open() && link_->unsent() > 0; }
-    /// Whether a request is being read or processed.
+    /// Whether a request is being read or processed, or a response is on its way.
     bool is_busy() const;
+    caller_phase phase() const;
+    /// Time since the last response, or since the connection was established.
+    duration idle_time(time_point now) const { return now - idle_since_; }
     /// Closes at once.
     void close(close_reason why);
     /// Refuses the request or closes the connection, to free what it holds.
@@ -233,12 +240,11 @@
     void on_timeout();
     /// Closes the connection if it has been idle for as long as the limit in force allows.
     void on_idle_timeout();
-    caller_phase phase() const;
     /// Describes the connection as it is now, to be closed for a reason.
     caller_closure closure(close_reason why) const;
     void handle_close(const caller_closure& how);
     /// Sends what is queued and closes.
-    void finish(close_reason why);
+    void finish();
 
     std::shared_ptr<link> link_;
     boost::asio::steady_timer timer_;
@@ -259,6 +265,8 @@
     time_point body_began_{};
     /// Since when no request has begun to arrive.
     time_point idle_since_{};
+    /// Longest idle timeout that was in force since then.
+    std::chrono::milliseconds idle_limit_{0};
     bool reading_request_ = false;
     bool head_seen_ = false;
     /// Whether it was checked that the request, whose body is arriving, could be served.
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -306,11 +306,13 @@
     /// From now on, responses ask callers to close their connections, and requests are refused as
     /// the limits say.
     void begin_stop(const stop_limits& limits) { stop_ = limits; }
-    /// Gives every request that is left its final response.
+    /// Gives every request that is left its final response, also those that have not arrived
+    /// completely or were not read.
     void end_requests();
     /// Accepts a caller's connection. Its requests are read when the process has time for them.
     void accept(link::socket socket);
-    /// Closes callers' connections that have no request in progress.
+    /// Closes callers' connections that have no request in progress, nor one that can be expected
+    /// to be on its way.
     void close_idle_callers();
     /// Closes all callers' connections and ends their requests. Must be called before the broker is
     /// destroyed.
@@ -332,6 +334,8 @@
     std::uint64_t refused_unread() const { return refused_unread_; }
     /// Whether a connection that closes after its last response is still sending it.
     bool is_sending_last_answers() const;
+    /// Whether all requests are answered and all connections closed, so that the process may end.
+    bool is_drained() const;
     /// Number of response bytes that callers have not taken yet.
     std::size_t unsent_bytes() const;
     /// Current limit of unsent response bytes per caller.
@@ -342,7 +346,7 @@
     bool is_stopping() const override { return stop_.has_value(); }
     duration max_unread() const override { return turns_.max_unread(); }
     void on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) override;
-    void on_discarded(close_reason why, std::size_t bytes) override;
+    void on_finished(close_reason why, const finish_outcome& it) override;
     bool refuse_early(caller_request head, response_writer& out) override;
     void refuse(caller_request head, std::string_view reason, response_writer& out) override;
     std::shared_ptr<memory_budget> budget() override { return budget_; }
@@ -431,6 +435,8 @@
     void log_turned_away();
     /// Logs a closed connection from which a request was taken without an answer.
     void log_cut(const caller_closure& how) const;
+    /// Closes a connection that was not read.
+    void close_unread(const accepted_connection& it, close_reason why);
     void release_held_requests();
     /// Applies a limit that an endpoint states in a response.
     void on_stated_limit(const routing::endpoint_incarnation& from,
@@ -544,6 +550,7 @@
     telemetry::counter_family& passed_on_;
     telemetry::counter_family& relayed_;
     telemetry::counter_family& discarded_bytes_;
+    telemetry::counter_family& undelivered_responses_;
     telemetry::histogram_family& latencies_;
     telemetry::histogram& unread_times_;
     telemetry::histogram& turn_times_;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -24,6 +24,7 @@
 // Reasons for turning a caller away.
 constexpr std::string_view memory_limit = "memory_limit";
 constexpr std::string_view connection_limit = "connection_limit";
+constexpr std::string_view stopping = "stopping";
 // The response to a request that was not read.
 constexpr std::string_view overloaded_response =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n"
@@ -33,6 +34,9 @@
 constexpr int caller_receive_buffer = 65'536;
 // Part of what callers may hold that their unread responses may be.
 constexpr std::size_t unsent_part_of_budget = 4;
+// Time without a request after which a stop closes a connection. Earlier, the first request of a
+// new connection or the next one behind a response is likely to be on its way.
+constexpr duration quiet_time = std::chrono::milliseconds(500);
 // Interval at which the loads of all engines are counted.
 constexpr duration fleet_loads_interval = std::chrono::milliseconds(50);
 
@@ -72,6 +76,11 @@
       discarded_bytes_(metrics.add_counters("caller_bytes_discarded_total",
                                             "Input that arrived on closed connections of callers.",
                                             {"reason"})),
+      undelivered_responses_(
+          metrics.add_counters("caller_responses_undelivered_total",
+                               "Last responses of connections that were closed before their "
+                               "callers had received them.",
+                               {"reason"})),
       latencies_(metrics.add_histograms("request_seconds", "Time to the end of an answer.",
                                         {"account", "route"})),
       unread_times_(
@@ -710,13 +719,29 @@
     ++refused_unread_;
     it.connection->start();
     it.connection->write(std::string(overloaded_response));
-    it.connection->finish({}, linger_for_rest(caller_limits()));
+    it.connection->finish(
+        [this](const finish_outcome& how) { on_finished(close_reason::refused_early, how); },
+        linger_for_rest(caller_limits()));
     lingering_.push_back(it.connection);
+    closures_.with({to_text(caller_phase::accepted), to_text(close_reason::refused_early)}).add();
+}
+
+void gateway::close_unread(const accepted_connection& it, close_reason why) {
+    const caller_closure how{caller_phase::accepted, why, it.connection->unread_bytes(), 0,
+                             time_.now() - it.established};
+    closures_.with({to_text(how.phase), to_text(how.reason)}).add();
+    if (how.unread > 0) {
+        log_cut(how);
+    }
+    it.connection->close();
 }
 
 bool gateway::has_caller_left(const accepted_connection& it) {
     const bool has_left = it.connection->receiving().has_ended;
-    callers_left_unread_ += has_left ? 1 : 0;
+    if (has_left) {
+        ++callers_left_unread_;
+        closures_.with({to_text(caller_phase::accepted), to_text(close_reason::by_caller)}).add();
+    }
     return has_left;
 }
 
@@ -725,6 +750,7 @@
     if (connection_count() >= settings_.max_connections && !free_connection()) {
         // The new connection is closed with its socket.
         note_turned_away(connection_limit);
+        closures_.with({to_text(caller_phase::accepted), to_text(close_reason::turned_away)}).add();
         return;
     }
     link_options options;
@@ -743,25 +769,59 @@
 
 void gateway::close_idle_callers() {
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    const time_point now = time_.now();
+    std::size_t closed = 0;
+    duration least_idle = duration::max();
     for (const auto& it : all) {
-        if (!it->is_busy()) {
+        if (!it->is_busy() && it->idle_time(now) >= quiet_time) {
+            ++closed;
+            least_idle = std::min(least_idle, it->idle_time(now));
             it->close(close_reason::stopping);
         }
     }
+    if (closed > 0) {
+        telemetry::log_event(telemetry::severity::info, "idle_callers_closed",
+                             {{"callers", closed}, {"least_idle", least_idle}});
+    }
 }
 
 void gateway::end_requests() {
     for (const auto& it : requests_in_progress()) {
         it->on_stop();
     }
+    const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
+    for (const auto& it : all) {
+        if (it->phase() == caller_phase::arriving) {
+            it->turn_away(stopping);
+        }
+    }
+    for (accepted_connection& it : std::exchange(accepted_, {})) {
+        if (!has_caller_left(it)) {
+            refuse_unread(std::move(it));
+        }
+    }
 }
 
 void gateway::close_callers() {
+    for (const accepted_connection& it : accepted_) {
+        close_unread(it, close_reason::stopping);
+    }
     accepted_.clear();
     const std::vector<std::shared_ptr<caller_link>> all(callers_.begin(), callers_.end());
     for (const auto& it : all) {
         it->close(close_reason::stopping);
     }
+    for (const std::weak_ptr<link>& it : lingering_) {
+        if (const auto open = it.lock()) {
+            open->close();
+        }
+    }
+}
+
+bool gateway::is_drained() const {
+    // The end of the process resets a connection whose caller still sends, with what it has not
+    // received.
+    return request_count() == 0 && connection_count() == 0;
 }
 
 bool gateway::is_sending_last_answers() const {
@@ -839,8 +899,8 @@
 bool gateway::free_connection() {
     for (const std::weak_ptr<link>& it : lingering_) {
         const auto open = it.lock();
-        // A last response that is still being sent is not cut.
-        if (open && open->is_open() && open->unsent() == 0) {
+        // A last response that its caller still receives is not cut.
+        if (open && open->is_open() && open->undelivered() == 0) {
             open->close();
             return true;
         }
@@ -913,19 +973,32 @@
                           {"configuration_age", configuration_age_()}});
 }
 
-void gateway::on_discarded(close_reason why, std::size_t bytes) {
-    discarded_bytes_.with({to_text(why)}).add(bytes);
-    if (why != close_reason::last_response) {
+void gateway::on_finished(close_reason why, const finish_outcome& it) {
+    if (it.discarded > 0) {
+        discarded_bytes_.with({to_text(why)}).add(it.discarded);
+    }
+    // What arrives behind a request that was refused early is its own rest.
+    const bool is_request_lost = it.discarded > 0 && why != close_reason::refused_early;
+    if (is_request_lost) {
         telemetry::log_event(telemetry::severity::warning, "caller_input_discarded",
-                             {{"reason", to_text(why)}, {"bytes", bytes}});
+                             {{"reason", to_text(why)}, {"bytes", it.discarded}});
+    }
+    if (it.undelivered > 0) {
+        undelivered_responses_.with({to_text(why)}).add();
+        telemetry::log_event(telemetry::severity::warning, "caller_response_undelivered",
+                             {{"reason", to_text(why)},
+                              {"bytes", it.undelivered},
+                              {"discarded", it.discarded},
+                              {"stopping", is_stopping()}});
     }
 }
 
 void gateway::on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) {
     closures_.with({to_text(how.phase), to_text(how.reason)}).add();
     // What arrives after the last response was announced needs no response.
-    const bool is_expected =
-        how.reason == close_reason::by_caller || how.reason == close_reason::last_response;
+    const bool is_expected = how.reason == close_reason::by_caller ||
+                             how.reason == close_reason::last_response ||
+                             how.reason == close_reason::refused_early;
     const bool is_unanswered =
         how.phase != caller_phase::idle || how.unread > 0 || how.undelivered > 0;
     if (!is_expected && is_unanswered) {
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -128,9 +129,9 @@
 }
 
 void link::on_read(const error_code& ec, const char* bytes, std::size_t n) {
-    if (finishing_ && n > 0 && on_discarded_) {
-        on_discarded_(n);
-    } else if (!finishing_ && n > 0) {
+    if (finishing_) {
+        discarded_ += n;
+    } else if (n > 0) {
         input_.commit(asio::buffer_copy(input_.prepare(n), asio::buffer(bytes, n)));
     }
     if (ec) {
@@ -220,14 +221,15 @@
     }
 }
 
-void link::finish(discard_callback on_discarded, linger_limits limits) {
+void link::finish(finish_callback on_closed, linger_limits limits) {
     if (ended_ || finishing_) {
         return;
     }
     finishing_ = true;
-    on_discarded_ = std::move(on_discarded);
+    on_finished_ = std::move(on_closed);
     linger_limits_ = limits;
     handler_ = nullptr;
+    discarded_ = input_.size();
     input_.consume(input_.size());
     input_.shrink_to_fit();
     if (being_written_.empty()) {
@@ -250,7 +252,12 @@
         if (ec || !is_due(self->timer_)) {
             return;
         }
-        if (self->has_unread() && std::chrono::steady_clock::now() < *self->linger_ends_) {
+        const auto now = std::chrono::steady_clock::now();
+        if (self->undelivered() > 0) {
+            // The system ends the connection if the peer acknowledges nothing for too long.
+            self->linger_ends_ = now + self->linger_limits_.silence;
+            self->wait_for_peer();
+        } else if (self->has_unread() && now < *self->linger_ends_) {
             self->wait_for_peer();
         } else {
             self->close();
@@ -260,7 +267,7 @@
 
 std::size_t link::unread_bytes() const {
     error_code ec;
-    const std::size_t n = is_open() ? socket_.available(ec) : 0;
+    const std::size_t n = socket_.is_open() ? socket_.available(ec) : 0;
     return ec ? 0 : n;
 }
 
@@ -271,7 +278,9 @@
     if (ioctl(fd, SIOCOUTQ, &in_system) != 0) {
         return unsent_;
     }
-    return unsent_ + static_cast<std::size_t>(std::max(in_system, 0));
+    // The system counts the end of the output as one byte.
+    const int end_marker = linger_ends_ ? 1 : 0;
+    return unsent_ + static_cast<std::size_t>(std::max(in_system - end_marker, 0));
 }
 
 receive_status link::receiving() {
@@ -306,7 +315,17 @@
     close();
 }
 
+void link::report_finish() {
+    const auto report = std::exchange(on_finished_, {});
+    if (!report) {
+        return;
+    }
+    const finish_outcome outcome{discarded_ + unread_bytes(), undelivered()};
+    run_guarded("finish", [&] { report(outcome); });
+}
+
 void link::close() {
+    report_finish();
     ended_ = true;
     handler_ = nullptr;
     options_.lease.reset();
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -239,9 +239,12 @@
         while (!telemetry::run_guarded("event loop", [this] { loop_.run(); })) {
         }
         const std::size_t left = data_path_.request_count();
+        const std::size_t connections_left = data_path_.connection_count();
         data_path_.close_callers();
         telemetry::log_event(severity::info, "stopped",
-                             {{"vm", settings_.vm}, {"requests_left", left}});
+                             {{"vm", settings_.vm},
+                              {"requests_left", left},
+                              {"connections_left", connections_left}});
     }
 
 private:
@@ -310,6 +313,7 @@
         const auto careful_after = std::chrono::duration_cast<duration>(grace * careful_part);
         data_path_.begin_stop({*stop_began_ + careful_after, *stop_began_ + ends_after});
         run_after(ends_after, [this] {
+            callers_.close();
             data_path_.end_requests();
             run_after(last_responses_time, [this] { loop_.stop(); });
         });
@@ -735,11 +739,10 @@
         if (time_stopping < balancer_delay) {
             return false;
         }
-        callers_.close();
+        callers_.close_if_quiet();
         peers_port_.close();
         data_path_.close_idle_callers();
-        return data_path_.request_count() == 0 && data_path_.caller_count() == 0 &&
-               !data_path_.is_sending_last_answers();
+        return !callers_.is_open() && data_path_.is_drained();
     }
 
     settings::edge_settings settings_;
