Join detection, passing on and holders in the daemon

A VM that finds itself cut off from a service tells the others at once, passes requests on and hands its engines over. Requests that wait are moved once the event that showed the cut has been handled.

--- a/libs/gateway/src/exchange_relaying.cpp
+++ b/libs/gateway/src/exchange_relaying.cpp
@@ -84,7 +84,8 @@
         }
     };
     if (avoids_kept_connections_) {
-        owner_.peer_pool_.connect(target.address, std::move(on_connection));
+        owner_.peer_pool_.connect(endpoint_id(target.vm.str()), target.address,
+                                  std::move(on_connection));
     } else {
         owner_.peer_pool_.acquire(endpoint_id(target.vm.str()), target.address,
                                   std::move(on_connection));
--- a/libs/routing/include/routing/peer_reachability.h
+++ b/libs/routing/include/routing/peer_reachability.h
@@ -25,6 +25,8 @@
     bool states_unreached(const vm_id& vm, const service_id& service, time_point now) const;
     /// Returns the VMs that state this of the service, ordered by id.
     std::vector<vm_id> without(const service_id& service, time_point now) const;
+    /// Returns for each VM the services that it states as unreached.
+    std::map<vm_id, std::set<service_id>> unreached(time_point now) const;
 
 private:
     struct statement {
--- a/libs/routing/src/peer_reachability.cpp
+++ b/libs/routing/src/peer_reachability.cpp
@@ -36,4 +36,14 @@
     return out;
 }
 
+std::map<vm_id, std::set<service_id>> peer_reachability::unreached(time_point now) const {
+    std::map<vm_id, std::set<service_id>> out;
+    for (const auto& [vm, it] : statements_) {
+        if (now < it.ends_at) {
+            out.emplace(vm, it.unreached);
+        }
+    }
+    return out;
+}
+
 }  // namespace radishpulley::routing
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -5,8 +5,11 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <map>
+#include <set>
 #include <vector>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "acceptor.h"
@@ -216,7 +219,11 @@
         data_path_.set_on_suspects_change([this] { suspects_call_.request(); });
         data_path_.set_on_limit_change([this] { fleet_status_call_.request(); });
         data_path_.set_on_reachability_change(
-            [this](const service_id&, bool) { fleet_status_call_.request(); });
+            [this](const service_id& it, bool reached) { on_reachability_change(it, reached); });
+        data_path_.set_reaches([this](const service_id& it) { return data_path_.reaches(it); });
+        relays_.set_is_cut_off([this](const vm_id& vm, const service_id& it) {
+            return data_path_.peer_reachability().states_unreached(vm, it, time_.now());
+        });
     }
 
     void run() {
@@ -330,6 +337,30 @@
         });
     }
 
+    void on_reachability_change(const service_id& service, bool reached) {
+        fleet_status_call_.request();
+        update_cut_off_vms();
+        if (!reached) {
+            // The change may be told from inside an event of a connection that is in use.
+            boost::asio::post(loop_,
+                              [this, service] { data_path_.on_service_unreachable(service); });
+        }
+    }
+
+    // Tells the coordinator of loads which VMs reach no endpoint of which service.
+    void update_cut_off_vms() {
+        std::map<service_id, std::set<vm_id>> cut_off;
+        for (const service_id& it : data_path_.unreached_services()) {
+            cut_off[it].insert(settings_.vm);
+        }
+        for (const auto& [vm, services] : data_path_.peer_reachability().unreached(time_.now())) {
+            for (const service_id& it : services) {
+                cut_off[it].insert(vm);
+            }
+        }
+        loads_.set_cut_off_vms(std::move(cut_off));
+    }
+
     status_answer readiness() const {
         const bool ready = !stop_began_ && data_path_.configuration() && endpoints_.has_list() &&
                            evacuations_.is_ready();
@@ -725,6 +756,7 @@
         const std::vector<vm_id> serving = fleet_.serving(now);
         data_path_.set_serving(settings_.vm, serving);
         update_contacts(now);
+        update_cut_off_vms();
         fleet_.mark_gone_vms();
         catch_ups_.set_vms(settings_.vm, serving);
         accounts_.set_serving(serving);
