--- a/libs/gateway/src/relay_service.h
+++ b/libs/gateway/src/relay_service.h
@@ -22,8 +22,8 @@
     void on_closed(const std::shared_ptr<caller_link>& it, const caller_closure& how) override {
         owner_.on_closed(it, how);
     }
-    void on_discarded(close_reason why, std::size_t bytes) override {
-        owner_.on_discarded(why, bytes);
+    void on_finished(close_reason why, const finish_outcome& it) override {
+        owner_.on_finished(why, it);
     }
 
 private:
