--- a/libs/gateway/include/gateway/collection_follower.h
+++ b/libs/gateway/include/gateway/collection_follower.h
@@ -44,6 +44,9 @@
     std::chrono::milliseconds response_timeout{1'500};
     std::chrono::milliseconds initial_backoff{100};
     std::chrono::milliseconds max_backoff{1'000};
+    /// Shortest time between calls that confirm the copy on request, as all VMs of a fleet may want
+    /// them at the same time.
+    std::chrono::milliseconds confirmation_interval{1'000};
     report_contents reports = report_contents::whole;
     /// Largest delta in a report; readers fetch objects that changed more.
     std::size_t max_delta_bytes = 8'000;
@@ -94,6 +97,9 @@
     /// response of the two is used. A reader calls the store instead. Does nothing if the last
     /// watch is younger than the longest backoff, or its response is arriving.
     void renew();
+    /// Has the store confirm the copy by a call that begins from now on and is answered at once.
+    /// Such calls are `confirmation_interval` apart, however often this is called.
+    void confirm();
     /// Sets the rank of this VM, from 0, among the `vms` VMs of its zone.
     void set_rank(std::size_t rank, std::size_t vms);
     /// Applies another VM's report about this collection.
@@ -123,7 +129,8 @@
     void list();
     void watch();
     void on_list(const list_result& result);
-    void on_watch_end(std::uint64_t number, const changes_result& result);
+    void begin_confirmation();
+    void on_watch_end(std::uint64_t number, time_point began, const changes_result& result);
     void on_changes(const changes_result& result);
     void take_changes(const object_changes& it);
     /// Passes a change on, after it was noted for reports.
@@ -154,6 +161,11 @@
 
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer report_timer_;
+    boost::asio::steady_timer confirmation_timer_;
+    bool is_confirmation_scheduled_ = false;
+    time_point confirmation_began_ = time_point::min();
+    /// Whether the next watch is to be answered at once.
+    bool confirms_next_ = false;
     bool unlisted_fetch_scheduled_ = false;
     const clock& time_;
     object_collections& store_;
@@ -168,8 +180,6 @@
     std::uint64_t answered_watch_number_ = 0;
     bool is_watching_ = false;
     time_point watch_began_{};
-    /// Start of the watch before the current one, which may still be answered.
-    time_point earlier_watch_began_{};
     time_point read_began_{};
     /// When a part of a watch's response arrived last.
     time_point progress_at_ = time_point::min();
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -97,6 +97,12 @@
     /// If the store does not respond in time, it counts as unavailable and the last known
     /// configuration stays in use.
     std::chrono::milliseconds confirmation_wait{300};
+    /// Time for which a stream that a caller resumes waits for the store to confirm the list of
+    /// endpoints.
+    std::chrono::milliseconds endpoints_confirmation_wait{1'500};
+    /// Age of the list of endpoints beyond which the store may have stopped to confirm it, so that
+    /// other VMs are told of the streams that begin.
+    duration max_endpoints_age = duration::max();
     /// Number of new connections that are read and requests that are started in one turn of the
     /// loop, before responses, disconnected callers and other input are handled.
     std::size_t new_work_per_turn = 16;
@@ -195,9 +201,21 @@
     /// Returns where a stream began, if this VM knows.
     std::optional<routing::software> origin_of(routing::stream_key stream) const;
     /// Returns the streams that other VMs should remember and were not told of yet: those of
-    /// services whose streams may have begun at several software.
+    /// services whose streams may have begun at several software, and all while the list of
+    /// endpoints is old.
     std::vector<routing::stream_group> take_unannounced_streams();
     const routing::software_history& software() const { return software_; }
+    /// Whether streams that begin at the service can be joined with those of other software.
+    bool is_ambiguous(const service_id& service) const;
+    /// Sets the function that asks the store to confirm the list of endpoints; the confirmation
+    /// follows by on_endpoints_confirmed(). Without it, the list always counts as current.
+    void set_confirm_endpoints(std::function<void()> call) { confirm_endpoints_ = std::move(call); }
+    /// Sets the function that returns the age of the list of endpoints.
+    void set_endpoints_age(std::function<duration()> age) { endpoints_age_ = std::move(age); }
+    /// Whether the store may have stopped to confirm the list of endpoints.
+    bool are_endpoints_old() const;
+    /// The store confirmed the list of endpoints by a call that started at `read_began`.
+    void on_endpoints_confirmed(time_point read_began);
 
     /// Applies a configuration.
     void on_configuration(routing::configuration_ptr it);
@@ -332,13 +350,20 @@
     void wait_for_origin(routing::stream_key stream, const std::shared_ptr<exchange>& it);
     /// Asks other VMs where a stream began; returns how many.
     std::size_t ask_for_origin(routing::stream_key stream);
+    /// Whether the list of endpoints has all that were in use at `when`.
+    bool are_endpoints_known_at(time_point when) const {
+        return !confirm_endpoints_ || endpoints_read_began_ >= when;
+    }
+    /// Asks the store to confirm the list of endpoints and tells the request.
+    void wait_for_endpoints(const std::shared_ptr<exchange>& it);
     /// Records which software serves now, and forgets old streams.
     void note_serving_software();
     /// Returns the only software at which streams of the route can have begun; nothing if there are
     /// several or if that is not known.
     std::optional<routing::software> only_software(const routing::route& it) const;
-    /// Whether streams that begin at the service can be joined with those of other software.
-    bool is_ambiguous(const service_id& service) const;
+    /// Whether other VMs have to be told of streams that begin at the service: they may not be able
+    /// to tell from the list of endpoints where those began.
+    bool is_announced(const service_id& service) const;
     /// Whether an endpoint with that software is known.
     bool is_serving(const routing::software& it) const;
     /// Starts the request after what is ready now: other requests' responses and ends first.
@@ -456,6 +481,11 @@
     /// Services that share a route of resumable streams with others.
     std::set<service_id> shared_services_;
     std::multimap<routing::stream_key, std::weak_ptr<exchange>> origin_waiters_;
+    std::function<void()> confirm_endpoints_;
+    std::function<duration()> endpoints_age_ = [] { return duration::zero(); };
+    /// Latest start of a call by which the store confirmed the list of endpoints.
+    time_point endpoints_read_began_ = time_point::min();
+    std::vector<std::weak_ptr<exchange>> endpoints_waiters_;
     /// Requests that were read and are not started yet.
     requests::start_queue<std::weak_ptr<exchange>> queue_;
     /// Connections that are not read yet, the newest last.
--- a/libs/gateway/src/collection_follower.cpp
+++ b/libs/gateway/src/collection_follower.cpp
@@ -76,6 +76,7 @@
                                          follower_settings settings, follower_events events)
     : timer_(loop),
       report_timer_(loop),
+      confirmation_timer_(loop),
       time_(time),
       store_(store),
       kind_(std::move(kind)),
@@ -119,8 +120,9 @@
     const std::uint64_t number = ++watch_number_;
     is_watching_ = true;
     timer_.cancel();
-    earlier_watch_began_ = std::exchange(watch_began_, time_.now());
-    const bool probes = failures_in_a_row_ > 0 || schedule_.role() == relay::copy_role::reader;
+    watch_began_ = time_.now();
+    const bool probes = std::exchange(confirms_next_, false) || failures_in_a_row_ > 0 ||
+                        schedule_.role() == relay::copy_role::reader;
     const auto wait = probes ? probe_wait
                              : std::chrono::duration_cast<std::chrono::milliseconds>(
                                    schedule_.watch_wait(settings_.watch_wait));
@@ -134,14 +136,16 @@
             progress_at_ = time_.now();
         }
     };
-    store_.watch(kind_, revision_, terms, [this, number, alive = alive_](const changes_result& it) {
-        if (*alive) {
-            on_watch_end(number, it);
-        }
-    });
+    store_.watch(kind_, revision_, terms,
+                 [this, number, began = watch_began_, alive = alive_](const changes_result& it) {
+                     if (*alive) {
+                         on_watch_end(number, began, it);
+                     }
+                 });
 }
 
-void collection_follower::on_watch_end(std::uint64_t number, const changes_result& result) {
+void collection_follower::on_watch_end(std::uint64_t number, time_point began,
+                                       const changes_result& result) {
     const bool is_answer = std::holds_alternative<object_changes>(result);
     // Of concurrent watches, the first response is used; only the newest one's failure counts.
     const bool counts = is_answer ? number > answered_watch_number_ : number == watch_number_;
@@ -150,7 +154,7 @@
     }
     is_watching_ = false;
     answered_watch_number_ = watch_number_;
-    read_began_ = number == watch_number_ ? watch_began_ : earlier_watch_began_;
+    read_began_ = began;
     on_changes(result);
 }
 
@@ -180,6 +184,35 @@
     }
 }
 
+void collection_follower::confirm() {
+    if (is_confirmation_scheduled_) {
+        return;
+    }
+    is_confirmation_scheduled_ = true;
+    const bool is_first = confirmation_began_ == time_point::min();
+    const duration left =
+        is_first ? duration::zero()
+                 : settings_.confirmation_interval - (time_.now() - confirmation_began_);
+    confirmation_timer_.expires_after(std::max(duration::zero(), left));
+    confirmation_timer_.async_wait([this, alive = alive_](const boost::system::error_code& ec) {
+        if (!ec && *alive) {
+            is_confirmation_scheduled_ = false;
+            begin_confirmation();
+        }
+    });
+}
+
+void collection_follower::begin_confirmation() {
+    // A list that is under way or a response that is arriving leads to another request if it began
+    // too early.
+    if (has_list_ && !needs_list_ && !is_receiving()) {
+        confirmation_began_ = time_.now();
+        was_interrupted_ = was_interrupted_ || is_watching_;
+        confirms_next_ = true;
+        watch();
+    }
+}
+
 void collection_follower::record_response() {
     const bool has_waited = schedule_.role() != relay::copy_role::reader;
     max_change_age_ = was_interrupted_ || (has_list_ && !has_waited) ? age() : duration::zero();
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -42,6 +42,7 @@
       out_(&out),
       configuration_(owner.configuration_),
       number_(++owner.last_number_),
+      read_at_(owner.time_.now()),
       deadline_timer_(owner.loop_),
       wait_timer_(owner.loop_),
       silence_timer_(owner.loop_) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -56,6 +56,8 @@
     void on_load_refused(const endpoint_id& engine, std::optional<duration> ready_in);
     /// Another VM replied at which software the stream began, or that it does not know.
     void on_origin_told(const std::optional<routing::software>& began_at);
+    /// The store confirmed the list of endpoints.
+    void on_endpoints_confirmed();
     /// Gives the request its final response, because this daemon ends.
     void on_stop();
     /// Takes the request back if it still waits at an engine with an older version.
@@ -72,6 +74,8 @@
         queued,
         /// Other VMs were asked where the stream began that the request resumes.
         waiting_for_origin,
+        /// The store was asked whether the list of endpoints is current.
+        waiting_for_endpoints,
         /// A load request was sent to the engine's holder.
         asking_for_load,
         /// The adapter is being loaded.
@@ -115,8 +119,15 @@
     void place();
     /// Goes on with the stream at the software that began it; `told_by` is for the log.
     void resume_at(const routing::software& began_at, std::string_view told_by);
+    /// Whether the list of endpoints is known to have those that began the resumed stream. The
+    /// caller learned of the stream before this daemon read the request.
+    bool knows_endpoints_of_origin() const { return owner_.are_endpoints_known_at(read_at_); }
+    /// Places the request again once the store has confirmed the list of endpoints.
+    void wait_for_endpoints();
     void ask_for_origin();
     void send_origin_query();
+    /// Goes on where no VM knows the stream: at the only software, once it is confirmed.
+    void on_unknown_origin();
     void refuse_unknown_origin();
     /// The caller receives the beginning of a stream from the endpoint.
     void note_stream_begin();
@@ -215,6 +226,8 @@
     response_writer* out_;
     routing::configuration_ptr configuration_;
     routing::request_number number_;
+    /// When this daemon had read the request, which may be later than its `received`.
+    time_point read_at_;
     routing::request_attributes attributes_;
     const routing::route* route_ = nullptr;
     const routing::client_account* account_ = nullptr;
--- a/libs/gateway/src/exchange_resumption.cpp
+++ b/libs/gateway/src/exchange_resumption.cpp
@@ -33,10 +33,13 @@
     }
     if (const routing::software* known = owner_.origins_.find(stream_key())) {
         resume_at(*known, "known");
-    } else if (const auto only = owner_.only_software(*route_)) {
+        return;
+    }
+    const auto only = owner_.only_software(*route_);
+    if (only && knows_endpoints_of_origin()) {
         resume_at(*only, "only_software");
     } else if (attributes_.resumed_request.empty()) {
-        refuse_unknown_origin();
+        on_unknown_origin();
     } else {
         ask_for_origin();
     }
@@ -48,7 +51,12 @@
     const bool is_allowed = routing::allows(*route_, began_at.service);
     const routing::service* target =
         is_allowed ? configuration_->find_service(began_at.service) : nullptr;
-    if (target == nullptr || !owner_.is_serving(began_at)) {
+    const bool is_serving = target != nullptr && owner_.is_serving(began_at);
+    if (target != nullptr && !is_serving && !knows_endpoints_of_origin()) {
+        wait_for_endpoints();
+        return;
+    }
+    if (!is_serving) {
         log_resumption(told_by, "gone");
         refuse({status_unavailable, "stream_software_gone", std::nullopt});
         return;
@@ -58,6 +66,30 @@
     find_endpoint();
 }
 
+void exchange::wait_for_endpoints() {
+    phase_ = phase::waiting_for_endpoints;
+    wait_timer_.expires_after(owner_.settings_.endpoints_confirmation_wait);
+    wait_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->phase_ == phase::waiting_for_endpoints) {
+            self->log_resumption("nobody", "unconfirmed");
+            self->refuse({status_unavailable, "endpoints_unconfirmed", default_retry_after});
+        }
+    });
+    owner_.wait_for_endpoints(shared_from_this());
+}
+
+void exchange::on_endpoints_confirmed() {
+    if (phase_ != phase::waiting_for_endpoints) {
+        return;
+    }
+    if (knows_endpoints_of_origin()) {
+        place();
+    } else {
+        owner_.wait_for_endpoints(shared_from_this());
+    }
+}
+
 void exchange::ask_for_origin() {
     phase_ = phase::waiting_for_origin;
     owner_.wait_for_origin(stream_key(), shared_from_this());
@@ -68,7 +100,7 @@
     ++origin_queries_;
     missing_origin_replies_ = owner_.ask_for_origin(stream_key());
     if (missing_origin_replies_ == 0) {
-        refuse_unknown_origin();
+        on_unknown_origin();
         return;
     }
     wait_timer_.expires_after(origin_reply_time);
@@ -80,19 +112,29 @@
         if (self->origin_queries_ < max_origin_queries) {
             self->send_origin_query();
         } else {
-            self->refuse_unknown_origin();
+            self->on_unknown_origin();
         }
     });
 }
 
 void exchange::on_origin_told(const std::optional<routing::software>& began_at) {
-    if (phase_ != phase::waiting_for_origin) {
+    // A reply may come later than the time in which it was expected.
+    const bool is_late = phase_ == phase::waiting_for_endpoints;
+    if (phase_ != phase::waiting_for_origin && !is_late) {
         return;
     }
     const auto self = shared_from_this();
     if (began_at) {
         resume_at(*began_at, "peer");
-    } else if (--missing_origin_replies_ == 0) {
+    } else if (!is_late && --missing_origin_replies_ == 0) {
+        on_unknown_origin();
+    }
+}
+
+void exchange::on_unknown_origin() {
+    if (owner_.only_software(*route_) && !knows_endpoints_of_origin()) {
+        wait_for_endpoints();
+    } else {
         refuse_unknown_origin();
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -141,16 +141,24 @@
            software_.recent(service, time_.now()).size() > 1;
 }
 
+bool gateway::is_announced(const service_id& service) const {
+    return are_endpoints_old() || is_ambiguous(service);
+}
+
+bool gateway::are_endpoints_old() const {
+    return endpoints_age_() > settings_.max_endpoints_age;
+}
+
 void gateway::note_stream(routing::stream_key stream, const routing::software& at) {
     origins_.on_begin(stream, at, time_.now());
-    if (stream_peers_ != nullptr && is_ambiguous(at.service)) {
+    if (stream_peers_ != nullptr && is_announced(at.service)) {
         stream_peers_->announce_soon();
     }
 }
 
 std::vector<routing::stream_group> gateway::take_unannounced_streams() {
     return origins_.take_unannounced(
-        [this](const routing::software& it) { return is_ambiguous(it.service); });
+        [this](const routing::software& it) { return is_announced(it.service); });
 }
 
 std::optional<routing::software> gateway::only_software(const routing::route& it) const {
@@ -170,6 +178,21 @@
     });
 }
 
+void gateway::wait_for_endpoints(const std::shared_ptr<exchange>& it) {
+    endpoints_waiters_.push_back(it);
+    confirm_endpoints_();
+}
+
+void gateway::on_endpoints_confirmed(time_point read_began) {
+    endpoints_read_began_ = std::max(endpoints_read_began_, read_began);
+    const auto waiters = std::exchange(endpoints_waiters_, {});
+    for (const auto& it : waiters) {
+        if (const auto held = it.lock()) {
+            held->on_endpoints_confirmed();
+        }
+    }
+}
+
 void gateway::note_serving_software() {
     const time_point now = time_.now();
     for (const routing::endpoint* it : directory_.all()) {
@@ -179,6 +202,9 @@
     for (auto it = origin_waiters_.begin(); it != origin_waiters_.end();) {
         it = it->second.expired() ? origin_waiters_.erase(it) : std::next(it);
     }
+    endpoints_waiters_.erase(std::remove_if(endpoints_waiters_.begin(), endpoints_waiters_.end(),
+                                            [](const auto& waiter) { return waiter.expired(); }),
+                             endpoints_waiters_.end());
 }
 
 routing::evacuation_changes gateway::on_evacuations(gsl::span<const zone_id> zones) {
--- a/libs/gateway/tests/collection_follower_tests.cpp
+++ b/libs/gateway/tests/collection_follower_tests.cpp
@@ -488,6 +488,44 @@
     BOOST_TEST(follower.revision() == 9U);
 }
 
+// Guards against a resumed stream that waits for the whole wait of a watch, and against a call to
+// the store for each of them.
+BOOST_FIXTURE_TEST_CASE(a_copy_is_confirmed_on_request_by_one_call_for_many, scripted_fixture) {
+    start(1);
+    time.advance(milliseconds(100));
+    const time_point requested = time.now();
+    BOOST_TEST((follower.read_began() < requested));
+    for (int i = 0; i < 50; ++i) {
+        follower.confirm();
+    }
+    run_until_watches(2);
+    BOOST_TEST((store.watches[1].terms.wait <= milliseconds(1)));
+    time.advance(milliseconds(5));
+    store.watches[1].done(object_changes{{}, 1});
+    BOOST_TEST((follower.read_began() == requested));
+    run_until_watches(3);
+    BOOST_TEST((store.watches[2].terms.wait == settings.watch_wait));
+    // The next one is not due yet.
+    follower.confirm();
+    loop.restart();
+    loop.run_for(milliseconds(50));
+    BOOST_TEST(store.watches.size() == 3U);
+}
+
+// Guards against an old read that counts as a newer one because several were under way.
+BOOST_FIXTURE_TEST_CASE(a_response_confirms_the_copy_as_of_the_start_of_its_own_call,
+                        scripted_fixture) {
+    start(1);
+    const time_point first_began = time.now();
+    time.advance(settings.max_backoff);
+    follower.renew();
+    time.advance(settings.max_backoff);
+    follower.renew();
+    BOOST_REQUIRE(store.watches.size() == 3U);
+    store.watches[0].done(object_changes{{}, 1});
+    BOOST_TEST((follower.read_began() == first_began));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/libs/gateway/tests/software_versions_tests.cpp
+++ b/libs/gateway/tests/software_versions_tests.cpp
@@ -94,7 +94,32 @@
         return stream(id, "Last-Event-Id: 1\r\nX-Resumes: " + first + "\r\n");
     }
 
+    // From now on, the list of endpoints counts as current only as far as the store confirms it.
+    void require_confirmed_endpoints() {
+        proxy().set_confirm_endpoints([this] { ++confirmations_asked; });
+        proxy().on_endpoints_confirmed(time.now());
+        time.jump(std::chrono::milliseconds(1));
+    }
+
+    // Resumes a stream, calls `meanwhile` once the store is asked to confirm the endpoints, and
+    // returns what the caller gets.
+    std::string resume_unconfirmed(const std::function<void()>& meanwhile) {
+        const int asked_before = confirmations_asked;
+        const auto caller = connect();
+        caller->send(request("POST /events/x", "r2", "Last-Event-Id: 1\r\nX-Resumes: r1\r\n", "x"));
+        const auto has_ended = [&] {
+            return caller->ended || ends_with(caller->received, last_chunk) ||
+                   ends_with(caller->received, "}");
+        };
+        run_until([&] { return confirmations_asked > asked_before || has_ended(); });
+        BOOST_TEST(called.empty());
+        meanwhile();
+        run_until(has_ended);
+        return caller->received;
+    }
+
     int breaking = 0;
+    int confirmations_asked = 0;
     // Whether endpoints send no more than the first event.
     bool holds_back = false;
     bool breaks_before_head = false;
@@ -206,6 +231,81 @@
     BOOST_TEST(called.size() == 1U);
 }
 
+// Guards against a stream that began at a newer software, and is joined with the older one by a VM
+// that has not learned of the newer one yet: cut off, standing still or without news of the store.
+BOOST_FIXTURE_TEST_CASE(a_vm_out_of_step_does_not_take_its_old_software_for_the_only_one, fixture) {
+    add("e1", "v1");
+    require_confirmed_endpoints();
+    const std::string got = resume_unconfirmed([this] {
+        add("e2", "v2");
+        proxy().on_endpoints_confirmed(time.now());
+    });
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(contains(got, "stream_software_unknown"));
+    BOOST_TEST(called.empty());
+}
+
+// Guards against the same where the store's answer is older than the request, having waited while
+// this process stood still.
+BOOST_FIXTURE_TEST_CASE(an_answer_to_an_earlier_read_confirms_no_endpoints, fixture) {
+    add("e1", "v1");
+    require_confirmed_endpoints();
+    const std::string got = resume_unconfirmed([this] {
+        proxy().on_endpoints_confirmed(time.now() - std::chrono::seconds(2));
+        BOOST_TEST(confirmations_asked == 2);
+        add("e2", "v2");
+        proxy().on_endpoints_confirmed(time.now());
+    });
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(called.empty());
+}
+
+// Guards against the same where the store says nothing at all: the request is refused in time for
+// its caller to try another VM.
+BOOST_FIXTURE_TEST_CASE(without_the_store_a_stream_of_unknown_software_is_refused, fixture) {
+    add("e1", "v1");
+    require_confirmed_endpoints();
+    const std::string got = resume_unconfirmed([] {});
+    BOOST_TEST(contains(got, " 503 "));
+    BOOST_TEST(contains(got, "endpoints_unconfirmed"));
+    BOOST_TEST(contains(got, "Retry-After"));
+    BOOST_TEST(called.empty());
+}
+
+// Guards against streams that are not resumed though the store confirms that one software serves.
+BOOST_FIXTURE_TEST_CASE(a_stream_is_resumed_once_the_only_software_is_confirmed, fixture) {
+    add("e1", "v1");
+    require_confirmed_endpoints();
+    const std::string got =
+        resume_unconfirmed([this] { proxy().on_endpoints_confirmed(time.now()); });
+    BOOST_TEST(contains(got, last_event));
+    BOOST_TEST(called.size() == 1U);
+}
+
+// Guards against a refusal as gone of a stream whose software this VM has not learned of yet.
+BOOST_FIXTURE_TEST_CASE(software_counts_as_gone_only_once_the_endpoints_are_confirmed, fixture) {
+    add("e1", "v1");
+    require_confirmed_endpoints();
+    proxy().on_streams_announced(
+        {{service_id("s"), "v2"},
+         {routing::stream_key_of(client_account_id("acme"), request_id("r1"))}});
+    const std::string got = resume_unconfirmed([this] {
+        add("e2", "v2");
+        proxy().on_endpoints_confirmed(time.now());
+    });
+    BOOST_TEST(contains(got, last_event));
+    BOOST_TEST((called == std::vector<std::string>{"v2"}));
+}
+
+// Guards against a call to the store for each stream that this VM knows.
+BOOST_FIXTURE_TEST_CASE(a_known_stream_is_resumed_without_a_confirmation, fixture) {
+    add("e1", "v1");
+    BOOST_TEST(begin_and_leave("r1") == "v1");
+    require_confirmed_endpoints();
+    BOOST_TEST(contains(resume("r2", "r1"), last_event));
+    BOOST_TEST(confirmations_asked == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/radishpulley/cli/src/explain.cpp
+++ b/radishpulley/cli/src/explain.cpp
@@ -49,6 +49,10 @@
     {"stream_software_gone",
      "It resumes a stream, and no endpoint with the version of the software that began it is left: "
      "see the line stream_resumption."},
+    {"endpoints_unconfirmed",
+     "It resumes a stream, and the store did not confirm in time that this VM knows all versions "
+     "of "
+     "the endpoints' software: see the line stream_resumption."},
     {"caller_left", "The caller closed its connection before the answer's end."},
 };
 
--- a/radishpulley/edge/src/edge_daemon.cpp
+++ b/radishpulley/edge/src/edge_daemon.cpp
@@ -84,6 +84,7 @@
     out.version_apply = settings.bounds.version_apply;
     out.requires_evacuations = settings.bounds.evacuation.has_value();
     const gateway::follower_settings follower = configuration_follower_settings(settings.bounds);
+    out.max_endpoints_age = settings.bounds.endpoint_drain;
     out.authoritative_age = follower.watch_wait + follower.response_timeout;
     const caller_allowance allowance = allowance_for_callers(process_limits_of(settings.limits));
     out.max_held_bytes = allowance.memory_bytes;
@@ -175,7 +176,7 @@
                       },
                       [](bool) {}, [this] { on_store_recovered(); },
                       [this](const gateway::object_change& it) { return is_relevant(it); },
-                      [this] { schedule_store_reports(); }}),
+                      [this] { on_endpoints_confirmed(); }}),
           versions_(loop_, time_, store_, platform_adapter::versions_kind,
                     versions_follower_settings(settings.bounds), version_events()),
           evacuations_(loop_, time_, store_, data_path_, [this] { schedule_store_reports(); }),
@@ -202,6 +203,8 @@
         data_path_.set_broker(loads_);
         data_path_.set_stream_peers(streams_);
         data_path_.set_configuration_age([this] { return configuration_.age(); });
+        data_path_.set_endpoints_age([this] { return endpoints_.age(); });
+        data_path_.set_confirm_endpoints([this] { endpoints_.confirm(); });
         data_path_.set_on_pause([this] { renew_watches(); });
         loads_.set_on_holders_confirmed([this] { schedule_store_reports(); });
         loads_.set_on_large_prefill([this] { nearby_status_call_.request(); });
@@ -485,6 +488,12 @@
             apply_endpoint(endpoint);
         }
         data_path_.on_directory_read();
+        data_path_.on_endpoints_confirmed(endpoints_.read_began());
+    }
+
+    void on_endpoints_confirmed() {
+        data_path_.on_endpoints_confirmed(endpoints_.read_began());
+        schedule_store_reports();
     }
 
     void on_endpoint_removed(const endpoint_id& id) {
--- a/radishpulley/edge/src/stream_keepers.cpp
+++ b/radishpulley/edge/src/stream_keepers.cpp
@@ -47,6 +47,10 @@
 }
 
 void stream_keepers::archive(const routing::stream_group& it) {
+    // Such streams are announced because the store is out of reach.
+    if (data_path_.are_endpoints_old() && !data_path_.is_ambiguous(it.at.service)) {
+        return;
+    }
     routing::stream_group own{it.at, {}};
     for (const routing::stream_key stream : it.streams) {
         const std::vector<vm_id>& keepers = keepers_of(stream);
--- a/radishpulley/edge/tests/resumed_streams_tests.cpp
+++ b/radishpulley/edge/tests/resumed_streams_tests.cpp
@@ -200,6 +200,30 @@
     }
 }
 
+// Guards against streams that nobody knows while the store is out of reach: no VM can tell then
+// that one software alone began them.
+BOOST_FIXTURE_TEST_CASE(streams_are_known_at_other_vms_while_the_store_is_silent, fixture) {
+    constexpr routing::stream_key stream = 1;
+    add_many(6);
+    duration age{};
+    gateway::gateway_settings settings;
+    settings.max_endpoints_age = std::chrono::seconds(2);
+    for (const auto& it : vms) {
+        it->add_endpoint("e1", v1);
+        it->data_path.reconfigure(settings);
+        it->data_path.set_endpoints_age([&age] { return age; });
+    }
+    vms[0]->data_path.note_stream(stream, v1);
+    for (int i = 0; i < 20; ++i) {
+        step();
+    }
+    BOOST_TEST(count_knowing(stream) == 1);
+    age = std::chrono::seconds(3);
+    vms[0]->data_path.note_stream(stream + 1, v1);
+    run_until([&] { return count_knowing(stream) >= 3 && count_knowing(stream + 1) >= 3; });
+    BOOST_TEST(!is_archived("v1"));
+}
+
 // Guards against streams that nobody knows after a failure of all VMs.
 BOOST_FIXTURE_TEST_CASE(streams_are_known_after_all_vms_have_failed, fixture) {
     constexpr routing::stream_key count = 700;
