--- a/radishpulley/cli/src/explain.cpp
+++ b/radishpulley/cli/src/explain.cpp
@@ -16,6 +16,9 @@
 const std::set<std::string, std::less<>> vm_events = {"started", "stopping", "store_lost",
                                                       "store_regained", "configuration_in_force"};
 
+// Events that concern every request of a VM to a service.
+const std::set<std::string, std::less<>> service_events = {"service_unreached", "service_reached"};
+
 constexpr std::size_t most_beliefs = 20;
 
 struct cause {
@@ -76,6 +79,10 @@
     if (vm_events.count(it.event) != 0) {
         return !vm.empty() && it.text.find(vm) != std::string::npos;
     }
+    if (service_events.count(it.event) != 0) {
+        return !vm.empty() && it.text.find(vm) != std::string::npos &&
+               it.field("service") == end.field("service");
+    }
     const std::string_view adapter = end.field("adapter");
     if (it.event == "adapter_version" || it.event == "load_refused") {
         return !adapter.empty() && it.field("adapter") == adapter;
--- a/radishpulley/cli/tests/explain_tests.cpp
+++ b/radishpulley/cli/tests/explain_tests.cpp
@@ -17,8 +17,12 @@
     "not a line of ours\n"
     "edge-1 time=2026-01-01T00:00:02.300Z level=warning event=endpoint_unreached endpoint=e1 "
     "by=connection_broken\n"
+    "edge-1 time=2026-01-01T00:00:02.350Z level=warning event=service_unreached service=s "
+    "evidence=e1:connection_broken:0.050s\n"
+    "edge-1 time=2026-01-01T00:00:02.360Z level=warning event=service_unreached service=t\n"
+    "edge-2 time=2026-01-01T00:00:02.370Z level=warning event=service_reached service=s\n"
     "edge-1 time=2026-01-01T00:00:02.400Z level=warning event=request_finished request=r1 "
-    "status=502 reason=connection_broken account=acme endpoint=e1 adapter=a7\n"
+    "status=502 reason=connection_broken account=acme service=s endpoint=e1 adapter=a7\n"
     "edge-1 time=2026-01-01T00:00:02.200Z level=info event=request_placed request=r1 endpoint=e1\n"
     "edge-1 time=2026-01-01T00:00:02.500Z level=info event=request_finished request=r2 status=200 "
     "reason=answered endpoint=e1 adapter=a7 load_wait_ms=265 first_byte_ms=400\n"
@@ -55,6 +59,9 @@
     BOOST_TEST(contains(out, "adapter=a7 outcome=accepted"));
     BOOST_TEST(contains(out, "vm=edge-1"));
     BOOST_TEST(contains(out, "endpoint_unreached"));
+    BOOST_TEST(contains(out, "service_unreached service=s"));
+    BOOST_TEST(!contains(out, "service_unreached service=t"));
+    BOOST_TEST(!contains(out, "service_reached"));
     BOOST_TEST(!contains(out, "adapter=a9"));
     BOOST_TEST(!contains(out, "vm=edge-2"));
     BOOST_TEST(!contains(out, "endpoint_gone"));
