Passing on: tests of back pressure over both VMs, and of the daemon's choice of VMs

slow_caller_holds_back_the_endpoint failed in its first form, as the fixture's run_until() has too few steps to fill four sockets' buffers; it now runs until both VMs hold as much as they may, and checks that first.

--- a/libs/gateway/tests/relay_tests.cpp
+++ b/libs/gateway/tests/relay_tests.cpp
@@ -341,6 +341,34 @@
     BOOST_TEST(contains(call(request("POST /once/x", "r1"), "fine"), "200 OK"));
 }
 
+// Guards against a response that one of the two VMs collects for a caller that does not read it.
+BOOST_AUTO_TEST_CASE(slow_caller_holds_back_the_endpoint) {
+    constexpr std::size_t chunk_bytes = 65'536;
+    relay.add_endpoint("e1", [](const auto& text, peer& it) {
+        it.send(stream_head(id_of(text)));
+        it.flood(to_chunk(std::string(chunk_bytes, 'x')));
+    });
+    const auto caller = connect_without_reading(4'096);
+    caller->send(request("POST /stream/x", "r1"));
+    // What the operating system keeps between the four sockets fills up before.
+    const auto is_full = [](const gateway& it) { return it.unsent_bytes() > it.unsent_limit(); };
+    constexpr int max_steps = 100'000;
+    for (int i = 0; i < max_steps && !(is_full(proxy()) && is_full(relay.proxy)); ++i) {
+        loop.restart();
+        loop.run_one_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(is_full(proxy()));
+    BOOST_TEST(is_full(relay.proxy));
+    constexpr int more_steps = 200;
+    for (int i = 0; i < more_steps; ++i) {
+        loop.restart();
+        loop.run_one_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(proxy().unsent_bytes() < proxy().unsent_limit() + 2 * chunk_bytes);
+    BOOST_TEST(relay.proxy.unsent_bytes() < relay.proxy.unsent_limit() + 2 * chunk_bytes);
+    caller->reset();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
--- a/radishpulley/edge/tests/fleet_tests.cpp
+++ b/radishpulley/edge/tests/fleet_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "../src/fleet_relays.h"
 #include "edge/account_watcher.h"
 #include "edge/fleet_member.h"
 #include "edge/load_coordinator.h"
@@ -491,6 +492,39 @@
     run_until([&] { return a.hints > a_before + 1 && b.hints > b_before + 1; });
 }
 
+// Guards against requests that are passed on to a VM that leaves, is silent, is cut off itself or
+// was tried.
+BOOST_FIXTURE_TEST_CASE(requests_are_passed_on_to_vms_that_can_serve, fixture) {
+    add_three();
+    test_daemon& a = *daemons[0];
+    fleet_relays relays(a.time, {vm_id("a"), {}, {}, {}}, a.member);
+    std::set<vm_id> excluded;
+    const auto choice = [&] {
+        const auto it = relays.choose(service_id("s"), {}, request_id("r"), excluded);
+        return it ? it->vm.str() : "";
+    };
+    BOOST_TEST(relays.secret() == daemons[1]->member.secret());
+    BOOST_TEST(!relays.secret().empty());
+
+    excluded = {vm_id("b")};
+    BOOST_TEST(choice() == "c");
+    excluded.clear();
+    relays.set_is_cut_off([](const vm_id& vm, const service_id&) { return vm.str() == "c"; });
+    BOOST_TEST(choice() == "b");
+
+    routing::vm_status last;
+    last.leaving = true;
+    daemons[1]->member.broadcast(last);
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(3));
+    BOOST_TEST(choice().empty());
+
+    relays.set_is_cut_off([](const vm_id&, const service_id&) { return false; });
+    BOOST_TEST(choice() == "c");
+    a.time.jump(std::chrono::seconds(30));
+    BOOST_TEST(choice().empty());
+}
+
 // Guards against outdated shares of an account on the other VMs after its demand rises at one VM.
 BOOST_FIXTURE_TEST_CASE(the_watcher_announces_a_saturated_account_to_all_vms, fixture) {
     add("a");
