Resumed streams: one outcome each, however they end

A resumption that was refused by its account's limit, or that had no route, never reached place(): no line and no counter told that it was one. The line and the counter came when the software was found, so that they also said nothing of what followed (no endpoint, deadline, a response that broke off).

Now both come once, when the request ends: the reason of request_finished, whether the caller received a part of the stream, and how far.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -389,6 +389,9 @@
     } else if (events_) {
         note_stream_begin();
     }
+    if (is_resumption()) {
+        log_resumption(reason);
+    }
     phase_ = phase::ended;
     on_call_ended();
     deadline_timer_.cancel();
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -107,7 +107,7 @@
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
     void give_up(std::string_view reason, duration retry_after);
-    /// Whether the request resumes a stream.
+    /// Whether the request resumes a stream, or could if it has no route.
     bool is_resumption() const;
     /// The stream that the request begins or resumes.
     routing::stream_key stream_key() const;
@@ -120,7 +120,8 @@
     void refuse_unknown_origin();
     /// The caller receives the beginning of a stream from the endpoint.
     void note_stream_begin();
-    void log_resumption(std::string_view told_by, std::string_view outcome) const;
+    /// Counts and logs how the request, which resumes a stream, ended.
+    void log_resumption(std::string_view outcome) const;
     void find_endpoint();
     /// Regions in which the request may be processed by the newest configuration. A route or
     /// account that it no longer contains keeps its last restriction.
@@ -231,6 +232,8 @@
     routing::software endpoint_software_;
     /// The software that began the stream, once its caller has received a part of it.
     std::optional<routing::software> began_at_;
+    /// Who told the software of a resumed stream, for the log; "-" if nobody was asked.
+    std::string_view origin_told_by_ = "-";
     unsigned origin_queries_ = 0;
     /// Replies of other VMs that are still to come.
     std::size_t missing_origin_replies_ = 0;
--- a/libs/gateway/src/exchange_resumption.cpp
+++ b/libs/gateway/src/exchange_resumption.cpp
@@ -17,7 +17,8 @@
 }  // namespace
 
 bool exchange::is_resumption() const {
-    return route_->resumable && attributes_.last_event.has_value();
+    const bool may_resume = route_ == nullptr || route_->resumable;
+    return may_resume && attributes_.last_event.has_value();
 }
 
 routing::stream_key exchange::stream_key() const {
@@ -45,16 +46,15 @@
 void exchange::resume_at(const routing::software& began_at, std::string_view told_by) {
     wait_timer_.cancel();
     began_at_ = began_at;
+    origin_told_by_ = told_by;
     const bool is_allowed = routing::allows(*route_, began_at.service);
     const routing::service* target =
         is_allowed ? configuration_->find_service(began_at.service) : nullptr;
     if (target == nullptr || !owner_.is_serving(began_at)) {
-        log_resumption(told_by, "gone");
         refuse({status_unavailable, "stream_software_gone", std::nullopt});
         return;
     }
     service_ = target;
-    log_resumption(told_by, "resumed");
     find_endpoint();
 }
 
@@ -99,7 +99,7 @@
 
 void exchange::refuse_unknown_origin() {
     wait_timer_.cancel();
-    log_resumption("nobody", "unknown_software");
+    origin_told_by_ = "nobody";
     // Nobody will know it later, so there is no Retry-After.
     refuse({status_unavailable, "stream_software_unknown", std::nullopt});
 }
@@ -111,17 +111,22 @@
     owner_.note_stream(stream_key(), *began_at_);
 }
 
-void exchange::log_resumption(std::string_view told_by, std::string_view outcome) const {
-    owner_.resumptions_.with({outcome}).add();
+void exchange::log_resumption(std::string_view outcome) const {
+    const bool went_on = events_ && relayed_ > 0;
+    owner_.resumptions_.with({outcome, went_on ? "yes" : "no"}).add();
     telemetry::log_event(
-        outcome == "resumed" ? severity::info : severity::warning, "stream_resumption",
+        went_on ? severity::info : severity::warning, "stream_resumption",
         {{"request", attributes_.id},
          {"resumes", attributes_.resumed_request},
          {"after", attributes_.last_event.value_or("")},
          {"outcome", outcome},
-         {"told_by", told_by},
-         {"service", began_at_ ? began_at_->service : service_->id},
+         {"went_on", went_on},
+         {"relayed_bytes", relayed_},
+         {"last_event", events_ ? events_->last_id() : std::string()},
+         {"told_by", origin_told_by_},
+         {"service", began_at_ ? std::string_view(began_at_->service.str()) : std::string_view()},
          {"software", began_at_ ? std::string_view(began_at_->version) : std::string_view()},
+         {"sends", sends_},
          {"elapsed_ms", to_ms(elapsed()).count()}});
 }
 
--- a/libs/gateway/tests/software_versions_tests.cpp
+++ b/libs/gateway/tests/software_versions_tests.cpp
@@ -94,6 +94,28 @@
         return stream(id, "Last-Event-Id: 1\r\nX-Resumes: " + first + "\r\n");
     }
 
+    // Number of resumed streams that ended in this way.
+    std::uint64_t ended(const std::string& outcome, const std::string& went_on) {
+        const std::string name = "radishpulley_stream_resumptions_total{outcome=\"" + outcome +
+                                 "\",went_on=\"" + went_on + "\"} ";
+        const std::string text = metrics.to_text();
+        const std::size_t at = text.find(name);
+        return at == std::string::npos ? 0 : std::stoull(text.substr(at + name.size()));
+    }
+
+    // Number of resumed streams that ended at all.
+    std::uint64_t all_ended() {
+        constexpr const char* name = "radishpulley_stream_resumptions_total{";
+        std::stringstream lines(metrics.to_text());
+        std::uint64_t sum = 0;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.compare(0, std::string(name).size(), name) == 0) {
+                sum += std::stoull(line.substr(line.rfind(' ')));
+            }
+        }
+        return sum;
+    }
+
     int breaking = 0;
     // Whether endpoints send no more than the first event.
     bool holds_back = false;
@@ -206,6 +228,45 @@
     BOOST_TEST(called.size() == 1U);
 }
 
+// Guards against resumed streams that end without a trace because they are refused before anyone
+// looks for their software: at the account's limit, without a route, without a configuration.
+BOOST_FIXTURE_TEST_CASE(each_resumption_is_counted_once_by_its_outcome, fixture) {
+    add("e1", "v1");
+    BOOST_TEST(contains(resume("r2", "r1"), last_event));
+    BOOST_TEST(ended("answered", "yes") == 1U);
+    BOOST_TEST(contains(stream("r3"), last_event));
+    BOOST_TEST(all_ended() == 1U);
+
+    configure(0.001);
+    for (int i = 0; i < 20 && ended("over_limit", "no") == 0; ++i) {
+        resume("r4-" + std::to_string(i), "r1");
+    }
+    BOOST_TEST(ended("over_limit", "no") == 1U);
+    configure();
+    const std::uint64_t so_far = all_ended();
+
+    const auto caller = connect();
+    caller->send(request("POST /nowhere/x", "r5", "Last-Event-Id: 1\r\nX-Resumes: r1\r\n", "x"));
+    run_until([&] { return ends_with(caller->received, "}"); });
+    BOOST_TEST(ended("no_route", "no") == 1U);
+
+    add("e2", "v2");
+    resume("r6", "r0");
+    BOOST_TEST(ended("stream_software_unknown", "no") == 1U);
+    BOOST_TEST(all_ended() == so_far + 2);
+}
+
+// Guards against a resumption that counts as one that went on though its endpoint broke off before
+// the first event.
+BOOST_FIXTURE_TEST_CASE(a_resumption_that_no_endpoint_answers_did_not_go_on, fixture) {
+    add("e1", "v1");
+    breaks_before_head = true;
+    breaking = 1;
+    resume("r2", "r1");
+    BOOST_TEST(ended("no_endpoint", "no") == 1U);
+    BOOST_TEST(all_ended() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
