Tests: streams that are refused as unknown before a VM has learned of them

Right after a start a VM has not read the archive of streams or the record of software, and knows no keepers. stream_peers tells so by knowledge(), which nothing uses yet.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -149,6 +149,15 @@
                                       const routing::model_ref& adapter) = 0;
 };
 
+/// What this VM has learned of streams that began before it started.
+enum class origin_knowledge {
+    /// The archive is being read, or the other VMs are not known yet.
+    incomplete,
+    complete,
+    /// The store does not answer.
+    unavailable
+};
+
 /// Interface to the other daemons, which remember at which software streams began.
 class stream_peers {
 public:
@@ -156,6 +165,8 @@
     /// Asks those that may know where a stream began; their replies follow by
     /// gateway::on_stream_origin(). Returns how many were asked.
     virtual std::size_t ask(routing::stream_key stream) = 0;
+    /// Whether a stream that nobody knows now may become known without being asked for.
+    virtual origin_knowledge knowledge() const = 0;
     /// There are streams that others should remember; see gateway::take_unannounced_streams().
     virtual void announce_soon() = 0;
 };
@@ -332,6 +343,8 @@
     void wait_for_origin(routing::stream_key stream, const std::shared_ptr<exchange>& it);
     /// Asks other VMs where a stream began; returns how many.
     std::size_t ask_for_origin(routing::stream_key stream);
+    /// Whether it may be learned where streams began that nobody knows now.
+    origin_knowledge knowledge_of_origins() const;
     /// Records which software serves now, and forgets old streams.
     void note_serving_software();
     /// Returns the only software at which streams of the route can have begun; nothing if there are
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -137,6 +137,15 @@
     return stream_peers_ == nullptr ? 0 : stream_peers_->ask(stream);
 }
 
+origin_knowledge gateway::knowledge_of_origins() const {
+    if (stream_peers_ == nullptr) {
+        return origin_knowledge::complete;
+    }
+    const origin_knowledge streams = stream_peers_->knowledge();
+    const bool awaits_record = streams == origin_knowledge::complete && !software_.knows_past();
+    return awaits_record ? origin_knowledge::incomplete : streams;
+}
+
 bool gateway::is_ambiguous(const service_id& service) const {
     return shared_services_.count(service) != 0 ||
            software_.recent(service, time_.now()).size() > 1;
--- a/libs/gateway/tests/gateway_fixture.h
+++ b/libs/gateway/tests/gateway_fixture.h
@@ -261,12 +261,15 @@
 /// but the last need the key `k`.
 class gateway_fixture {
 public:
-    gateway_fixture()
+    /// `knows_past` is whether the record of software that served before was read.
+    explicit gateway_fixture(bool knows_past = true)
         : proxy_(loop, time, codec, metrics, settings()),
           acceptor_(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
         proxy_.set_broker(broker_);
-        // No other software served before.
-        proxy_.on_software_record({});
+        if (knows_past) {
+            // No other software served before.
+            proxy_.on_software_record({});
+        }
         accept();
     }
 
--- a/libs/gateway/tests/software_versions_tests.cpp
+++ b/libs/gateway/tests/software_versions_tests.cpp
@@ -28,10 +28,30 @@
     return text.find(part) != std::string::npos;
 }
 
+// Other VMs that remember no stream, and what this VM has learned of earlier ones.
+class stub_peers final : public stream_peers {
+public:
+    std::size_t ask(routing::stream_key stream) override {
+        last_asked = stream;
+        ++queries;
+        return 0;
+    }
+    origin_knowledge knowledge() const override {
+        ++looks;
+        return known;
+    }
+    void announce_soon() override {}
+
+    origin_knowledge known = origin_knowledge::incomplete;
+    std::optional<routing::stream_key> last_asked;
+    int queries = 0;
+    mutable int looks = 0;
+};
+
 // Endpoints that log the software version at which each call arrives, and break off or answer in
 // turn.
 struct fixture : gateway_fixture {
-    fixture() { configure(); }
+    explicit fixture(bool knows_past = true) : gateway_fixture(knows_past) { configure(); }
 
     // Adds an endpoint whose calls break off while `breaking` is positive.
     void add(const std::string& id, const std::string& software) {
@@ -228,6 +248,73 @@
     BOOST_TEST(called.size() == 1U);
 }
 
+// Guards against streams that are refused as unknown right after a start of the VM, before it has
+// read the archive that knows them.
+BOOST_FIXTURE_TEST_CASE(a_resumption_waits_until_the_archive_is_read, fixture) {
+    stub_peers peers;
+    proxy().set_stream_peers(peers);
+    add("e1", "v1");
+    add("e2", "v2");
+    const auto caller = connect();
+    caller->send(request("POST /events/x", "r2", "Last-Event-Id: 1\r\nX-Resumes: r1\r\n", "x"));
+    run_until([&] { return peers.last_asked.has_value(); });
+    BOOST_TEST(caller->received.empty());
+    proxy().on_streams_announced({{service_id("s"), "v2"}, {*peers.last_asked}});
+    peers.known = origin_knowledge::complete;
+    run_until([&] { return ends_with(caller->received, last_chunk); });
+    BOOST_TEST(called == std::vector<std::string>{"v2"}, boost::test_tools::per_element());
+}
+
+// Guards against the same where the record of software is read last, and one software alone serves.
+BOOST_AUTO_TEST_CASE(a_resumption_waits_until_the_record_of_software_is_read) {
+    fixture it(false);
+    stub_peers peers;
+    peers.known = origin_knowledge::complete;
+    it.proxy().set_stream_peers(peers);
+    it.add("e1", "v1");
+    const auto caller = it.connect();
+    caller->send(request("POST /events/x", "r2", "Last-Event-Id: 1\r\n", "x"));
+    it.run_until([&] { return peers.looks > 0; });
+    BOOST_TEST(caller->received.empty());
+    it.proxy().on_software_record({});
+    it.run_until([&] { return ends_with(caller->received, last_chunk); });
+}
+
+// Guards against resumptions that wait for nothing: once the archive is read or the store does not
+// answer, an unknown stream is refused at once. Only the latter may become known later.
+BOOST_FIXTURE_TEST_CASE(a_waiting_resumption_is_refused_once_nobody_can_know, fixture) {
+    for (const auto known : {origin_knowledge::complete, origin_knowledge::unavailable}) {
+        stub_peers peers;
+        proxy().set_stream_peers(peers);
+        add("e1", "v1");
+        add("e2", "v2");
+        const auto caller = connect();
+        caller->send(request("POST /events/x", "r2", "Last-Event-Id: 1\r\nX-Resumes: r1\r\n", "x"));
+        run_until([&] { return peers.last_asked.has_value(); });
+        peers.known = known;
+        run_until([&] { return ends_with(caller->received, "}"); });
+        BOOST_TEST(contains(caller->received, "stream_software_unknown"));
+        const bool may_return = contains(caller->received, "Retry-After: ");
+        BOOST_TEST(may_return == (known == origin_knowledge::unavailable));
+        BOOST_TEST(called.empty());
+        peers.queries = 0;
+        BOOST_TEST(contains(resume("r3", "r1"), "stream_software_unknown"));
+        BOOST_TEST(peers.queries == 1);
+    }
+}
+
+// Guards against a resumption that waits for the archive beyond its caller's patience.
+BOOST_FIXTURE_TEST_CASE(a_resumption_waits_only_for_a_part_of_its_time, fixture) {
+    stub_peers peers;
+    proxy().set_stream_peers(peers);
+    add("e1", "v1");
+    add("e2", "v2");
+    const std::string got =
+        stream("r2", "Last-Event-Id: 1\r\nX-Resumes: r1\r\nX-Deadline: 400\r\n");
+    BOOST_TEST(contains(got, "stream_software_unknown"));
+    BOOST_TEST(contains(got, "Retry-After: "));
+}
+
 // Guards against resumed streams that end without a trace because they are refused before anyone
 // looks for their software: at the account's limit, without a route, without a configuration.
 BOOST_FIXTURE_TEST_CASE(each_resumption_is_counted_once_by_its_outcome, fixture) {
--- a/radishpulley/edge/src/stream_archive.cpp
+++ b/radishpulley/edge/src/stream_archive.cpp
@@ -70,6 +70,8 @@
             on_list(*list);
             return;
         }
+        is_unavailable_ = true;
+        on_settled_();
         retry_timer_.expires_after(retry_delay);
         retry_timer_.async_wait([this](const boost::system::error_code& ec) {
             if (!ec) {
@@ -89,6 +91,8 @@
         adopt(object);
     }
     is_read_ = true;
+    is_unavailable_ = false;
+    on_settled_();
     telemetry::log_event(severity::info, "stream_archive_read",
                          {{"objects", it.objects.size()}, {"streams", streams}});
     if (!pending_.empty()) {
--- a/radishpulley/edge/src/stream_archive.h
+++ b/radishpulley/edge/src/stream_archive.h
@@ -31,6 +31,10 @@
     void start();
     /// Whether the archive was read.
     bool is_read() const { return is_read_; }
+    /// Whether the last attempt to read it failed, so that nobody can say when it will be read.
+    bool is_unavailable() const { return is_unavailable_; }
+    /// Sets the callback invoked when it was read, and after each attempt that failed.
+    void set_on_settled(std::function<void()> call) { on_settled_ = std::move(call); }
     /// Writes streams soon.
     void add(const routing::stream_group& it);
 
@@ -66,6 +70,8 @@
     boost::asio::steady_timer retry_timer_;
     delayed_call flush_;
     bool is_read_ = false;
+    bool is_unavailable_ = false;
+    std::function<void()> on_settled_ = [] {};
     bool is_write_in_flight_ = false;
     streams_by_software pending_;
     /// The one that was begun last is the last.
--- a/radishpulley/edge/src/stream_keepers.cpp
+++ b/radishpulley/edge/src/stream_keepers.cpp
@@ -34,6 +34,7 @@
 }
 
 void stream_keepers::set_serving(const std::vector<vm_id>& vms) {
+    knows_members_ = knows_members_ || fleet_.self().has_value();
     const std::size_t count = 1 + vms.size() / vms_per_shard;
     shards_.clear();
     for (std::size_t shard = 0; shard < count; ++shard) {
@@ -96,6 +97,14 @@
     return asked;
 }
 
+gateway::origin_knowledge stream_keepers::knowledge() const {
+    if (archive_.is_unavailable()) {
+        return gateway::origin_knowledge::unavailable;
+    }
+    return archive_.is_read() && knows_members_ ? gateway::origin_knowledge::complete
+                                                : gateway::origin_knowledge::incomplete;
+}
+
 void stream_keepers::on_hint(const routing::stream_announcement& it) {
     for (const routing::stream_group& group : it.groups) {
         data_path_.on_streams_announced(group);
--- a/radishpulley/edge/src/stream_keepers.h
+++ b/radishpulley/edge/src/stream_keepers.h
@@ -33,6 +33,7 @@
     void on_hint(const routing::stream_reply& it);
 
     std::size_t ask(routing::stream_key stream) override;
+    gateway::origin_knowledge knowledge() const override;
     void announce_soon() override { announcement_.request(); }
 
 private:
@@ -48,6 +49,8 @@
     stream_archive& archive_;
     /// The keepers of each shard; never empty.
     std::vector<std::vector<vm_id>> shards_;
+    /// Whether the VMs that serve were set after this one had joined them.
+    bool knows_members_ = false;
     delayed_call announcement_;
 };
 
--- a/radishpulley/edge/tests/memory_collections.h
+++ b/radishpulley/edge/tests/memory_collections.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +27,15 @@
     std::size_t list_calls = 0;
     /// While set, list calls get no response.
     bool drop_list_calls = false;
+    /// List calls of this kind get their response when release() is called.
+    std::string held_back;
+    /// Answers the list calls that were held back, and holds back no more.
+    void release() {
+        held_back.clear();
+        for (auto& call : std::exchange(held_calls_, {})) {
+            call();
+        }
+    }
     /// While set, watches report no changes.
     bool withholds_changes = false;
 
@@ -59,6 +70,10 @@
         if (drop_list_calls) {
             return;
         }
+        if (!held_back.empty() && kind == held_back) {
+            held_calls_.push_back([this, kind, done = std::move(done)] { list(kind, done); });
+            return;
+        }
         answer([this, kind, done = std::move(done)] {
             if (is_unavailable) {
                 done(gateway::read_failure::unavailable);
@@ -185,6 +200,7 @@
     }
 
     boost::asio::io_context& loop_;
+    std::vector<std::function<void()>> held_calls_;
     std::map<std::string, std::map<std::string, gateway::stored_object>> objects_;
     std::map<std::string, std::map<std::string, gateway::stored_object>> backup_;
     gateway::store_revision backup_revision_ = 1;
--- a/radishpulley/edge/tests/resumed_streams_tests.cpp
+++ b/radishpulley/edge/tests/resumed_streams_tests.cpp
@@ -268,6 +268,48 @@
     BOOST_TEST(!asking.data_path.origin_of(7).has_value());
 }
 
+// Guards against a keeper that has started again and replies that it does not know a stream before
+// it has read the archive that knows it.
+BOOST_FIXTURE_TEST_CASE(a_keeper_replies_once_it_has_read_the_archive, fixture) {
+    constexpr routing::stream_key stream = 7;
+    add_many(2);
+    for (const auto& it : vms) {
+        it->add_endpoint("e1", v1);
+        it->add_endpoint("e2", v2);
+    }
+    vms[1]->data_path.note_stream(stream, v2);
+    run_until([&] { return is_archived("7"); });
+    stopped = std::move(vms);
+    vms.clear();
+    store.held_back = "stream-origins";
+    add_many(2);
+    test_vm& asking = *vms[0];
+    BOOST_TEST((asking.streams.knowledge() == gateway::origin_knowledge::incomplete));
+    BOOST_TEST(asking.streams.ask(stream) == 1U);
+    for (int i = 0; i < 100; ++i) {
+        step();
+    }
+    BOOST_TEST(asking.replies == 0);
+    store.release();
+    run_until([&] { return asking.replies == 1; });
+    BOOST_TEST((asking.streams.knowledge() == gateway::origin_knowledge::complete));
+    BOOST_TEST((asking.data_path.origin_of(stream) == v2));
+}
+
+// Guards against keepers that never reply while the store does not answer.
+BOOST_FIXTURE_TEST_CASE(a_keeper_replies_without_the_archive_once_the_store_fails, fixture) {
+    store.held_back = "stream-origins";
+    add_many(2);
+    test_vm& asking = *vms[0];
+    BOOST_TEST(asking.streams.ask(7) == 1U);
+    store.is_unavailable = true;
+    store.release();
+    run_until([&] { return asking.replies == 1; });
+    BOOST_TEST((asking.streams.knowledge() == gateway::origin_knowledge::unavailable));
+    BOOST_TEST(asking.streams.ask(8) == 1U);
+    run_until([&] { return asking.replies == 2; });
+}
+
 // Guards against streams that are joined by VMs that start after the older software has left, as
 // all that had seen it were killed.
 BOOST_FIXTURE_TEST_CASE(a_vm_that_starts_learns_which_software_served_before, fixture) {
