Streams are not refused as unknown before the VM has learned of them

What callers saw: a stream that its caller resumed right after a start of this VM got 503 stream_software_unknown without Retry-After, so it was lost, though the archive knew it: place() asked memory, the record and the keepers once, while archive and record were being read and no keeper was known (ask() returned 0).

Now such a request waits until they have been read, at most as long as one may wait for its adapter, and looks and asks every 75 ms; what is known already waits for nothing. Where the store does not answer it is refused at once, and there and after the wait with a Retry-After, as it may become known. Where all is read and nobody knows, it is refused at once as before.

--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -117,6 +117,11 @@
     void resume_at(const routing::software& began_at, std::string_view told_by);
     void ask_for_origin();
     void send_origin_query();
+    void on_origin_reply_time();
+    /// Goes on with the stream if this VM knows now where it began; returns whether it does.
+    bool resume_if_known();
+    /// Whether this VM may still learn where the stream began without a reply of others.
+    bool may_learn_origin() const;
     void refuse_unknown_origin();
     /// The caller receives the beginning of a stream from the endpoint.
     void note_stream_begin();
@@ -235,6 +240,8 @@
     /// Who told the software of a resumed stream, for the log; "-" if nobody was asked.
     std::string_view origin_told_by_ = "-";
     unsigned origin_queries_ = 0;
+    /// Until when the request waits for somebody to know where its stream began.
+    time_point origin_wait_ends_{};
     /// Replies of other VMs that are still to come.
     std::size_t missing_origin_replies_ = 0;
     std::uint32_t unread_tokens_ = 0;
--- a/libs/gateway/src/exchange_resumption.cpp
+++ b/libs/gateway/src/exchange_resumption.cpp
@@ -1,4 +1,6 @@
 // Streams that callers resume: finding the software that began them.
+#include <algorithm>
+
 #include "exchange.h"
 #include "exchange_constants.h"
 #include "telemetry/event_log.h"
@@ -9,10 +11,13 @@
 using boost::system::error_code;
 using telemetry::severity;
 
-// Time after which other VMs are asked once more, as messages may be lost; after the second such
-// time the software counts as unknown.
+// Interval at which other VMs are asked again, as messages may be lost, and at which it is looked
+// whether the software has become known.
 constexpr std::chrono::milliseconds origin_reply_time{75};
+// Number of queries without a reply after which a VM counts as failed.
 constexpr unsigned max_origin_queries = 2;
+// Retry-After where the software may become known later.
+constexpr duration origin_retry_after = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -30,17 +35,21 @@
 void exchange::place() {
     if (!is_resumption()) {
         find_endpoint();
-        return;
+    } else if (!resume_if_known()) {
+        ask_for_origin();
     }
+}
+
+bool exchange::resume_if_known() {
     if (const routing::software* known = owner_.origins_.find(stream_key())) {
         resume_at(*known, "known");
-    } else if (const auto only = owner_.only_software(*route_)) {
+        return true;
+    }
+    if (const auto only = owner_.only_software(*route_)) {
         resume_at(*only, "only_software");
-    } else if (attributes_.resumed_request.empty()) {
-        refuse_unknown_origin();
-    } else {
-        ask_for_origin();
+        return true;
     }
+    return false;
 }
 
 void exchange::resume_at(const routing::software& began_at, std::string_view told_by) {
@@ -60,31 +69,45 @@
 
 void exchange::ask_for_origin() {
     phase_ = phase::waiting_for_origin;
+    origin_wait_ends_ = owner_.time_.now() + load_wait_limit();
     owner_.wait_for_origin(stream_key(), shared_from_this());
     send_origin_query();
 }
 
 void exchange::send_origin_query() {
     ++origin_queries_;
-    missing_origin_replies_ = owner_.ask_for_origin(stream_key());
-    if (missing_origin_replies_ == 0) {
+    const bool is_named = !attributes_.resumed_request.empty();
+    missing_origin_replies_ = is_named ? owner_.ask_for_origin(stream_key()) : 0;
+    if (missing_origin_replies_ == 0 && !may_learn_origin()) {
         refuse_unknown_origin();
         return;
     }
-    wait_timer_.expires_after(origin_reply_time);
+    const duration left = origin_wait_ends_ - owner_.time_.now();
+    wait_timer_.expires_after(std::clamp<duration>(left, duration::zero(), origin_reply_time));
     wait_timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
         const auto self = weak.lock();
-        if (ec || !self || self->phase_ != phase::waiting_for_origin) {
-            return;
-        }
-        if (self->origin_queries_ < max_origin_queries) {
-            self->send_origin_query();
-        } else {
-            self->refuse_unknown_origin();
+        if (!ec && self && self->phase_ == phase::waiting_for_origin) {
+            self->on_origin_reply_time();
         }
     });
 }
 
+void exchange::on_origin_reply_time() {
+    if (resume_if_known()) {
+        return;
+    }
+    const bool may_ask_again = may_learn_origin() || origin_queries_ < max_origin_queries;
+    if (may_ask_again && owner_.time_.now() < origin_wait_ends_) {
+        send_origin_query();
+    } else {
+        refuse_unknown_origin();
+    }
+}
+
+bool exchange::may_learn_origin() const {
+    return owner_.knowledge_of_origins() == origin_knowledge::incomplete;
+}
+
 void exchange::on_origin_told(const std::optional<routing::software>& began_at) {
     if (phase_ != phase::waiting_for_origin) {
         return;
@@ -92,7 +115,12 @@
     const auto self = shared_from_this();
     if (began_at) {
         resume_at(*began_at, "peer");
-    } else if (--missing_origin_replies_ == 0) {
+        return;
+    }
+    if (missing_origin_replies_ > 0) {
+        --missing_origin_replies_;
+    }
+    if (missing_origin_replies_ == 0 && !may_learn_origin()) {
         refuse_unknown_origin();
     }
 }
@@ -100,8 +128,10 @@
 void exchange::refuse_unknown_origin() {
     wait_timer_.cancel();
     origin_told_by_ = "nobody";
-    // Nobody will know it later, so there is no Retry-After.
-    refuse({status_unavailable, "stream_software_unknown", std::nullopt});
+    // Where all that could know have replied, nobody will know it later.
+    const bool is_final = owner_.knowledge_of_origins() == origin_knowledge::complete;
+    refuse({status_unavailable, "stream_software_unknown",
+            is_final ? std::nullopt : std::make_optional(origin_retry_after)});
 }
 
 void exchange::note_stream_begin() {
