Keepers of streams reply once they have read the archive

What callers saw: a resumed stream was refused as unknown although the archive knew it. A keeper that had started again replied "unknown" before it had read the archive, and two such replies are final for the VM that asked.

Now it holds such queries, 10,000 at most, and replies when the archive was read, or when a read has failed. It replies at once to what it knows.

resumed_streams_tests/a_keeper_replies_once_it_has_read_the_archive failed before (1 reply in place of 0, origin unknown) and passes now; the suite passes.

--- a/radishpulley/edge/src/stream_keepers.cpp
+++ b/radishpulley/edge/src/stream_keepers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "routing/rendezvous.h"
 
@@ -19,6 +20,8 @@
 constexpr std::chrono::milliseconds announcement_delay{20};
 // Streams in one message, so that it fits into a datagram.
 constexpr std::size_t max_streams_per_message = 500;
+// Queries beyond it are dropped; VMs that get no reply ask again.
+constexpr std::size_t max_held_queries = 10'000;
 
 }  // namespace
 
@@ -31,6 +34,7 @@
       archive_(archive),
       announcement_(loop, announcement_delay, [this] { announce(); }) {
     set_serving({self});
+    archive_.set_on_settled([this] { reply_to_held_queries(); });
 }
 
 void stream_keepers::set_serving(const std::vector<vm_id>& vms) {
@@ -113,7 +117,22 @@
 }
 
 void stream_keepers::on_hint(const vm_id& from, const routing::stream_query& it) {
-    fleet_.send(from, routing::stream_reply{it.stream, data_path_.origin_of(it.stream)});
+    const bool is_reading = !archive_.is_read() && !archive_.is_unavailable();
+    if (!is_reading || data_path_.origin_of(it.stream)) {
+        reply(from, it.stream);
+    } else if (held_queries_.size() < max_held_queries) {
+        held_queries_.emplace(from, it.stream);
+    }
+}
+
+void stream_keepers::reply(const vm_id& to, routing::stream_key stream) {
+    fleet_.send(to, routing::stream_reply{stream, data_path_.origin_of(stream)});
+}
+
+void stream_keepers::reply_to_held_queries() {
+    for (const auto& [vm, stream] : std::exchange(held_queries_, {})) {
+        reply(vm, stream);
+    }
 }
 
 void stream_keepers::on_hint(const routing::stream_reply& it) {
--- a/radishpulley/edge/src/stream_keepers.h
+++ b/radishpulley/edge/src/stream_keepers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -40,6 +41,9 @@
     void announce();
     /// Returns the keepers of a stream, with this VM if it is one, the first first.
     const std::vector<vm_id>& keepers_of(routing::stream_key stream) const;
+    void reply(const vm_id& to, routing::stream_key stream);
+    /// Replies to the VMs that asked before the archive was read.
+    void reply_to_held_queries();
     /// Archives those streams that this VM has to.
     void archive(const routing::stream_group& it);
 
@@ -51,6 +55,8 @@
     std::vector<std::vector<vm_id>> shards_;
     /// Whether the VMs that serve were set after this one had joined them.
     bool knows_members_ = false;
+    /// Queries for streams that this VM may still find in the archive.
+    std::set<std::pair<vm_id, routing::stream_key>> held_queries_;
     delayed_call announcement_;
 };
 
