--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -124,7 +124,7 @@
     bool may_outlast_daemon() const;
     /// Ends the request, which may have been sent, with its final response.
     void give_up(std::string_view reason, duration retry_after);
-    /// Whether the request resumes a stream.
+    /// Whether the request resumes a stream, or could if it has no route.
     bool is_resumption() const;
     /// The stream that the request begins or resumes.
     routing::stream_key stream_key() const;
@@ -141,10 +141,16 @@
     void send_origin_query();
     /// Goes on where no VM knows the stream: at the only software, once it is confirmed.
     void on_unknown_origin();
+    void on_origin_reply_time();
+    /// Goes on with the stream if this VM knows now where it began; returns whether it does.
+    bool resume_if_known();
+    /// Whether this VM may still learn where the stream began without a reply of others.
+    bool may_learn_origin() const;
     void refuse_unknown_origin();
     /// The caller receives the beginning of a stream from the endpoint.
     void note_stream_begin();
-    void log_resumption(std::string_view told_by, std::string_view outcome) const;
+    /// Counts and logs how the request, which resumes a stream, ended.
+    void log_resumption(std::string_view outcome) const;
     void find_endpoint();
     /// Regions in which the request may be processed by the newest configuration. A route or
     /// account that it no longer contains keeps its last restriction.
@@ -296,7 +302,11 @@
     routing::software endpoint_software_;
     /// The software that began the stream, once its caller has received a part of it.
     std::optional<routing::software> began_at_;
+    /// Who told the software of a resumed stream, for the log; "-" if nobody was asked.
+    std::string_view origin_told_by_ = "-";
     unsigned origin_queries_ = 0;
+    /// Until when the request waits for somebody to know where its stream began.
+    time_point origin_wait_ends_{};
     /// Replies of other VMs that are still to come.
     std::size_t missing_origin_replies_ = 0;
     std::uint32_t unread_tokens_ = 0;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -68,7 +68,8 @@
                                      "Closed connections of callers by what they were doing.",
                                      {"phase", "reason"})),
       resumptions_(metrics.add_counters("stream_resumptions_total",
-                                        "Streams that callers resumed, by outcome.", {"outcome"})),
+                                        "Streams that callers resumed, by outcome.",
+                                        {"outcome", "went_on"})),
       passed_on_(metrics.add_counters("requests_passed_on_total",
                                       "Requests passed on to other VMs, by outcome.", {"outcome"})),
       relayed_(metrics.add_counters("requests_relayed_total",
@@ -156,6 +157,15 @@
     return stream_peers_ == nullptr ? 0 : stream_peers_->ask(stream);
 }
 
+origin_knowledge gateway::knowledge_of_origins() const {
+    if (stream_peers_ == nullptr) {
+        return origin_knowledge::complete;
+    }
+    const origin_knowledge streams = stream_peers_->knowledge();
+    const bool awaits_record = streams == origin_knowledge::complete && !software_.knows_past();
+    return awaits_record ? origin_knowledge::incomplete : streams;
+}
+
 bool gateway::is_ambiguous(const service_id& service) const {
     return shared_services_.count(service) != 0 ||
            software_.recent(service, time_.now()).size() > 1;
