A call makes no progress while sent bytes stay unacknowledged, whatever TCP_INFO tells

Counted now are bytes that were sent and not acknowledged (SIOCOUTQ less SIOCOUTQNSD) and that stay as many; a peer without room has none of these.

--- a/libs/gateway/include/gateway/caller_link.h
+++ b/libs/gateway/include/gateway/caller_link.h
@@ -182,7 +182,9 @@
     /// Whether a request is being read or processed, or a response is on its way.
     bool is_busy() const;
     caller_phase phase() const;
-    /// Time since the last response, or since the connection was established.
+    /// The connection is in use: it is not idle before now.
+    void note_in_use(time_point now) { idle_since_ = now; }
+    /// Time since the connection was in use last, or was established.
     duration idle_time(time_point now) const { return now - idle_since_; }
     /// Closes at once.
     void close(close_reason why);
--- a/libs/gateway/include/gateway/progress_watch.h
+++ b/libs/gateway/include/gateway/progress_watch.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 
 #include "base/clock.h"
 
@@ -15,8 +16,10 @@
     /// Whether sent bytes, or a probe, wait for the acknowledgement of the peer's system. What the
     /// peer has no room for is not sent, and doesn't count.
     bool awaits_acknowledgement = false;
-    /// Time since an acknowledgement arrived last.
+    /// Time since an acknowledgement arrived last; zero if unknown.
     std::chrono::milliseconds since_acknowledgement{0};
+    /// Number of written bytes that were not acknowledged.
+    std::size_t undelivered = 0;
 };
 
 /// Watches one connection.
@@ -29,16 +32,20 @@
     /// Takes a sample; returns for how long nothing was acknowledged.
     duration on_sample(const send_status& it, time_point now) {
         const duration step = std::min<duration>(now - sampled_at_, max_step);
-        const bool goes_on =
-            awaited_ && it.awaits_acknowledgement && it.since_acknowledgement >= step;
+        const bool is_silent = it.since_acknowledgement == std::chrono::milliseconds(0) ||
+                               it.since_acknowledgement >= step;
+        const bool goes_on = awaited_ && it.awaits_acknowledgement && is_silent &&
+                             it.undelivered == undelivered_;
         stalled_ = goes_on ? stalled_ + step : duration::zero();
         awaited_ = it.awaits_acknowledgement;
+        undelivered_ = it.undelivered;
         sampled_at_ = now;
         return stalled_;
     }
 
 private:
     bool awaited_ = false;
+    std::size_t undelivered_ = 0;
     duration stalled_{};
     time_point sampled_at_{};
 };
--- a/libs/gateway/src/caller_link.cpp
+++ b/libs/gateway/src/caller_link.cpp
@@ -309,7 +309,6 @@
     const std::chrono::milliseconds limit = service_.caller_limits().idle_timeout;
     if (is_in_use) {
         idle_since_ = now;
-        idle_limit_ = limit;
     }
     // A lowered limit holds from the next response on: callers go by the one that was in force at
     // the last.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -415,7 +415,8 @@
     } else if (events_) {
         note_stream_begin();
     }
-    if (is_resumption()) {
+    // The VM that has the caller counts what was passed on.
+    if (is_resumption() && !relay_terms_) {
         log_resumption(reason);
     }
     phase_ = phase::ended;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -809,7 +809,9 @@
     std::size_t closed = 0;
     duration least_idle = duration::max();
     for (const auto& it : all) {
-        if (!it->is_busy() && it->idle_time(now) >= quiet_time) {
+        if (it->is_busy()) {
+            it->note_in_use(now);
+        } else if (it->idle_time(now) >= quiet_time) {
             ++closed;
             least_idle = std::min(least_idle, it->idle_time(now));
             it->close(close_reason::stopping);
--- a/libs/gateway/src/link.cpp
+++ b/libs/gateway/src/link.cpp
@@ -303,10 +303,14 @@
         getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
         return {};
     }
+    const auto in_system = static_cast<int>(undelivered() - unsent_);
+    int not_sent = 0;
+    const bool is_known = ioctl(socket_.native_handle(), SIOCOUTQNSD, &not_sent) == 0;
+    const bool has_sent_bytes = is_known ? in_system > not_sent : info.tcpi_unacked > 0;
     // A probe of a peer that has no room may be answered late; one of an idle peer is answered.
     const bool is_idle_probed = info.tcpi_probes > 0 && undelivered() == 0;
-    return {info.tcpi_unacked > 0 || is_idle_probed,
-            std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+    return {has_sent_bytes || is_idle_probed, std::chrono::milliseconds(info.tcpi_last_ack_recv),
+            undelivered()};
 }
 
 void link::abort() {
