--- a/libs/gateway/tests/closing_connections_tests.cpp
+++ b/libs/gateway/tests/closing_connections_tests.cpp
@@ -244,6 +244,38 @@
     run_until([&] { return caller->ended; });
 }
 
+// Guards against a stop that closes the connection of a slow caller as soon as it has received its
+// response, while its next request is on its way.
+BOOST_FIXTURE_TEST_CASE(a_stop_counts_the_quiet_time_from_the_receipt_of_the_response, fixture) {
+    const auto caller = leave_response_unread("");
+    proxy().begin_stop(usual_stop());
+    time.jump(std::chrono::seconds(2));
+    proxy().close_idle_callers();
+    caller->start();
+    run_until([&] { return caller->ended || ends_with(caller->received, "done"); });
+    BOOST_TEST(!caller->ended);
+    caller->received.clear();
+    proxy().close_idle_callers();
+    caller->send(request("GET /again/x", "r2"));
+    run_until([&] { return caller->ended || ends_with(caller->received, "done"); });
+    BOOST_TEST(ends_with(caller->received, "done"));
+}
+
+// Guards against an idle limit that is lowered while a response is received, and closes the
+// connection before its caller can know of it.
+BOOST_FIXTURE_TEST_CASE(a_limit_lowered_while_a_response_is_received_holds_from_the_next, fixture) {
+    idle_timeout = milliseconds(2'000);
+    configure();
+    const auto caller = leave_response_unread("");
+    idle_timeout = milliseconds(50);
+    configure();
+    run_for(milliseconds(600));
+    caller->start();
+    run_until([&] { return caller->ended || ends_with(caller->received, "done"); });
+    run_for(milliseconds(300));
+    BOOST_TEST(!caller->ended);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::gateway::testing
