--- a/libs/gateway/include/gateway/progress_watch.h
+++ b/libs/gateway/include/gateway/progress_watch.h
@@ -34,8 +34,8 @@
         const duration step = std::min<duration>(now - sampled_at_, max_step);
         const bool is_silent = it.since_acknowledgement == std::chrono::milliseconds(0) ||
                                it.since_acknowledgement >= step;
-        const bool goes_on = awaited_ && it.awaits_acknowledgement && is_silent &&
-                             it.undelivered == undelivered_;
+        const bool goes_on =
+            awaited_ && it.awaits_acknowledgement && is_silent && it.undelivered == undelivered_;
         stalled_ = goes_on ? stalled_ + step : duration::zero();
         awaited_ = it.awaits_acknowledgement;
         undelivered_ = it.undelivered;
