Streams are archived sooner in a small fleet

What callers saw: after all VMs lost power in a release, most streams that they resumed were refused: of those that live at any moment, most began within the last half second, and the archive lacked what began in the last quarter of one. Cause: one delay for all sizes of fleet, chosen by what the store bears of 380 VMs. It now grows with the number of VMs that write, between 50 and 250 ms; all together write at most 100 times a second, as before.

The new test would have failed with 250 ms for a small fleet; it was not run on the code before.

--- a/radishpulley/edge/src/delayed_call.h
+++ b/radishpulley/edge/src/delayed_call.h
@@ -17,6 +17,8 @@
                  std::function<void()> callback)
         : timer_(loop), delay_(delay), callback_(std::move(callback)) {}
 
+    /// Sets the delay of the calls that are requested from now on.
+    void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
     /// Schedules the call after the delay, unless it is already scheduled.
     void request() {
         if (is_scheduled_) {
--- a/radishpulley/edge/src/stream_archive.cpp
+++ b/radishpulley/edge/src/stream_archive.cpp
@@ -15,8 +15,6 @@
 
 constexpr const char* archive_kind = "stream-origins";
 constexpr std::chrono::milliseconds retry_delay{500};
-// Streams that began within this time before all VMs fail are lost.
-constexpr std::chrono::milliseconds flush_delay{250};
 // Streams in one object; each write sends the whole object.
 constexpr std::size_t max_streams = 256;
 
@@ -58,7 +56,7 @@
       self_(std::move(self)),
       on_read_(std::move(on_read)),
       retry_timer_(loop),
-      flush_(loop, flush_delay, [this] { flush(); }) {}
+      flush_(loop, archive_delay(1), [this] { flush(); }) {}
 
 void stream_archive::start() {
     read();
--- a/radishpulley/edge/src/stream_archive.h
+++ b/radishpulley/edge/src/stream_archive.h
@@ -1,6 +1,9 @@
 /// Keeps in the store where streams began, so that it is known after a failure of all VMs.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -16,6 +19,18 @@
 
 namespace radishpulley::edge {
 
+/// Returns for how long a VM collects streams before it writes them, where `writers` VMs do so:
+/// streams that began within this time before all VMs fail are lost. All VMs together write no more
+/// often than the store bears in a large fleet, and one in a small fleet no more often than pays.
+constexpr std::chrono::milliseconds archive_delay(std::size_t writers) {
+    constexpr std::chrono::milliseconds delay_per_writer{10};
+    constexpr std::chrono::milliseconds least{50};
+    constexpr std::chrono::milliseconds most{250};
+    constexpr auto writers_at_most = static_cast<std::size_t>(most / delay_per_writer);
+    const auto n = static_cast<std::chrono::milliseconds::rep>(std::min(writers, writers_at_most));
+    return std::max(least, delay_per_writer * n);
+}
+
 /// Reads the archive of all VMs at the start, and writes the streams that this VM is told to keep.
 ///
 /// A VM writes a few objects in turn. Each is rewritten until it is full, and then again once its
@@ -35,6 +50,8 @@
     bool is_unavailable() const { return is_unavailable_; }
     /// Sets the callback invoked when it was read, and after each attempt that failed.
     void set_on_settled(std::function<void()> call) { on_settled_ = std::move(call); }
+    /// Sets the number of VMs that write.
+    void set_writers(std::size_t count) { flush_.set_delay(archive_delay(count)); }
     /// Writes streams soon.
     void add(const routing::stream_group& it);
 
--- a/radishpulley/edge/src/stream_keepers.cpp
+++ b/radishpulley/edge/src/stream_keepers.cpp
@@ -45,6 +45,7 @@
         shards_.push_back(
             routing::rendezvous_top("streams|" + std::to_string(shard), vms, keeper_count));
     }
+    archive_.set_writers(count * writer_count);
 }
 
 const std::vector<vm_id>& stream_keepers::keepers_of(routing::stream_key stream) const {
--- a/radishpulley/edge/tests/resumed_streams_tests.cpp
+++ b/radishpulley/edge/tests/resumed_streams_tests.cpp
@@ -410,6 +410,20 @@
     run_until([&] { return is_recorded("v1"); });
 }
 
+// Guards against streams, most of which last less than half a second, that all VMs forget in a
+// failure because a small fleet archives as seldom as a large one.
+BOOST_AUTO_TEST_CASE(a_small_fleet_archives_streams_sooner_than_a_large_one) {
+    using std::chrono::milliseconds;
+    constexpr std::size_t writers_of_9_vms = 2;
+    constexpr std::size_t writers_of_380_vms = 24;
+    constexpr int most_writes_per_second = 100;
+    BOOST_TEST((archive_delay(writers_of_9_vms) <= milliseconds(50)));
+    for (std::size_t writers = 1; writers <= writers_of_380_vms; ++writers) {
+        const auto per_second = static_cast<int>(writers) * 1'000 / archive_delay(writers).count();
+        BOOST_TEST(per_second <= most_writes_per_second);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace radishpulley::edge::testing
