Review: case 11 kills machines that remember no streams of others

Rule LOST (streams that clients take up again). Disruption: half of the machines are killed 1.2 s after a second software version has joined the service.

--- a/review/standins-3/bed.h
+++ b/review/standins-3/bed.h
@@ -421,6 +421,15 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         return objects_[kind].size();
     }
+    /// What the objects of a kind hold.
+    std::vector<json> specs(const std::string& kind) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::vector<json> out;
+        for (const auto& [name, object] : objects_[kind]) {
+            out.push_back(object["spec"]);
+        }
+        return out;
+    }
     void back_up() {
         const std::lock_guard<std::mutex> lock(mutex_);
         copy_ = {objects_, history_, revision_};
@@ -710,6 +719,15 @@
             record().line("machine %s killed", it.name.c_str());
         }
     }
+    /// Kills several machines at the same moment.
+    void kill_together(const std::vector<machine*>& those) {
+        for (machine* it : those) {
+            send_signal(*it, SIGKILL);
+        }
+        for (machine* it : those) {
+            kill(*it);
+        }
+    }
     void end_all() {
         for (const auto& it : machines_) {
             kill(*it);
--- a/review/standins-3/room_server.h
+++ b/review/standins-3/room_server.h
@@ -13,7 +13,7 @@
     struct shape {
         int places = 6;
         int queue = 24;
-        int brittle_queue = 6;
+        int brittle_queue = 4;
         int brittle_rejections = 4;
         long work_ms = 150;
         double contact_s = 3;
