--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -13,7 +13,7 @@
 // By their names, the first three are those that remember the streams of the fleet.
 constexpr int killed_count = 3;  // herd_kill, share 0.5
 constexpr int all_streams = 54;
-constexpr double release_at = streams_at + 4;
+constexpr double release_at = streams_at + 2;
 constexpr double kill_at = streams_at + 17;
 const std::string key = "i9n73hh2b9wu3fexd9dn";
 
